--- /dev/null
+++ b/currantwall/coordination/attempts.py
@@ -0,0 +1,122 @@
+"""What to do when an upstream did not answer a request as it should.
+
+The failures it answers: upstreams that vanish, fall silent, refuse or
+break off while callers wait, in a fleet where some always do. What has
+not run goes elsewhere at once. What may have run goes elsewhere only if
+the route allows it, at most as often as the route says, and while the
+nodes' common budget for repeats lasts. Everything else gets its final
+answer now: waiting longer would only keep the caller from trying again.
+"""
+
+import enum
+
+import msgspec
+
+from currantwall.state import routes
+
+__all__ = [
+    "Ending",
+    "Failure",
+    "Progress",
+    "Verdict",
+    "decide",
+    "end_unserved",
+]
+
+# Sends of one request at most, those included that certainly ran nowhere.
+_SENDS_LIMIT = 4
+# Seconds of silence of an upstream that make it count as stalled. A
+# working one sends an event every 45 to 60 ms, with a long prompt read
+# between two of them 150 ms.
+STALL = 0.3
+# Seconds before the first event, as a factor of the route's target, and
+# at least: an answer later than the target is worth a quarter.
+_FIRST_FACTOR = 1.5
+_FIRST_LEAST = 0.4
+
+
+class Failure(enum.Enum):
+    """How an attempt failed."""
+
+    # No connection: nothing of the request left this node.
+    UNREACHED = "unreached"
+    # The upstream says that it did not run the request.
+    NOT_RUN = "not_run"
+    # No answer, or one that cannot be trusted; it may have run.
+    LOST = "lost"
+    # The upstream fell silent; it may run the request later.
+    STALLED = "stalled"
+    # The upstream answered with a failure of its own.
+    ERROR = "error"
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the upstream may have acted on the request."""
+        return self not in (Failure.UNREACHED, Failure.NOT_RUN)
+
+
+class Progress(msgspec.Struct):
+    """How far one request has come.
+
+    Attributes:
+        sends: Attempts made.
+        runs: Attempts that may have run.
+        started: Whether the caller has got a part of the answer.
+    """
+
+    sends: int = 0
+    runs: int = 0
+    started: bool = False
+
+
+class Verdict(enum.Enum):
+    """What follows a failed attempt."""
+
+    REPEAT = "repeat"
+    # The same, paid for from the common budget.
+    REPEAT_PAID = "repeat_paid"
+    GIVE_UP = "give_up"
+
+
+class Ending(enum.Enum):
+    """What a caller is told of a request that got no answer."""
+
+    # It has not run and won't: the caller may repeat it.
+    REFUSED = "refused"
+    # The upstream's answer was lost.
+    BAD_GATEWAY = "bad_gateway"
+    # Time ran out while it may have run.
+    TIMED_OUT = "timed_out"
+
+
+def decide(
+    route: routes.Route, failure: Failure, progress: Progress
+) -> Verdict:
+    """Return whether a request is sent to another upstream."""
+    if progress.sends >= _SENDS_LIMIT:
+        return Verdict.GIVE_UP
+    if not failure.may_have_run and progress.runs == 0:
+        return Verdict.REPEAT_PAID
+    if not route.is_idempotent:
+        return Verdict.GIVE_UP
+    if failure.may_have_run and progress.runs >= route.attempts:
+        return Verdict.GIVE_UP
+    return Verdict.REPEAT_PAID
+
+
+def end_unserved(progress: Progress, in_time: bool) -> Ending:
+    """Return the final answer of a request that got none."""
+    if progress.runs == 0:
+        return Ending.REFUSED
+    return Ending.BAD_GATEWAY if in_time else Ending.TIMED_OUT
+
+
+def wait_for_first(route: routes.Route) -> float | None:
+    """Return the seconds after which an attempt counts as stalled.
+
+    None where a second attempt is not allowed: then it is better to wait
+    for the one that may have run.
+    """
+    if not route.is_idempotent or route.attempts < 2:
+        return None
+    return max(_FIRST_LEAST, _FIRST_FACTOR * route.target)
--- /dev/null
+++ b/currantwall/coordination/balancing.py
@@ -0,0 +1,240 @@
+"""Which upstream takes a request.
+
+The load it answers: many short requests from several nodes at once,
+over upstreams some of which are slow, fail, or have fallen silent
+without anybody having said so yet. A node knows its own requests in
+work exactly and those of the other nodes as of their last heartbeat, so
+each choice compares known requests in work, weighted by how the
+upstream behaved of late.
+"""
+
+from collections import abc
+
+import msgspec
+
+from currantwall.state import hashing
+from currantwall.state import ids
+from currantwall.state import upstreams
+
+__all__ = ["Balancer", "Unavailable"]
+
+# Seconds without a choice after a failure: doubled with each failure in
+# a row. The first is as long as a replica takes to be mended.
+_FIRST_AVOIDANCE = 0.7
+_LONGEST_AVOIDANCE = 4.0
+# Seconds for which another node's word that an upstream stalls counts.
+_HEARSAY_AVOIDANCE = 0.7
+# Weight of the newest outcome in the share of failures.
+_FAILURE_WEIGHT = 0.2
+# How much more costly an upstream looks that fails every request.
+_FAILURE_COST = 20.0
+# Cost of leaving the data centre, in requests in work: 1.4 ms one way
+# and priced traffic against about 5 ms for each further request.
+_REMOTE_COST = 0.5
+# Seconds after which another node's count of requests says nothing.
+_LOAD_AGE = 2.0
+# Seconds until a caller may try again when no replica serves: what it
+# takes to notice a loss, join anew and open.
+_MENDING = 1.0
+# Seconds until a caller may try again when everything is full: about one
+# answer of a full replica.
+_DRAINING = 0.5
+
+
+class Unavailable(msgspec.Struct, frozen=True):
+    """No upstream can take the request now.
+
+    Attributes:
+        reason: For the log and the caller.
+        retry_after: Seconds after which a try makes sense.
+    """
+
+    reason: str
+    retry_after: float
+
+
+class _Conduct:
+    """How one upstream has behaved towards this node."""
+
+    def __init__(self) -> None:
+        self.in_work = 0
+        self.failures = 0
+        self.failure_share = 0.0
+        self.avoid_until = 0.0
+        # Remembered so that the same replica, mended, starts afresh.
+        self.epoch = 0
+
+
+class Balancer:
+    """Chooses upstreams; keeps what this node saw of each."""
+
+    def __init__(
+        self, fleet: upstreams.Fleet, datacentre: ids.DatacentreName
+    ) -> None:
+        self._fleet = fleet
+        self._datacentre = datacentre
+        self._conduct: dict[ids.InstanceId, _Conduct] = {}
+        self._remote: dict[
+            ids.NodeId, tuple[float, abc.Mapping[str, int]]
+        ] = {}
+        self._remote_sums: dict[str, int] = {}
+
+    # -- Choosing
+
+    def choose(
+        self,
+        service: ids.ServiceName,
+        model: str | None,
+        excluded: abc.Container[ids.InstanceId],
+        salt: str,
+        now: float,
+        room: float = 0.0,
+    ) -> upstreams.Upstream | Unavailable:
+        """Return the upstream for a request.
+
+        Args:
+            service: Where the route leads.
+            model: Model of the replica; None for plain services.
+            excluded: Upstreams that this request has tried.
+            salt: Breaks ties, so that nodes do not all choose alike.
+            now: Monotonic time.
+            room: Requests in work at an upstream beyond its slots that
+                still make sense, as a factor of its slots; 0 for any.
+        """
+        candidates = self._list_candidates(service, model)
+        if not candidates:
+            return Unavailable("no upstream serves", _MENDING)
+        fresh = [one for one in candidates if one.id not in excluded]
+        usable = [one for one in fresh if not self._is_avoided(one, now)]
+        if not usable:
+            if model is not None and not fresh:
+                return Unavailable("all were tried", _MENDING)
+            if model is not None:
+                return Unavailable("all stall or fail", _MENDING)
+            # Plain services: a doubtful one is better than none.
+            usable = fresh
+            if not usable:
+                return Unavailable("all were tried", _DRAINING)
+        best = min(usable, key=lambda one: self._cost(one, salt))
+        if room and self.count_load(best.id) >= best.slots * room:
+            return Unavailable("all are full", _DRAINING)
+        return best
+
+    def _list_candidates(
+        self, service: ids.ServiceName, model: str | None
+    ) -> list[upstreams.Upstream]:
+        if model is None:
+            return [
+                one
+                for one in self._fleet.list_service(service)
+                if not one.leaving
+            ]
+        replicas = self._fleet.list_serving(service, model)
+        return [one.members[0] for one in replicas]
+
+    def _cost(self, one: upstreams.Upstream, salt: str) -> tuple[float, int]:
+        conduct = self._conduct.get(one.id)
+        share = conduct.failure_share if conduct else 0.0
+        cost = (1 + self.count_load(one.id)) * (1 + _FAILURE_COST * share)
+        if one.datacentre != self._datacentre:
+            cost += _REMOTE_COST
+        return cost, hashing.hash_text(f"{salt}{one.id}")
+
+    def _is_avoided(self, one: upstreams.Upstream, now: float) -> bool:
+        conduct = self._conduct.get(one.id)
+        if conduct is None or now >= conduct.avoid_until:
+            return False
+        return one.seat is None or conduct.epoch >= one.seat.epoch
+
+    def count_load(self, instance: ids.InstanceId) -> int:
+        """Return the known requests in work at an upstream."""
+        conduct = self._conduct.get(instance)
+        own = conduct.in_work if conduct else 0
+        return own + self._remote_sums.get(instance, 0)
+
+    # -- What was seen
+
+    def _get(self, instance: ids.InstanceId) -> _Conduct:
+        conduct = self._conduct.get(instance)
+        if conduct is None:
+            conduct = self._conduct[instance] = _Conduct()
+        return conduct
+
+    def begin(self, instance: ids.InstanceId) -> None:
+        """Note a request that is on its way to an upstream."""
+        self._get(instance).in_work += 1
+
+    def end(self, instance: ids.InstanceId) -> None:
+        """Note that a request has ended there."""
+        self._get(instance).in_work -= 1
+
+    def note_success(self, instance: ids.InstanceId) -> None:
+        """Note an answer in order."""
+        conduct = self._get(instance)
+        conduct.failures = 0
+        conduct.failure_share *= 1 - _FAILURE_WEIGHT
+
+    def note_failure(
+        self, upstream: upstreams.Upstream, now: float, avoid: bool
+    ) -> None:
+        """Note a failure; `avoid` where the next request would fail too."""
+        conduct = self._get(upstream.id)
+        conduct.failure_share += _FAILURE_WEIGHT * (1 - conduct.failure_share)
+        if not avoid:
+            return
+        conduct.failures += 1
+        wait = _FIRST_AVOIDANCE * 2 ** (conduct.failures - 1)
+        self._avoid(upstream, now + min(wait, _LONGEST_AVOIDANCE))
+
+    def note_hearsay(self, instance: ids.InstanceId, now: float) -> None:
+        """Note another node's word that an upstream stalls."""
+        upstream = self._fleet.get(instance)
+        if upstream is not None:
+            self._avoid(upstream, now + _HEARSAY_AVOIDANCE)
+
+    def _avoid(self, upstream: upstreams.Upstream, until: float) -> None:
+        conduct = self._get(upstream.id)
+        conduct.avoid_until = max(conduct.avoid_until, until)
+        if upstream.seat is not None:
+            conduct.epoch = upstream.seat.epoch
+
+    # -- What nodes tell each other
+
+    def list_loads(self) -> dict[str, int]:
+        """Return this node's requests in work by upstream."""
+        return {
+            name: conduct.in_work
+            for name, conduct in self._conduct.items()
+            if conduct.in_work > 0
+        }
+
+    def note_loads(
+        self, node: ids.NodeId, loads: abc.Mapping[str, int], now: float
+    ) -> None:
+        """Take note of another node's requests in work."""
+        self._remote[node] = (now, loads)
+        self.expire(now)
+
+    def expire(self, now: float) -> None:
+        """Forget old counts and upstreams that are no longer listed."""
+        sums: dict[str, int] = {}
+        for node, (at, loads) in list(self._remote.items()):
+            if now - at > _LOAD_AGE:
+                del self._remote[node]
+                continue
+            for name, count in loads.items():
+                sums[name] = sums.get(name, 0) + count
+        self._remote_sums = sums
+        for name, conduct in list(self._conduct.items()):
+            if conduct.in_work <= 0 and self._fleet.get(name) is None:
+                del self._conduct[name]
+
+    def count_busy(self, service: ids.ServiceName) -> dict[str, int]:
+        """Return the known requests in work of each model."""
+        busy: dict[str, int] = {}
+        for replica in self._fleet.list_replicas(service):
+            leader = replica.leader
+            if leader is not None:
+                load = self.count_load(leader.id)
+                busy[replica.model] = busy.get(replica.model, 0) + load
+        return busy
--- /dev/null
+++ b/currantwall/coordination/formation.py
@@ -0,0 +1,666 @@
+"""Which instances of one fabric domain form which replicas.
+
+`Planner` is told what the instances report and returns orders. It keeps
+no ledger: an instance itself says which seat it has, so whoever takes
+over the domain goes on from the reports and leaves open replicas alone.
+
+Three rules keep a replica whole:
+
+* An instance is free only when the leader of its replica can't be open:
+  the leader left it, is broken, is gone, or never was opened.
+* Each order names the sequence number that the instance must have. An
+  order that is carried out late finds another number and does nothing.
+* Epochs rise with each join, so that no join of the past can succeed.
+"""
+
+from collections import abc
+import enum
+
+import msgspec
+
+from currantwall.state import ids
+from currantwall.state import routes
+from currantwall.state import upstreams
+
+__all__ = ["Demand", "Order", "OrderKind", "Planner", "Reach"]
+
+Phase = upstreams.Phase
+
+# Seconds an order may stay without effect before another one is sent: a
+# report is 0.2 s old, and the answer takes one round trip.
+_PENDING = 0.7
+# Seconds that the joins of one replica may take to show up, beyond which
+# an incomplete replica is dissolved. Covers a predecessor's orders.
+_ASSEMBLE = 1.0
+# Seconds beyond the model's own warm-up that joining may take.
+_JOIN_SLACK = 1.5
+# Seconds a leader with a leaving member may finish its work.
+_CLOSE_WAIT = 2.0
+# Failed probes in a row after which an instance counts as silent.
+_SILENT_PROBES = 2
+# Replicas' slots per busy request beyond which idle instances are kept as
+# spares rather than loaded with other weights.
+_AMPLE = 2.5
+# Replicas of the past that are remembered.
+_REMEMBERED = 1024
+
+
+class OrderKind(enum.Enum):
+    """What an engine instance is told to do."""
+
+    JOIN = "join"
+    OPEN = "open"
+    CLOSE = "close"
+    LEAVE = "leave"
+    STAGE = "stage"
+
+
+class Order(msgspec.Struct, frozen=True, kw_only=True):
+    """One order to one instance.
+
+    Attributes:
+        sequence: Orders the instance must have accepted so far; it
+            refuses if that differs.
+    """
+
+    instance: ids.InstanceId
+    address: str
+    kind: OrderKind
+    sequence: int
+    model: str = ""
+    replica: ids.ReplicaId = ids.ReplicaId("")
+    epoch: int = 0
+    members: tuple[ids.InstanceId, ...] = ()
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """What one model needs and has, over the whole service.
+
+    Attributes:
+        busy: Requests in work; or the model's expected share of them.
+        replicas: Replicas that serve or are about to, in other domains.
+    """
+
+    busy: float
+    replicas: int
+
+
+class Reach(enum.Enum):
+    """How an instance answered its last probe."""
+
+    ANSWERED = "answered"
+    SILENT = "silent"
+    # Nothing listens there, or another instance does.
+    REFUSED = "refused"
+
+
+class _Known:
+    """What the planner knows of one instance."""
+
+    def __init__(self, upstream: upstreams.Upstream, now: float) -> None:
+        self.upstream = upstream
+        self.listed = True
+        self.missed = 0
+        self.refused = False
+        self.seen = now
+        self.pending_until = 0.0
+        # Until when a load ordered here keeps the instance from joining.
+        self.staging = ""
+        self.staging_until = 0.0
+
+    @property
+    def is_gone(self) -> bool:
+        """Return whether the process has certainly ended."""
+        return self.refused
+
+    @property
+    def is_alive(self) -> bool:
+        """Return whether it answers and is registered."""
+        return (
+            self.listed and not self.refused and self.missed < _SILENT_PROBES
+        )
+
+    @property
+    def is_usable(self) -> bool:
+        """Return whether a replica may be built with it."""
+        return self.is_alive and not self.upstream.leaving
+
+
+class Planner:
+    """Decides the replicas of one domain."""
+
+    def __init__(self, name: ids.DomainName, engine: routes.Engine) -> None:
+        self._name = name
+        self._engine = engine
+        self._known: dict[ids.InstanceId, _Known] = {}
+        # First sight of each replica phase that must not last.
+        self._since: dict[tuple[str, int, str], float] = {}
+        # Who led each replica; tells that a leader has left it.
+        self._leaders: dict[tuple[str, int], ids.InstanceId] = {}
+        self._epoch = 0
+
+    # -- What is known
+
+    def note_list(
+        self, listed: abc.Iterable[upstreams.Upstream], now: float
+    ) -> None:
+        """Take note of the registered instances of this domain."""
+        present = set()
+        for one in listed:
+            present.add(one.id)
+            known = self._known.get(one.id)
+            if known is None:
+                self._known[one.id] = _Known(one, now)
+                continue
+            known.listed = True
+            known.upstream = _merge(known.upstream, one, False)
+        for name, known in list(self._known.items()):
+            if name in present:
+                continue
+            known.listed = False
+            if known.refused or known.missed >= _SILENT_PROBES:
+                del self._known[name]
+
+    def note_report(self, reported: upstreams.Upstream, now: float) -> None:
+        """Take note of what an instance says of itself."""
+        known = self._known.get(reported.id)
+        if known is None:
+            return
+        known.missed = 0
+        known.refused = False
+        known.seen = now
+        if reported.sequence != known.upstream.sequence:
+            known.pending_until = 0.0
+        known.upstream = _merge(known.upstream, reported, True)
+        if known.staging in known.upstream.staged:
+            known.staging = ""
+
+    def note_failure(self, instance: ids.InstanceId, reach: Reach) -> bool:
+        """Take note of a failed probe; return whether that is a loss."""
+        known = self._known.get(instance)
+        if known is None:
+            return False
+        before = known.is_alive
+        if reach is Reach.REFUSED:
+            known.refused = True
+        else:
+            known.missed += 1
+        return before and not known.is_alive
+
+    def note_answer(
+        self, order: Order, accepted: bool | None, now: float
+    ) -> None:
+        """Take note of the answer to an order; None if there was none."""
+        known = self._known.get(order.instance)
+        if known is None:
+            return
+        if accepted is False:
+            known.pending_until = 0.0
+            if order.kind is OrderKind.STAGE:
+                known.staging = ""
+
+    def list_probes(self, now: float, steady: float) -> list[ids.InstanceId]:
+        """Return the instances whose report is wanted now.
+
+        Args:
+            now: Monotonic time.
+            steady: Seconds between two reports of an instance whose
+                replica is whole and open.
+        """
+        settled = self._list_settled()
+        found = []
+        for name, known in self._known.items():
+            calm = name in settled and not known.missed
+            wait = steady if calm else 0.0
+            if now - known.seen >= wait or known.missed:
+                found.append(name)
+        return found
+
+    def find(self, instance: ids.InstanceId) -> upstreams.Upstream | None:
+        """Return what is known of an instance."""
+        known = self._known.get(instance)
+        return known.upstream if known else None
+
+    def list_companions(
+        self, instance: ids.InstanceId
+    ) -> list[ids.InstanceId]:
+        """Return the members of an instance's replica, itself included."""
+        known = self._known.get(instance)
+        if known is None or known.upstream.seat is None:
+            return []
+        seat = known.upstream.seat
+        return [
+            name
+            for name, one in self._known.items()
+            if one.upstream.seat
+            and one.upstream.seat.replica == seat.replica
+            and one.upstream.seat.epoch == seat.epoch
+        ]
+
+    def count_replicas(self) -> dict[str, int]:
+        """Return the replicas of each model that serve or soon will."""
+        found: dict[str, int] = {}
+        for replica in self._list_replicas():
+            if self._is_intact(replica) and not self._is_spare(replica):
+                found[replica.model] = found.get(replica.model, 0) + 1
+        return found
+
+    def _list_settled(self) -> set[ids.InstanceId]:
+        """Return members of open replicas and of those kept as spares."""
+        settled = set()
+        for replica in self._list_replicas():
+            if not self._is_intact(replica):
+                continue
+            leader = replica.leader
+            spare = self._is_spare(replica)
+            wanted = Phase.READY if spare else Phase.OPEN
+            if leader and leader.seat and leader.seat.phase is wanted:
+                settled.update(one.id for one in replica.members)
+        for name, known in self._known.items():
+            if known.staging:
+                settled.add(name)
+        return settled
+
+    # -- The plan
+
+    def plan(
+        self, now: float, fence: int, demands: abc.Mapping[str, Demand]
+    ) -> list[Order]:
+        """Return the orders that are due.
+
+        Args:
+            now: Monotonic time.
+            fence: Number that rises with each holder of the domain;
+                epochs of joins begin there.
+            demands: Need and supply of each model by name.
+        """
+        seen = max(
+            (
+                known.upstream.seat.epoch
+                for known in self._known.values()
+                if known.upstream.seat
+            ),
+            default=0,
+        )
+        self._epoch = max(self._epoch, fence, seen)
+        for known in self._known.values():
+            if known.staging and now >= known.staging_until:
+                known.staging = ""
+        orders: list[Order] = []
+        kept: set[ids.InstanceId] = set()
+        for replica in self._list_replicas():
+            if self._is_spare(replica):
+                continue
+            if self._is_intact(replica) and not self._is_overdue(replica, now):
+                kept.update(one.id for one in replica.members)
+                orders += self._open(replica, now)
+            else:
+                kept.update(one.id for one in replica.members)
+                freed, more = self._dissolve(replica, now)
+                kept -= freed
+                orders += more
+        free = [
+            known
+            for name, known in self._known.items()
+            if name not in kept
+            and known.is_usable
+            and known.pending_until <= now
+        ]
+        orders += self._form(free, demands, now)
+        for order in orders:
+            self._known[order.instance].pending_until = now + _PENDING
+        return orders
+
+    def _list_replicas(self) -> list[upstreams.Replica]:
+        found = upstreams.list_replicas(
+            known.upstream for known in self._known.values()
+        )
+        for replica in found:
+            if replica.leader is not None:
+                key = (replica.id, replica.epoch)
+                self._leaders[key] = replica.leader.id
+        while len(self._leaders) > _REMEMBERED:
+            del self._leaders[next(iter(self._leaders))]
+        return found
+
+    def _is_spare(self, replica: upstreams.Replica) -> bool:
+        """Return whether it is one instance kept warm on its own."""
+        model = self._engine.find(replica.model)
+        return model is not None and replica.size != model.size
+
+    def _is_intact(self, replica: upstreams.Replica) -> bool:
+        ranks = [one.seat.rank for one in replica.members if one.seat]
+        if ranks != list(range(replica.size)):
+            return False
+        return all(self._known[one.id].is_usable for one in replica.members)
+
+    def _is_overdue(self, replica: upstreams.Replica, now: float) -> bool:
+        """Return whether a replica is broken or joins for too long."""
+        phases = {one.seat.phase for one in replica.members if one.seat}
+        if Phase.BROKEN in phases:
+            return True
+        if Phase.JOINING not in phases:
+            return False
+        model = self._engine.find(replica.model)
+        warm = model.warm if model else 0.0
+        return self._lasts(replica, "joining", now) > warm + _JOIN_SLACK
+
+    def _lasts(
+        self, replica: upstreams.Replica, what: str, now: float
+    ) -> float:
+        """Return for how long something is known of a replica."""
+        if len(self._since) > _REMEMBERED:
+            self._since.clear()
+        first = self._since.setdefault((replica.id, replica.epoch, what), now)
+        return now - first
+
+    def _is_pending(self, instance: ids.InstanceId, now: float) -> bool:
+        return self._known[instance].pending_until > now
+
+    def _open(self, replica: upstreams.Replica, now: float) -> list[Order]:
+        """Return the order that lets a replica serve, if it is time."""
+        if any(
+            one.seat is None or one.seat.phase is not Phase.READY
+            for one in replica.members
+        ):
+            return []
+        leader = replica.members[0]
+        if self._is_pending(leader.id, now):
+            return []
+        return [self._order(leader, OrderKind.OPEN)]
+
+    def _dissolve(
+        self, replica: upstreams.Replica, now: float
+    ) -> tuple[set[ids.InstanceId], list[Order]]:
+        """Return the members that are free, and orders that free others.
+
+        Failure: a survivor joins another replica while its old leader
+        still takes requests, so that it is in two at once. The leader
+        must have left first, be broken, or be certainly gone.
+        """
+        leader = replica.leader
+        everyone = {one.id for one in replica.members}
+        assembling = self._lasts(replica, "incomplete", now) < _ASSEMBLE
+        if leader is None:
+            if self._has_left_leader(replica):
+                return everyone, []
+            if assembling:
+                return set(), []
+            return set(), self._leave(replica.members, now)
+        known = self._known[leader.id]
+        seat = leader.seat
+        assert seat is not None
+        if seat.phase is Phase.BROKEN or known.is_gone:
+            return everyone, []
+        if not known.is_alive and known.missed >= _SILENT_PROBES:
+            return set(), self._leave(replica.members[1:], now)
+        if seat.phase is Phase.JOINING:
+            if assembling and not self._is_overdue(replica, now):
+                return set(), []
+            return everyone, []
+        if self._may_finish(replica, now):
+            if seat.phase is Phase.OPEN and not self._is_pending(
+                leader.id, now
+            ):
+                return set(), [self._order(leader, OrderKind.CLOSE)]
+            if seat.phase is not Phase.READY:
+                return set(), []
+        return set(), self._leave((leader,), now)
+
+    def _has_left_leader(self, replica: upstreams.Replica) -> bool:
+        """Return whether the leader is known to have another seat now."""
+        name = self._leaders.get((replica.id, replica.epoch))
+        known = self._known.get(name) if name else None
+        return known is not None and known.is_alive
+
+    def _may_finish(self, replica: upstreams.Replica, now: float) -> bool:
+        """Return whether only a planned stop takes a member away."""
+        ranks = [one.seat.rank for one in replica.members if one.seat]
+        if ranks != list(range(replica.size)):
+            return False
+        if not all(self._known[one.id].is_alive for one in replica.members):
+            return False
+        return self._lasts(replica, "closing", now) < _CLOSE_WAIT
+
+    def _leave(
+        self, members: abc.Iterable[upstreams.Upstream], now: float
+    ) -> list[Order]:
+        return [
+            self._order(one, OrderKind.LEAVE)
+            for one in members
+            if self._known[one.id].is_alive
+            and not self._is_pending(one.id, now)
+        ]
+
+    def _order(self, one: upstreams.Upstream, kind: OrderKind) -> Order:
+        """Return an order about the seat an instance has."""
+        seat = one.seat
+        assert seat is not None
+        return Order(
+            instance=one.id,
+            address=one.address,
+            kind=kind,
+            sequence=one.sequence,
+            replica=seat.replica,
+            epoch=seat.epoch,
+        )
+
+    # -- Forming and staging
+
+    def _form(
+        self,
+        free: list[_Known],
+        demands: abc.Mapping[str, Demand],
+        now: float,
+    ) -> list[Order]:
+        """Return the joins and loads for the free instances."""
+        orders: list[Order] = []
+        rest: dict[str, list[_Known]] = {"": []}
+        formed: dict[str, int] = {}
+        for model in self._engine.models:
+            rest[model.name] = []
+        for known in free:
+            rest[self._staged_model(known)].append(known)
+        for model in self._engine.models:
+            group = rest[model.name]
+            group.sort(key=lambda known: not self._is_hot(known, model.name))
+            while len(group) >= model.size:
+                chosen, group = group[: model.size], group[model.size :]
+                formed[model.name] = formed.get(model.name, 0) + 1
+                orders += self._join(model, [one.upstream for one in chosen])
+            rest[model.name] = group
+        orders += self._stage(rest, formed, demands, now)
+        staged = {order.instance for order in orders}
+        for model in self._engine.models:
+            for known in rest[model.name]:
+                if known.upstream.id in staged or known.staging:
+                    continue
+                if not self._is_hot(known, model.name):
+                    orders += self._join(model, [known.upstream])
+        return orders
+
+    def _staged_model(self, known: _Known) -> str:
+        """Return the model that an instance can join at once."""
+        if known.staging:
+            return ""
+        for model in self._engine.models:
+            if model.name in known.upstream.staged:
+                return model.name
+        return ""
+
+    @staticmethod
+    def _is_hot(known: _Known, model: str) -> bool:
+        """Return whether its last replica was of the model.
+
+        Such an instance joins in 0.2 s, any other one that has the
+        weights on its host in 1.1 to 1.6 s.
+        """
+        seat = known.upstream.seat
+        if seat is None:
+            return False
+        parsed = upstreams.parse_name(seat.replica)
+        return parsed is not None and parsed[0] == model
+
+    def _join(
+        self, model: routes.Model, members: list[upstreams.Upstream]
+    ) -> list[Order]:
+        self._epoch += 1
+        token = f"{self._name}-{self._epoch}"
+        name = upstreams.name_replica(model.name, len(members), token)
+        listed = tuple(one.id for one in members)
+        return [
+            Order(
+                instance=one.id,
+                address=one.address,
+                kind=OrderKind.JOIN,
+                sequence=one.sequence,
+                model=model.name,
+                replica=name,
+                epoch=self._epoch,
+                members=listed,
+            )
+            for one in members
+        ]
+
+    def _stage(
+        self,
+        rest: dict[str, list[_Known]],
+        formed: dict[str, int],
+        demands: abc.Mapping[str, Demand],
+        now: float,
+    ) -> list[Order]:
+        """Return the loads of weights for instances that cannot join.
+
+        Instances without weights complete the replica that is needed
+        most; those with weights of another model are loaded anew only
+        while the models have little room.
+        """
+        counts = {
+            model.name: len(rest[model.name]) for model in self._engine.models
+        }
+        for known in self._known.values():
+            if known.staging and known.is_usable:
+                counts[known.staging] = counts.get(known.staging, 0) + 1
+        own = self.count_replicas()
+        blank = [
+            known
+            for known in rest[""]
+            if not known.staging and not known.upstream.busy
+        ]
+        orders: list[Order] = []
+        while blank:
+            model = self._choose_model(counts, formed, own, demands, blank)
+            missing = max(1, model.size - counts[model.name] % model.size)
+            chosen, blank = blank[:missing], blank[missing:]
+            counts[model.name] += len(chosen)
+            orders += [self._load(known, model, now) for known in chosen]
+        orders += self._restage(rest, counts, formed, own, demands, now)
+        return orders
+
+    def _cover(
+        self,
+        model: routes.Model,
+        counts: dict[str, int],
+        formed: dict[str, int],
+        own: dict[str, int],
+        demands: abc.Mapping[str, Demand],
+    ) -> float:
+        """Return the slots for each busy request of a model."""
+        demand = demands.get(model.name, Demand(model.share, 0))
+        replicas = (
+            demand.replicas
+            + own.get(model.name, 0)
+            + formed.get(model.name, 0)
+            + counts[model.name] // model.size
+        )
+        return replicas * self._engine.slots / max(demand.busy, 0.01)
+
+    def _choose_model(
+        self,
+        counts: dict[str, int],
+        formed: dict[str, int],
+        own: dict[str, int],
+        demands: abc.Mapping[str, Demand],
+        blank: list[_Known],
+    ) -> routes.Model:
+        """Return the model that blank instances are loaded with next."""
+
+        def key(model: routes.Model) -> tuple[bool, float, int]:
+            missing = model.size - counts[model.name] % model.size
+            cover = self._cover(model, counts, formed, own, demands)
+            return missing > len(blank), cover, counts[model.name]
+
+        models = self._engine.models
+        best = min(models, key=key)
+        if key(best)[0]:
+            # Too few for any replica: spread them as spares.
+            return min(models, key=lambda model: counts[model.name])
+        return best
+
+    def _restage(
+        self,
+        rest: dict[str, list[_Known]],
+        counts: dict[str, int],
+        formed: dict[str, int],
+        own: dict[str, int],
+        demands: abc.Mapping[str, Demand],
+        now: float,
+    ) -> list[Order]:
+        """Return loads that turn spares of two models into a replica."""
+        if any(known.staging for known in self._known.values()):
+            return []
+        for model in sorted(
+            self._engine.models,
+            key=lambda one: self._cover(one, counts, formed, own, demands),
+        ):
+            if self._cover(model, counts, formed, own, demands) > _AMPLE:
+                return []
+            have = len(rest[model.name])
+            others = [
+                known
+                for other in self._engine.models
+                if other is not model
+                for known in rest[other.name]
+            ]
+            missing = model.size - have
+            if have + len(others) >= model.size and missing < model.size:
+                chosen = others[:missing]
+                return [self._load(known, model, now) for known in chosen]
+        return []
+
+    def _load(self, known: _Known, model: routes.Model, now: float) -> Order:
+        known.staging = model.name
+        known.staging_until = now + 3 * model.load
+        return Order(
+            instance=known.upstream.id,
+            address=known.upstream.address,
+            kind=OrderKind.STAGE,
+            sequence=known.upstream.sequence,
+            model=model.name,
+        )
+
+
+def _merge(
+    held: upstreams.Upstream, found: upstreams.Upstream, reported: bool
+) -> upstreams.Upstream:
+    """Return the newer of two views of one instance.
+
+    A report comes straight from the instance, the list lags. A new life
+    under the same id (`born`) supersedes all that was known before.
+    """
+    if found.born > held.born:
+        return found
+    if found.born < held.born:
+        return held
+    if not reported and found.sequence < held.sequence:
+        return msgspec.structs.replace(held, leaving=found.leaving)
+    if not reported and found.sequence == held.sequence:
+        # Same orders, perhaps an older phase: keep what it said itself.
+        return msgspec.structs.replace(
+            held,
+            leaving=found.leaving,
+            staged=tuple({*held.staged, *found.staged})
+            if not held.staged
+            else held.staged,
+        )
+    return found
--- /dev/null
+++ b/currantwall/gateway.py
@@ -0,0 +1,321 @@
+"""The composition root of a gateway process.
+
+A gateway serves callers' requests on a platform whose store holds the
+configuration and the list of instances. What speaks to that platform is
+handed in (`transport.ports`); everything else is wired here.
+"""
+
+from collections import abc
+import os
+import signal
+import time
+import typing
+
+import eventlet
+import eventlet.event
+import msgspec
+
+from currantwall.coordination import balancing
+from currantwall.coordination import budgets
+from currantwall.coordination import presence as presence_module
+from currantwall.protocol import names as names_module
+from currantwall.state import gateway
+from currantwall.state import routes
+from currantwall.state import upstreams
+from currantwall.transport import duties
+from currantwall.transport import exchanges
+from currantwall.transport import feeds
+from currantwall.transport import forwarding
+from currantwall.transport import heartbeats
+from currantwall.transport import ingress
+from currantwall.transport import journal
+from currantwall.transport import metrics as metrics_module
+from currantwall.transport import ports
+from currantwall.transport import timers
+
+__all__ = ["Gateway"]
+
+# Addresses in one answer to a caller.
+_ADDRESSES_LIMIT = 64
+# Seconds between two rounds of housekeeping.
+_SWEEP_INTERVAL = 1.0
+# Seconds of the grace that are left when the process ends by itself.
+_LAST_SECONDS = 0.4
+_POLL = 0.05
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        names: names_module.HeaderNames,
+        documents: ports.Documents,
+        make_store: abc.Callable[[metrics_module.Metrics], ports.Store],
+        engines: ports.Engines,
+    ) -> None:
+        self._settings = settings
+        self._clock = timers.TimerService()
+        self._now = self._clock.now
+        self._meter = metrics_module.Metrics(settings.node)
+        self._log = journal.Journal(settings.node, self._now)
+        self._store = make_store(self._meter)
+        self._fleet = upstreams.Fleet()
+        self._balancer = balancing.Balancer(self._fleet, settings.datacentre)
+        self._budget = budgets.RepeatBudget(
+            settings.repeat_ratio,
+            settings.repeat_slack,
+            settings.repeat_window,
+        )
+        self._connections = exchanges.Connections(self._now)
+        self._forwarder = forwarding.Forwarder(
+            self._balancer,
+            self._budget,
+            self._connections,
+            names,
+            self._meter,
+            self._log,
+            self._now,
+        )
+        self._forwarder.fleet_age = lambda now: now - self._fleet.updated
+        self._forwarder.on_stall = self._tell_stall
+        me = presence_module.NodeEntry(
+            id=settings.node,
+            datacentre=settings.datacentre,
+            front=settings.front,
+            heartbeats=settings.heartbeats,
+            peer=settings.peer,
+            incarnation=time.time_ns() // 1000,
+        )
+        self._presence = presence_module.Presence(me)
+        self._heartbeats = heartbeats.Heartbeats(
+            settings.heartbeats,
+            self._presence,
+            self._compose,
+            self._hear,
+            self._clock,
+        )
+        self._configuration = feeds.ConfigurationFeed(
+            self._store,
+            documents,
+            self._forwarder,
+            self._log,
+            self._clock,
+            settings.node,
+        )
+        self._fleet_feed = feeds.FleetFeed(
+            self._store, documents, self._fleet, self._log, self._clock
+        )
+        self._nodes_feed = feeds.NodesFeed(
+            self._store, self._presence, self._log, self._clock
+        )
+        self._duties = duties.Duties(
+            self._store,
+            engines,
+            self._fleet,
+            self._presence,
+            self._balancer,
+            self._log,
+            self._meter,
+            self._clock,
+        )
+        self._duties.services = self._list_services
+        self._stalled: dict[str, float] = {}
+        self._stopping = False
+        self._stopped = eventlet.event.Event()
+        self._front = self._make_ingress(self._forwarder.serve)
+
+    # -- Serving
+
+    def run(self) -> None:
+        """Serve until a signal asks to stop, then stop gracefully."""
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        settings = self._settings
+        front = ingress.listen(settings.front)
+        ingress.start_server(front, self._front)
+        for address, handler in self._list_servers().items():
+            ingress.start_server(
+                ingress.listen(address), self._make_ingress(handler)
+            )
+        for task in (
+            self._log.run,
+            self._heartbeats.run_receiver,
+            self._heartbeats.run_sender,
+            self._configuration.run,
+            self._fleet_feed.run,
+            self._nodes_feed.run,
+            self._duties.run,
+            self._sweep,
+        ):
+            eventlet.spawn_n(self._keep, task)
+        self._log.write("started", front=settings.front)
+        self._stopped.wait()
+
+    def _list_servers(self) -> dict[str, ingress.Handler]:
+        """Return the handlers of the other addresses."""
+        settings = self._settings
+        return {
+            settings.ready: self._answer_ready,
+            settings.directory: self._answer_directory,
+            settings.peer: self._answer_peer,
+            settings.metrics: self._answer_metrics,
+        }
+
+    def _keep(self, task: abc.Callable[[], None]) -> None:
+        """Run a task again if it fails.
+
+        Failure: a mistake in one task ends it, and the node goes on
+        serving from a view that never changes again.
+        """
+        while not self._stopping:
+            try:
+                task()
+                return
+            except Exception as error:
+                self._log.write(
+                    "task_failed",
+                    task=getattr(task, "__qualname__", "?"),
+                    why=_describe(error),
+                )
+                eventlet.sleep(_POLL)
+
+    def _make_ingress(self, handler: ingress.Handler) -> ingress.Ingress:
+        return ingress.Ingress(handler, self._get_limits, self._now)
+
+    def _get_limits(self) -> routes.Limits:
+        table = self._forwarder.table
+        return table.configuration.limits if table else routes.Limits()
+
+    def _list_services(self) -> abc.Iterable[routes.Service]:
+        table = self._forwarder.table
+        return table.services if table else ()
+
+    @property
+    def _is_ready(self) -> bool:
+        known = self._forwarder.is_known and self._fleet.is_known
+        return known and not self._stopping
+
+    # -- Questions of the platform, callers and peers
+
+    def _answer_ready(self, _: ingress.Inbound) -> ingress.Reply:
+        status = 200 if self._is_ready else 503
+        return ingress.Reply(status=status, headers=[], body=b"")
+
+    def _answer_directory(self, _: ingress.Inbound) -> ingress.Reply:
+        """Tell a caller the addresses of nodes that take requests."""
+        now = self._now()
+        addresses = [one.front for one in self._presence.list_ready(now)]
+        if self._is_ready or not addresses:
+            addresses.append(self._settings.front)
+        body = {
+            "addresses": sorted(addresses)[:_ADDRESSES_LIMIT],
+            "ttlS": self._settings.address_ttl,
+        }
+        return _answer_json(msgspec.json.encode(body))
+
+    def _answer_peer(self, _: ingress.Inbound) -> ingress.Reply:
+        """Give a peer the newest configuration as it came."""
+        if not self._configuration.document:
+            return ingress.Reply(status=503, headers=[], body=b"")
+        return _answer_json(self._configuration.document)
+
+    def _answer_metrics(self, _: ingress.Inbound) -> ingress.Reply:
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        return ingress.Reply(
+            status=200, headers=headers, body=self._meter.render()
+        )
+
+    # -- Heartbeats
+
+    def _compose(self, serial: int) -> presence_module.Heartbeat:
+        now = self._now()
+        stalled = tuple(
+            name for name, until in self._stalled.items() if until > now
+        )
+        self._stalled = {name: self._stalled[name] for name in stalled}
+        return presence_module.Heartbeat(
+            node=self._presence.me,
+            serial=serial,
+            ready=self._is_ready,
+            configuration=self._configuration.version,
+            loads=self._balancer.list_loads(),
+            stalled=stalled,
+        )
+
+    def _hear(self, heartbeat: presence_module.Heartbeat) -> None:
+        now = self._now()
+        if not self._presence.note_heartbeat(heartbeat, now):
+            return
+        node = heartbeat.node
+        self._balancer.note_loads(node.id, heartbeat.loads, now)
+        self._budget.note_nodes(self._presence.count())
+        self._configuration.note_peer(node, heartbeat.configuration)
+        for name in heartbeat.stalled:
+            self._balancer.note_hearsay(name, now)
+            self._duties.suspect(name)
+
+    def _tell_stall(self, instance: typing.Any) -> None:
+        """Spread the word that an upstream has fallen silent."""
+        self._stalled[instance] = self._now() + 2 * _POLL
+        self._duties.suspect(instance)
+        self._heartbeats.hurry()
+
+    # -- Housekeeping
+
+    def _sweep(self) -> None:
+        while True:
+            eventlet.sleep(_SWEEP_INTERVAL)
+            self._balancer.expire(self._now())
+            self._connections.forget({one.id for one in self._fleet.all()})
+
+    # -- Signals
+
+    def _on_stop(self, number: int, frame: typing.Any) -> None:
+        if not self._stopping:
+            self._stopping = True
+            eventlet.spawn_n(self._stop)
+
+    def _on_reload(self, number: int, frame: typing.Any) -> None:
+        # Nothing in the settings can change while the process runs.
+        self._log.write("reload_requested")
+
+    def _stop(self) -> None:
+        """Leave: out of the addresses, drain, end.
+
+        Callers keep the addresses they were given for a while, so the
+        node goes on taking requests that long, and closes each
+        connection with its next answer.
+        """
+        began = self._now()
+        self._log.write("stopping", in_flight=self._front.in_flight)
+        self._front.is_closing = True
+        self._heartbeats.send()
+        self._duties.release()
+        eventlet.spawn_n(self._nodes_feed.leave)
+        last = began + self._settings.grace - _LAST_SECONDS
+        quiet = began + self._settings.drain
+        while self._now() < last:
+            if self._now() >= quiet and not self._front.in_flight:
+                break
+            eventlet.sleep(_POLL)
+        self._log.write("stopped", in_flight=self._front.in_flight)
+        self._log.flush()
+        os._exit(0)
+
+
+def _answer_json(body: bytes) -> ingress.Reply:
+    headers = [("Content-Type", "application/json")]
+    return ingress.Reply(status=200, headers=headers, body=body)
+
+
+def _describe(error: Exception) -> str:
+    place = error.__traceback__
+    while place is not None and place.tb_next is not None:
+        place = place.tb_next
+    line = place.tb_lineno if place else 0
+    file = place.tb_frame.f_code.co_filename if place else "?"
+    name = os.path.basename(file)
+    return f"{type(error).__name__}: {error} ({name}:{line})"
--- /dev/null
+++ b/currantwall/state/upstreams.py
@@ -0,0 +1,214 @@
+"""Upstream instances as they register, and the replicas they form.
+
+An engine instance says itself to which replica it belongs. Every node
+can therefore work out the whole replicas from the list alone; nothing
+about them has to be handed on when the node that formed them is gone.
+"""
+
+from collections import abc
+import enum
+
+import msgspec
+
+from currantwall.state import ids
+
+__all__ = [
+    "Fleet",
+    "Phase",
+    "Replica",
+    "Seat",
+    "Upstream",
+    "list_replicas",
+    "name_replica",
+    "parse_name",
+]
+
+
+class Phase(enum.Enum):
+    """Where an instance stands in the life of its replica."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+class Seat(msgspec.Struct, frozen=True):
+    """An instance's place in a replica; the leader has rank 0."""
+
+    replica: ids.ReplicaId
+    epoch: int
+    rank: int
+    phase: Phase
+
+
+class Upstream(msgspec.Struct, frozen=True, kw_only=True):
+    """One instance that answers requests.
+
+    Attributes:
+        slots: Requests it works on at once.
+        leaving: Whether it is being drained.
+        born: Start of this life, in Unix milliseconds.
+        sequence: Orders accepted in this life.
+        domain: Fabric domain; empty for plain services.
+        staged: Models whose weights are on its host.
+        seat: Its place in a replica, None for none.
+        busy: Whether it is carrying out an order, such as a load.
+    """
+
+    id: ids.InstanceId
+    service: ids.ServiceName
+    address: str
+    datacentre: ids.DatacentreName
+    slots: int = 1
+    leaving: bool = False
+    born: int = 0
+    sequence: int = 0
+    domain: ids.DomainName = ids.DomainName("")
+    staged: tuple[str, ...] = ()
+    seat: Seat | None = None
+    busy: bool = False
+
+
+class Replica(msgspec.Struct, frozen=True, kw_only=True):
+    """Instances that report the same replica and epoch."""
+
+    id: ids.ReplicaId
+    epoch: int
+    model: str
+    size: int
+    members: tuple[Upstream, ...]
+
+    @property
+    def leader(self) -> Upstream | None:
+        """Return the member that takes the requests, if it is there."""
+        first = self.members[0]
+        return first if first.seat and first.seat.rank == 0 else None
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether every rank is there and none joins or broke."""
+        ranks = [one.seat.rank for one in self.members if one.seat]
+        if ranks != list(range(self.size)):
+            return False
+        bad = (Phase.JOINING, Phase.BROKEN)
+        return all(one.seat.phase not in bad for one in self.members)  # type: ignore[union-attr]
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether it may be given requests."""
+        leader = self.leader
+        if leader is None or leader.seat is None or leader.leaving:
+            return False
+        return leader.seat.phase is Phase.OPEN and self.is_whole
+
+
+def name_replica(model: str, size: int, token: str) -> ids.ReplicaId:
+    """Return a replica id that tells model and size to every node."""
+    return ids.ReplicaId(f"{model}.{size}.{token}")
+
+
+def parse_name(name: str) -> tuple[str, int] | None:
+    """Return model and size of a replica id, None for a foreign one."""
+    parts = name.rsplit(".", 2)
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return None
+    return parts[0], int(parts[1])
+
+
+def list_replicas(upstreams: abc.Iterable[Upstream]) -> list[Replica]:
+    """Return the replicas that some instances report."""
+    seats: dict[tuple[str, int], list[Upstream]] = {}
+    for one in upstreams:
+        if one.seat is not None:
+            key = (one.seat.replica, one.seat.epoch)
+            seats.setdefault(key, []).append(one)
+    found = []
+    for (name, epoch), members in seats.items():
+        parsed = parse_name(name)
+        if parsed is None:
+            continue
+        members.sort(key=lambda one: one.seat.rank if one.seat else 0)
+        found.append(
+            Replica(
+                id=ids.ReplicaId(name),
+                epoch=epoch,
+                model=parsed[0],
+                size=parsed[1],
+                members=tuple(members),
+            )
+        )
+    return found
+
+
+class Fleet:
+    """The registered instances as one node knows them.
+
+    Attributes:
+        revision: Revision of the list it was read from.
+        updated: Monotonic time of the last read.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.updated = 0.0
+        self._upstreams: dict[ids.InstanceId, Upstream] = {}
+        self._by_service: dict[ids.ServiceName, list[Upstream]] = {}
+        self._replicas: dict[ids.ServiceName, list[Replica]] = {}
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether a list was ever read."""
+        return self.revision > 0
+
+    def replace(
+        self, upstreams: abc.Iterable[Upstream], revision: int, now: float
+    ) -> bool:
+        """Take over a list unless a newer one is held already.
+
+        Failure: a read that may be stale answers from before a change
+        that this node has acted upon, such as a drain; taking it would
+        send requests to an instance that has left.
+        """
+        if revision < self.revision:
+            return False
+        self.updated = now
+        if revision == self.revision:
+            return True
+        self.revision = revision
+        self._upstreams = {one.id: one for one in upstreams}
+        self._by_service = {}
+        for one in self._upstreams.values():
+            self._by_service.setdefault(one.service, []).append(one)
+        self._replicas = {
+            name: list_replicas(members)
+            for name, members in self._by_service.items()
+        }
+        return True
+
+    def get(self, instance: ids.InstanceId) -> Upstream | None:
+        """Return an instance by its id."""
+        return self._upstreams.get(instance)
+
+    def all(self) -> abc.Iterable[Upstream]:
+        """Return all instances."""
+        return self._upstreams.values()
+
+    def list_service(self, service: ids.ServiceName) -> list[Upstream]:
+        """Return the instances of a service."""
+        return self._by_service.get(service, [])
+
+    def list_serving(
+        self, service: ids.ServiceName, model: str
+    ) -> list[Replica]:
+        """Return the whole replicas of a model that take requests."""
+        return [
+            one
+            for one in self._replicas.get(service, ())
+            if one.model == model and one.is_serving
+        ]
+
+    def list_replicas(self, service: ids.ServiceName) -> list[Replica]:
+        """Return all replicas of a service, whole or not."""
+        return self._replicas.get(service, [])
--- /dev/null
+++ b/currantwall/transport/duties.py
@@ -0,0 +1,375 @@
+"""The duty for fabric domains: leases, probes, orders.
+
+For each domain one node holds a lease in the store and gives the orders
+there. Which node tries first follows from the domain's name and the live
+nodes; that it is only one follows from the lease alone.
+"""
+
+from collections import abc
+
+import eventlet
+import msgspec
+import result
+
+from currantwall.coordination import balancing
+from currantwall.coordination import formation
+from currantwall.coordination import leases
+from currantwall.coordination import presence as presence_module
+from currantwall.state import domain as domain_module
+from currantwall.state import ids
+from currantwall.state import routes
+from currantwall.state import upstreams
+from currantwall.transport import journal
+from currantwall.transport import metrics as metrics_module
+from currantwall.transport import ports
+from currantwall.transport import timers
+
+__all__ = ["Duties"]
+
+KIND = "currantwall-domains"
+
+# Seconds a lease lasts without renewal, and between renewals: a holder
+# that is killed is succeeded after 2.4 to 3.2 s.
+_TTL = 2.4
+_RENEWAL = 0.8
+# Seconds before its end at which a holder stops giving orders: an order
+# may be on its way that long.
+_MARGIN = 0.5
+# Seconds between two looks at the leases of the others.
+_LOOK_INTERVAL = 0.8
+_TICK = 0.1
+# Seconds between two probes of one instance while something changes
+# there; its report is 0.2 s old itself.
+_PROBE_INTERVAL = 0.2
+# Seconds between two probes of instances of replicas that are whole and
+# open: their loss shows in the store's list, and sooner in the requests.
+_STEADY_INTERVAL = 4.0
+# Nodes that may try for a domain whose first candidate does not.
+_CANDIDATES = 2
+# Fencing numbers of one lease revision: more than the joins it may give.
+_EPOCHS = 1000
+
+
+class _Domain:
+    """One fabric domain as this node sees it."""
+
+    def __init__(
+        self,
+        name: ids.DomainName,
+        service: ids.ServiceName,
+        tracker: leases.LeaseTracker,
+        planner: formation.Planner,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.tracker = tracker
+        self.planner = planner
+        self.revision: int | None = None
+        self.fence = 0
+        self.writing = False
+        self.held = False
+        self.next_renewal = 0.0
+        self.probed: dict[ids.InstanceId, float] = {}
+        self.probing: set[ids.InstanceId] = set()
+
+
+class Duties:
+    """Takes and carries out the duty for domains."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        engines: ports.Engines,
+        fleet: upstreams.Fleet,
+        presence: presence_module.Presence,
+        balancer: balancing.Balancer,
+        log: journal.Journal,
+        meter: metrics_module.Metrics,
+        clock: timers.TimerService,
+    ) -> None:
+        self._store = store
+        self._engines = engines
+        self._fleet = fleet
+        self._presence = presence
+        self._balancer = balancer
+        self._log = log
+        self._meter = meter
+        self._clock = clock
+        self._domains: dict[ids.DomainName, _Domain] = {}
+        self._looked = False
+        self._next_look = 0.0
+        self._attempts = 0
+        self._stopping = False
+        self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
+
+    # -- The loop
+
+    def run(self) -> None:
+        """Look after the domains for ever."""
+        while not self._stopping:
+            now = self._clock.now()
+            self._find_domains()
+            if now >= self._next_look:
+                self._next_look = now + _LOOK_INTERVAL
+                eventlet.spawn_n(self._look)
+            for one in self._domains.values():
+                self._tick(one, now)
+            eventlet.sleep(_TICK)
+
+    def _find_domains(self) -> None:
+        """Learn the domains from the instances."""
+        for service in self.services():
+            if service.engine is None:
+                continue
+            for one in self._fleet.list_service(service.name):
+                if one.domain and one.domain not in self._domains:
+                    self._add(one.domain, service)
+
+    def _add(self, name: ids.DomainName, service: routes.Service) -> None:
+        assert service.engine is not None
+        me = self._presence.me
+        tracker = leases.LeaseTracker(
+            me.id, ids.Incarnation(me.incarnation), _MARGIN
+        )
+        planner = formation.Planner(name, service.engine)
+        self._domains[name] = _Domain(name, service.name, tracker, planner)
+        if self._looked:
+            self._looked = False
+            self._next_look = 0.0
+
+    def _tick(self, one: _Domain, now: float) -> None:
+        holds = one.tracker.holds(now)
+        if holds != one.held:
+            one.held = holds
+            self._log.write(
+                "duty_taken" if holds else "duty_lost",
+                domain=one.name,
+                fence=one.fence,
+                revision=one.revision,
+            )
+        if holds:
+            if now >= one.next_renewal:
+                self._write_lease(one, now)
+            self._work(one, now)
+        elif self._may_take(one, now):
+            self._write_lease(one, now)
+
+    # -- Leases
+
+    def _look(self) -> None:
+        """Read the leases; what is seen late only delays a takeover."""
+        listed = self._store.list(KIND, stale=self._looked)
+        if isinstance(listed, result.Err):
+            return
+        now = self._clock.now()
+        found = {stored.name: stored for stored in listed.ok_value.objects}
+        for one in self._domains.values():
+            stored = found.get(one.name)
+            if stored is not None:
+                self._see(one, stored, now)
+            elif one.revision is None:
+                one.revision = 0
+                one.tracker.see(ids.Version(0), None, now)
+        self._looked = True
+
+    def _see(
+        self, one: _Domain, stored: ports.StoredObject, now: float
+    ) -> None:
+        if one.revision is not None and stored.revision < one.revision:
+            return
+        try:
+            held = msgspec.json.decode(stored.value, type=domain_module.Domain)
+        except msgspec.MsgspecError as error:
+            # Counts as held by nobody; the next holder overwrites it.
+            self._log.write(
+                "lease_unreadable", domain=one.name, why=str(error)
+            )
+            held = None
+        one.revision = stored.revision
+        one.tracker.see(ids.Version(stored.revision), held, now)
+        if held is not None and held.lease is not None:
+            one.fence = held.lease.epoch
+
+    def _may_take(self, one: _Domain, now: float) -> bool:
+        if one.writing or not one.tracker.is_lapsed(now):
+            return False
+        rank = self._presence.rank(f"domain:{one.name}", now)
+        place = rank.index(self._presence.me.id)
+        if place >= _CANDIDATES:
+            return False
+        # The second candidate waits for the first one to try.
+        return one.tracker.is_lapsed(now - place * _RENEWAL)
+
+    def _write_lease(self, one: _Domain, now: float) -> None:
+        if one.writing:
+            return
+        one.writing = True
+        one.next_renewal = now + _RENEWAL
+        eventlet.spawn_n(self._store_lease, one, now)
+
+    def _store_lease(self, one: _Domain, now: float) -> None:
+        me = self._presence.me
+        self._attempts += 1
+        attempt = ids.AttemptId(f"{me.id}:{me.incarnation}:{self._attempts}")
+        fence = one.fence if one.tracker.holds(now) else one.fence + 1
+        value = domain_module.Domain(
+            name=one.name,
+            datacentre=me.datacentre,
+            lease=domain_module.Lease(
+                holder=me.id,
+                incarnation=ids.Incarnation(me.incarnation),
+                epoch=ids.Epoch(fence),
+                ttl=_TTL,
+            ),
+            attempt=attempt,
+        )
+        one.tracker.note_sent(attempt, now)
+        try:
+            outcome = self._store.put(
+                KIND, one.name, msgspec.json.encode(value), one.revision
+            )
+            if isinstance(outcome, result.Ok):
+                self._see(one, outcome.ok_value, self._clock.now())
+            else:
+                self._read_lease(one)
+        finally:
+            one.writing = False
+
+    def _read_lease(self, one: _Domain) -> None:
+        """Settle a write that failed or whose answer was lost."""
+        outcome = self._store.get(KIND, one.name)
+        if isinstance(outcome, result.Ok):
+            self._see(one, outcome.ok_value, self._clock.now())
+
+    def release(self) -> None:
+        """Give all leases back, so that a successor need not wait."""
+        self._stopping = True
+        for one in self._domains.values():
+            if one.tracker.holds(self._clock.now()):
+                value = domain_module.Domain(
+                    name=one.name,
+                    datacentre=self._presence.me.datacentre,
+                    lease=domain_module.Lease(
+                        holder=ids.NodeId(""),
+                        incarnation=ids.Incarnation(0),
+                        epoch=ids.Epoch(one.fence),
+                        ttl=0.0,
+                    ),
+                )
+                data = msgspec.json.encode(value)
+                eventlet.spawn_n(
+                    self._store.put, KIND, one.name, data, one.revision
+                )
+
+    # -- Probes and orders
+
+    def suspect(self, instance: ids.InstanceId) -> None:
+        """Probe all of a replica whose leader seems to stall."""
+        now = self._clock.now()
+        for one in self._domains.values():
+            if not one.tracker.holds(now):
+                continue
+            leader = one.planner.find(instance)
+            if leader is None:
+                continue
+            for name in one.planner.list_companions(instance):
+                self._probe(one, name, now)
+
+    def _work(self, one: _Domain, now: float) -> None:
+        members = [
+            upstream
+            for upstream in self._fleet.list_service(one.service)
+            if upstream.domain == one.name
+        ]
+        one.planner.note_list(members, now)
+        for name in one.planner.list_probes(now, _STEADY_INTERVAL):
+            self._probe(one, name, now)
+        orders = one.planner.plan(
+            now, one.fence * _EPOCHS, self._find_demands(one)
+        )
+        for order in orders:
+            eventlet.spawn_n(self._give, one, order)
+
+    def _find_demands(self, one: _Domain) -> dict[str, formation.Demand]:
+        """Return need and supply of the models outside this domain."""
+        busy = self._balancer.count_busy(one.service)
+        supply: dict[str, int] = {}
+        for replica in self._fleet.list_replicas(one.service):
+            elsewhere = replica.members[0].domain != one.name
+            if elsewhere and replica.is_whole:
+                supply[replica.model] = supply.get(replica.model, 0) + 1
+        total = sum(busy.values())
+        found = {}
+        for service in self.services():
+            if service.name != one.service or service.engine is None:
+                continue
+            for model in service.engine.models:
+                # Few requests say little: begin with what was expected.
+                expected = model.share * max(_EXPECTED_BUSY - total, 0)
+                need = busy.get(model.name, 0) + expected
+                found[model.name] = formation.Demand(
+                    need, supply.get(model.name, 0)
+                )
+        return found
+
+    def _probe(self, one: _Domain, name: ids.InstanceId, now: float) -> None:
+        if name in one.probing:
+            return
+        if now < one.probed.get(name, 0.0) + _PROBE_INTERVAL:
+            return
+        upstream = one.planner.find(name)
+        if upstream is None:
+            return
+        one.probed[name] = now
+        one.probing.add(name)
+        eventlet.spawn_n(self._run_probe, one, upstream)
+
+    def _run_probe(self, one: _Domain, upstream: upstreams.Upstream) -> None:
+        try:
+            found = self._engines.report(upstream)
+        finally:
+            one.probing.discard(upstream.id)
+        self._meter.add("currantwall.probes", 1)
+        now = self._clock.now()
+        if isinstance(found, formation.Reach):
+            if one.planner.note_failure(upstream.id, found):
+                self._log.write(
+                    "instance_lost",
+                    instance=upstream.id,
+                    domain=one.name,
+                    why=found.value,
+                    seat=_describe(upstream),
+                )
+        else:
+            one.planner.note_report(found, now)
+
+    def _give(self, one: _Domain, order: formation.Order) -> None:
+        """Send an order while the lease certainly holds."""
+        if not one.tracker.holds(self._clock.now()):
+            return
+        accepted = self._engines.order(order)
+        now = self._clock.now()
+        one.planner.note_answer(order, accepted, now)
+        self._meter.add("currantwall.orders", 1, order.kind.value)
+        self._log.write(
+            "order",
+            kind=order.kind.value,
+            instance=order.instance,
+            domain=one.name,
+            replica=order.replica or order.model,
+            epoch=order.epoch,
+            sequence=order.sequence,
+            fence=one.fence,
+            accepted=accepted,
+        )
+
+
+# Requests in work below which the expected shares of the models count.
+_EXPECTED_BUSY = 10.0
+
+
+def _describe(upstream: upstreams.Upstream) -> str:
+    seat = upstream.seat
+    if seat is None:
+        return ""
+    return f"{seat.replica}@{seat.epoch}/{seat.rank} {seat.phase.value}"
--- /dev/null
+++ b/currantwall/transport/heartbeats.py
@@ -0,0 +1,98 @@
+"""Heartbeats between the nodes, as datagrams.
+
+A datagram is sent whether or not the receiver lives and is lost if it
+does not: nothing queues for a node that is gone, and no connection can
+fall silent. Each one stands for itself, so a lost one costs nothing.
+"""
+
+from collections import abc
+import socket
+import typing
+
+import eventlet
+from eventlet.green import socket as green_socket
+import msgspec
+
+from currantwall.coordination import presence as presence_module
+from currantwall.transport import timers
+
+__all__ = ["Heartbeats"]
+
+# Seconds between two heartbeats. At 13 nodes 400 datagrams a second in
+# all; a node that is killed is avoided after three and a bit.
+_INTERVAL = 0.4
+# Seconds between heartbeats that are sent out of turn for urgent news.
+_URGENT_INTERVAL = 0.05
+_DATAGRAM_LIMIT = 65_000
+
+Compose = abc.Callable[[int], presence_module.Heartbeat]
+Deliver = abc.Callable[[presence_module.Heartbeat], None]
+
+
+class Heartbeats:
+    """Owns the socket for heartbeats."""
+
+    def __init__(
+        self,
+        address: str,
+        presence: presence_module.Presence,
+        compose: Compose,
+        deliver: Deliver,
+        clock: timers.TimerService,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._socket: typing.Any = green_socket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM
+        )
+        self._socket.bind((host, int(port)))
+        self._presence = presence
+        self._compose = compose
+        self._deliver = deliver
+        self._clock = clock
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(presence_module.Heartbeat)
+        self._serial = 0
+        self._sent = 0.0
+        self._urgent = False
+
+    def run_receiver(self) -> None:
+        """Take heartbeats for ever."""
+        while True:
+            try:
+                data, _ = self._socket.recvfrom(_DATAGRAM_LIMIT)
+                self._deliver(self._decoder.decode(data))
+            except (OSError, msgspec.MsgspecError):
+                # Damaged, foreign, or an error of an earlier send.
+                eventlet.sleep(0)
+
+    def run_sender(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            self.send()
+            eventlet.sleep(_INTERVAL)
+
+    def hurry(self) -> None:
+        """Send a heartbeat out of turn, a bounded number of times."""
+        if not self._urgent:
+            self._urgent = True
+            eventlet.spawn_n(self._send_urgent)
+
+    def _send_urgent(self) -> None:
+        wait = self._sent + _URGENT_INTERVAL - self._clock.now()
+        if wait > 0:
+            eventlet.sleep(wait)
+        self._urgent = False
+        self.send()
+
+    def send(self) -> None:
+        """Send one heartbeat."""
+        self._serial += 1
+        self._sent = self._clock.now()
+        data = self._encoder.encode(self._compose(self._serial))
+        for entry in self._presence.list_targets(self._serial):
+            host, _, port = entry.heartbeats.rpartition(":")
+            try:
+                self._socket.sendto(data, (host, int(port)))
+            except OSError:
+                # The link is full or cut; the next one tells the same.
+                continue
--- /dev/null
+++ b/currantwall/transport/ingress.py
@@ -0,0 +1,348 @@
+"""The server that callers connect to.
+
+eventlet's WSGI server does the connections and writes the answers. What
+comes in is parsed here: a request is passed on byte for byte, so all
+that two parsers might read differently is refused, and the limits are
+those of the configuration in force.
+"""
+
+from collections import abc
+import re
+import socket
+import typing
+
+import eventlet
+import eventlet.greenio
+import eventlet.wsgi
+import msgspec
+import urllib3
+
+from currantwall.state import routes
+
+__all__ = ["Ingress", "Inbound", "Reply", "start_server"]
+
+# Connections that are served at the same time; above, new ones wait.
+_POOL_SIZE = 900
+# Seconds that a caller may take to accept bytes of its answer.
+_WRITE_TIMEOUT = 10.0
+# Seconds for a body to arrive.
+_BODY_TIMEOUT = 10.0
+# Bytes of one chunk's header line.
+_CHUNK_LINE = 256
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+_REQUEST_LINE = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (/[\x21-\x7e]*) (HTTP/1\.[01])\r?\n"
+)
+_HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
+
+
+class Malformed(Exception):  # noqa: N818
+    """A request that is refused before it is looked at."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class Inbound(msgspec.Struct, kw_only=True):
+    """One request of a caller.
+
+    Attributes:
+        target: Path and query as sent.
+        headers: Names and values in the order sent.
+        client: The caller's socket.
+        received: Monotonic time at which it was read whole.
+    """
+
+    method: str
+    target: str
+    headers: urllib3.HTTPHeaderDict
+    body: bytes
+    client: typing.Any
+    received: float
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition("?")[0]
+
+
+class Reply(msgspec.Struct, kw_only=True):
+    """An answer: a whole body, or parts as they come."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes | abc.Iterator[bytes]
+    close: bool = False
+
+
+Handler = abc.Callable[[Inbound], Reply]
+
+
+class Ingress:
+    """What connections of one listening socket have in common."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: abc.Callable[[], routes.Limits],
+        now: abc.Callable[[], float],
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.now = now
+        self.is_closing = False
+        self.in_flight = 0
+
+
+class _Protocol(eventlet.wsgi.HttpProtocol):
+    """Reads requests strictly; the answers are eventlet's business."""
+
+    ingress: Ingress
+
+    minimum_chunk_size = 0
+    capitalize_response_headers = False
+
+    def handle_one_request(self) -> None:
+        """Read one request and answer it."""
+        self.close_connection = 0
+        self.command = ""
+        self.request_version = "HTTP/1.1"
+        self.requestline = ""
+        try:
+            inbound = self._read_request()
+        except Malformed as error:
+            self._refuse(error)
+            return
+        except (OSError, eventlet.Timeout, ValueError):
+            inbound = None
+        if inbound is None:
+            self.close_connection = 1
+            return
+        self.ingress.in_flight += 1
+        try:
+            self._answer(inbound)
+        except OSError:
+            # The caller has gone; there is nobody to tell.
+            self.close_connection = 1
+        finally:
+            self.ingress.in_flight -= 1
+
+    # -- Reading
+
+    def _read_request(self) -> Inbound | None:
+        limits = self.ingress.limits()
+        self.connection.settimeout(limits.idle_timeout)
+        if not self.rfile.peek(1):
+            return None
+        self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
+        with eventlet.Timeout(limits.header_timeout):
+            method, target, headers = self._read_head(limits.header_bytes)
+        self.command = method
+        self.headers = headers
+        connection = headers.get("connection", "").lower()
+        if "close" in connection or self.request_version == "HTTP/1.0":
+            self.close_connection = 1
+        self.connection.settimeout(_WRITE_TIMEOUT)
+        with eventlet.Timeout(_BODY_TIMEOUT):
+            body = self._read_body(headers, limits.body_bytes)
+        return Inbound(
+            method=method,
+            target=target,
+            headers=headers,
+            body=body,
+            client=self.connection,
+            received=self.ingress.now(),
+        )
+
+    def _read_line(self, room: int) -> bytes:
+        line = self.rfile.readline(room + 1)
+        if len(line) > room:
+            raise Malformed(431, "headers too large")
+        if not line.endswith(b"\n"):
+            raise OSError("connection ended inside a request")
+        return line
+
+    def _read_head(self, room: int) -> tuple[str, str, urllib3.HTTPHeaderDict]:
+        line = self._read_line(room)
+        while line in (b"\r\n", b"\n"):
+            room -= len(line)
+            line = self._read_line(room)
+        match = _REQUEST_LINE.fullmatch(line)
+        if match is None:
+            raise Malformed(400, "bad request line")
+        room -= len(line)
+        headers = urllib3.HTTPHeaderDict()
+        while True:
+            line = self._read_line(room)
+            room -= len(line)
+            if line in (b"\r\n", b"\n"):
+                break
+            name, mark, value = line.partition(b":")
+            value = value.strip(b" \t\r\n")
+            if not mark or not _TOKEN.fullmatch(name):
+                raise Malformed(400, "bad header name")
+            if not _VALUE.fullmatch(value):
+                raise Malformed(400, "bad header value")
+            headers.add(name.decode("ascii"), value.decode("latin-1"))
+        self.request_version = match[3].decode("ascii")
+        self.requestline = line.decode("latin-1")
+        _check_framing(headers)
+        return match[1].decode("ascii"), match[2].decode("ascii"), headers
+
+    def _read_body(self, headers: urllib3.HTTPHeaderDict, limit: int) -> bytes:
+        chunked = "transfer-encoding" in headers
+        length = int(headers.get("content-length", "0"))
+        if length > limit:
+            raise Malformed(413, "body too large")
+        if not chunked and not length:
+            return b""
+        if headers.get("expect", "").lower() == "100-continue":
+            self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.wfile.flush()
+        if chunked:
+            return self._read_chunks(limit)
+        body = self.rfile.read(length)
+        if len(body) < length:
+            raise OSError("connection ended inside a body")
+        return body
+
+    def _read_chunks(self, limit: int) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            line = self._read_line(_CHUNK_LINE)
+            number = line.partition(b";")[0].strip()
+            if not _HEX.fullmatch(number):
+                raise Malformed(400, "bad chunk size")
+            length = int(number, 16)
+            if not length:
+                break
+            size += length
+            if size > limit:
+                raise Malformed(413, "body too large")
+            data = self.rfile.read(length)
+            if len(data) < length or self.rfile.read(2) != b"\r\n":
+                raise Malformed(400, "bad chunk")
+            parts.append(data)
+        while self._read_line(_CHUNK_LINE) not in (b"\r\n", b"\n"):
+            continue
+        return b"".join(parts)
+
+    # -- Answering
+
+    def _answer(self, inbound: Inbound) -> None:
+        reply = self.ingress.handler(inbound)
+        if reply.close or self.ingress.is_closing:
+            self.close_connection = 1
+        headers = reply.headers
+        if isinstance(reply.body, bytes):
+            headers = [*headers, ("Content-Length", str(len(reply.body)))]
+        self._respond(reply.status, headers, reply.body)
+
+    def _respond(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes | abc.Iterator[bytes],
+    ) -> None:
+        phrase = _PHRASES.get(status, "Unknown")
+        parts = (body,) if isinstance(body, bytes) else body
+
+        def run(
+            environ: dict[str, typing.Any],
+            start: abc.Callable[..., typing.Any],
+        ) -> abc.Iterable[bytes]:
+            start(f"{status} {phrase}", headers)
+            return parts
+
+        # What eventlet asks of a request that has been read already.
+        self.environ = {
+            "eventlet.input": eventlet.wsgi.Input(
+                self.rfile, 0, self.connection
+            ),
+            "eventlet.posthooks": [],
+            "eventlet.minimum_write_chunk_size": 0,
+        }
+        self.application = run
+        self.handle_one_response()
+
+    def _refuse(self, error: Malformed) -> None:
+        phrase = _PHRASES.get(error.status, "Bad Request")
+        body = error.reason.encode()
+        head = (
+            f"HTTP/1.1 {error.status} {phrase}\r\nConnection: close\r\n"
+            f"Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self.close_connection = 1
+        try:
+            self.wfile.write(head.encode() + body)
+            self.wfile.flush()
+        except OSError:
+            # The caller did not wait for the refusal.
+            return
+
+
+_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def _check_framing(headers: urllib3.HTTPHeaderDict) -> None:
+    """Refuse a request whose length can be read in two ways.
+
+    Failure: a request hidden in the body of another one runs at an
+    upstream though no caller sent it.
+    """
+    if len(headers.getlist("host")) != 1:
+        raise Malformed(400, "one Host is needed")
+    encodings = headers.getlist("transfer-encoding")
+    lengths = headers.getlist("content-length")
+    if encodings and lengths:
+        raise Malformed(400, "both length and chunks")
+    if encodings and [one.lower() for one in encodings] != ["chunked"]:
+        raise Malformed(400, "unknown transfer encoding")
+    if lengths and not (
+        len(lengths) == 1 and lengths[0].isascii() and lengths[0].isdigit()
+    ):
+        raise Malformed(400, "bad length")
+
+
+def listen(address: str) -> typing.Any:
+    """Return a listening socket on an address."""
+    host, _, port = address.rpartition(":")
+    listener = eventlet.listen((host, int(port)), backlog=512)
+    # Taken over by accepted connections: an event must not wait for the
+    # acknowledgement of the one before.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
+
+
+def start_server(listener: typing.Any, ingress: Ingress) -> typing.Any:
+    """Serve a listening socket in a task of its own; return the task."""
+    protocol = type("_BoundProtocol", (_Protocol,), {"ingress": ingress})
+    return eventlet.spawn(
+        eventlet.wsgi.server,
+        listener,
+        None,
+        custom_pool=eventlet.GreenPool(_POOL_SIZE),
+        protocol=protocol,
+        log_output=False,
+        debug=False,
+        socket_timeout=_WRITE_TIMEOUT,
+        minimum_chunk_size=0,
+        capitalize_response_headers=False,
+    )
