--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -22,7 +22,14 @@
 from currantwall.state import routes
 from currantwall.state import upstreams
 
-__all__ = ["Demand", "Order", "OrderKind", "Planner", "Reach"]
+__all__ = [
+    "Demand",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "Planner",
+    "Reach",
+]
 
 Phase = upstreams.Phase
 
@@ -73,6 +80,18 @@
     members: tuple[ids.InstanceId, ...] = ()
 
 
+class OrderAnswer(msgspec.Struct, frozen=True):
+    """How an instance answered an order.
+
+    Attributes:
+        accepted: None where no answer came: it may be carried out yet.
+        detail: What it said, for the log.
+    """
+
+    accepted: bool | None
+    detail: str = ""
+
+
 class Demand(msgspec.Struct, frozen=True):
     """What one model needs and has, over the whole service.
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -347,9 +347,9 @@
         """Send an order while the lease certainly holds."""
         if not one.tracker.holds(self._clock.now()):
             return
-        accepted = self._engines.order(order)
+        answer = self._engines.order(order)
         now = self._clock.now()
-        one.planner.note_answer(order, accepted, now)
+        one.planner.note_answer(order, answer.accepted, now)
         self._meter.add("currantwall.orders", 1, order.kind.value)
         self._log.write(
             "order",
@@ -360,7 +360,8 @@
             epoch=order.epoch,
             sequence=order.sequence,
             fence=one.fence,
-            accepted=accepted,
+            accepted=answer.accepted,
+            answer=answer.detail,
         )
 
 
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -101,8 +101,8 @@
         """Return what an instance says of itself, or how it failed."""
         raise NotImplementedError
 
-    def order(self, order: formation.Order) -> bool | None:
-        """Send an order; return whether it was accepted, if known."""
+    def order(self, order: formation.Order) -> formation.OrderAnswer:
+        """Send an order and return how it was answered."""
         raise NotImplementedError
 
 
