--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -48,6 +48,9 @@
 # Replicas' slots per busy request beyond which idle instances are kept as
 # spares rather than loaded with other weights.
 _AMPLE = 2.5
+# Seconds since the last report after which a list that says otherwise has
+# an instance probed at once; the list is older than that.
+_DIFFERING = 2.0
 # Replicas of the past that are remembered.
 _REMEMBERED = 1024
 
@@ -73,7 +76,7 @@
     instance: ids.InstanceId
     address: str
     kind: OrderKind
-    sequence: int
+    sequence: int | None
     model: str = ""
     replica: ids.ReplicaId = ids.ReplicaId("")
     epoch: int = 0
@@ -172,7 +175,13 @@
                 self._known[one.id] = _Known(one, now)
                 continue
             known.listed = True
-            known.upstream = _merge(known.upstream, one, False)
+            if one.seat != known.upstream.seat:
+                # Either the list lags or a report was missed.
+                known.seen = min(known.seen, now - _DIFFERING)
+            if one.born > known.upstream.born:
+                known.refused = False
+                known.missed = 0
+            known.upstream = _merge(known.upstream, one)
         for name, known in list(self._known.items()):
             if name in present:
                 continue
@@ -190,7 +199,9 @@
         known.seen = now
         if reported.sequence != known.upstream.sequence:
             known.pending_until = 0.0
-        known.upstream = _merge(known.upstream, reported, True)
+        if reported.born >= known.upstream.born:
+            leaving = known.upstream.leaving
+            known.upstream = msgspec.structs.replace(reported, leaving=leaving)
         if known.staging in known.upstream.staged:
             known.staging = ""
 
@@ -231,7 +242,8 @@
         for name, known in self._known.items():
             calm = name in settled and not known.missed
             wait = steady if calm else 0.0
-            if now - known.seen >= wait or known.missed:
+            unknown = known.upstream.sequence is None
+            if now - known.seen >= wait or known.missed or unknown:
                 found.append(name)
         return found
 
@@ -323,6 +335,7 @@
             for name, known in self._known.items()
             if name not in kept
             and known.is_usable
+            and known.upstream.sequence is not None
             and known.pending_until <= now
         ]
         orders += self._form(free, demands, now)
@@ -384,7 +397,7 @@
         ):
             return []
         leader = replica.members[0]
-        if self._is_pending(leader.id, now):
+        if not self._may_order(leader, now):
             return []
         return [self._order(leader, OrderKind.OPEN)]
 
@@ -418,9 +431,7 @@
                 return set(), []
             return everyone, []
         if self._may_finish(replica, now):
-            if seat.phase is Phase.OPEN and not self._is_pending(
-                leader.id, now
-            ):
+            if seat.phase is Phase.OPEN and self._may_order(leader, now):
                 return set(), [self._order(leader, OrderKind.CLOSE)]
             if seat.phase is not Phase.READY:
                 return set(), []
@@ -447,8 +458,7 @@
         return [
             self._order(one, OrderKind.LEAVE)
             for one in members
-            if self._known[one.id].is_alive
-            and not self._is_pending(one.id, now)
+            if self._known[one.id].is_alive and self._may_order(one, now)
         ]
 
     def _order(self, one: upstreams.Upstream, kind: OrderKind) -> Order:
@@ -660,26 +670,18 @@
 
 
 def _merge(
-    held: upstreams.Upstream, found: upstreams.Upstream, reported: bool
+    held: upstreams.Upstream, listed: upstreams.Upstream
 ) -> upstreams.Upstream:
-    """Return the newer of two views of one instance.
+    """Return what is known of an instance after a look at the list.
 
-    A report comes straight from the instance, the list lags. A new life
-    under the same id (`born`) supersedes all that was known before.
+    The list lags behind the instance's own reports, so it adds only
+    whether the instance leaves. A new life under the same id (`born`)
+    supersedes all that was known before.
     """
-    if found.born > held.born:
-        return found
-    if found.born < held.born:
+    if listed.born > held.born:
+        return listed
+    if listed.born < held.born:
         return held
-    if not reported and found.sequence < held.sequence:
-        return msgspec.structs.replace(held, leaving=found.leaving)
-    if not reported and found.sequence == held.sequence:
-        # Same orders, perhaps an older phase: keep what it said itself.
-        return msgspec.structs.replace(
-            held,
-            leaving=found.leaving,
-            staged=tuple({*held.staged, *found.staged})
-            if not held.staged
-            else held.staged,
-        )
-    return found
+    if held.sequence is None:
+        return listed
+    return msgspec.structs.replace(held, leaving=listed.leaving)
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -50,7 +50,8 @@
         slots: Requests it works on at once.
         leaving: Whether it is being drained.
         born: Start of this life, in Unix milliseconds.
-        sequence: Orders accepted in this life.
+        sequence: Orders accepted in this life; None where only its entry
+            was read, which doesn't tell.
         domain: Fabric domain; empty for plain services.
         staged: Models whose weights are on its host.
         seat: Its place in a replica, None for none.
@@ -64,7 +65,7 @@
     slots: int = 1
     leaving: bool = False
     born: int = 0
-    sequence: int = 0
+    sequence: int | None = None
     domain: ids.DomainName = ids.DomainName("")
     staged: tuple[str, ...] = ()
     seat: Seat | None = None
