--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -389,6 +389,10 @@
     def _is_pending(self, instance: ids.InstanceId, now: float) -> bool:
         return self._known[instance].pending_until > now
 
+    def _may_order(self, one: upstreams.Upstream, now: float) -> bool:
+        """Return whether an instance can be sent an order now."""
+        return one.sequence is not None and not self._is_pending(one.id, now)
+
     def _open(self, replica: upstreams.Replica, now: float) -> list[Order]:
         """Return the order that lets a replica serve, if it is time."""
         if any(
