--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -276,6 +276,26 @@
                 found[replica.model] = found.get(replica.model, 0) + 1
         return found
 
+    def describe(self) -> dict[str, str]:
+        """Return the state of the domain in words, for the log."""
+        found: dict[str, str] = {}
+        for replica in self._list_replicas():
+            parts = []
+            for one in replica.members:
+                known = self._known[one.id]
+                mark = "" if known.is_usable else "!"
+                phase = one.seat.phase.value if one.seat else "?"
+                parts.append(f"{mark}{phase}")
+            key = f"{replica.id}@{replica.epoch}"
+            found[key] = f"{len(parts)}/{replica.size} {' '.join(parts)}"
+        idle = [one for one in self._known.values() if not one.upstream.seat]
+        for known in idle:
+            staged = ",".join(known.upstream.staged) or "blank"
+            mark = "" if known.is_usable else "!"
+            state = f"loads {known.staging}" if known.staging else staged
+            found[known.upstream.id] = f"{mark}{state}"
+        return found
+
     def _list_settled(self) -> set[ids.InstanceId]:
         """Return members of open replicas and of those kept as spares."""
         settled = set()
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -71,6 +71,8 @@
         self.next_renewal = 0.0
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
+        # As last written to the log.
+        self.state: dict[str, str] = {}
 
 
 class Duties:
@@ -284,6 +286,10 @@
         one.planner.note_list(members, now)
         for name in one.planner.list_probes(now, _STEADY_INTERVAL):
             self._probe(one, name, now)
+        state = one.planner.describe()
+        if state != one.state:
+            one.state = state
+            self._log.write("domain_changed", domain=one.name, state=state)
         orders = one.planner.plan(
             now, one.fence * _EPOCHS, self._find_demands(one)
         )
