--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -36,6 +36,10 @@
 # Seconds an order may stay without effect before another one is sent: a
 # report is 0.2 s old, and the answer takes one round trip.
 _PENDING = 0.7
+# Seconds for which a report may be older than an accepted order.
+_SETTLE = 1.0
+# Seconds until the state of an instance that refused an order is known.
+_ASK_AGAIN = 0.25
 # Seconds that the joins of one replica may take to show up, beyond which
 # an incomplete replica is dissolved. Covers a predecessor's orders.
 _ASSEMBLE = 1.0
@@ -47,7 +51,7 @@
 _SILENT_PROBES = 2
 # Replicas' slots per busy request beyond which idle instances are kept as
 # spares rather than loaded with other weights.
-_AMPLE = 2.5
+_AMPLE = 8.0
 # Seconds since the last report after which a list that says otherwise has
 # an instance probed at once; the list is older than that.
 _DIFFERING = 2.0
@@ -126,9 +130,13 @@
         self.refused = False
         self.seen = now
         self.pending_until = 0.0
+        # Until when reports of before the last accepted order may come.
+        self.settles_at = 0.0
         # Until when a load ordered here keeps the instance from joining.
         self.staging = ""
         self.staging_until = 0.0
+        # Whether an order was sent whose effect no report has shown yet.
+        self.unsettled = False
 
     @property
     def is_gone(self) -> bool:
@@ -197,8 +205,11 @@
         known.missed = 0
         known.refused = False
         known.seen = now
+        if now < known.settles_at and _is_behind(reported, known.upstream):
+            return
         if reported.sequence != known.upstream.sequence:
             known.pending_until = 0.0
+        known.unsettled = False
         if reported.born >= known.upstream.born:
             leaving = known.upstream.leaving
             known.upstream = msgspec.structs.replace(reported, leaving=leaving)
@@ -224,10 +235,39 @@
         known = self._known.get(order.instance)
         if known is None:
             return
-        if accepted is False:
-            known.pending_until = 0.0
+        if accepted:
+            self._assume(known, order, now)
+        elif accepted is False:
+            # Its state is not what was thought: ask before the next one.
+            known.pending_until = now + _ASK_AGAIN
             if order.kind is OrderKind.STAGE:
                 known.staging = ""
+        known.seen = min(known.seen, now - _ASK_AGAIN)
+        known.unsettled = True
+
+    def _assume(self, known: _Known, order: Order, now: float) -> None:
+        """Take the effect of an accepted order for granted.
+
+        A report shows it 0.2 s later at the earliest; the next step of a
+        repair need not wait for that.
+        """
+        held = known.upstream
+        if order.sequence is None or held.sequence != order.sequence:
+            return
+        seat = held.seat
+        if order.kind is OrderKind.LEAVE:
+            seat = None
+        elif order.kind is OrderKind.JOIN:
+            rank = order.members.index(order.instance)
+            seat = upstreams.Seat(
+                order.replica, order.epoch, rank, Phase.JOINING
+            )
+        known.upstream = msgspec.structs.replace(
+            held, sequence=order.sequence + 1, seat=seat
+        )
+        known.settles_at = now + _SETTLE
+        if order.kind is not OrderKind.OPEN:
+            known.pending_until = 0.0
 
     def list_probes(self, now: float, steady: float) -> list[ids.InstanceId]:
         """Return the instances whose report is wanted now.
@@ -241,6 +281,7 @@
         found = []
         for name, known in self._known.items():
             calm = name in settled and not known.missed
+            calm = calm and not known.unsettled
             wait = steady if calm else 0.0
             unknown = known.upstream.sequence is None
             if now - known.seen >= wait or known.missed or unknown:
@@ -638,10 +679,11 @@
     ) -> routes.Model:
         """Return the model that blank instances are loaded with next."""
 
-        def key(model: routes.Model) -> tuple[bool, float, int]:
+        def key(model: routes.Model) -> tuple[bool, float]:
             missing = model.size - counts[model.name] % model.size
             cover = self._cover(model, counts, formed, own, demands)
-            return missing > len(blank), cover, counts[model.name]
+            # Fewer loads make a replica sooner; a scarce model goes first.
+            return missing > len(blank), cover * (1 + missing)
 
         models = self._engine.models
         best = min(models, key=key)
@@ -693,6 +735,13 @@
         )
 
 
+def _is_behind(reported: upstreams.Upstream, held: upstreams.Upstream) -> bool:
+    """Return whether a report is from before the last accepted order."""
+    if reported.born != held.born or held.sequence is None:
+        return False
+    return reported.sequence is None or reported.sequence < held.sequence
+
+
 def _merge(
     held: upstreams.Upstream, listed: upstreams.Upstream
 ) -> upstreams.Upstream:
--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -51,6 +51,7 @@
         configuration: Version in force, 0 for none.
         loads: Requests in work by upstream.
         stalled: Upstreams it saw fall silent since the last heartbeat.
+        leases: Revision and epoch of each domain's lease that it holds.
     """
 
     node: NodeEntry
@@ -59,6 +60,7 @@
     configuration: int = 0
     loads: dict[str, int] = {}
     stalled: tuple[str, ...] = ()
+    leases: dict[str, tuple[int, int]] = {}
 
 
 class _Peer:
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -243,6 +243,7 @@
             configuration=self._configuration.version,
             loads=self._balancer.list_loads(),
             stalled=stalled,
+            leases=self._duties.list_leases(now),
         )
 
     def _hear(self, heartbeat: presence_module.Heartbeat) -> None:
@@ -253,6 +254,7 @@
         self._balancer.note_loads(node.id, heartbeat.loads, now)
         self._budget.note_nodes(self._presence.count())
         self._configuration.note_peer(node, heartbeat.configuration)
+        self._duties.note_leases(node, heartbeat.leases, now)
         for name in heartbeat.stalled:
             self._balancer.note_hearsay(name, now)
             self._duties.suspect(name)
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -29,14 +29,15 @@
 KIND = "currantwall-domains"
 
 # Seconds a lease lasts without renewal, and between renewals: a holder
-# that is killed is succeeded after 2.4 to 3.2 s.
-_TTL = 2.4
-_RENEWAL = 0.8
+# that is killed is succeeded after 1.4 to 2.2 s.
+_TTL = 1.8
+_RENEWAL = 0.6
 # Seconds before its end at which a holder stops giving orders: an order
 # may be on its way that long.
-_MARGIN = 0.5
-# Seconds between two looks at the leases of the others.
-_LOOK_INTERVAL = 0.8
+_MARGIN = 0.45
+# Seconds between two looks at the leases of the others; their renewals
+# come with the heartbeats.
+_LOOK_INTERVAL = 2.0
 _TICK = 0.1
 # Seconds between two probes of one instance while something changes
 # there; its report is 0.2 s old itself.
@@ -192,6 +193,44 @@
         if held is not None and held.lease is not None:
             one.fence = held.lease.epoch
 
+    def list_leases(self, now: float) -> dict[str, tuple[int, int]]:
+        """Return revision and epoch of the leases this node holds."""
+        return {
+            one.name: (one.revision or 0, one.fence)
+            for one in self._domains.values()
+            if one.tracker.holds(now)
+        }
+
+    def note_leases(
+        self,
+        node: presence_module.NodeEntry,
+        held: abc.Mapping[str, tuple[int, int]],
+        now: float,
+    ) -> None:
+        """Take note of another node's renewals.
+
+        They come sooner than a look at the store shows them, so that a
+        takeover counts from the last renewal and not from the last look.
+        """
+        for name, (revision, fence) in held.items():
+            one = self._domains.get(ids.DomainName(name))
+            if one is None or one.tracker.holds(now):
+                continue
+            if one.revision is not None and revision <= one.revision:
+                continue
+            one.revision = revision
+            one.fence = max(one.fence, fence)
+            lease = domain_module.Lease(
+                holder=node.id,
+                incarnation=ids.Incarnation(node.incarnation),
+                epoch=ids.Epoch(fence),
+                ttl=_TTL,
+            )
+            value = domain_module.Domain(
+                name=one.name, datacentre=node.datacentre, lease=lease
+            )
+            one.tracker.see(ids.Version(revision), value, now)
+
     def _may_take(self, one: _Domain, now: float) -> bool:
         if one.writing or not one.tracker.is_lapsed(now):
             return False
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -276,6 +276,16 @@
                 raise self._end(request, chosen.reason, chosen.retry_after)
             eventlet.sleep(_LOOK_AGAIN)
 
+    @staticmethod
+    def _choose_wait(request: _Request) -> float:
+        """Return how long to wait for an upstream.
+
+        A request that may have run cannot be refused as not run: while
+        its stream may go on elsewhere, waiting for a replica to be mended
+        serves its caller better than a failure.
+        """
+        return _PAUSE_LIMIT if request.progress.runs else 0.0
+
     def _start(
         self, request: _Request, upstream: upstreams.Upstream, now: float
     ) -> _Try:
@@ -515,7 +525,7 @@
         """Return a stream once its first event, or its failure, is in."""
         while True:
             try:
-                current = self._send(request)
+                current = self._send(request, self._choose_wait(request))
                 first = self._await_first(request, current)
             except _CallerLeft:
                 return self._abandon(request, current)
