--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -4,6 +4,9 @@
 no ledger: an instance itself says which seat it has, so whoever takes
 over the domain goes on from the reports and leaves open replicas alone.
 
+All instances of a domain are loaded with one model where it can be: then
+any of them can join any other at once, and a loss costs no load.
+
 Three rules keep a replica whole:
 
 * An instance is free only when the leader of its replica can't be open:
@@ -29,6 +32,7 @@
     "OrderKind",
     "Planner",
     "Reach",
+    "assign_models",
 ]
 
 Phase = upstreams.Phase
@@ -49,9 +53,10 @@
 _CLOSE_WAIT = 2.0
 # Failed probes in a row after which an instance counts as silent.
 _SILENT_PROBES = 2
-# Replicas' slots per busy request beyond which idle instances are kept as
-# spares rather than loaded with other weights.
-_AMPLE = 8.0
+# Slots of a model's replicas for each of its requests in work: below the
+# first, replicas of it are needed; above the second, it can spare some.
+_SCARCE = 1.3
+_PLENTY = 2.5
 # Seconds since the last report after which a list that says otherwise has
 # an instance probed at once; the list is older than that.
 _DIFFERING = 2.0
@@ -156,6 +161,32 @@
         return self.is_alive and not self.upstream.leaving
 
 
+def assign_models(
+    engine: routes.Engine, sizes: abc.Mapping[ids.DomainName, int]
+) -> dict[ids.DomainName, str]:
+    """Return the model that each domain is meant for.
+
+    Every node works out the same from the configuration and the list of
+    domains. The domains are dealt out in the order of their names, which
+    spreads each model over the data centres.
+
+    Args:
+        engine: Models with their expected shares of the work.
+        sizes: Instances of each domain.
+    """
+    supply = dict.fromkeys((model.name for model in engine.models), 0.0)
+    found = {}
+    for name in sorted(sizes):
+        fitting = [one for one in engine.models if one.size <= sizes[name]]
+        chosen = min(
+            fitting or engine.models,
+            key=lambda one: supply[one.name] / max(one.share, 0.01),
+        )
+        found[name] = chosen.name
+        supply[chosen.name] += max(1, sizes[name] // chosen.size)
+    return found
+
+
 class Planner:
     """Decides the replicas of one domain."""
 
@@ -168,6 +199,7 @@
         # Who led each replica; tells that a leader has left it.
         self._leaders: dict[tuple[str, int], ids.InstanceId] = {}
         self._epoch = 0
+        self._main = ""
 
     # -- What is known
 
@@ -356,7 +388,11 @@
     # -- The plan
 
     def plan(
-        self, now: float, fence: int, demands: abc.Mapping[str, Demand]
+        self,
+        now: float,
+        fence: int,
+        main: str,
+        demands: abc.Mapping[str, Demand],
     ) -> list[Order]:
         """Return the orders that are due.
 
@@ -364,8 +400,10 @@
             now: Monotonic time.
             fence: Number that rises with each holder of the domain;
                 epochs of joins begin there.
+            main: Model that this domain is meant for.
             demands: Need and supply of each model by name.
         """
+        self._main = main
         seen = max(
             (
                 known.upstream.seat.epoch
@@ -635,31 +673,30 @@
         for known in self._known.values():
             if known.staging and known.is_usable:
                 counts[known.staging] = counts.get(known.staging, 0) + 1
-        own = self.count_replicas()
+        cover = {
+            model.name: self._cover(model, counts, formed, demands)
+            for model in self._engine.models
+        }
         blank = [
             known
             for known in rest[""]
             if not known.staging and not known.upstream.busy
         ]
         orders: list[Order] = []
-        while blank:
-            model = self._choose_model(counts, formed, own, demands, blank)
-            missing = max(1, model.size - counts[model.name] % model.size)
-            chosen, blank = blank[:missing], blank[missing:]
-            counts[model.name] += len(chosen)
-            orders += [self._load(known, model, now) for known in chosen]
-        orders += self._restage(rest, counts, formed, own, demands, now)
-        return orders
+        if blank:
+            model = self._choose_model(cover, len(blank))
+            orders += [self._load(known, model, now) for known in blank]
+        return orders + self._restage(rest, cover, now)
 
     def _cover(
         self,
         model: routes.Model,
         counts: dict[str, int],
         formed: dict[str, int],
-        own: dict[str, int],
         demands: abc.Mapping[str, Demand],
     ) -> float:
         """Return the slots for each busy request of a model."""
+        own = self.count_replicas()
         demand = demands.get(model.name, Demand(model.share, 0))
         replicas = (
             demand.replicas
@@ -670,59 +707,60 @@
         return replicas * self._engine.slots / max(demand.busy, 0.01)
 
     def _choose_model(
-        self,
-        counts: dict[str, int],
-        formed: dict[str, int],
-        own: dict[str, int],
-        demands: abc.Mapping[str, Demand],
-        blank: list[_Known],
+        self, cover: abc.Mapping[str, float], blank: int
     ) -> routes.Model:
-        """Return the model that blank instances are loaded with next."""
+        """Return the model that blank instances are loaded with next.
 
-        def key(model: routes.Model) -> tuple[bool, float]:
-            missing = model.size - counts[model.name] % model.size
-            cover = self._cover(model, counts, formed, own, demands)
-            # Fewer loads make a replica sooner; a scarce model goes first.
-            return missing > len(blank), cover * (1 + missing)
-
-        models = self._engine.models
-        best = min(models, key=key)
-        if key(best)[0]:
-            # Too few for any replica: spread them as spares.
-            return min(models, key=lambda model: counts[model.name])
-        return best
+        The domain keeps to one model: whatever is lost, the others can
+        join each other at once, and at most one replica's worth less one
+        lies idle. Another one is loaded where that one is scarce.
+        """
+        main = self._engine.find(self._main) or self._engine.models[0]
+        if cover[main.name] < _PLENTY:
+            return main
+        scarce = min(self._engine.models, key=lambda one: cover[one.name])
+        if cover[scarce.name] < _SCARCE and scarce.size <= blank:
+            return scarce
+        return main
 
     def _restage(
         self,
         rest: dict[str, list[_Known]],
-        counts: dict[str, int],
-        formed: dict[str, int],
-        own: dict[str, int],
-        demands: abc.Mapping[str, Demand],
+        cover: abc.Mapping[str, float],
         now: float,
     ) -> list[Order]:
-        """Return loads that turn spares of two models into a replica."""
+        """Return loads that turn idle instances into a replica.
+
+        Only where the idle ones cannot form one of the model they have,
+        and the other model is scarce or this domain is too small.
+        """
         if any(known.staging for known in self._known.values()):
             return []
         for model in sorted(
-            self._engine.models,
-            key=lambda one: self._cover(one, counts, formed, own, demands),
+            self._engine.models, key=lambda one: cover[one.name]
         ):
-            if self._cover(model, counts, formed, own, demands) > _AMPLE:
-                return []
-            have = len(rest[model.name])
             others = [
                 known
                 for other in self._engine.models
                 if other is not model
                 for known in rest[other.name]
             ]
-            missing = model.size - have
-            if have + len(others) >= model.size and missing < model.size:
-                chosen = others[:missing]
-                return [self._load(known, model, now) for known in chosen]
+            missing = model.size - len(rest[model.name])
+            if not 0 < missing <= len(others):
+                continue
+            mixed = bool(rest[model.name])
+            if cover[model.name] < _SCARCE or mixed or self._is_small():
+                return [
+                    self._load(one, model, now) for one in others[:missing]
+                ]
         return []
 
+    def _is_small(self) -> bool:
+        """Return whether the domain cannot form its main model."""
+        main = self._engine.find(self._main)
+        usable = sum(known.is_usable for known in self._known.values())
+        return main is not None and usable < main.size
+
     def _load(self, known: _Known, model: routes.Model, now: float) -> Order:
         known.staging = model.name
         known.staging_until = now + 3 * model.load
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -65,6 +65,7 @@
         self.service = service
         self.tracker = tracker
         self.planner = planner
+        self.main = ""
         self.revision: int | None = None
         self.fence = 0
         self.writing = False
@@ -99,6 +100,7 @@
         self._meter = meter
         self._clock = clock
         self._domains: dict[ids.DomainName, _Domain] = {}
+        self._sizes: dict[ids.DomainName, int] = {}
         self._looked = False
         self._next_look = 0.0
         self._attempts = 0
@@ -124,9 +126,28 @@
         for service in self.services():
             if service.engine is None:
                 continue
+            sizes: dict[ids.DomainName, int] = {}
             for one in self._fleet.list_service(service.name):
-                if one.domain and one.domain not in self._domains:
-                    self._add(one.domain, service)
+                if one.domain:
+                    sizes[one.domain] = sizes.get(one.domain, 0) + 1
+            for name in sizes:
+                if name not in self._domains:
+                    self._add(name, service)
+            self._assign(service.engine, sizes)
+
+    def _assign(
+        self, engine: routes.Engine, sizes: dict[ids.DomainName, int]
+    ) -> None:
+        """Learn the largest size of each domain, and so its model.
+
+        Sizes only grow here: which model a domain is meant for must not
+        change whenever an instance is lost.
+        """
+        for name, size in sizes.items():
+            self._sizes[name] = max(self._sizes.get(name, 0), size)
+        known = {name: self._sizes[name] for name in sizes}
+        for name, model in formation.assign_models(engine, known).items():
+            self._domains[name].main = model
 
     def _add(self, name: ids.DomainName, service: routes.Service) -> None:
         assert service.engine is not None
@@ -330,7 +351,7 @@
             one.state = state
             self._log.write("domain_changed", domain=one.name, state=state)
         orders = one.planner.plan(
-            now, one.fence * _EPOCHS, self._find_demands(one)
+            now, one.fence * _EPOCHS, one.main, self._find_demands(one)
         )
         for order in orders:
             eventlet.spawn_n(self._give, one, order)
