--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -613,8 +613,6 @@
 
     def _staged_model(self, known: _Known) -> str:
         """Return the model that an instance can join at once."""
-        if known.staging:
-            return ""
         for model in self._engine.models:
             if model.name in known.upstream.staged:
                 return model.name
@@ -734,7 +732,10 @@
         Only where the idle ones cannot form one of the model they have,
         and the other model is scarce or this domain is too small.
         """
-        if any(known.staging for known in self._known.values()):
+        if any(
+            known.staging or known.upstream.busy
+            for known in self._known.values()
+        ):
             return []
         for model in sorted(
             self._engine.models, key=lambda one: cover[one.name]
@@ -749,12 +750,17 @@
             if not 0 < missing <= len(others):
                 continue
             mixed = bool(rest[model.name])
-            if cover[model.name] < _SCARCE or mixed or self._is_small():
+            scarce = cover[model.name] < _SCARCE and not self._is_scarce(cover)
+            if scarce or mixed or self._is_small():
                 return [
                     self._load(one, model, now) for one in others[:missing]
                 ]
         return []
 
+    def _is_scarce(self, cover: abc.Mapping[str, float]) -> bool:
+        """Return whether the domain's main model is needed itself."""
+        return cover.get(self._main, 0.0) < _PLENTY
+
     def _is_small(self) -> bool:
         """Return whether the domain cannot form its main model."""
         main = self._engine.find(self._main)
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -45,6 +45,8 @@
 # Seconds between two probes of instances of replicas that are whole and
 # open: their loss shows in the store's list, and sooner in the requests.
 _STEADY_INTERVAL = 4.0
+# Seconds without a new instance after which the list counts as whole.
+_SETTLED = 1.2
 # Nodes that may try for a domain whose first candidate does not.
 _CANDIDATES = 2
 # Fencing numbers of one lease revision: more than the joins it may give.
@@ -101,6 +103,8 @@
         self._clock = clock
         self._domains: dict[ids.DomainName, _Domain] = {}
         self._sizes: dict[ids.DomainName, int] = {}
+        self._largest = 0
+        self._grown_at = self._clock.now()
         self._looked = False
         self._next_look = 0.0
         self._attempts = 0
@@ -123,6 +127,8 @@
 
     def _find_domains(self) -> None:
         """Learn the domains from the instances."""
+        if not self._is_settled():
+            return
         for service in self.services():
             if service.engine is None:
                 continue
@@ -135,6 +141,20 @@
                     self._add(name, service)
             self._assign(service.engine, sizes)
 
+    def _is_settled(self) -> bool:
+        """Return whether the list of instances has stopped growing.
+
+        Failure: at the first start the instances register over some
+        seconds; domains dealt out after the first few of them get other
+        models than with all known, and their loads are in vain.
+        """
+        now = self._clock.now()
+        count = sum(1 for _ in self._fleet.all())
+        if count > self._largest:
+            self._largest = count
+            self._grown_at = now
+        return bool(self._domains) or now - self._grown_at > _SETTLED
+
     def _assign(
         self, engine: routes.Engine, sizes: dict[ids.DomainName, int]
     ) -> None:
@@ -293,6 +313,12 @@
             if isinstance(outcome, result.Ok):
                 self._see(one, outcome.ok_value, self._clock.now())
             else:
+                self._log.write(
+                    "lease_not_written",
+                    domain=one.name,
+                    revision=one.revision,
+                    why=outcome.err_value.value,
+                )
                 self._read_lease(one)
         finally:
             one.writing = False
