--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -183,7 +183,8 @@
             key=lambda one: supply[one.name] / max(one.share, 0.01),
         )
         found[name] = chosen.name
-        supply[chosen.name] += max(1, sizes[name] // chosen.size)
+        # Counted in instances: losses come by instance and by domain.
+        supply[chosen.name] += sizes[name]
     return found
 
 
