--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -69,11 +69,11 @@
     """The caller has closed its connection."""
 
 
-class _Cut(Exception):
+class _Cut(Exception):  # noqa: N818
     """A stream ends without its last event."""
 
 
-class _Refused(Exception):
+class _Refused(Exception):  # noqa: N818
     """The request is answered without an upstream."""
 
     def __init__(
@@ -748,7 +748,7 @@
         )
 
 
-class _CallerLeft(Exception):
+class _CallerLeft(Exception):  # noqa: N818
     """The caller closed its connection."""
 
 
