--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -51,6 +51,7 @@
         configuration: Version in force, 0 for none.
         loads: Requests in work by upstream.
         stalled: Upstreams it saw fall silent since the last heartbeat.
+        instances: Revision of the list of instances, 0 for none.
         leases: Revision and epoch of each domain's lease that it holds.
     """
 
@@ -60,6 +61,7 @@
     configuration: int = 0
     loads: dict[str, int] = {}
     stalled: tuple[str, ...] = ()
+    instances: int = 0
     leases: dict[str, tuple[int, int]] = {}
 
 
@@ -100,7 +102,8 @@
             return False
         held = self._peers.get(entry.id)
         if held is not None:
-            if entry.incarnation < held.entry.incarnation:
+            absent = now - held.heard > _ABSENT_AFTER
+            if entry.incarnation < held.entry.incarnation and not absent:
                 return False
             last = held.heartbeat
             if (
@@ -110,6 +113,10 @@
             ):
                 return False
         peer = self._put(entry)
+        if peer.entry != entry:
+            # The clock went back between two processes of the node: what
+            # is heard now counts, for the other one has fallen silent.
+            peer.entry = entry
         peer.heartbeat = heartbeat
         peer.heard = now
         return True
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -105,7 +105,12 @@
             settings.node,
         )
         self._fleet_feed = feeds.FleetFeed(
-            self._store, documents, self._fleet, self._log, self._clock
+            self._store,
+            documents,
+            self._fleet,
+            self._presence,
+            self._log,
+            self._clock,
         )
         self._nodes_feed = feeds.NodesFeed(
             self._store, self._presence, self._log, self._clock
@@ -123,6 +128,8 @@
         self._duties.services = self._list_services
         self._stalled: dict[str, float] = {}
         self._stopping = False
+        self._listener: typing.Any = None
+        self._front_task: typing.Any = None
         self._stopped = eventlet.event.Event()
         self._front = self._make_ingress(self._forwarder.serve)
 
@@ -134,8 +141,8 @@
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
         settings = self._settings
-        front = ingress.listen(settings.front)
-        ingress.start_server(front, self._front)
+        self._listener = ingress.listen(settings.front)
+        self._front_task = ingress.start_server(self._listener, self._front)
         for address, handler in self._list_servers().items():
             ingress.start_server(
                 ingress.listen(address), self._make_ingress(handler)
@@ -216,8 +223,11 @@
         }
         return _answer_json(msgspec.json.encode(body))
 
-    def _answer_peer(self, _: ingress.Inbound) -> ingress.Reply:
-        """Give a peer the newest configuration as it came."""
+    def _answer_peer(self, inbound: ingress.Inbound) -> ingress.Reply:
+        """Give a peer the newest configuration or list of instances."""
+        if inbound.path == feeds.INSTANCES_PATH:
+            body = msgspec.msgpack.encode(self._fleet_feed.listing)
+            return ingress.Reply(status=200, headers=[], body=body)
         if not self._configuration.document:
             return ingress.Reply(status=503, headers=[], body=b"")
         return _answer_json(self._configuration.document)
@@ -243,6 +253,7 @@
             configuration=self._configuration.version,
             loads=self._balancer.list_loads(),
             stalled=stalled,
+            instances=self._fleet.revision,
             leases=self._duties.list_leases(now),
         )
 
@@ -284,6 +295,20 @@
         # Nothing in the settings can change while the process runs.
         self._log.write("reload_requested")
 
+    def _close_front(self) -> None:
+        """Take no more requests.
+
+        Failure: a request that comes late in the grace is cut off with
+        the process. New connections are refused by the kernel, which
+        sends callers to another address; on old ones the answer says
+        that the request was not run.
+        """
+        if self._front_task is not None:
+            self._listener.close()
+            self._front_task.kill()
+            self._front_task = None
+            self._forwarder.is_closed = True
+
     def _stop(self) -> None:
         """Leave: out of the addresses, drain, end.
 
@@ -300,8 +325,10 @@
         last = began + self._settings.grace - _LAST_SECONDS
         quiet = began + self._settings.drain
         while self._now() < last:
-            if self._now() >= quiet and not self._front.in_flight:
-                break
+            if self._now() >= quiet:
+                self._close_front()
+                if not self._front.in_flight:
+                    break
             eventlet.sleep(_POLL)
         self._log.write("stopped", in_flight=self._front.in_flight)
         self._log.flush()
--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -39,4 +39,4 @@
     repeat_slack: float = 0.0
     repeat_window: float = 10.0
     grace: float = 8.0
-    drain: float = 4.0
+    drain: float = 3.0
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -154,6 +154,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self.updated = 0.0
+        self._has_kept = False
         self._upstreams: dict[ids.InstanceId, Upstream] = {}
         self._by_service: dict[ids.ServiceName, list[Upstream]] = {}
         self._replicas: dict[ids.ServiceName, list[Replica]] = {}
@@ -164,10 +165,21 @@
         return self.revision > 0
 
     def replace(
-        self, upstreams: abc.Iterable[Upstream], revision: int, now: float
+        self,
+        upstreams: abc.Iterable[Upstream],
+        revision: int,
+        now: float,
+        keep_missing: bool = False,
     ) -> bool:
         """Take over a list unless a newer one is held already.
 
+        Args:
+            upstreams: The instances listed.
+            revision: Revision of the list.
+            now: Monotonic time at which it was asked for.
+            keep_missing: Whether instances that the list lacks stay: their
+                entries may have lapsed while the store was away.
+
         Failure: a read that may be stale answers from before a change
         that this node has acted upon, such as a drain; taking it would
         send requests to an instance that has left.
@@ -175,10 +187,12 @@
         if revision < self.revision:
             return False
         self.updated = now
-        if revision == self.revision:
+        if revision == self.revision and not self._has_kept:
             return True
+        self._has_kept = keep_missing
         self.revision = revision
-        self._upstreams = {one.id: one for one in upstreams}
+        kept = self._upstreams if keep_missing else {}
+        self._upstreams = {**kept, **{one.id: one for one in upstreams}}
         self._by_service = {}
         for one in self._upstreams.values():
             self._by_service.setdefault(one.service, []).append(one)
--- a/currantwall/transport/feeds.py
+++ b/currantwall/transport/feeds.py
@@ -24,6 +24,7 @@
 from currantwall.transport import timers
 
 __all__ = [
+    "INSTANCES_PATH",
     "NODES_KIND",
     "PEER_PATH",
     "ConfigurationFeed",
@@ -33,11 +34,15 @@
 
 NODES_KIND = "currantwall-nodes"
 PEER_PATH = "/configuration"
+INSTANCES_PATH = "/instances"
 
 # Seconds that one watch waits. A watch that has silently lost its
 # connection is noticed after that; the watches of the nodes end at
 # different times, so that some node always has a fresh one.
 _WATCH_WAIT = 8.0
+# Seconds after the store's return in which lapsed entries come back: two,
+# and one read.
+_ENTRIES_BACK = 2.5
 # Seconds between two reads of the instances' list.
 _FLEET_INTERVAL = 0.5
 _NODES_INTERVAL = 2.0
@@ -169,7 +174,7 @@
             if version <= self.version:
                 return
             with eventlet.Timeout(_PEER_TIMEOUT):
-                document = _fetch_document(node.peer)
+                document = _fetch_from_peer(node.peer, PEER_PATH)
             self.take(document, node.id)
         except (OSError, urllib3.exceptions.HTTPError, eventlet.Timeout) as e:
             self._log.write(
@@ -179,10 +184,10 @@
             self._fetching = False
 
 
-def _fetch_document(address: str) -> bytes:
+def _fetch_from_peer(address: str, path: str) -> bytes:
     connection = exchanges.open_connection(address, _PEER_TIMEOUT)
     try:
-        connection.request("GET", PEER_PATH)
+        connection.request("GET", path)
         response = connection.getresponse()
         data = response.data
         if response.status != 200:
@@ -193,16 +198,27 @@
 
 
 class FleetFeed:
-    """Keeps the list of instances."""
+    """Keeps the list of instances.
+
+    A node that the store turns away takes the list from a peer that has
+    a newer one.
+    """
 
     def __init__(
         self,
         store: ports.Store,
         documents: ports.Documents,
         fleet: upstreams.Fleet,
+        presence: presence_module.Presence,
         log: journal.Journal,
         clock: timers.TimerService,
     ) -> None:
+        self._presence = presence
+        # When the store answered again after it had not.
+        self._regained: float | None = None
+        self._reachable = True
+        # The newest list, for the peers.
+        self.listing = ports.Listing((), 0)
         self._store = store
         self._documents = documents
         self._fleet = fleet
@@ -216,15 +232,63 @@
             asked = self._clock.now()
             listed = self._store.list(self._documents.upstreams_kind, stale)
             if isinstance(listed, result.Ok):
+                self._note_reachable(asked)
                 self._take(listed.ok_value, asked)
                 stale = True
+            else:
+                self._reachable = False
+                self._ask_peer()
             eventlet.sleep(_FLEET_INTERVAL)
 
+    def _note_reachable(self, now: float) -> None:
+        if not self._reachable:
+            self._reachable = True
+            self._regained = now
+
+    def _keeps_missing(self, now: float) -> bool:
+        """Return whether entries may be missing of instances that live.
+
+        Failure: entries lapse while the store is away, and with its
+        return the list lacks instances that serve; every replica would
+        be taken apart. They are back within two seconds.
+        """
+        return self._regained is not None and (
+            now < self._regained + _ENTRIES_BACK
+        )
+
+    def _ask_peer(self) -> None:
+        """Take the list of the peer that has the newest one."""
+        now = self._clock.now()
+        newer = [
+            one
+            for one in self._presence.list_live(now)
+            if one.instances > self._fleet.revision
+        ]
+        if not newer:
+            return
+        best = max(newer, key=lambda one: one.instances)
+        try:
+            with eventlet.Timeout(_PEER_TIMEOUT):
+                data = _fetch_from_peer(best.node.peer, INSTANCES_PATH)
+            found = msgspec.msgpack.decode(data, type=ports.Listing)
+        except (
+            OSError,
+            urllib3.exceptions.HTTPError,
+            msgspec.MsgspecError,
+            eventlet.Timeout,
+        ) as error:
+            why = type(error).__name__
+            self._log.write("peer_fetch_failed", peer=best.node.id, why=why)
+            return
+        self._take(found, now)
+
     def _take(self, listing: ports.Listing, asked: float) -> None:
         found = self._documents.decode_upstreams(listing.objects)
         before = {one.id for one in self._fleet.all()}
-        if not self._fleet.replace(found, listing.revision, asked):
+        keep = self._keeps_missing(asked)
+        if not self._fleet.replace(found, listing.revision, asked, keep):
             return
+        self.listing = listing
         after = {one.id for one in self._fleet.all()}
         if before != after:
             self._log.write(
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -135,6 +135,8 @@
         now: typing.Callable[[], float],
     ) -> None:
         self.table: routes.RouteTable | None = None
+        # Whether the process is about to end.
+        self.is_closed = False
         self.fleet_age: typing.Callable[[float], float] = lambda _: 0.0
         self.on_stall: typing.Callable[[ids.InstanceId], None] = _ignore
         self._balancer = balancer
@@ -181,6 +183,8 @@
     def _admit(self, inbound: ingress.Inbound, attempt: str) -> _Request:
         """Return the request with its route, or refuse it."""
         table = self.table
+        if self.is_closed:
+            raise _Refused(503, "stopping", 0.0)
         if table is None:
             raise _Refused(503, "no configuration yet", _STARTING)
         host = inbound.headers["host"].partition(":")[0]
