--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -56,6 +56,7 @@
         engines: ports.Engines,
     ) -> None:
         self._settings = settings
+        self._documents = documents
         self._clock = timers.TimerService()
         self._now = self._clock.now
         self._meter = metrics_module.Metrics(settings.node)
@@ -217,11 +218,9 @@
         addresses = [one.front for one in self._presence.list_ready(now)]
         if self._is_ready or not addresses:
             addresses.append(self._settings.front)
-        body = {
-            "addresses": sorted(addresses)[:_ADDRESSES_LIMIT],
-            "ttlS": self._settings.address_ttl,
-        }
-        return _answer_json(msgspec.json.encode(body))
+        given = sorted(addresses)[:_ADDRESSES_LIMIT]
+        ttl = self._settings.address_ttl
+        return _answer_json(self._documents.encode_addresses(given, ttl))
 
     def _answer_peer(self, inbound: ingress.Inbound) -> ingress.Reply:
         """Give a peer the newest configuration or list of instances."""
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -119,6 +119,12 @@
         """Return the operator's configuration, or what is wrong."""
         raise NotImplementedError
 
+    def encode_addresses(
+        self, addresses: abc.Sequence[str], ttl: float
+    ) -> bytes:
+        """Return the answer to a caller that asks where to connect."""
+        raise NotImplementedError
+
     def decode_upstreams(
         self, objects: abc.Iterable[StoredObject]
     ) -> list[upstreams.Upstream]:
--- a/tests/layers.py
+++ b/tests/layers.py
@@ -1,10 +1,44 @@
-"""Checks that each layer imports only itself and layers below it."""
+"""Checks that each layer imports only itself and layers below it.
+
+Also that the platform's names stay in its adapter, and that the adapter
+stays small: it translates and decides nothing.
+"""
 
 import ast
 import pathlib
 import sys
 
 _ROOT = pathlib.Path(__file__).parent.parent / "currantwall"
+_ADAPTER = pathlib.Path(__file__).parent.parent / "platform"
+_ADAPTER_LINES = 1500
+# Names of the platform's wire; enough of each message to notice a leak.
+_WIRE_NAMES = (
+    "CURRANTWALL_SETTINGS",
+    "X-Attempt-Id",
+    "X-Deadline-Ms",
+    "X-Expect-Instance",
+    "X-Not-Executed",
+    "X-Server-Load",
+    "X-Server-Seal",
+    "X-Tenant",
+    "apiKeys",
+    "coldLeftMs",
+    "currantwall/objects",
+    "currantwall/order",
+    "currantwall/report",
+    "healthPath",
+    "internalPorts",
+    "kvUsed",
+    "loadsPerS",
+    "maxAttempts",
+    "nodeName",
+    "pathPrefix",
+    "targetGapMs",
+    "targetLatencyMs",
+    "timeoutMs",
+    "trafficSplit",
+    "warmS",
+)
 _LAYERS = ("transport", "protocol", "coordination", "state")
 _PURE = ("coordination", "state")
 _IMPURE_MODULES = frozenset(
@@ -49,9 +83,31 @@
     return problems
 
 
+def check_names() -> list[str]:
+    """Return where the product uses the platform's names."""
+    problems = []
+    for path in sorted(_ROOT.rglob("*.py")):
+        text = path.read_text(encoding="utf-8")
+        for name in _WIRE_NAMES:
+            if name in text:
+                problems.append(f"{path}: uses the platform's {name}")
+    return problems
+
+
+def check_adapter() -> list[str]:
+    """Return whether the adapter has grown too large."""
+    size = sum(
+        len(path.read_text(encoding="utf-8").splitlines())
+        for path in _ADAPTER.rglob("*.py")
+    )
+    if size < _ADAPTER_LINES:
+        return []
+    return [f"{_ADAPTER}: {size} lines, {_ADAPTER_LINES} are allowed"]
+
+
 def main() -> int:
     """Check all files; return the exit code."""
-    problems = []
+    problems = check_names() + check_adapter()
     for layer in _LAYERS:
         for path in sorted((_ROOT / layer).rglob("*.py")):
             problems += check(path)
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,240 @@
+"""What the adapter makes of the platform's words, and of bad ones."""
+
+import pathlib
+import sys
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
+
+from currantwall_platform import documents  # noqa: E402
+from currantwall_platform import settings  # noqa: E402
+
+from currantwall.state import routes  # noqa: E402
+from currantwall.state import upstreams  # noqa: E402
+from currantwall.transport import ports  # noqa: E402
+
+SETTINGS = {
+    "nodeName": "front-a-1",
+    "ip": "10.1.0.40",
+    "zone": "a",
+    "listen": {
+        "front": "10.1.0.40:8227",
+        "ready": "10.1.0.40:8220",
+        "directory": "10.1.0.40:8224",
+    },
+    "internalPorts": [7340, 7355],
+    "bounds": {
+        "graceS": 8,
+        "retryBudgetRatio": 0.2,
+        "budgetSlack": 282,
+        "budgetWindowS": 10,
+        "ttl_max_s": 5,
+    },
+    "platform": {"address": "10.200.1.7:8223"},
+    "somethingNew": {"x": 1},
+}
+ENTRY = {
+    "service": "pool",
+    "address": "10.1.64.2:8080",
+    "zone": "a",
+    "slots": 13,
+    "state": "ready",
+    "seq": 41,
+    "born": 1785830562232,
+    "domain": "a-d0",
+    "staged": ["m"],
+    "group": {"name": "m.4.t", "epoch": 3, "rank": 1, "state": "ready"},
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "pathPrefix": "/a/",
+            "kind": "streaming",
+            "timeoutMs": 8000,
+            "targetLatencyMs": 300,
+            "targetGapMs": 200,
+            "trafficSplit": [
+                {"service": "pool", "weight": 90},
+                {"service": "other", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "pathPrefix": "/b/",
+            "kind": "unsafe",
+            "timeoutMs": 1200,
+            "service": "other",
+        },
+    ],
+    "services": [
+        {
+            "name": "pool",
+            "maxConnections": 854,
+            "engine": {
+                "slots": 13,
+                "models": [
+                    {"name": "m", "size": 4, "share": 0.57, "loadS": 16.0}
+                ],
+                "loadsPerS": 4.5,
+                "formMs": 300.0,
+            },
+        },
+        {"name": "other"},
+    ],
+    "limits": {"idleTimeoutMs": 9000},
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"]}],
+}
+
+
+def make_stored(name, value):
+    return ports.StoredObject(name, 1, msgspec.json.encode(value))
+
+
+class SettingsTest(unittest.TestCase):
+    def test_a_process_learns_its_addresses(self):
+        found = settings.parse(msgspec.json.encode(SETTINGS)).ok_value
+        gateway = found.gateway
+        self.assertEqual(gateway.front, "10.1.0.40:8227")
+        self.assertEqual(gateway.heartbeats, "10.1.0.40:7340")
+        self.assertEqual(gateway.datacentre, "a")
+        self.assertEqual(gateway.repeat_slack, 282)
+        self.assertEqual(found.store, "10.200.1.7:8223")
+
+    def test_a_missing_field_is_named(self):
+        for field in ("nodeName", "listen", "internalPorts", "platform"):
+            broken = {k: v for k, v in SETTINGS.items() if k != field}
+            outcome = settings.parse(msgspec.json.encode(broken))
+            self.assertIn(field, outcome.err_value)
+
+    def test_a_file_that_cannot_be_read_is_named(self):
+        outcome = settings.load(pathlib.Path("/nonexistent/settings.json"))
+        self.assertIn("/nonexistent/settings.json", outcome.err_value)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def decode(self, value):
+        data = msgspec.json.encode(value)
+        return documents.Documents().decode_configuration(data)
+
+    def test_routes_services_and_keys(self):
+        found = self.decode(CONFIGURATION).ok_value
+        stream, unsafe = found.routes
+        self.assertEqual(found.version, 7)
+        self.assertIs(stream.kind, routes.RouteKind.STREAMING)
+        self.assertEqual(
+            (stream.timeout, stream.target, stream.gap), (8.0, 0.3, 0.2)
+        )
+        self.assertTrue(stream.is_idempotent)
+        self.assertEqual([s.weight for s in stream.shares], [90, 10])
+        self.assertFalse(unsafe.is_idempotent)
+        self.assertEqual(unsafe.shares[0].service, "other")
+        self.assertEqual(found.services[0].engine.models[0].size, 4)
+        self.assertEqual(found.services[0].engine.form, 0.3)
+        self.assertEqual(found.limits.idle_timeout, 9.0)
+        self.assertEqual(found.organisations[0].keys, ("k1", "k2"))
+
+    def test_unknown_fields_are_ignored(self):
+        value = {**CONFIGURATION, "novelty": [1, 2]}
+        self.assertTrue(self.decode(value).is_ok())
+
+    def test_an_unknown_kind_counts_as_unsafe(self):
+        """A request of a new kind must not run twice."""
+        value = {**CONFIGURATION, "routes": [dict(CONFIGURATION["routes"][1])]}
+        value["routes"][0]["kind"] = "novel"
+        found = self.decode(value).ok_value
+        self.assertIs(found.routes[0].kind, routes.RouteKind.UNSAFE)
+
+    def test_no_tenants_means_no_keys(self):
+        value = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
+        found = self.decode(value).ok_value
+        self.assertIsNone(found.organisations)
+
+    def test_what_cannot_be_read_is_said(self):
+        for data in (b"", b"{", b'{"version": "x"}', b"\xff"):
+            outcome = documents.Documents().decode_configuration(data)
+            self.assertTrue(outcome.is_err())
+
+
+class EntriesTest(unittest.TestCase):
+    def decode(self, *values):
+        stored = [
+            make_stored(f"i{place}", value)
+            for place, value in enumerate(values)
+        ]
+        return documents.Documents().decode_upstreams(stored)
+
+    def test_an_entry_tells_the_seat(self):
+        (found,) = self.decode(ENTRY)
+        self.assertEqual(found.id, "i0")
+        self.assertEqual(found.domain, "a-d0")
+        self.assertIs(found.seat.phase, upstreams.Phase.READY)
+
+    def test_the_entrys_write_count_is_no_count_of_orders(self):
+        """No replica would ever be formed.
+
+        The entry's `seq` counts its writes; as the number of orders it
+        makes every order be refused.
+        """
+        (found,) = self.decode(ENTRY)
+        self.assertIsNone(found.sequence)
+
+    def test_a_draining_server_is_leaving(self):
+        (found,) = self.decode({**ENTRY, "state": "draining"})
+        self.assertTrue(found.leaving)
+
+    def test_an_unreadable_entry_hides_no_other(self):
+        """All servers would vanish with one entry of another writer."""
+        bad = (
+            {**ENTRY, "address": 7},
+            {**ENTRY, "address": "nowhere"},
+            {**ENTRY, "state": "dancing"},
+            {**ENTRY, "group": "g"},
+            {"service": "pool"},
+            None,
+            [],
+        )
+        found = self.decode(*bad, ENTRY)
+        self.assertEqual([one.id for one in found], [f"i{len(bad)}"])
+
+    @hypothesis.settings(
+        max_examples=200, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        strategies.one_of(
+            strategies.binary(max_size=40),
+            strategies.recursive(
+                strategies.none()
+                | strategies.booleans()
+                | strategies.integers()
+                | strategies.text(max_size=5),
+                lambda inner: (
+                    strategies.lists(inner, max_size=3)
+                    | strategies.dictionaries(
+                        strategies.sampled_from(sorted(ENTRY)),
+                        inner,
+                        max_size=9,
+                    )
+                ),
+                max_leaves=12,
+            ).map(msgspec.json.encode),
+        )
+    )
+    def test_no_entry_raises(self, data):
+        stored = ports.StoredObject("i", 1, data)
+        good = make_stored("good", ENTRY)
+        found = documents.Documents().decode_upstreams([stored, good])
+        self.assertIn("good", [one.id for one in found])
+
+
+if __name__ == "__main__":
+    unittest.main()
