--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -99,11 +99,16 @@
 
     # -- What is part of the site
 
-    def _add(self, name: str, command: list[str]) -> None:
+    def _add(
+        self,
+        name: str,
+        command: list[str],
+        environment: dict[str, str] | None = None,
+    ) -> None:
         log = self.path / f"{name}.log"
         with log.open("ab") as stream:
             self._processes[name] = subprocess.Popen(
-                command, stdout=stream, stderr=stream
+                command, stdout=stream, stderr=stream, env=environment
             )
 
     def _pick(self, name: str) -> str:
--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -22,6 +22,9 @@
 # a row. The first is as long as a replica takes to be mended.
 _FIRST_AVOIDANCE = 0.7
 _LONGEST_AVOIDANCE = 4.0
+# Seconds without a choice after an upstream refused a request: about the
+# time in which one of its own ends.
+_REFUSAL_AVOIDANCE = 0.2
 # Seconds for which another node's word that an upstream stalls counts.
 _HEARSAY_AVOIDANCE = 0.7
 # Weight of the newest outcome in the share of failures.
@@ -174,6 +177,10 @@
         conduct.failures = 0
         conduct.failure_share *= 1 - _FAILURE_WEIGHT
 
+    def note_refusal(self, upstream: upstreams.Upstream, now: float) -> None:
+        """Note that an upstream would not take a request just now."""
+        self._avoid(upstream, now + _REFUSAL_AVOIDANCE)
+
     def note_failure(
         self, upstream: upstreams.Upstream, now: float, avoid: bool
     ) -> None:
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -18,6 +18,7 @@
 
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
+from currantwall.transport import sockets
 
 __all__ = [
     "Connections",
@@ -177,6 +178,7 @@
         ],
     )
     connection.connect()
+    connection.sock = sockets.ResetAwareSocket(connection.sock)
     return connection
 
 
@@ -301,7 +303,7 @@
     Failure: an upstream sends a second answer late, or has closed the
     connection; the next request on it would get that answer or be lost.
     """
-    if connection.sock is None:
+    if connection.sock is None or connection.sock.fileno() < 0:
         return False
     ready, _, _ = _select([connection.sock.fileno()], [], [], 0)
     return not ready
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -362,12 +362,11 @@
         self._finish(current)
         if failure.may_have_run:
             request.progress.runs += 1
-        avoid = failure in (
-            Failure.UNREACHED,
-            Failure.STALLED,
-            Failure.NOT_RUN,
-        )
-        self._balancer.note_failure(current.upstream, now, avoid)
+        if failure is Failure.NOT_RUN:
+            self._balancer.note_refusal(current.upstream, now)
+        else:
+            avoid = failure in (Failure.UNREACHED, Failure.STALLED)
+            self._balancer.note_failure(current.upstream, now, avoid)
         if failure is Failure.STALLED or failure is Failure.UNREACHED:
             self.on_stall(current.upstream.id)
         verdict = attempts.decide(request.route, failure, request.progress)
--- a/currantwall/transport/server.py
+++ b/currantwall/transport/server.py
@@ -18,7 +18,14 @@
 
 from currantwall.protocol import http as http_protocol
 
-__all__ = ["Handlers", "Request", "Server", "mark_handled", "route"]
+__all__ = [
+    "Handlers",
+    "Request",
+    "Response",
+    "Server",
+    "mark_handled",
+    "route",
+]
 
 _MARK = "_route"
 _POOL_SIZE = 4096
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,12 +10,14 @@
 from standins import fastengine  # noqa: E402
 from standins import platform  # noqa: E402
 from standins import service  # noqa: E402
+from standins import upstream  # noqa: E402
 
 _KINDS = {
     "engine": engine.main,
     "fastengine": fastengine.main,
     "platform": platform.main,
     "service": service.main,
+    "upstream": upstream.main,
 }
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,6 +25,7 @@
 from currantwall.state import objects
 from currantwall.state import settings
 from currantwall.transport import server
+from standins import objectapi
 from standins import process
 from standins import store as store_module
 
@@ -268,7 +269,12 @@
     for one in msgspec.json.decode(instances_file.read_bytes(), type=kind):
         listed.put(one)
     eventlet.spawn(listed.run)
-    process.serve(address, PlatformHandlers(store_module.Store(), listed))
+    store = store_module.Store()
+    process.serve(
+        address,
+        PlatformHandlers(store, listed),
+        objectapi.ObjectApiHandlers(store),
+    )
 
 
 def main() -> None:
--- a/standins/process.py
+++ b/standins/process.py
@@ -13,12 +13,12 @@
 _BODY_LIMIT = 16_777_216
 
 
-def serve(address: str, handlers: server.Handlers) -> None:
+def serve(address: str, *handlers: server.Handlers) -> None:
     """Serve handlers on ``host:port`` until a signal comes."""
     parsed = settings.split_address(address)
     if parsed is None:
         raise SystemExit(f"expected HOST:PORT, got {address!r}")
-    listening = server.Server(parsed, (handlers,), _BODY_LIMIT)
+    listening = server.Server(parsed, handlers, _BODY_LIMIT)
 
     def stop(number: int, frame: typing.Any) -> None:
         raise SystemExit(0)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,384 @@
+"""The whole path over processes: callers, gateways, store, servers.
+
+No test here asserts how long something takes; the waits only bound a run
+that has gone wrong.
+"""
+
+import http.client
+import itertools
+import pathlib
+import signal
+import socket
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from bench import fleet as fleet_module
+from bench import gateways
+
+_WAIT = 60.0
+_GOLDEN = pathlib.Path(__file__).parent / "golden" / "gateway_session.txt"
+_ENGINES = ("e1", "e2", "e3", "e4")
+_APPS = ("a1", "a2")
+_ids = itertools.count(1)
+
+
+class Answer:
+    """Status, headers and body; `whole` where the body ended as framed."""
+
+    def __init__(self, status, headers, body, whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+
+class GatewayCase(unittest.TestCase):
+    fleet: gateways.Gateways
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = gateways.Gateways()
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start_platform()
+        fleet_module.wait_until(cls.has_store, _WAIT, "store")
+        for name in _ENGINES:
+            cls.fleet.start_upstream(name, "pool", "d0", "m")
+        for name in _APPS:
+            cls.fleet.start_upstream(name, "app")
+        cls.fleet.put_configuration()
+        for name in ("g1", "g2"):
+            cls.fleet.start_gateway(name)
+        for name in ("g1", "g2"):
+            fleet_module.wait_until(
+                lambda name=name: cls.fleet.is_ready(name), _WAIT, name
+            )
+            fleet_module.wait_until(
+                lambda name=name: cls.serves(name), _WAIT, "replicas"
+            )
+
+    @classmethod
+    def has_store(cls):
+        address = cls.fleet.addresses["platform"]
+        return cls.fleet.answers(f"http://{address}/currantwall/objects/x")
+
+    @classmethod
+    def serves(cls, gateway):
+        try:
+            answer = cls.send("POST", "/stream/warm", gateway=gateway)
+            plain = cls.send("GET", "/safe/warm", gateway=gateway)
+        except OSError:
+            return False
+        return answer.status == 200 and plain.status == 200
+
+    @classmethod
+    def send(
+        cls,
+        method,
+        target,
+        body=None,
+        gateway="g1",
+        headers=(),
+        attempt=None,
+        chunked=False,
+        key=gateways.KEY,
+    ):
+        """Send a request as a caller does and return its answer."""
+        host, _, port = cls.fleet.fronts[gateway].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        attempt = attempt or f"attempt-{next(_ids)}"
+        sent = {"Host": gateways.HOST, "X-Attempt-Id": attempt}
+        sent |= {"X-Deadline-Ms": "3000", "X-Model": "m"}
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        sent |= dict(headers)
+        data = iter([body]) if chunked else body
+        try:
+            connection.request(
+                method, target, data, sent, encode_chunked=chunked
+            )
+            response = connection.getresponse()
+            try:
+                return Answer(
+                    response.status,
+                    response.headers,
+                    response.read(),
+                    True,
+                )
+            except http.client.IncompleteRead as cut:
+                return Answer(
+                    response.status, response.headers, cut.partial, False
+                )
+        finally:
+            connection.close()
+
+    def send_raw(self, data):
+        """Send bytes and return all that comes back."""
+        host, _, port = self.fleet.fronts["g1"].partition(":")
+        with socket.create_connection((host, int(port)), 20) as raw:
+            raw.sendall(data)
+            raw.shutdown(socket.SHUT_WR)
+            return b"".join(iter(lambda: raw.recv(65_536), b""))
+
+    def list_runs(self, attempt):
+        found = self.fleet.list_runs(*_ENGINES, *_APPS)
+        return [one for one in found if one["attempt"] == attempt]
+
+
+class PathTest(GatewayCase):
+    def test_a_request_arrives_byte_for_byte(self):
+        target = "/safe/a%2fb/%C3%A9;x?q=a%20b&&c=%00"
+        answer = self.send("POST", target, b"\x00\xffbody")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(
+            answer.body, f"POST {target} ".encode() + b"\x00\xffbody"
+        )
+
+    def test_a_chunked_body_arrives_whole(self):
+        answer = self.send("POST", "/safe/c", b"x" * 9000, chunked=True)
+        self.assertTrue(answer.body.endswith(b"x" * 9000))
+
+    def test_the_key_is_replaced_by_its_organisation(self):
+        self.send("GET", "/safe/k", attempt="key-1", headers={"X-Tenant": "z"})
+        (run,) = self.list_runs("key-1")
+        self.assertEqual((run["tenant"], run["key"]), ("shop", None))
+
+    def test_who_may_not_is_told_so(self):
+        self.assertEqual(self.send("GET", "/safe/x", key="bad").status, 401)
+        self.assertEqual(self.send("GET", "/safe/x", key="").status, 401)
+        self.assertEqual(self.send("GET", "/none/x").status, 404)
+        other = {"Host": "other.example"}
+        answer = self.send("GET", "/safe/x", headers=other)
+        self.assertEqual(answer.status, 404)
+
+    def test_limits_are_those_of_the_configuration(self):
+        large = self.send("POST", "/safe/x", b"x" * 20_001)
+        self.assertEqual(large.status, 413)
+        wide = self.send("GET", "/safe/x", headers={"X-Wide": "x" * 5000})
+        self.assertEqual(wide.status, 431)
+
+    def test_requests_that_can_be_read_in_two_ways_are_refused(self):
+        """A request hidden in another one's body would run.
+
+        Two parsers differ on where a body ends.
+        """
+        head = b"POST /safe/s HTTP/1.1\r\nHost: shop.example\r\n"
+        for framing in (
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            b"Content-Length: 5\r\nContent-Length: 6\r\n",
+            b"Content-Length: +5\r\n",
+            b"Content-Length : 5\r\n",
+            b"Transfer-Encoding: xchunked\r\n",
+            b"Transfer-Encoding: chunked\r\n folded: 1\r\n",
+            b"Host: twice.example\r\n",
+        ):
+            data = self.send_raw(head + framing + b"\r\n0\r\n\r\n")
+            self.assertTrue(data.startswith(b"HTTP/1.1 400"), framing)
+            self.assertEqual(data.count(b"HTTP/1.1"), 1, framing)
+
+    def test_a_stream_comes_whole_and_in_order(self):
+        answer = self.send("POST", "/stream/x", attempt="order-1")
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, make_events("order-1", range(1, 7)))
+
+    def test_a_broken_stream_goes_on_at_another_replica(self):
+        """The caller's note would stop halfway, or repeat a line.
+
+        A server resets its stream inside the fourth event.
+        """
+        answer = self.send("POST", "/stream/reset3/x", attempt="resume-1")
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, make_events("resume-1", range(1, 7)))
+        runs = self.list_runs("resume-1")
+        self.assertEqual([run["after"] for run in runs], [None, "3"])
+
+    def test_a_broken_stream_that_cannot_be_resumed_ends_as_broken(self):
+        answer = self.send("POST", "/once/reset3/x", attempt="once-1")
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, make_events("once-1", range(1, 4)))
+        self.assertEqual(len(self.list_runs("once-1")), 1)
+
+    def test_a_callers_own_resumption_is_passed_on(self):
+        headers = {"Last-Event-Id": "4"}
+        answer = self.send(
+            "POST", "/stream/x", attempt="own-1", headers=headers
+        )
+        self.assertEqual(answer.body, make_events("own-1", range(5, 7)))
+
+    def test_a_silent_server_is_given_up_for_another_one(self):
+        for name in _APPS:
+            target = f"/safe/hang-{name}/x"
+            answer = self.send("GET", target, attempt=f"hang-{name}")
+            self.assertEqual(answer.status, 200)
+        runs = [len(self.list_runs(f"hang-{name}")) for name in _APPS]
+        self.assertIn(2, runs)
+
+    def test_an_unsafe_request_runs_once_whatever_happens(self):
+        """A reorder would be billed twice.
+
+        The server runs it and its answer is reset, or never comes; the
+        caller must not be told that it was not run either.
+        """
+        for what in ("torn", "hang", "mute"):
+            attempt = f"unsafe-{what}"
+            answer = self.send(
+                "POST", f"/unsafe/{what}/x", b"1", "g1", (), attempt
+            )
+            self.assertIn(answer.status, (502, 504), what)
+            self.assertEqual(len(self.list_runs(attempt)), 1, what)
+
+    def test_what_no_server_runs_is_refused_as_not_run(self):
+        answer = self.send("POST", "/unsafe/busy/x", b"1", attempt="busy-1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertEqual(self.list_runs("busy-1"), [])
+
+    def test_an_answer_without_a_length_is_passed_on(self):
+        answer = self.send("GET", "/safe/unframed/x")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, b"GET /safe/unframed/x ")
+
+    def test_an_answer_that_a_reset_ends_is_not_whole(self):
+        """A caller would take half an answer for the whole one.
+
+        The answer has no length and ends with its connection, which the
+        server resets; eventlet reports the reset as an end.
+        """
+        answer = self.send("GET", "/safe/torn/x")
+        self.assertNotEqual(answer.status, 200)
+
+    def test_a_servers_own_failure_is_passed_on_as_it_is(self):
+        answer = self.send("POST", "/unsafe/error/x", b"1", attempt="error-1")
+        self.assertEqual(answer.status, 500)
+        self.assertIn("seal.a", answer.headers["X-Server-Seal"])
+        self.assertEqual(len(self.list_runs("error-1")), 1)
+
+    def test_callers_are_told_the_nodes_that_take_requests(self):
+        for name in ("g1", "g2"):
+            url = f"http://{self.fleet.directories[name]}/"
+            fleet_module.wait_until(
+                lambda url=url: len(self.ask_addresses(url)) == 2, _WAIT, url
+            )
+            self.assertEqual(
+                self.ask_addresses(url), sorted(self.fleet.fronts.values())
+            )
+
+    def ask_addresses(self, url):
+        data = self.fleet.http.request("GET", url).data
+        return msgspec.json.decode(data)["addresses"]
+
+    @hypothesis.settings(
+        max_examples=25, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        method=strategies.sampled_from(("GET", "POST", "PUT", "DELETE")),
+        path=strategies.text("abz09%/.-_~;", max_size=12),
+        query=strategies.text("abz=&%+", max_size=8),
+        body=strategies.binary(max_size=200),
+        chunked=strategies.booleans(),
+    )
+    def test_the_gateway_changes_nothing(
+        self, method, path, query, body, chunked
+    ):
+        """The answer is that of a server asked without the gateway."""
+        target = f"/safe/{path}?{query}"
+        sent = body if method in ("POST", "PUT") else None
+        answer = self.send(
+            method, target, sent, chunked=chunked and sent is not None
+        )
+        direct = f"{method} {target} ".encode() + (sent or b"")
+        self.assertEqual((answer.status, answer.body), (200, direct))
+
+    def test_golden_session(self):
+        """The answers of one session, letter by letter."""
+        steps = (
+            ("GET", "/safe/catalogue?size=14%2fg", None),
+            ("POST", "/unsafe/reorder", b"2 x titanium"),
+            ("POST", "/stream/note", b"aftercare"),
+            ("POST", "/stream/reset2/note", b"aftercare"),
+            ("POST", "/once/note", b"aftercare"),
+            ("POST", "/unsafe/error/reorder", b"1"),
+            ("POST", "/unsafe/busy/reorder", b"1"),
+            ("GET", "/nowhere/x", None),
+        )
+        lines = []
+        for number, (method, target, body) in enumerate(steps):
+            answer = self.send(
+                method, target, body, attempt=f"golden-{number}"
+            )
+            lines.append(f"> {method} {target}")
+            kind = answer.headers.get("Content-Type", "-")
+            lines.append(f"< {answer.status} {kind} whole={answer.whole}")
+            lines.append(answer.body.decode())
+        self.assertEqual("\n".join(lines), _GOLDEN.read_text().rstrip("\n"))
+
+
+class TroubleTest(GatewayCase):
+    def test_a_configuration_reaches_a_node_that_the_store_fails(self):
+        """A node would go on serving dropped routes.
+
+        The store fails right after the change; a node that starts then
+        has only its peers to learn it from.
+        """
+        routes = gateways.make_configuration(0)["routes"]
+        added = dict(routes[2], name="new", pathPrefix="/new/")
+        self.fleet.put_configuration(routes=[*routes, added])
+        fleet_module.wait_until(
+            lambda: self.send("GET", "/new/x").status == 200, _WAIT, "route"
+        )
+        self.fleet.kill("g2")
+        self.fleet.set_store(down=True)
+        self.addCleanup(self.fleet.set_store, down=False)
+        self.fleet.start_gateway("g2")
+        fleet_module.wait_until(lambda: self.fleet.is_ready("g2"), _WAIT, "g2")
+        answer = self.send("GET", "/new/x", gateway="g2")
+        self.assertEqual(answer.status, 200)
+        self.fleet.set_store(down=False)
+
+    def test_a_lost_member_ends_its_replica_and_a_spare_joins(self):
+        """A caller gets whole answers while an instance is killed."""
+        self.fleet.start_upstream("e5", "pool", "d0", "m")
+        self.fleet.kill("e1")
+        self.addCleanup(self.fleet.start_upstream, "e1", "pool", "d0", "m")
+        for _ in range(20):
+            answer = self.send("POST", "/stream/x")
+            if answer.status == 200:
+                self.assertTrue(answer.whole)
+        fleet_module.wait_until(
+            lambda: self.send("POST", "/stream/x").status == 200,
+            _WAIT,
+            "served again",
+        )
+
+    def test_a_stop_cuts_off_no_request(self):
+        """A caller's stream would break in a planned stop."""
+        host, _, port = self.fleet.fronts["g1"].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        headers = {
+            "Host": gateways.HOST,
+            "X-Attempt-Id": "stop-1",
+            "X-Model": "m",
+            "Authorization": f"Bearer {gateways.KEY}",
+        }
+        connection.request("POST", "/stream/x", b"", headers)
+        response = connection.getresponse()
+        self.fleet.send_signal("g1", signal.SIGTERM)
+        self.assertEqual(response.read(), make_events("stop-1", range(1, 7)))
+        fleet_module.wait_until(
+            lambda: not self.fleet.is_ready("g1"), _WAIT, "not ready"
+        )
+        self.assertEqual(self.fleet.wait("g1", 20.0), 0)
+        self.fleet.start_gateway("g1")
+        fleet_module.wait_until(lambda: self.serves("g1"), _WAIT, "g1 again")
+
+
+def make_events(attempt, numbers):
+    return b"".join(
+        f"id: {n}\ndata: {attempt} {n}\n\n".encode() for n in numbers
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
