--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -35,6 +35,8 @@
 # Seconds before its end at which a holder stops giving orders: an order
 # may be on its way that long.
 _MARGIN = 0.45
+# Seconds until a node that failed to take a lease tries again.
+_RETRY = 0.5
 # Seconds between two looks at the leases of the others; their renewals
 # come with the heartbeats.
 _LOOK_INTERVAL = 2.0
@@ -73,6 +75,7 @@
         self.writing = False
         self.held = False
         self.next_renewal = 0.0
+        self.next_try = 0.0
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
         # As last written to the log.
@@ -273,7 +276,9 @@
             one.tracker.see(ids.Version(revision), value, now)
 
     def _may_take(self, one: _Domain, now: float) -> bool:
-        if one.writing or not one.tracker.is_lapsed(now):
+        if one.writing or now < one.next_try:
+            return False
+        if not one.tracker.is_lapsed(now):
             return False
         rank = self._presence.rank(f"domain:{one.name}", now)
         place = rank.index(self._presence.me.id)
@@ -313,6 +318,7 @@
             if isinstance(outcome, result.Ok):
                 self._see(one, outcome.ok_value, self._clock.now())
             else:
+                one.next_try = self._clock.now() + _RETRY
                 self._log.write(
                     "lease_not_written",
                     domain=one.name,
--- a/currantwall/transport/feeds.py
+++ b/currantwall/transport/feeds.py
@@ -104,6 +104,9 @@
             wait = _WATCH_WAIT
             if not self._note(changed):
                 return
+            # Not before: the store may drop its history again and again,
+            # and each time the list is read anew without any wait.
+            self._backoff.succeed()
             assert isinstance(changed, result.Ok)
             self._take_all(changed.ok_value, "store")
             since = max(since, changed.ok_value.revision)
@@ -113,14 +116,12 @@
     ) -> bool:
         """Log the loss and return of the store; wait after a failure."""
         if isinstance(outcome, result.Ok):
-            self._backoff.succeed()
             if not self._reachable:
                 self._reachable = True
                 self._log.write("store_regained", version=self.version)
             return True
-        if outcome.err_value is ports.StoreFailure.EXPIRED:
-            return False
-        if self._reachable:
+        expired = outcome.err_value is ports.StoreFailure.EXPIRED
+        if self._reachable and not expired:
             self._reachable = False
             why = outcome.err_value.value
             self._log.write("store_lost", why=why, version=self.version)
