--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -89,7 +89,7 @@
         self,
         service: ids.ServiceName,
         model: str | None,
-        excluded: abc.Container[ids.InstanceId],
+        excluded: abc.Container[str],
         salt: str,
         now: float,
         room: float = 0.0,
@@ -99,7 +99,8 @@
         Args:
             service: Where the route leads.
             model: Model of the replica; None for plain services.
-            excluded: Upstreams that this request has tried.
+            excluded: Upstreams that this request has tried, by
+                `Upstream.life`: a mended replica may be tried again.
             salt: Breaks ties, so that nodes do not all choose alike.
             now: Monotonic time.
             room: Requests in work at an upstream beyond its slots that
@@ -108,7 +109,7 @@
         candidates = self._list_candidates(service, model)
         if not candidates:
             return Unavailable("no upstream serves", _MENDING)
-        fresh = [one for one in candidates if one.id not in excluded]
+        fresh = [one for one in candidates if one.life not in excluded]
         usable = [one for one in fresh if not self._is_avoided(one, now)]
         if not usable:
             if model is not None and not fresh:
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -32,6 +32,7 @@
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import ports
+from currantwall.transport import sending
 from currantwall.transport import timers
 
 __all__ = ["Gateway"]
@@ -73,7 +74,7 @@
             settings.repeat_window,
         )
         self._connections = exchanges.Connections(self._now)
-        self._forwarder = forwarding.Forwarder(
+        self._sender = sending.Sender(
             self._balancer,
             self._budget,
             self._connections,
@@ -82,8 +83,11 @@
             self._log,
             self._now,
         )
-        self._forwarder.fleet_age = lambda now: now - self._fleet.updated
-        self._forwarder.on_doubt = self._tell_doubt
+        self._sender.fleet_age = lambda now: now - self._fleet.updated
+        self._sender.on_doubt = self._tell_doubt
+        self._forwarder = forwarding.Forwarder(
+            self._sender, self._meter, self._log
+        )
         me = presence_module.NodeEntry(
             id=settings.node,
             datacentre=settings.datacentre,
@@ -290,7 +294,7 @@
 
     def _take_loss(self, leader: ids.InstanceId, now: float) -> None:
         self._balancer.note_loss(leader, now)
-        self._forwarder.give_up(leader)
+        self._sender.give_up(leader)
 
     # -- Housekeeping
 
@@ -298,7 +302,9 @@
         while True:
             eventlet.sleep(_SWEEP_INTERVAL)
             self._balancer.expire(self._now())
-            self._connections.forget({one.id for one in self._fleet.all()})
+            present = {one.id for one in self._fleet.all()}
+            self._connections.forget(present)
+            self._sender.forget(present)
 
     # -- Signals
 
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -71,6 +71,11 @@
     seat: Seat | None = None
     busy: bool = False
 
+    @property
+    def life(self) -> str:
+        """Return what tells a mended replica's leader from before."""
+        return f"{self.id}@{self.seat.epoch if self.seat else 0}"
+
 
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
     """Instances that report the same replica and epoch."""
--- /dev/null
+++ b/currantwall/transport/requests.py
@@ -0,0 +1,76 @@
+"""One request of a caller while it is served, and how serving it ends."""
+
+import typing
+
+import eventlet.queue
+import msgspec
+
+from currantwall.coordination import attempts
+from currantwall.state import routes
+from currantwall.state import upstreams
+from currantwall.transport import exchanges
+from currantwall.transport import ingress
+
+__all__ = ["CallerLeft", "Cut", "Left", "Refused", "Request", "Try"]
+
+
+class Left(msgspec.Struct, frozen=True):
+    """The caller has closed its connection."""
+
+
+class CallerLeft(Exception):  # noqa: N818
+    """The caller closed its connection."""
+
+
+class Cut(Exception):  # noqa: N818
+    """A stream ends without its last event."""
+
+
+class Refused(Exception):  # noqa: N818
+    """The request is answered without an upstream."""
+
+    def __init__(
+        self, status: int, reason: str, retry_after: float = 0.0
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class Request(msgspec.Struct, kw_only=True):
+    """One request with all that its handling needs.
+
+    Attributes:
+        limit: Monotonic time of its final answer.
+        budget: Seconds that the caller said it would wait.
+        inbox: What its attempts and the caller's leaving tell.
+        tried: Upstreams that it was sent to, by `Upstream.life`.
+    """
+
+    inbound: ingress.Inbound
+    attempt: str
+    route: routes.Route
+    service: routes.Service
+    model: str | None
+    organisation: routes.Organisation | None
+    limit: float
+    budget: float | None
+    version: int
+    inbox: eventlet.queue.LightQueue
+    progress: attempts.Progress
+    tried: set[str]
+    last_event: str = ""
+    watcher: typing.Any = None
+    left: bool = False
+
+
+class Try(msgspec.Struct, kw_only=True):
+    """One attempt at one upstream."""
+
+    upstream: upstreams.Upstream
+    exchange: exchanges.Exchange
+    sent: float
+    heard: float
+    head: exchanges.Head | None = None
+    noted: bool = False
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -174,6 +174,18 @@
         self.balancer.note_loss(ids.InstanceId("a0"), 1.0)
         self.assertEqual(self.choose(1.1).id, "b0")
 
+    def test_a_mended_replica_may_be_tried_again(self):
+        """A stream would end although its replica stands again.
+
+        Both replicas broke under it; one is mended under a new epoch.
+        """
+        tried = {"a0@1", "b0@1"}
+        self.assertIsInstance(self.choose(1.0, tried), balancing.Unavailable)
+        self.fleet.replace(
+            [*make_replica("a", epoch=2), *make_replica("b")], 2, 1.2
+        )
+        self.assertEqual(self.choose(1.2, tried).id, "a0")
+
     def test_no_replica_is_told_with_a_time_to_come_back(self):
         self.fleet.replace([], 2, 1.0)
         found = self.choose()
