Keep the loads of all domains together to the weight store's rate

Each domain has an equal part; which loads are wanted is a module of its own. Tests replay forty blank instances in each of six domains: 27 loads in any five seconds at most.

--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -82,6 +82,8 @@
             ids.NodeId, tuple[float, abc.Mapping[str, int]]
         ] = {}
         self._remote_sums: dict[str, int] = {}
+        # Whether any node has sent a request to an upstream yet.
+        self.has_seen_traffic = False
 
     # -- Choosing
 
@@ -168,6 +170,7 @@
     def begin(self, instance: ids.InstanceId) -> None:
         """Note a request that is on its way to an upstream."""
         self._get(instance).in_work += 1
+        self.has_seen_traffic = True
 
     def end(self, instance: ids.InstanceId) -> None:
         """Note that a request has ended there."""
@@ -222,6 +225,7 @@
     ) -> None:
         """Take note of another node's requests in work."""
         self._remote[node] = (now, loads)
+        self.has_seen_traffic = self.has_seen_traffic or bool(loads)
         self.expire(now)
 
     def expire(self, now: float) -> None:
--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -32,7 +33,6 @@
     "OrderKind",
     "Planner",
     "Reach",
-    "assign_models",
 ]
 
 Phase = upstreams.Phase
@@ -53,10 +53,6 @@
 _CLOSE_WAIT = 2.0
 # Failed probes in a row after which an instance counts as silent.
 _SILENT_PROBES = 2
-# Slots of a model's replicas for each of its requests in work: below the
-# first, replicas of it are needed; above the second, it can spare some.
-_SCARCE = 1.3
-_PLENTY = 2.5
 # Seconds since the last report after which a list that says otherwise has
 # an instance probed at once; the list is older than that.
 _DIFFERING = 2.0
@@ -161,33 +157,6 @@
         return self.is_alive and not self.upstream.leaving
 
 
-def assign_models(
-    engine: routes.Engine, sizes: abc.Mapping[ids.DomainName, int]
-) -> dict[ids.DomainName, str]:
-    """Return the model that each domain is meant for.
-
-    Every node works out the same from the configuration and the list of
-    domains. The domains are dealt out in the order of their names, which
-    spreads each model over the data centres.
-
-    Args:
-        engine: Models with their expected shares of the work.
-        sizes: Instances of each domain.
-    """
-    supply = dict.fromkeys((model.name for model in engine.models), 0.0)
-    found = {}
-    for name in sorted(sizes):
-        fitting = [one for one in engine.models if one.size <= sizes[name]]
-        chosen = min(
-            fitting or engine.models,
-            key=lambda one: supply[one.name] / max(one.share, 0.01),
-        )
-        found[name] = chosen.name
-        # Counted in instances: losses come by instance and by domain.
-        supply[chosen.name] += sizes[name]
-    return found
-
-
 class Planner:
     """Decides the replicas of one domain."""
 
@@ -394,6 +363,7 @@
         fence: int,
         main: str,
         demands: abc.Mapping[str, Demand],
+        loads: int = 1000,
     ) -> list[Order]:
         """Return the orders that are due.
 
@@ -403,6 +373,7 @@
                 epochs of joins begin there.
             main: Model that this domain is meant for.
             demands: Need and supply of each model by name.
+            loads: Loads of weights that may start now.
         """
         self._main = main
         seen = max(
@@ -438,7 +409,7 @@
             and known.upstream.sequence is not None
             and known.pending_until <= now
         ]
-        orders += self._form(free, demands, now)
+        orders += self._form(free, demands, loads, now)
         for order in orders:
             self._known[order.instance].pending_until = now + _PENDING
         return orders
@@ -600,6 +571,7 @@
         self,
         free: list[_Known],
         demands: abc.Mapping[str, Demand],
+        loads: int,
         now: float,
     ) -> list[Order]:
         """Return the joins and loads for the free instances."""
@@ -618,7 +590,7 @@
                 formed[model.name] = formed.get(model.name, 0) + 1
                 orders += self._join(model, [one.upstream for one in chosen])
             rest[model.name] = group
-        orders += self._stage(rest, formed, demands, now)
+        orders += self._stage(rest, formed, demands, loads, now)
         staged = {order.instance for order in orders}
         for model in self._engine.models:
             for known in rest[model.name]:
@@ -674,125 +646,70 @@
         rest: dict[str, list[_Known]],
         formed: dict[str, int],
         demands: abc.Mapping[str, Demand],
+        allowed: int,
         now: float,
     ) -> list[Order]:
-        """Return the loads of weights for instances that cannot join.
-
-        Instances without weights complete the replica that is needed
-        most; those with weights of another model are loaded anew only
-        while the models have little room.
-        """
-        counts = {
-            model.name: len(rest[model.name]) for model in self._engine.models
-        }
-        for known in self._known.values():
-            if known.staging and known.is_usable:
-                counts[known.staging] = counts.get(known.staging, 0) + 1
-        cover = {
-            model.name: self._cover(model, counts, formed, demands)
-            for model in self._engine.models
-        }
-        blank = [
-            known
-            for known in rest[""]
-            if not known.staging and not known.upstream.busy
-        ]
-        orders: list[Order] = []
-        if blank:
-            model = self._choose_model(cover, len(blank))
-            orders += [self._load(known, model, now) for known in blank]
-        return orders + self._restage(rest, cover, now)
+        """Return the loads of weights for instances that cannot join."""
+        main = self._engine.find(self._main) or self._engine.models[0]
+        stock = staging.Stock(
+            main=main,
+            blank=tuple(
+                known.upstream.id
+                for known in rest[""]
+                if not known.staging and not known.upstream.busy
+            ),
+            idle={
+                model.name: tuple(
+                    known.upstream.id for known in rest[model.name]
+                )
+                for model in self._engine.models
+            },
+            usable=sum(known.is_usable for known in self._known.values()),
+            cover=self._measure_cover(rest, formed, demands),
+            loading=any(
+                known.staging or known.upstream.busy
+                for known in self._known.values()
+            ),
+        )
+        loads = staging.choose_loads(self._engine, stock)
+        return [self._load(one, now) for one in loads[:allowed]]
 
-    def _cover(
+    def _measure_cover(
         self,
-        model: routes.Model,
-        counts: dict[str, int],
+        rest: dict[str, list[_Known]],
         formed: dict[str, int],
         demands: abc.Mapping[str, Demand],
-    ) -> float:
-        """Return the slots for each busy request of a model."""
+    ) -> dict[str, float]:
+        """Return the slots of each model for each request in work."""
         own = self.count_replicas()
-        demand = demands.get(model.name, Demand(model.share, 0))
-        replicas = (
-            demand.replicas
-            + own.get(model.name, 0)
-            + formed.get(model.name, 0)
-            + counts[model.name] // model.size
-        )
-        return replicas * self._engine.slots / max(demand.busy, 0.01)
-
-    def _choose_model(
-        self, cover: abc.Mapping[str, float], blank: int
-    ) -> routes.Model:
-        """Return the model that blank instances are loaded with next.
-
-        The domain keeps to one model: whatever is lost, the others can
-        join each other at once, and at most one replica's worth less one
-        lies idle. Another one is loaded where that one is scarce.
-        """
-        main = self._engine.find(self._main) or self._engine.models[0]
-        if cover[main.name] < _PLENTY:
-            return main
-        scarce = min(self._engine.models, key=lambda one: cover[one.name])
-        if cover[scarce.name] < _SCARCE and scarce.size <= blank:
-            return scarce
-        return main
-
-    def _restage(
-        self,
-        rest: dict[str, list[_Known]],
-        cover: abc.Mapping[str, float],
-        now: float,
-    ) -> list[Order]:
-        """Return loads that turn idle instances into a replica.
+        loading: dict[str, int] = {}
+        for known in self._known.values():
+            if known.staging and known.is_usable:
+                loading[known.staging] = loading.get(known.staging, 0) + 1
+        found = {}
+        for model in self._engine.models:
+            demand = demands.get(model.name, Demand(model.share, 0))
+            waiting = len(rest[model.name]) + loading.get(model.name, 0)
+            replicas = (
+                demand.replicas
+                + own.get(model.name, 0)
+                + formed.get(model.name, 0)
+                + waiting // model.size
+            )
+            busy = max(demand.busy, 0.01)
+            found[model.name] = replicas * self._engine.slots / busy
+        return found
 
-        Only where the idle ones cannot form one of the model they have,
-        and the other model is scarce or this domain is too small.
-        """
-        if any(
-            known.staging or known.upstream.busy
-            for known in self._known.values()
-        ):
-            return []
-        for model in sorted(
-            self._engine.models, key=lambda one: cover[one.name]
-        ):
-            others = [
-                known
-                for other in self._engine.models
-                if other is not model
-                for known in rest[other.name]
-            ]
-            missing = model.size - len(rest[model.name])
-            if not 0 < missing <= len(others):
-                continue
-            mixed = bool(rest[model.name])
-            scarce = cover[model.name] < _SCARCE and not self._is_scarce(cover)
-            if scarce or mixed or self._is_small():
-                return [
-                    self._load(one, model, now) for one in others[:missing]
-                ]
-        return []
-
-    def _is_scarce(self, cover: abc.Mapping[str, float]) -> bool:
-        """Return whether the domain's main model is needed itself."""
-        return cover.get(self._main, 0.0) < _PLENTY
-
-    def _is_small(self) -> bool:
-        """Return whether the domain cannot form its main model."""
-        main = self._engine.find(self._main)
-        usable = sum(known.is_usable for known in self._known.values())
-        return main is not None and usable < main.size
-
-    def _load(self, known: _Known, model: routes.Model, now: float) -> Order:
-        known.staging = model.name
-        known.staging_until = now + 3 * model.load
+    def _load(self, load: staging.Load, now: float) -> Order:
+        known = self._known[load.instance]
+        known.staging = load.model.name
+        known.staging_until = now + 3 * load.model.load
         return Order(
             instance=known.upstream.id,
             address=known.upstream.address,
             kind=OrderKind.STAGE,
             sequence=known.upstream.sequence,
-            model=model.name,
+            model=load.model.name,
         )
 
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -15,6 +15,7 @@
 from currantwall.coordination import formation
 from currantwall.coordination import leases
 from currantwall.coordination import presence as presence_module
+from currantwall.coordination import staging
 from currantwall.state import domain as domain_module
 from currantwall.state import ids
 from currantwall.state import routes
@@ -76,6 +77,7 @@
         self.held = False
         self.next_renewal = 0.0
         self.next_try = 0.0
+        self.loads = staging.LoadBudget()
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
         # As last written to the log.
@@ -170,7 +172,7 @@
         for name, size in sizes.items():
             self._sizes[name] = max(self._sizes.get(name, 0), size)
         known = {name: self._sizes[name] for name in sizes}
-        for name, model in formation.assign_models(engine, known).items():
+        for name, model in staging.assign_models(engine, known).items():
             self._domains[name].main = model
 
     def _add(self, name: ids.DomainName, service: routes.Service) -> None:
@@ -383,12 +385,31 @@
         if state != one.state:
             one.state = state
             self._log.write("domain_changed", domain=one.name, state=state)
+        allowed = self._count_loads(one, now)
         orders = one.planner.plan(
-            now, one.fence * _EPOCHS, one.main, self._find_demands(one)
+            now,
+            one.fence * _EPOCHS,
+            one.main,
+            self._find_demands(one),
+            allowed,
         )
+        stage = formation.OrderKind.STAGE
+        one.loads.spend(sum(order.kind is stage for order in orders))
         for order in orders:
             eventlet.spawn_n(self._give, one, order)
 
+    def _count_loads(self, one: _Domain, now: float) -> int:
+        """Return the loads of weights that a domain may start now."""
+        rate = 1.0
+        for service in self.services():
+            if service.name == one.service and service.engine is not None:
+                rate = service.engine.loads_per_second
+        allowed = one.loads.count(rate, len(self._domains), now)
+        if not self._balancer.has_seen_traffic:
+            # Before the first request the weight store sets no limit.
+            return _UNLIMITED
+        return allowed
+
     def _find_demands(self, one: _Domain) -> dict[str, formation.Demand]:
         """Return need and supply of the models outside this domain."""
         busy = self._balancer.count_busy(one.service)
@@ -476,6 +497,7 @@
         )
 
 
+_UNLIMITED = 1_000_000
 # Requests in work below which the expected shares of the models count.
 _EXPECTED_BUSY = 10.0
 
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from currantwall.coordination import formation
+from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -421,16 +422,70 @@
 class AssignmentTest(unittest.TestCase):
     def test_domains_are_dealt_out_alike_by_all(self):
         sizes = {ids.DomainName(f"d{n}"): 9 for n in range(6)}
-        found = formation.assign_models(ENGINE, sizes)
-        again = formation.assign_models(ENGINE, dict(reversed(sizes.items())))
+        found = staging.assign_models(ENGINE, sizes)
+        again = staging.assign_models(ENGINE, dict(reversed(sizes.items())))
         self.assertEqual(found, again)
         self.assertEqual(sorted(found.values()).count("large"), 3)
 
     def test_a_domain_too_small_for_a_model_is_given_another(self):
         sizes = {ids.DomainName("d0"): 3}
-        found = formation.assign_models(ENGINE, sizes)
+        found = staging.assign_models(ENGINE, sizes)
         self.assertEqual(found, {"d0": "small"})
 
 
+class LoadsTest(unittest.TestCase):
+    def choose(self, **kwargs):
+        fields = {
+            "main": LARGE,
+            "blank": (),
+            "idle": {},
+            "usable": 9,
+            "cover": {"large": 2.0, "small": 2.0},
+        }
+        found = staging.choose_loads(ENGINE, staging.Stock(**fields | kwargs))
+        return [(one.instance, one.model.name) for one in found]
+
+    def test_blank_instances_get_the_domains_model(self):
+        self.assertEqual(self.choose(blank=("a",)), [("a", "large")])
+
+    def test_a_scarce_model_is_loaded_where_the_own_one_has_plenty(self):
+        cover = {"large": 3.0, "small": 0.5}
+        loads = self.choose(blank=("a", "b", "c"), cover=cover)
+        self.assertEqual({model for _, model in loads}, {"small"})
+
+    def test_spares_stay_spares_while_their_model_is_needed(self):
+        """Every loss would cost a load of 16 s.
+
+        The spares of a domain are loaded with the other model, and the
+        next loss finds none.
+        """
+        idle = {"large": ("a", "b", "c")}
+        cover = {"large": 1.5, "small": 0.5}
+        self.assertEqual(self.choose(idle=idle, cover=cover), [])
+
+    def test_what_two_models_leave_over_makes_one_replica(self):
+        idle = {"large": ("a", "b", "c"), "small": ("d",)}
+        self.assertEqual(self.choose(idle=idle), [("d", "large")])
+
+    def test_loads_keep_to_the_domains_part_of_the_rate(self):
+        """The weight store would refuse, or slow down for everybody.
+
+        Load: forty instances without weights come at once in each of
+        six domains, for a minute.
+        """
+        budgets = [staging.LoadBudget() for _ in range(6)]
+        started = []
+        for step in range(600):
+            now = step / 10.0
+            for budget in budgets:
+                count = budget.count(4.5, 6, now)
+                budget.spend(count)
+                started += [now] * count
+        for at in started:
+            window = [one for one in started if at <= one < at + 5.0]
+            self.assertLessEqual(len(window), 4.5 * 5 * 1.1 + 3)
+        self.assertGreater(len(started), 120)
+
+
 if __name__ == "__main__":
     unittest.main()
