--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 check: $(VENV)/.dev
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/flake8 currantwall standins bench tests
+	$(VENV)/bin/flake8 currantwall platform standins bench tests
 	$(PY) -m tests.layers
 
 format: $(VENV)/.dev
--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -17,10 +17,10 @@
 """
 
 from collections import abc
-import enum
 
 import msgspec
 
+from currantwall.coordination import knowledge
 from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
@@ -28,11 +28,7 @@
 
 __all__ = [
     "Demand",
-    "Order",
-    "OrderAnswer",
-    "OrderKind",
     "Planner",
-    "Reach",
 ]
 
 Phase = upstreams.Phase
@@ -40,10 +36,6 @@
 # Seconds an order may stay without effect before another one is sent: a
 # report is 0.2 s old, and the answer takes one round trip.
 _PENDING = 0.7
-# Seconds for which a report may be older than an accepted order.
-_SETTLE = 1.0
-# Seconds until the state of an instance that refused an order is known.
-_ASK_AGAIN = 0.25
 # Seconds that the joins of one replica may take to show up, beyond which
 # an incomplete replica is dissolved. Covers a predecessor's orders.
 _ASSEMBLE = 1.0
@@ -51,55 +43,10 @@
 _JOIN_SLACK = 1.5
 # Seconds a leader with a leaving member may finish its work.
 _CLOSE_WAIT = 2.0
-# Failed probes in a row after which an instance counts as silent.
-_SILENT_PROBES = 2
-# Seconds since the last report after which a list that says otherwise has
-# an instance probed at once; the list is older than that.
-_DIFFERING = 2.0
 # Replicas of the past that are remembered.
 _REMEMBERED = 1024
 
 
-class OrderKind(enum.Enum):
-    """What an engine instance is told to do."""
-
-    JOIN = "join"
-    OPEN = "open"
-    CLOSE = "close"
-    LEAVE = "leave"
-    STAGE = "stage"
-
-
-class Order(msgspec.Struct, frozen=True, kw_only=True):
-    """One order to one instance.
-
-    Attributes:
-        sequence: Orders the instance must have accepted so far; it
-            refuses if that differs.
-    """
-
-    instance: ids.InstanceId
-    address: str
-    kind: OrderKind
-    sequence: int | None
-    model: str = ""
-    replica: ids.ReplicaId = ids.ReplicaId("")
-    epoch: int = 0
-    members: tuple[ids.InstanceId, ...] = ()
-
-
-class OrderAnswer(msgspec.Struct, frozen=True):
-    """How an instance answered an order.
-
-    Attributes:
-        accepted: None where no answer came: it may be carried out yet.
-        detail: What it said, for the log.
-    """
-
-    accepted: bool | None
-    detail: str = ""
-
-
 class Demand(msgspec.Struct, frozen=True):
     """What one model needs and has, over the whole service.
 
@@ -112,58 +59,14 @@
     replicas: int
 
 
-class Reach(enum.Enum):
-    """How an instance answered its last probe."""
-
-    ANSWERED = "answered"
-    SILENT = "silent"
-    # Nothing listens there, or another instance does.
-    REFUSED = "refused"
-
-
-class _Known:
-    """What the planner knows of one instance."""
-
-    def __init__(self, upstream: upstreams.Upstream, now: float) -> None:
-        self.upstream = upstream
-        self.listed = True
-        self.missed = 0
-        self.refused = False
-        self.seen = now
-        self.pending_until = 0.0
-        # Until when reports of before the last accepted order may come.
-        self.settles_at = 0.0
-        # Until when a load ordered here keeps the instance from joining.
-        self.staging = ""
-        self.staging_until = 0.0
-        # Whether an order was sent whose effect no report has shown yet.
-        self.unsettled = False
-
-    @property
-    def is_gone(self) -> bool:
-        """Return whether the process has certainly ended."""
-        return self.refused
-
-    @property
-    def is_alive(self) -> bool:
-        """Return whether it answers and is registered."""
-        return (
-            self.listed and not self.refused and self.missed < _SILENT_PROBES
-        )
-
-    @property
-    def is_usable(self) -> bool:
-        """Return whether a replica may be built with it."""
-        return self.is_alive and not self.upstream.leaving
-
-
 class Planner:
     """Decides the replicas of one domain."""
 
     def __init__(self, name: ids.DomainName, engine: routes.Engine) -> None:
         self._name = name
         self._engine = engine
-        self._known: dict[ids.InstanceId, _Known] = {}
+        self.knowledge = knowledge.Knowledge()
+        self._known = self.knowledge.instances
         # First sight of each replica phase that must not last.
         self._since: dict[tuple[str, int, str], float] = {}
         # Who led each replica; tells that a leader has left it.
@@ -173,104 +76,6 @@
 
     # -- What is known
 
-    def note_list(
-        self, listed: abc.Iterable[upstreams.Upstream], now: float
-    ) -> None:
-        """Take note of the registered instances of this domain."""
-        present = set()
-        for one in listed:
-            present.add(one.id)
-            known = self._known.get(one.id)
-            if known is None:
-                self._known[one.id] = _Known(one, now)
-                continue
-            known.listed = True
-            if one.seat != known.upstream.seat:
-                # Either the list lags or a report was missed.
-                known.seen = min(known.seen, now - _DIFFERING)
-            if one.born > known.upstream.born:
-                known.refused = False
-                known.missed = 0
-            known.upstream = _merge(known.upstream, one)
-        for name, known in list(self._known.items()):
-            if name in present:
-                continue
-            known.listed = False
-            if known.refused or known.missed >= _SILENT_PROBES:
-                del self._known[name]
-
-    def note_report(self, reported: upstreams.Upstream, now: float) -> None:
-        """Take note of what an instance says of itself."""
-        known = self._known.get(reported.id)
-        if known is None:
-            return
-        known.missed = 0
-        known.refused = False
-        known.seen = now
-        if now < known.settles_at and _is_behind(reported, known.upstream):
-            return
-        if reported.sequence != known.upstream.sequence:
-            known.pending_until = 0.0
-        known.unsettled = False
-        if reported.born >= known.upstream.born:
-            leaving = known.upstream.leaving
-            known.upstream = msgspec.structs.replace(reported, leaving=leaving)
-        if known.staging in known.upstream.staged:
-            known.staging = ""
-
-    def note_failure(self, instance: ids.InstanceId, reach: Reach) -> bool:
-        """Take note of a failed probe; return whether that is a loss."""
-        known = self._known.get(instance)
-        if known is None:
-            return False
-        before = known.is_alive
-        if reach is Reach.REFUSED:
-            known.refused = True
-        else:
-            known.missed += 1
-        return before and not known.is_alive
-
-    def note_answer(
-        self, order: Order, accepted: bool | None, now: float
-    ) -> None:
-        """Take note of the answer to an order; None if there was none."""
-        known = self._known.get(order.instance)
-        if known is None:
-            return
-        if accepted:
-            self._assume(known, order, now)
-        elif accepted is False:
-            # Its state is not what was thought: ask before the next one.
-            known.pending_until = now + _ASK_AGAIN
-            if order.kind is OrderKind.STAGE:
-                known.staging = ""
-        known.seen = min(known.seen, now - _ASK_AGAIN)
-        known.unsettled = True
-
-    def _assume(self, known: _Known, order: Order, now: float) -> None:
-        """Take the effect of an accepted order for granted.
-
-        A report shows it 0.2 s later at the earliest; the next step of a
-        repair need not wait for that.
-        """
-        held = known.upstream
-        if order.sequence is None or held.sequence != order.sequence:
-            return
-        seat = held.seat
-        if order.kind is OrderKind.LEAVE:
-            seat = None
-        elif order.kind is OrderKind.JOIN:
-            rank = order.members.index(order.instance)
-            seat = upstreams.Seat(
-                order.replica, order.epoch, rank, Phase.JOINING
-            )
-        known.upstream = msgspec.structs.replace(
-            held, sequence=order.sequence + 1, seat=seat
-        )
-        known.settles_at = now + _SETTLE
-        if order.kind is not OrderKind.OPEN:
-            known.pending_until = 0.0
-
     def list_probes(self, now: float, steady: float) -> list[ids.InstanceId]:
         """Return the instances whose report is wanted now.
 
@@ -290,27 +95,6 @@
                 found.append(name)
         return found
 
-    def find(self, instance: ids.InstanceId) -> upstreams.Upstream | None:
-        """Return what is known of an instance."""
-        known = self._known.get(instance)
-        return known.upstream if known else None
-
-    def list_companions(
-        self, instance: ids.InstanceId
-    ) -> list[ids.InstanceId]:
-        """Return the members of an instance's replica, itself included."""
-        known = self._known.get(instance)
-        if known is None or known.upstream.seat is None:
-            return []
-        seat = known.upstream.seat
-        return [
-            name
-            for name, one in self._known.items()
-            if one.upstream.seat
-            and one.upstream.seat.replica == seat.replica
-            and one.upstream.seat.epoch == seat.epoch
-        ]
-
     def count_replicas(self) -> dict[str, int]:
         """Return the replicas of each model that serve or soon will."""
         found: dict[str, int] = {}
@@ -364,7 +148,7 @@
         main: str,
         demands: abc.Mapping[str, Demand],
         loads: int = 1000,
-    ) -> list[Order]:
+    ) -> list[knowledge.Order]:
         """Return the orders that are due.
 
         Args:
@@ -388,7 +172,7 @@
         for known in self._known.values():
             if known.staging and now >= known.staging_until:
                 known.staging = ""
-        orders: list[Order] = []
+        orders: list[knowledge.Order] = []
         kept: set[ids.InstanceId] = set()
         for replica in self._list_replicas():
             if self._is_spare(replica):
@@ -464,7 +248,9 @@
         """Return whether an instance can be sent an order now."""
         return one.sequence is not None and not self._is_pending(one.id, now)
 
-    def _open(self, replica: upstreams.Replica, now: float) -> list[Order]:
+    def _open(
+        self, replica: upstreams.Replica, now: float
+    ) -> list[knowledge.Order]:
         """Return the order that lets a replica serve, if it is time."""
         if any(
             one.seat is None or one.seat.phase is not Phase.READY
@@ -474,11 +260,11 @@
         leader = replica.members[0]
         if not self._may_order(leader, now):
             return []
-        return [self._order(leader, OrderKind.OPEN)]
+        return [self._order(leader, knowledge.OrderKind.OPEN)]
 
     def _dissolve(
         self, replica: upstreams.Replica, now: float
-    ) -> tuple[set[ids.InstanceId], list[Order]]:
+    ) -> tuple[set[ids.InstanceId], list[knowledge.Order]]:
         """Return the members that are free, and orders that free others.
 
         Failure: a survivor joins another replica while its old leader
@@ -493,7 +279,7 @@
         known = self._known[leader.id]
         if phase is Phase.BROKEN or known.is_gone:
             return everyone, []
-        if known.missed >= _SILENT_PROBES:
+        if known.is_silent:
             # It may be cut off from here alone and still take requests.
             return set(), self._leave(replica.members[1:], now)
         if phase is Phase.JOINING:
@@ -505,7 +291,7 @@
 
     def _dissolve_without_leader(
         self, replica: upstreams.Replica, now: float
-    ) -> tuple[set[ids.InstanceId], list[Order]]:
+    ) -> tuple[set[ids.InstanceId], list[knowledge.Order]]:
         if self._has_left_leader(replica):
             return {one.id for one in replica.members}, []
         if self._is_assembling(replica, now):
@@ -520,12 +306,14 @@
 
     def _close(
         self, leader: upstreams.Upstream, phase: upstreams.Phase, now: float
-    ) -> list[Order]:
+    ) -> list[knowledge.Order]:
         """Return the next order of a planned end."""
         if phase is Phase.CLOSING or not self._may_order(leader, now):
             return []
         closed = phase is Phase.READY
-        kind = OrderKind.LEAVE if closed else OrderKind.CLOSE
+        kind = (
+            knowledge.OrderKind.LEAVE if closed else knowledge.OrderKind.CLOSE
+        )
         return [self._order(leader, kind)]
 
     def _has_left_leader(self, replica: upstreams.Replica) -> bool:
@@ -545,18 +333,20 @@
 
     def _leave(
         self, members: abc.Iterable[upstreams.Upstream], now: float
-    ) -> list[Order]:
+    ) -> list[knowledge.Order]:
         return [
-            self._order(one, OrderKind.LEAVE)
+            self._order(one, knowledge.OrderKind.LEAVE)
             for one in members
             if self._known[one.id].is_alive and self._may_order(one, now)
         ]
 
-    def _order(self, one: upstreams.Upstream, kind: OrderKind) -> Order:
+    def _order(
+        self, one: upstreams.Upstream, kind: knowledge.OrderKind
+    ) -> knowledge.Order:
         """Return an order about the seat an instance has."""
         seat = one.seat
         assert seat is not None
-        return Order(
+        return knowledge.Order(
             instance=one.id,
             address=one.address,
             kind=kind,
@@ -569,14 +359,14 @@
 
     def _form(
         self,
-        free: list[_Known],
+        free: list[knowledge.Known],
         demands: abc.Mapping[str, Demand],
         loads: int,
         now: float,
-    ) -> list[Order]:
+    ) -> list[knowledge.Order]:
         """Return the joins and loads for the free instances."""
-        orders: list[Order] = []
-        rest: dict[str, list[_Known]] = {"": []}
+        orders: list[knowledge.Order] = []
+        rest: dict[str, list[knowledge.Known]] = {"": []}
         formed: dict[str, int] = {}
         for model in self._engine.models:
             rest[model.name] = []
@@ -600,7 +390,7 @@
                     orders += self._join(model, [known.upstream])
         return orders
 
-    def _staged_model(self, known: _Known) -> str:
+    def _staged_model(self, known: knowledge.Known) -> str:
         """Return the model that an instance can join at once."""
         for model in self._engine.models:
             if model.name in known.upstream.staged:
@@ -608,7 +398,7 @@
         return ""
 
     @staticmethod
-    def _is_hot(known: _Known, model: str) -> bool:
+    def _is_hot(known: knowledge.Known, model: str) -> bool:
         """Return whether its last replica was of the model.
 
         Such an instance joins in 0.2 s, any other one that has the
@@ -622,16 +412,16 @@
 
     def _join(
         self, model: routes.Model, members: list[upstreams.Upstream]
-    ) -> list[Order]:
+    ) -> list[knowledge.Order]:
         self._epoch += 1
         token = f"{self._name}-{self._epoch}"
         name = upstreams.name_replica(model.name, len(members), token)
         listed = tuple(one.id for one in members)
         return [
-            Order(
+            knowledge.Order(
                 instance=one.id,
                 address=one.address,
-                kind=OrderKind.JOIN,
+                kind=knowledge.OrderKind.JOIN,
                 sequence=one.sequence,
                 model=model.name,
                 replica=name,
@@ -643,12 +433,12 @@
 
     def _stage(
         self,
-        rest: dict[str, list[_Known]],
+        rest: dict[str, list[knowledge.Known]],
         formed: dict[str, int],
         demands: abc.Mapping[str, Demand],
         allowed: int,
         now: float,
-    ) -> list[Order]:
+    ) -> list[knowledge.Order]:
         """Return the loads of weights for instances that cannot join."""
         main = self._engine.find(self._main) or self._engine.models[0]
         stock = staging.Stock(
@@ -676,7 +466,7 @@
 
     def _measure_cover(
         self,
-        rest: dict[str, list[_Known]],
+        rest: dict[str, list[knowledge.Known]],
         formed: dict[str, int],
         demands: abc.Mapping[str, Demand],
     ) -> dict[str, float]:
@@ -700,39 +490,14 @@
             found[model.name] = replicas * self._engine.slots / busy
         return found
 
-    def _load(self, load: staging.Load, now: float) -> Order:
+    def _load(self, load: staging.Load, now: float) -> knowledge.Order:
         known = self._known[load.instance]
         known.staging = load.model.name
         known.staging_until = now + 3 * load.model.load
-        return Order(
+        return knowledge.Order(
             instance=known.upstream.id,
             address=known.upstream.address,
-            kind=OrderKind.STAGE,
+            kind=knowledge.OrderKind.STAGE,
             sequence=known.upstream.sequence,
             model=load.model.name,
         )
-
-
-def _is_behind(reported: upstreams.Upstream, held: upstreams.Upstream) -> bool:
-    """Return whether a report is from before the last accepted order."""
-    if reported.born != held.born or held.sequence is None:
-        return False
-    return reported.sequence is None or reported.sequence < held.sequence
-
-
-def _merge(
-    held: upstreams.Upstream, listed: upstreams.Upstream
-) -> upstreams.Upstream:
-    """Return what is known of an instance after a look at the list.
-
-    The list lags behind the instance's own reports, so it adds only
-    whether the instance leaves. A new life under the same id (`born`)
-    supersedes all that was known before.
-    """
-    if listed.born > held.born:
-        return listed
-    if listed.born < held.born:
-        return held
-    if held.sequence is None:
-        return listed
-    return msgspec.structs.replace(held, leaving=listed.leaving)
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -13,6 +13,7 @@
 
 from currantwall.coordination import balancing
 from currantwall.coordination import formation
+from currantwall.coordination import knowledge
 from currantwall.coordination import leases
 from currantwall.coordination import presence as presence_module
 from currantwall.coordination import staging
@@ -366,10 +367,10 @@
         for one in self._domains.values():
             if not one.tracker.holds(now):
                 continue
-            leader = one.planner.find(instance)
+            leader = one.planner.knowledge.find(instance)
             if leader is None:
                 continue
-            for name in one.planner.list_companions(instance):
+            for name in one.planner.knowledge.list_companions(instance):
                 self._probe(one, name, now)
 
     def _work(self, one: _Domain, now: float) -> None:
@@ -378,7 +379,7 @@
             for upstream in self._fleet.list_service(one.service)
             if upstream.domain == one.name
         ]
-        one.planner.note_list(members, now)
+        one.planner.knowledge.note_list(members, now)
         for name in one.planner.list_probes(now, _STEADY_INTERVAL):
             self._probe(one, name, now)
         state = one.planner.describe()
@@ -393,7 +394,7 @@
             self._find_demands(one),
             allowed,
         )
-        stage = formation.OrderKind.STAGE
+        stage = knowledge.OrderKind.STAGE
         one.loads.spend(sum(order.kind is stage for order in orders))
         for order in orders:
             eventlet.spawn_n(self._give, one, order)
@@ -437,7 +438,7 @@
             return
         if now < one.probed.get(name, 0.0) + _PROBE_INTERVAL:
             return
-        upstream = one.planner.find(name)
+        upstream = one.planner.knowledge.find(name)
         if upstream is None:
             return
         one.probed[name] = now
@@ -451,10 +452,10 @@
             one.probing.discard(upstream.id)
         self._meter.add("currantwall.probes", 1)
         now = self._clock.now()
-        if isinstance(found, formation.Reach):
+        if isinstance(found, knowledge.Reach):
             # A first miss is checked at once, a later one in its turn.
             one.probed.pop(upstream.id, None)
-            if one.planner.note_failure(upstream.id, found):
+            if one.planner.knowledge.note_failure(upstream.id, found):
                 self._log.write(
                     "instance_lost",
                     instance=upstream.id,
@@ -464,24 +465,24 @@
                 )
                 self._tell_loss(one, upstream)
         else:
-            one.planner.note_report(found, now)
+            one.planner.knowledge.note_report(found, now)
 
     def _tell_loss(self, one: _Domain, lost: upstreams.Upstream) -> None:
         """Tell the leader of a replica that has lost a member."""
-        for name in one.planner.list_companions(lost.id):
-            member = one.planner.find(name)
+        for name in one.planner.knowledge.list_companions(lost.id):
+            member = one.planner.knowledge.find(name)
             if member is not None and member.seat is not None:
                 leads = member.seat.rank == 0
                 if leads and member.seat.phase is upstreams.Phase.OPEN:
                     self.on_loss(name)
 
-    def _give(self, one: _Domain, order: formation.Order) -> None:
+    def _give(self, one: _Domain, order: knowledge.Order) -> None:
         """Send an order while the lease certainly holds."""
         if not one.tracker.holds(self._clock.now()):
             return
         answer = self._engines.order(order)
         now = self._clock.now()
-        one.planner.note_answer(order, answer.accepted, now)
+        one.planner.knowledge.note_answer(order, answer.accepted, now)
         self._meter.add("currantwall.orders", 1, order.kind.value)
         self._log.write(
             "order",
--- a/currantwall/transport/metrics.py
+++ b/currantwall/transport/metrics.py
@@ -17,6 +17,9 @@
 __all__ = ["Metrics"]
 
 _METER = "currantwall"
+# Upper bounds in seconds: from a plain service's answer to the longest
+# time that a caller waits.
+_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 # Samples kept between two scrapes; the oldest go first.
 _SAMPLES_LIMIT = 8192
 
@@ -77,7 +80,11 @@
             name, label, value = self._samples.popleft()
             histogram = self._histograms.get(name)
             if histogram is None:
-                histogram = self._meter.create_histogram(name, unit="s")
+                histogram = self._meter.create_histogram(
+                    name,
+                    unit="s",
+                    explicit_bucket_boundaries_advisory=_BUCKETS,
+                )
                 self._histograms[name] = histogram
             histogram.record(value, _describe(label))
 
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -7,7 +7,7 @@
 import msgspec
 import result
 
-from currantwall.coordination import formation
+from currantwall.coordination import knowledge
 from currantwall.state import routes
 from currantwall.state import upstreams
 
@@ -97,11 +97,11 @@
 
     def report(
         self, upstream: upstreams.Upstream
-    ) -> upstreams.Upstream | formation.Reach:
+    ) -> upstreams.Upstream | knowledge.Reach:
         """Return what an instance says of itself, or how it failed."""
         raise NotImplementedError
 
-    def order(self, order: formation.Order) -> formation.OrderAnswer:
+    def order(self, order: knowledge.Order) -> knowledge.OrderAnswer:
         """Send an order and return how it was answered."""
         raise NotImplementedError
 
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -12,12 +12,13 @@
 import msgspec
 
 from currantwall.coordination import formation
+from currantwall.coordination import knowledge
 from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
 
-Kind = formation.OrderKind
+Kind = knowledge.OrderKind
 Phase = upstreams.Phase
 LARGE = routes.Model(name="large", size=4, share=0.5, load=16.0, warm=1.6)
 SMALL = routes.Model(name="small", size=3, share=0.5, load=12.0, warm=1.1)
@@ -201,19 +202,21 @@
             for one in engines
             if one.listed
         ]
-        self.planner.note_list(listed, self.now)
+        self.planner.knowledge.note_list(listed, self.now)
         for name in self.planner.list_probes(self.now, 2.0):
             engine = self.world.engines[name]
             if engine.up:
-                self.planner.note_report(engine.describe(), self.now)
+                self.planner.knowledge.note_report(engine.describe(), self.now)
             else:
-                self.planner.note_failure(name, formation.Reach.SILENT)
+                self.planner.knowledge.note_failure(
+                    name, knowledge.Reach.SILENT
+                )
         for order in self.planner.plan(self.now, self.fence, self.main, NONE):
             if self.lose_answers:
                 self.late.append(order)
                 continue
             answer = self.world.obey(order, self.now)
-            self.planner.note_answer(order, answer, self.now)
+            self.planner.knowledge.note_answer(order, answer, self.now)
 
     def run(self, seconds):
         for _ in range(round(seconds * 10)):
@@ -222,7 +225,9 @@
     def suspect(self, victim):
         """Probe an instance as after a stall: twice without an answer."""
         for _ in range(2):
-            self.planner.note_failure(victim.id, formation.Reach.SILENT)
+            self.planner.knowledge.note_failure(
+                victim.id, knowledge.Reach.SILENT
+            )
 
     def count_open(self):
         return sum(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -266,6 +266,13 @@
                 self.ask_addresses(url), sorted(self.fleet.fronts.values())
             )
 
+    def test_counters_and_latencies_are_on_the_scrape_page(self):
+        self.send("GET", "/safe/x")
+        host = self.fleet.fronts["g1"].partition(":")[0]
+        page = self.fleet.http.request("GET", f"http://{host}:9464/metrics")
+        self.assertIn(b"currantwall_answers_total", page.data)
+        self.assertIn(b'le="0.025"', page.data)
+
     def ask_addresses(self, url):
         data = self.fleet.http.request("GET", url).data
         return msgspec.json.decode(data)["addresses"]
