--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -201,7 +201,12 @@
                 eventlet.sleep(_POLL)
 
     def _make_ingress(self, handler: ingress.Handler) -> ingress.Ingress:
-        return ingress.Ingress(handler, self._get_limits, self._now)
+        made = ingress.Ingress(handler, self._get_limits, self._now)
+        made.on_error = self._note_handler_error
+        return made
+
+    def _note_handler_error(self, error: Exception) -> None:
+        self._log.write("handler_failed", why=_describe(error))
 
     def _get_limits(self) -> routes.Limits:
         table = self._forwarder.table
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -95,6 +95,26 @@
         self.now = now
         self.is_closing = False
         self.in_flight = 0
+        # Told of mistakes in the handler.
+        self.on_error: abc.Callable[[Exception], None] = _ignore
+
+    def handle(self, inbound: Inbound) -> Reply:
+        """Answer a request, with 500 where the handler fails.
+
+        Failure: a mistake in the handler closes the connection without
+        an answer, and nothing says why. The 500 promises nothing: the
+        request may have been sent by then.
+        """
+        try:
+            return self.handler(inbound)
+        except OSError:
+            # The caller has gone; the connection is closed.
+            raise
+        except Exception as error:
+            self.on_error(error)
+            return Reply(
+                status=500, headers=[], body=b"internal error", close=True
+            )
 
 
 class _Protocol(eventlet.wsgi.HttpProtocol):
@@ -234,7 +254,7 @@
     # -- Answering
 
     def _answer(self, inbound: Inbound) -> None:
-        reply = self.ingress.handler(inbound)
+        reply = self.ingress.handle(inbound)
         if reply.close or self.ingress.is_closing:
             self.close_connection = 1
         headers = reply.headers
@@ -321,6 +341,10 @@
         raise Malformed(400, "bad length")
 
 
+def _ignore(_: Exception) -> None:
+    return
+
+
 def listen(address: str) -> typing.Any:
     """Return a listening socket on an address."""
     host, _, port = address.rpartition(":")
