--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -319,7 +319,8 @@
             eventlet.spawn_n(self._stop)
 
     def _on_reload(self, number: int, frame: typing.Any) -> None:
-        # Nothing in the settings can change while the process runs.
+        # The settings are read at the start only: a change of them takes
+        # effect when the process is started again.
         self._log.write("reload_requested")
 
     def _close_front(self) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -14,7 +14,14 @@
 import msgspec
 
 _ROOT = pathlib.Path(__file__).parent.parent
-_COPIED = ("currantwall", "standins", "bench", "tests", "examples")
+_COPIED = (
+    "currantwall",
+    "platform",
+    "standins",
+    "bench",
+    "tests",
+    "examples",
+)
 
 
 class Mutant(msgspec.Struct, frozen=True):
@@ -29,7 +36,40 @@
 
 _COORDINATION = "currantwall/coordination"
 _REPLICAS = "tests.test_replicas"
+_FEEDS = "tests.test_feeds"
+_FORMATION = "tests.test_formation.FormationTest"
 MUTANTS = (
+    Mutant(
+        "survivors move while their leader serves",
+        f"{_COORDINATION}/formation.py",
+        "        return set(), self._leave((leader,), now)\n",
+        "        return everyone, self._leave((leader,), now)\n",
+        f"{_FORMATION}.test_a_survivor_never_joins_while_its_leader_serves",
+    ),
+    Mutant(
+        "lapsed entries taken as gone at once",
+        "currantwall/transport/feeds.py",
+        "        return self._regained is not None and (\n",
+        "        return False and (\n",
+        f"{_FEEDS}.FleetFeedTest"
+        ".test_entries_that_lapsed_in_an_outage_are_kept_for_a_while",
+    ),
+    Mutant(
+        "an older configuration taken",
+        "currantwall/transport/feeds.py",
+        "        if found.version <= self.version:\n",
+        "        if False:\n",
+        f"{_FEEDS}.ConfigurationFeedTest"
+        ".test_a_version_is_never_replaced_by_an_older_one",
+    ),
+    Mutant(
+        "a reset taken for an end",
+        "currantwall/transport/sockets.py",
+        "        except ConnectionResetError as error:\n",
+        "        except ZeroDivisionError as error:\n",
+        "tests.test_gateway.PathTest"
+        ".test_an_answer_that_a_reset_ends_is_not_whole",
+    ),
     Mutant(
         "broken verdict ignored",
         f"{_COORDINATION}/evidence.py",
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -1,14 +1,15 @@
 """Runs all tests and closes with ``N passed, N failed``.
 
-Each test module runs in a process of its own, a few at a time, and the
-results are printed in the order of the modules' names. A module given
-ports of its own cannot meet another one's processes.
+Each test class runs in a process of its own, a few at a time, and the
+results are printed in the order of their names. Each is given ports of
+its own, so that its processes cannot meet another one's.
 
 A test listed in KNOWN-RED.txt may fail without failing the run; it is
 printed. A listed test that passes must be taken off the list.
 """
 
 from concurrent import futures
+import importlib
 import io
 import multiprocessing
 import os
@@ -18,15 +19,16 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
-# Modules at the same time: some start a dozen processes themselves.
+# Classes at the same time: some start a dozen processes themselves.
 _WORKERS = 4
-# Ports that each module's processes listen on.
+# Ports that each class's processes listen on.
 _FIRST_PORT = 12_000
-_PORTS_EACH = 1_000
+_LAST_PORT = 32_000
+_PORTS_EACH = 220
 
 
 class Outcome:
-    """What came of one module's tests."""
+    """What came of one class's tests."""
 
     def __init__(self, name, run, failed, skipped, report):
         self.name = name
@@ -44,13 +46,30 @@
     return {line.split(",", 1)[0].strip(): line for line in lines if line}
 
 
-def list_modules() -> list[str]:
-    """Return the names of all test modules."""
-    files = sorted((_ROOT / "tests").glob("test_*.py"))
-    return [f"tests.{file.stem}" for file in files]
+def list_classes() -> list[str]:
+    """Return the names of all test classes, sorted."""
+    found = []
+    for file in sorted((_ROOT / "tests").glob("test_*.py")):
+        module = importlib.import_module(f"tests.{file.stem}")
+        for name, value in sorted(vars(module).items()):
+            if _is_test_class(value):
+                found.append(f"{module.__name__}.{name}")
+    return found
 
 
-def run_module(name: str, first_port: int) -> Outcome:
+def _is_test_class(value: object) -> bool:
+    """Return whether a module's attribute is a class with tests.
+
+    Not by the class's own name: hypothesis makes classes elsewhere that
+    a module gives a name.
+    """
+    if not isinstance(value, type) or not issubclass(value, unittest.TestCase):
+        return False
+    named = unittest.defaultTestLoader.getTestCaseNames(value)
+    return bool(named) or hasattr(value, "runTest")
+
+
+def run_named(name: str, first_port: int) -> Outcome:
     """Run what a name stands for; in a process of its own."""
     os.environ["CURRANTWALL_TEST_PORTS"] = (
         f"{first_port}-{first_port + _PORTS_EACH}"
@@ -67,12 +86,15 @@
 
 def run_all(names: list[str]) -> list[Outcome]:
     """Return the outcomes in the order of the names."""
+    last = _FIRST_PORT + len(names) * _PORTS_EACH
+    if last > _LAST_PORT:
+        raise SystemExit("too many test classes for the range of ports")
     context = multiprocessing.get_context("spawn")
     with futures.ProcessPoolExecutor(
         _WORKERS, context, max_tasks_per_child=1
     ) as pool:
         running = [
-            pool.submit(run_module, name, _FIRST_PORT + place * _PORTS_EACH)
+            pool.submit(run_named, name, _FIRST_PORT + place * _PORTS_EACH)
             for place, name in enumerate(names)
         ]
         return [one.result() for one in running]
@@ -80,7 +102,7 @@
 
 def main() -> int:
     """Run the tests; return the exit code."""
-    outcomes = run_all(sys.argv[1:] or list_modules())
+    outcomes = run_all(sys.argv[1:] or list_classes())
     known = read_known_red()
     failed = set()
     for outcome in outcomes:
--- /dev/null
+++ b/tests/test_feeds.py
@@ -0,0 +1,281 @@
+"""What a node knows of the store, while the store misbehaves.
+
+The store answers from a script and time passes only while a feed sleeps.
+"""
+
+import unittest
+from unittest import mock
+
+import msgspec
+import result
+
+from currantwall.coordination import presence as presence_module
+from currantwall.state import ids
+from currantwall.state import routes
+from currantwall.state import upstreams
+from currantwall.transport import feeds
+from currantwall.transport import ports
+
+Failure = ports.StoreFailure
+
+
+class Stop(BaseException):
+    """Ends a feed when its script is at its end."""
+
+
+class Clock:
+    """Time that passes while somebody sleeps."""
+
+    def __init__(self):
+        self.time = 100.0
+        self.sleeps = []
+
+    def now(self):
+        return self.time
+
+    def sleep(self, seconds=0.0):
+        self.sleeps.append(seconds)
+        self.time += seconds
+
+
+class Store:
+    """Answers from a script; the last answer is repeated."""
+
+    def __init__(self, lists=(), watches=()):
+        self.lists = list(lists)
+        self.watches = list(watches)
+        self.calls = 0
+        self.limit = 40
+
+    def _next(self, script):
+        self.calls += 1
+        if self.calls > self.limit:
+            raise Stop
+        return script.pop(0) if len(script) > 1 else script[0]
+
+    def list(self, kind, stale=False):
+        return self._next(self.lists)
+
+    def watch(self, kind, since, wait):
+        return self._next(self.watches)
+
+
+class Documents:
+    """Documents of this test: a number is a configuration's version."""
+
+    configuration_kind = "config"
+    configuration_name = "main"
+    upstreams_kind = "servers"
+
+    def decode_configuration(self, value):
+        if not value.isdigit():
+            return result.Err("not a number")
+        return result.Ok(
+            routes.Configuration(version=int(value), routes=(), services=())
+        )
+
+    def decode_upstreams(self, objects):
+        return [
+            upstreams.Upstream(
+                id=ids.InstanceId(one.name),
+                service=ids.ServiceName("s"),
+                address="127.0.0.1:1",
+                datacentre=ids.DatacentreName("a"),
+            )
+            for one in objects
+        ]
+
+
+class Log:
+    """Collects what is logged."""
+
+    def __init__(self):
+        self.events = []
+
+    def write(self, event, **fields):
+        self.events.append(event)
+
+
+class Table:
+    """Stands for the forwarder: holds the table in force."""
+
+    table = None
+
+
+def make_list(revision, *names):
+    objects = tuple(
+        ports.StoredObject(name, revision, b"{}") for name in names
+    )
+    return result.Ok(ports.Listing(objects, revision))
+
+
+def make_versions(revision, *versions):
+    objects = tuple(
+        ports.StoredObject("main", revision, str(one).encode())
+        for one in versions
+    )
+    return result.Ok(ports.Listing(objects, revision))
+
+
+class FeedCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.log = Log()
+        patch = mock.patch.object(feeds.eventlet, "sleep", self.clock.sleep)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def run_feed(self, feed):
+        with self.assertRaises(Stop):
+            feed.run()
+
+
+class FleetFeedTest(FeedCase):
+    def make(self, lists):
+        entry = presence_module.NodeEntry(
+            id=ids.NodeId("me"),
+            datacentre=ids.DatacentreName("a"),
+            front="f",
+            heartbeats="h",
+            peer="p",
+            incarnation=1,
+        )
+        self.presence = presence_module.Presence(entry)
+        self.fleet = upstreams.Fleet()
+        self.store = Store(lists)
+        return feeds.FleetFeed(
+            self.store,
+            Documents(),
+            self.fleet,
+            self.presence,
+            self.log,
+            self.clock,
+        )
+
+    def list_names(self):
+        return sorted(one.id for one in self.fleet.all())
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self):
+        """Every replica would be taken apart after an outage.
+
+        Entries lapse while the store is away; with its return the list
+        lacks servers that live, whose entries come a little later.
+        """
+        feed = self.make(
+            [
+                make_list(1, "a", "b"),
+                result.Err(Failure.UNAVAILABLE),
+                make_list(5),
+            ]
+        )
+        self.store.limit = 4
+        self.run_feed(feed)
+        self.assertEqual(self.list_names(), ["a", "b"])
+
+    def test_entries_that_do_not_come_back_are_taken_as_gone(self):
+        """Requests would go on to servers that have left for good."""
+        feed = self.make(
+            [
+                make_list(1, "a", "b"),
+                result.Err(Failure.UNAVAILABLE),
+                make_list(5, "a"),
+            ]
+        )
+        self.run_feed(feed)
+        self.assertEqual(self.list_names(), ["a"])
+
+    def test_entries_that_go_without_an_outage_are_gone_at_once(self):
+        feed = self.make([make_list(1, "a", "b"), make_list(2, "a")])
+        self.store.limit = 2
+        self.run_feed(feed)
+        self.assertEqual(self.list_names(), ["a"])
+
+    def test_a_node_that_is_turned_away_takes_a_peers_list(self):
+        """A node would send requests to servers that have left.
+
+        The store turns this node away and serves the others, one of
+        which tells of a newer list in its heartbeat.
+        """
+        feed = self.make([make_list(1, "a"), result.Err(Failure.UNAVAILABLE)])
+        peer = presence_module.NodeEntry(
+            id=ids.NodeId("peer"),
+            datacentre=ids.DatacentreName("a"),
+            front="f2",
+            heartbeats="h2",
+            peer="p2",
+            incarnation=1,
+        )
+        self.presence.note_heartbeat(
+            presence_module.Heartbeat(node=peer, serial=1, instances=9),
+            self.clock.now(),
+        )
+        listing = make_list(9, "b").ok_value
+        data = msgspec.msgpack.encode(listing)
+        self.store.limit = 2
+        with mock.patch.object(
+            feeds, "_fetch_from_peer", return_value=data
+        ) as fetch:
+            self.run_feed(feed)
+        fetch.assert_called_with("p2", feeds.INSTANCES_PATH)
+        self.assertEqual(self.list_names(), ["b"])
+
+
+class ConfigurationFeedTest(FeedCase):
+    def make(self, lists, watches):
+        self.table = Table()
+        self.store = Store(lists, watches)
+        return feeds.ConfigurationFeed(
+            self.store,
+            Documents(),
+            self.table,
+            self.log,
+            self.clock,
+            "me",
+        )
+
+    def test_a_version_is_never_replaced_by_an_older_one(self):
+        """Dropped routes and keys would work again.
+
+        A read that is seconds old, or a peer's late answer, brings an
+        older version after a newer one.
+        """
+        feed = self.make([make_versions(1, 7)], [make_versions(2, 9, 8)])
+        self.store.limit = 3
+        self.run_feed(feed)
+        feed.take(b"8", "peer")
+        self.assertEqual(feed.version, 9)
+
+    def test_what_cannot_be_read_leaves_the_version_in_force(self):
+        feed = self.make([make_versions(1, 7)], [make_versions(2, "x")])
+        self.store.limit = 2
+        self.run_feed(feed)
+        self.assertEqual(feed.version, 7)
+        self.assertIn("configuration_unreadable", self.log.events)
+
+    def test_a_history_that_is_gone_again_and_again_is_waited_for(self):
+        """The store would get a call every few milliseconds from each node.
+
+        It drops its history while changes are made: each watch fails as
+        expired at once, and each list is followed by another watch.
+        """
+        feed = self.make([make_versions(1, 7)], [result.Err(Failure.EXPIRED)])
+        self.run_feed(feed)
+        self.assertGreater(self.clock.time - 100.0, 5.0)
+
+    def test_the_loss_and_return_of_the_store_are_told_once(self):
+        feed = self.make(
+            [
+                make_versions(1, 7),
+                result.Err(Failure.LOST),
+                result.Err(Failure.LOST),
+                make_versions(2, 8),
+            ],
+            [result.Err(Failure.LOST), make_versions(3, 8)],
+        )
+        self.run_feed(feed)
+        self.assertEqual(self.log.events.count("store_lost"), 1)
+        self.assertEqual(self.log.events.count("store_regained"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
