A randomized soak over real processes

soak/ starts a store, twelve servers and a few gateways as processes and disturbs them from one seed: signals (kill, stop, pause, reload, all gateways at once), a proxy on each link (late, silent, one way, resetting), a store that is down, slow, loses answers or forgets, a time of day that goes back, configurations in between. Callers keep connections; every server writes what it runs and which seat it has to a file that outlives it. Ten promises are checked against both. 'make soak SEED=n'; a run of six seconds is part of the tests, and each check is seen to fail.

First finding, seed 1 (12 s): an instance joined another replica while its paused leader still had itself for open. The trace shows that the holder had told it to leave first; that case is the open question in docs/design/platform.md and allowed there, so the check now follows the instance's own seat. Proxies turned resets into ends at first; mended.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak over real processes, from one seed."""
--- a/standins/objectapi.py
+++ b/standins/objectapi.py
@@ -2,7 +2,7 @@
 
 It serves the same store as the product's own interface: objects with
 revisions, conditional writes and watches. Faults can be set: down, slow,
-turning one caller away, losing answers.
+losing answers, forgetting its history.
 """
 
 import http
@@ -29,10 +29,12 @@
     Attributes:
         down: Whether every call is answered 503.
         lose_writes: Writes to carry out whose answer is then lost.
+        delay: Seconds by which each answer is late.
     """
 
     down: bool = False
     lose_writes: int = 0
+    delay: float = 0.0
 
 
 class ObjectApiHandlers(server.Handlers):
@@ -46,8 +48,9 @@
     @server.route("GET", _PATH)
     def list_objects(self, request: server.Request) -> Response:
         """Return the objects of a kind, or what changed of them."""
-        if self._faults.down:
-            return _fail(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        failed = self._begin()
+        if failed is not None:
+            return failed
         kind = request.words["kind"]
         if "watch" in request.query:
             return self._watch(kind, request.query)
@@ -77,8 +80,9 @@
     @server.route("GET", _NAMED)
     def read_object(self, request: server.Request) -> Response:
         """Return one object."""
-        if self._faults.down:
-            return _fail(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        failed = self._begin()
+        if failed is not None:
+            return failed
         stored = self._store.get(_make_key(request))
         if stored is None:
             return _fail(http.HTTPStatus.NOT_FOUND)
@@ -117,8 +121,9 @@
     def _write(
         self, key: objects.ObjectKey, spec: typing.Any, expected: int
     ) -> Response:
-        if self._faults.down:
-            return _fail(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        failed = self._begin()
+        if failed is not None:
+            return failed
         value = msgspec.json.encode(spec)
         held = self._store.get(key)
         if held is not None and held.value == value and expected:
@@ -137,10 +142,25 @@
         assert stored is not None
         return _answer(_show(stored))
 
+    def _begin(self) -> Response | None:
+        """Wait as set; return the failure while the API is down."""
+        if self._faults.delay:
+            eventlet.sleep(self._faults.delay)
+        if self._faults.down:
+            return _fail(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        return None
+
     def _tell(self) -> None:
         changed, self._changed = self._changed, eventlet.event.Event()
         changed.send(None)
 
+    @server.route("POST", r"/control/forget")
+    def forget(self, request: server.Request) -> Response:
+        """Drop the history; watches from before it are told so."""
+        self._store.forget()
+        self._tell()
+        return Response(http.HTTPStatus.OK, ())
+
     @server.route("POST", r"/control/objectapi")
     def set_faults(self, request: server.Request) -> Response:
         """Set how the API misbehaves."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -48,6 +48,11 @@
         self._events.append(stored)
         return self.revision
 
+    def forget(self) -> None:
+        """Drop the events of all changes so far."""
+        self._events.clear()
+        self._first_event = self.revision
+
     def select(self, kinds: set[str]) -> list[objects.Stored]:
         """Return all objects of some kinds."""
         return [
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,217 @@
+"""The soak: a short run from one seed, and that its checks can fail."""
+
+import pathlib
+import subprocess
+import sys
+import unittest
+
+from soak import callers
+from soak import plan
+from soak import promises
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_SECONDS = 6
+_TIMEOUT = 240
+# Seeds that failed once, each with its cause; they are played as they were.
+_REGRESSIONS: tuple[int, ...] = ()
+
+
+class SoakTest(unittest.TestCase):
+    def play(self, seed, seconds):
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "soak",
+                f"--seed={seed}",
+                f"--seconds={seconds}",
+            ],
+            capture_output=True,
+            text=True,
+            cwd=_ROOT,
+            timeout=_TIMEOUT,
+            check=False,
+        )
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+
+    def test_the_promises_hold_in_a_short_run(self):
+        """Three gateways, ten engines and two services are disturbed."""
+        self.play(1, _SECONDS)
+
+    def test_seeds_that_failed_once(self):
+        for seed in _REGRESSIONS:
+            with self.subTest(seed=seed):
+                self.play(seed, 12)
+
+
+class PlanTest(unittest.TestCase):
+    def test_a_seed_always_gives_the_same_plan(self):
+        first = plan.make_plan(7, 30.0, ["g1", "g2"], ["e1"])
+        second = plan.make_plan(7, 30.0, ["g1", "g2"], ["e1"])
+        self.assertEqual(first, second)
+        self.assertGreater(len(first), 15)
+
+    def test_disturbances_overlap_and_come_in_series(self):
+        found = plan.make_plan(3, 300.0, ["g1", "g2"], ["e1", "e2"])
+        pairs = list(zip(found, found[1:], strict=False))
+        overlapping = [1 for a, b in pairs if b.at < a.at + a.lasts]
+        self.assertGreater(len(overlapping), len(found) // 2)
+        self.assertEqual({one.kind for one in found}, set(plan.Kind))
+
+
+class PromisesTest(unittest.TestCase):
+    """Each promise is broken once; its check must say so."""
+
+    def setUp(self):
+        self.seat = {
+            "name": "m.2.x",
+            "epoch": 1,
+            "rank": 0,
+            "state": "open",
+            "members": ["e1", "e2"],
+        }
+        self.records = {
+            "e1": [
+                {"at": 1.0, "what": "start"},
+                {"at": 2.0, "what": "seat", "seat": self.seat},
+            ],
+            "e2": [
+                {"at": 1.0, "what": "start"},
+                {
+                    "at": 1.5,
+                    "what": "seat",
+                    "seat": self.seat | {"rank": 1, "state": "ready"},
+                },
+            ],
+            "a1": [{"at": 1.0, "what": "start"}],
+        }
+        self.attempts = []
+        self.history = []
+        self.acknowledged = {1: 1.0}
+
+    def add(self, target="/unsafe/x", runs=1, at="a1", **fields):
+        name = f"r{len(self.attempts)}"
+        given = {
+            "id": name,
+            "method": "POST",
+            "target": target,
+            "body": b"1",
+            "gateway": "g1",
+            "process": "g1#1",
+            "began": 20.0,
+            "read": 20.0,
+            "ended": 20.1,
+            "status": 200,
+            "whole": True,
+            "seal": "s",
+            "answer": f"POST {target} ".encode() + b"1",
+        }
+        self.attempts.append(callers.Attempt(**(given | fields)))
+        run = {
+            "attempt": name,
+            "method": "POST",
+            "target": target,
+            "body": "1",
+            "tenant": "shop",
+            "key": None,
+        }
+        seat = self.seat if at == "e1" else None
+        line = {"at": 20.0, "what": "run", "run": run, "seat": seat}
+        self.records[at] += [line] * runs
+        return run
+
+    def check(self):
+        return promises.check_all(
+            promises.Observed(
+                self.attempts,
+                self.records,
+                self.history,
+                self.acknowledged,
+                30.0,
+            )
+        )
+
+    def assert_broken(self, name):
+        found = self.check()
+        self.assertEqual({one.partition(":")[0] for one in found}, {name})
+
+    def test_what_is_in_order_passes(self):
+        self.add()
+        self.add(status=503, runs=0, seal="", answer=b"")
+        answer = b"".join(
+            f"id: {n}\ndata: r2 {n}\n\n".encode() for n in range(1, 7)
+        )
+        self.add("/stream/x", at="e1", answer=answer)
+        self.assertEqual(self.check(), [])
+
+    def test_another_requests_answer(self):
+        self.add(answer=b"POST /unsafe/x 2")
+        self.assert_broken("answers")
+
+    def test_half_an_answer_as_whole(self):
+        self.add(answer=b"POST ")
+        self.assert_broken("answers")
+
+    def test_a_piece_of_a_stream_that_is_missing(self):
+        answer = b"id: 1\ndata: r0 1\n\nid: 3\ndata: r0 3\n\n"
+        self.add("/stream/x", at="e1", answer=answer, whole=False)
+        self.assert_broken("answers")
+
+    def test_a_booking_that_runs_twice(self):
+        self.add(runs=2)
+        self.assert_broken("runs")
+
+    def test_a_refusal_that_is_not_true(self):
+        self.add(status=503)
+        self.assert_broken("runs")
+
+    def test_a_request_that_nobody_sent(self):
+        self.add()["attempt"] = "other"
+        self.attempts[0].status = 503
+        self.assert_broken("unasked")
+
+    def test_a_key_that_was_passed_on(self):
+        self.add()["key"] = "Bearer x"
+        self.assert_broken("unasked")
+
+    def test_a_replica_that_is_not_whole(self):
+        self.records["e2"] = self.records["e2"][:1]
+        self.add("/stream/x", at="e1", status=502)
+        self.assert_broken("whole_replicas")
+
+    def test_an_instance_in_two_replicas(self):
+        other = self.seat | {"name": "m.2.y", "epoch": 2, "rank": 1}
+        line = {"at": 3.0, "what": "seat", "seat": other}
+        self.records["e2"].append(line)
+        self.assert_broken("one_replica")
+        self.history.append((2.5, "killed", "e1"))
+        self.assertEqual(self.check(), [])
+
+    def test_a_configuration_that_goes_back(self):
+        self.add("/v1/x")
+        self.add("/v1/x", runs=0, began=21.0, status=404)
+        self.assert_broken("configuration")
+
+    def test_a_configuration_that_comes_too_late(self):
+        self.add("/v1/x", runs=0, status=404)
+        self.assert_broken("configuration")
+        self.history.append((19.0, "paused", "g1"))
+        self.assertEqual(self.check(), [])
+
+    def test_a_leaving_server_that_gets_requests(self):
+        self.records["a1"].append({"at": 5.0, "what": "drain"})
+        self.add()
+        self.assert_broken("leaving")
+
+    def test_a_stop_that_cuts_off_a_request(self):
+        self.history.append((20.05, "stopping", "g1"))
+        self.add(status=0, whole=False, failure="RemoteDisconnected")
+        self.assert_broken("stops")
+
+    def test_an_answer_that_comes_too_late(self):
+        self.add(status=504, ended=29.0)
+        self.assert_broken("final_answers")
+
+
+if __name__ == "__main__":
+    unittest.main()
