Deal out domains by a fresh list, to able nodes; turn stranded instances

Now the list's own age decides, able nodes go first for a duty, and what can never form is turned to the domain's model.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -460,6 +460,7 @@
                 known.staging or known.upstream.busy
                 for known in self._known.values()
             ),
+            formed=self.count_replicas(),
         )
         loads = staging.choose_loads(self._engine, stock)
         return [self._load(one, now) for one in loads[:allowed]]
--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -39,6 +39,8 @@
 _NODES_PER_RELAY = 25
 # Relays of a data centre at least, and that each node asks: one may fail.
 _RELAYS_LEAST = 2
+# Part of the largest capacity with which a node goes first for a duty.
+_ABLE = 0.5
 # Nodes of a data centre that read the store for all.
 _READERS = 2
 # Seconds since a reader's last answer from the store after which a node
@@ -268,9 +270,17 @@
         ]
 
     def rank(self, duty: str, now: float) -> list[ids.NodeId]:
-        """Return the live nodes in order of preference for a duty."""
-        names = [one.id for one in self.list_ready(now)]
-        return rendezvous.rank(duty, [*names, self.me.id])
+        """Return the live nodes in order of preference for a duty.
+
+        Those that can carry most go first: a holder probes a domain of 37
+        instances five times a second while it mends it, which takes half
+        of the smallest node.
+        """
+        listed = [*self.list_ready(now), self.me]
+        able = max(one.capacity for one in listed) * _ABLE
+        first = [one.id for one in listed if one.capacity >= able]
+        rest = [one.id for one in listed if one.capacity < able]
+        return rendezvous.rank(duty, first) + rendezvous.rank(duty, rest)
 
     def count(self) -> int:
         """Return the nodes known, this one included."""
--- a/currantwall/coordination/staging.py
+++ b/currantwall/coordination/staging.py
@@ -47,6 +47,7 @@
         cover: Slots of each model's replicas, those to come included,
             for each of its requests in work.
         loading: Whether a load is under way here.
+        formed: Replicas of each model in this domain.
     """
 
     main: routes.Model
@@ -55,6 +56,7 @@
     usable: int
     cover: abc.Mapping[str, float]
     loading: bool = False
+    formed: abc.Mapping[str, int] = {}
 
 
 class LoadBudget:
@@ -148,6 +150,9 @@
     """
     if stock.loading:
         return []
+    stranded = _find_stranded(engine, stock)
+    if stranded:
+        return stranded
     spares_main = stock.cover[stock.main.name] >= _PLENTY
     for model in sorted(engine.models, key=lambda one: stock.cover[one.name]):
         others = [
@@ -164,3 +169,25 @@
         if scarce or begun or stock.usable < stock.main.size:
             return [Load(instance, model) for instance in others[:missing]]
     return []
+
+
+def _find_stranded(engine: routes.Engine, stock: Stock) -> list[Load]:
+    """Return loads for instances that wait for a model in vain.
+
+    Failure: instances were loaded with a model of which the domain has no
+    replica, and are too few to form one: they wait for partners that
+    never come. As many are turned as make whole replicas of the domain's
+    own model.
+    """
+    main = stock.main
+    waiting = [
+        instance
+        for model in engine.models
+        if model.name != main.name and not stock.formed.get(model.name)
+        for instance in stock.idle.get(model.name, ())
+        if len(stock.idle[model.name]) < model.size
+    ]
+    have = len(stock.idle.get(main.name, ()))
+    whole = (have + len(waiting)) // main.size
+    wanted = max(0, whole * main.size - have)
+    return [Load(instance, main) for instance in waiting[:wanted]]
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -157,12 +157,13 @@
         seconds; domains dealt out after the first few of them get other
         models than with all known, and their loads are in vain.
         """
-        now = self._clock.now()
+        # By the age of the list: one that has not come again says nothing.
+        seen = self._fleet.updated
         count = sum(1 for _ in self._fleet.all())
         if count > self._largest:
             self._largest = count
-            self._grown_at = now
-        return bool(self._domains) or now - self._grown_at > _SETTLED
+            self._grown_at = seen
+        return bool(self._domains) or seen - self._grown_at > _SETTLED
 
     def _assign(
         self, engine: routes.Engine, sizes: dict[ids.DomainName, int]
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -475,6 +475,31 @@
         idle = {"large": ("a", "b", "c"), "small": ("d",)}
         self.assertEqual(self.choose(idle=idle), [("d", "large")])
 
+    def test_what_waits_for_partners_in_vain_is_turned(self):
+        """A third of a domain would stand idle for ever.
+
+        Twelve instances were loaded with a model of which a replica takes
+        sixteen, before all instances of the domain were known.
+        """
+        waiting = tuple(f"w{n}" for n in range(6))
+        engine = msgspec.structs.replace(
+            ENGINE,
+            models=(SMALL, msgspec.structs.replace(LARGE, size=16)),
+        )
+        stock = staging.Stock(
+            main=SMALL,
+            blank=(),
+            idle={"small": ("a",), "large": waiting},
+            usable=37,
+            cover={"large": 2.0, "small": 2.0},
+        )
+        loads = staging.choose_loads(engine, stock)
+        self.assertEqual({one.model.name for one in loads}, {"small"})
+        self.assertEqual(len(loads), 5)
+        mending = msgspec.structs.replace(stock, formed={"large": 1})
+        # Spares of a replica that stands here: only what one more lacks.
+        self.assertEqual(len(staging.choose_loads(engine, mending)), 2)
+
     def test_loads_keep_to_the_domains_part_of_the_rate(self):
         """The weight store would refuse, or slow down for everybody.
 
