Explain a request from the logs; merge the logs of several gateways

'currantwall explain ID LOG...' names the cause (refused, answer lost, member lost, ...), the request's own lines and what happened around it; 'currantwall history' shows the lines of all gateways in one order.

--- a/currantwall/cli/main.py
+++ b/currantwall/cli/main.py
@@ -9,6 +9,7 @@
 import typer
 
 from currantwall.cli import client
+from currantwall.cli import explanations
 from currantwall.cli import forecasts
 from currantwall.cli import output
 from currantwall.cli import profiles
@@ -28,6 +29,8 @@
 app.add_typer(stops.app, name="stop")
 app.command("forecast")(forecasts.show_forecast)
 app.command("timeline")(timelines.show_timeline)
+app.command("explain")(explanations.show_explanation)
+app.command("history")(explanations.show_history)
 Json = typing.Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -4,7 +4,8 @@
 requests. How it misbehaves is asked for in the request's path, so a test
 reads in one place what happens: ``/hang/``, ``/hang-ID/`` (at one),
 ``/reset3/`` (after three events, unless resumed), ``/unframed/``,
-``/torn/``, ``/busy/``, ``/error/``, ``/mute/`` (not signed). What it ran is
+``/slow/`` (half a second between events), ``/torn/``, ``/busy/``, ``/error/``,
+``/mute/`` (not signed). What it ran is
 told at ``/control/runs``, and written with each change of its seat to a
 file where one is given, which outlives the process.
 """
@@ -32,6 +33,7 @@
 _HEARTBEAT = 0.3
 _EVENTS = 6
 _EVENT_GAP = 0.02
+_SLOW_GAP = 0.5
 # Seconds a join takes, with and without the weights on the host.
 _WARM = 0.1
 _LOAD = 0.5
@@ -154,6 +156,8 @@
             "tenant": inbound.headers.get("X-Tenant"),
             "key": inbound.headers.get("Authorization"),
             "after": inbound.headers.get("Last-Event-Id"),
+            "seal": f"seal.{self._id}",
+            "members": self._group["members"] if self._group else [],
         }
         self._runs.append(run)
         self._note("run", run=run, seat=self._group)
@@ -204,7 +208,8 @@
             if breaks and first == 1:
                 yield b"id: 9"
                 _reset(inbound.client)
-            eventlet.sleep(_EVENT_GAP)
+            slow = "/slow/" in inbound.path and number > first
+            eventlet.sleep(_SLOW_GAP if slow else _EVENT_GAP)
             yield f"id: {number}\ndata: {attempt} {number}\n\n".encode()
 
     # -- Orders
