--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,6 +18,7 @@
     "currantwall",
     "platform",
     "standins",
+    "soak",
     "bench",
     "tests",
     "examples",
@@ -36,9 +37,56 @@
 
 _COORDINATION = "currantwall/coordination"
 _REPLICAS = "tests.test_replicas"
+_DUTIES = "tests.test_duties"
+_DIGESTS = "tests.test_digests"
 _FEEDS = "tests.test_feeds"
 _FORMATION = "tests.test_formation.FormationTest"
 MUTANTS = (
+    Mutant(
+        "a list that stands still taken for whole",
+        "currantwall/transport/duties.py",
+        "        seen = self._fleet.updated\n",
+        "        seen = self._clock.now()\n",
+        f"{_DUTIES}.StartTest.test_a_domain_is_not_dealt_out_by_half_a_list",
+    ),
+    Mutant(
+        "a lease taken before it has lapsed",
+        f"{_COORDINATION}/leases.py",
+        "        return now >= self._first_seen + self._lease.ttl\n",
+        "        return now >= self._first_seen + 0.5\n",
+        f"{_DUTIES}.LeaseTest.test_never_two_holders_whatever_happens",
+    ),
+    Mutant(
+        "a fence used again",
+        "currantwall/transport/duties.py",
+        "else one.fence + 1\n",
+        "else one.fence\n",
+        f"{_DUTIES}.LeaseTest.test_a_fence_is_never_used_by_two_holders",
+    ),
+    Mutant(
+        "counts of a node added up by both its relays",
+        f"{_COORDINATION}/digests.py",
+        "            if told.asks is Asks.RELAY:\n",
+        "            if True:\n",
+        f"{_DIGESTS}.LargeFleetTest"
+        ".test_the_counts_of_all_nodes_are_added_up_once",
+    ),
+    Mutant(
+        "silent nodes never asked to relay",
+        f"{_COORDINATION}/presence.py",
+        "        if self._is_heard(peer, now) or peer.asked is None:\n"
+        "            return True\n",
+        "        return self._is_heard(peer, now)\n",
+        f"{_DIGESTS}.LargeFleetTest"
+        ".test_the_fleet_goes_on_when_all_relays_die_at_once",
+    ),
+    Mutant(
+        "entries that lapsed dropped by who doesn't read the store",
+        "currantwall/transport/feeds.py",
+        "        if found.lapsed and not self._keeps_missing(now):\n",
+        "        if False:\n",
+        f"{_FEEDS}.FollowerTest.test_entries_that_lapsed_are_kept_here_too",
+    ),
     Mutant(
         "survivors move while their leader serves",
         f"{_COORDINATION}/formation.py",
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,308 @@
+"""Who looks after a domain, while the store and the nodes misbehave.
+
+Two or three real `Duties` share a store of this test's. Time passes in
+steps of a tenth of a second, the way the real loop runs; what would run
+beside it runs at once.
+"""
+
+import random
+import unittest
+from unittest import mock
+
+import result
+
+from currantwall.coordination import knowledge
+from currantwall.coordination import presence as presence_module
+from currantwall.state import ids
+from currantwall.state import routes
+from currantwall.state import upstreams
+from currantwall.transport import duties
+from currantwall.transport import ports
+
+Failure = ports.StoreFailure
+_STEP = 0.1
+_DOMAIN = ids.DomainName("d0")
+_MODEL = routes.Model(name="m", size=2, share=1.0, load=1.0, warm=0.1)
+_SERVICE = routes.Service(
+    name=ids.ServiceName("pool"),
+    engine=routes.Engine(slots=4, models=(_MODEL,)),
+)
+
+
+class World:
+    """The clock, the store and the nodes."""
+
+    def __init__(self, names):
+        self.time = 100.0
+        self.revision = 10
+        self.objects = {}
+        self.late = []
+        self.nodes = {name: Node(name, self) for name in names}
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                node.hear(other)
+
+    def now(self):
+        return self.time
+
+    def write(self, name, value, revision):
+        """Carry out a write on its condition; return whether it held."""
+        held = self.objects.get(name)
+        if revision is not None and revision != (held.revision if held else 0):
+            return False
+        self.revision += 1
+        self.objects[name] = ports.StoredObject(name, self.revision, value)
+        return True
+
+    def run(self, seconds, check=None):
+        for _ in range(round(seconds / _STEP)):
+            self.time += _STEP
+            due = [one for one in self.late if one[0] <= self.time]
+            self.late = [one for one in self.late if one[0] > self.time]
+            for _, *write in due:
+                self.write(*write)
+            for node in self.nodes.values():
+                node.tick()
+            if check is not None:
+                check()
+
+    def list_holders(self):
+        return [
+            node.name for node in self.nodes.values() if node.holds(self.time)
+        ]
+
+
+class Node:
+    """One node, its own way to the store, and its own clock's sight."""
+
+    def __init__(self, name, world):
+        self.name = name
+        self.world = world
+        self.paused = False
+        self.dead = False
+        # What becomes of its calls: ok, down, lost, done, late.
+        self.way = "ok"
+        self.entry = presence_module.NodeEntry(
+            id=ids.NodeId(name),
+            datacentre=ids.DatacentreName("a"),
+            front=name,
+            heartbeats=name,
+            peer=name,
+            incarnation=1,
+        )
+        self.presence = presence_module.Presence(self.entry)
+        self.presence.ready = True
+        self.serial = 0
+        self.fleet = upstreams.Fleet()
+        self.duties = duties.Duties(
+            self,
+            Engines(),
+            self.fleet,
+            self.presence,
+            mock.Mock(
+                has_seen_traffic=True,
+                count_busy=mock.Mock(return_value={}),
+            ),
+            mock.Mock(),
+            mock.Mock(),
+            world,
+        )
+        self.duties.services = lambda: (_SERVICE,)
+        self.read_list()
+
+    def read_list(self):
+        one = upstreams.Upstream(
+            id=ids.InstanceId("e1"),
+            service=_SERVICE.name,
+            address="e1:1",
+            datacentre=ids.DatacentreName("a"),
+            domain=_DOMAIN,
+        )
+        now = self.world.now()
+        self.fleet.replace([one], round(now * 10), now)
+
+    def hear(self, other):
+        """Take a heartbeat of another node."""
+        other.serial += 1
+        heartbeat = presence_module.Heartbeat(
+            node=other.entry, serial=other.serial, ready=True
+        )
+        self.presence.note_heartbeat(heartbeat, self.world.now())
+
+    def tick(self):
+        """Do what the real loop does in one round."""
+        if self.paused or self.dead:
+            return
+        for other in self.world.nodes.values():
+            if not (other.paused or other.dead):
+                self.hear(other)
+        self.read_list()
+        now = self.world.now()
+        self.duties._find_domains()
+        if now >= self.duties._next_look:
+            self.duties._next_look = now + duties._LOOK_INTERVAL
+            self.duties._look()
+        for one in self.duties._domains.values():
+            self.duties._tick(one, now)
+
+    def holds(self, now):
+        return not self.dead and any(
+            one.tracker.holds(now) for one in self.duties._domains.values()
+        )
+
+    # -- The store, as this node reaches it
+
+    def list(self, kind, stale=False):
+        if self.way == "down":
+            return result.Err(Failure.UNAVAILABLE)
+        objects = tuple(self.world.objects.values())
+        return result.Ok(ports.Listing(objects, self.world.revision))
+
+    def get(self, kind, name):
+        if self.way != "ok":
+            return result.Err(Failure.LOST)
+        held = self.world.objects.get(name)
+        if held is None:
+            return result.Err(Failure.NOT_FOUND)
+        return result.Ok(held)
+
+    def put(self, kind, name, value, revision):
+        if self.way == "down":
+            return result.Err(Failure.UNAVAILABLE)
+        if self.way == "late":
+            at = self.world.time + 3.0
+            self.world.late.append((at, name, value, revision))
+            return result.Err(Failure.LOST)
+        done = self.way != "lost" and self.world.write(name, value, revision)
+        if self.way in ("lost", "done"):
+            return result.Err(Failure.LOST)
+        if not done:
+            return result.Err(Failure.CONFLICT)
+        return result.Ok(self.world.objects[name])
+
+
+class Engines:
+    """Instances that report themselves and refuse each order."""
+
+    def report(self, upstream):
+        return upstream
+
+    def order(self, order):
+        return knowledge.OrderAnswer(False)
+
+
+class LeaseCase(unittest.TestCase):
+    def setUp(self):
+        patch = mock.patch.object(
+            duties.eventlet, "spawn_n", lambda task, *words: task(*words)
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def make(self, *names):
+        world = World(names)
+        world.run(5.0)
+        return world
+
+
+class LeaseTest(LeaseCase):
+    def test_one_node_takes_the_domain_and_keeps_it(self):
+        world = self.make("n1", "n2", "n3")
+        (holder,) = world.list_holders()
+
+        def check():
+            self.assertEqual(world.list_holders(), [holder])
+
+        world.run(20.0, check)
+
+    def test_a_holder_that_is_killed_is_succeeded(self):
+        """Replicas of the domain would stay broken.
+
+        Load: members are lost every few seconds; each second without a
+        holder is one in which none is replaced.
+        """
+        world = self.make("n1", "n2")
+        (holder,) = world.list_holders()
+        world.nodes[holder].dead = True
+        world.run(4.5)
+        self.assertEqual(len(world.list_holders()), 1)
+
+    def test_a_holder_that_the_store_turns_away_is_succeeded(self):
+        world = self.make("n1", "n2")
+        (holder,) = world.list_holders()
+        world.nodes[holder].way = "down"
+        world.run(4.5)
+        (after,) = world.list_holders()
+        self.assertNotEqual(after, holder)
+
+    def test_a_renewal_whose_answer_is_lost_does_not_end_the_lease(self):
+        """A domain would change hands with each lost answer."""
+        world = self.make("n1", "n2")
+        (holder,) = world.list_holders()
+        world.nodes[holder].way = "done"
+        world.run(0.7)
+        world.nodes[holder].way = "ok"
+        world.run(2.0)
+        self.assertEqual(world.list_holders(), [holder])
+
+    def test_a_fence_is_never_used_by_two_holders(self):
+        """An old holder's joins could not be told from a new one's."""
+        world = self.make("n1", "n2")
+        fences = {}
+        for _ in range(4):
+            (holder,) = world.list_holders()
+            (one,) = world.nodes[holder].duties._domains.values()
+            self.assertNotIn(one.fence, fences)
+            fences[one.fence] = holder
+            world.nodes[holder].paused = True
+            world.run(4.5)
+            world.nodes[holder].paused = False
+            world.run(1.0)
+        self.assertEqual(sorted(fences), list(fences))
+
+    def test_never_two_holders_whatever_happens(self):
+        """Two nodes would build replicas out of the same instances.
+
+        Nodes pause and wake; the store turns single ones away, loses
+        their answers, or carries their writes out three seconds late.
+        """
+        for seed in range(40):
+            chance = random.Random(seed)
+            world = World(("n1", "n2", "n3"))
+
+            def check(world=world, seed=seed):
+                self.assertLessEqual(len(world.list_holders()), 1, seed)
+
+            for _ in range(30):
+                node = world.nodes[chance.choice(("n1", "n2", "n3"))]
+                node.paused = chance.random() < 0.3
+                node.way = chance.choice(
+                    ("ok", "ok", "down", "lost", "done", "late")
+                )
+                world.run(chance.uniform(0.1, 3.0), check)
+            for node in world.nodes.values():
+                node.paused = False
+                node.way = "ok"
+            world.run(8.0, check)
+            self.assertEqual(len(world.list_holders()), 1, seed)
+
+
+class StartTest(LeaseCase):
+    def test_a_domain_is_not_dealt_out_by_half_a_list(self):
+        """A third of a domain would be loaded with the wrong model.
+
+        Instances register over some seconds, and this node's list stands
+        still meanwhile: whoever reads the store for it is late.
+        """
+        world = World(("n1",))
+        node = world.nodes["n1"]
+        node.read_list = lambda: None
+        world.run(5.0)
+        self.assertEqual(world.list_holders(), [])
+        del node.read_list
+        world.run(5.0)
+        self.assertEqual(world.list_holders(), ["n1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -5,6 +5,8 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+import hypothesis
+from hypothesis import strategies
 
 from currantwall.state import routes
 from currantwall.transport import ingress
@@ -82,5 +84,179 @@
         self.assertIn(b"Connection: close", self.ask(address))
 
 
+_HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+# Parts of requests whose end two parsers may see in different places.
+_FRAMINGS = (
+    b"",
+    b"Content-Length: %d\r\n",
+    b"Content-Length: %d\r\nContent-Length: %d\r\n",
+    b"Content-Length: 0\r\nContent-Length: %d\r\n",
+    b"Content-Length: +%d\r\n",
+    b"Content-Length: %d, %d\r\n",
+    b"Content-Length:\r\n",
+    b"Content-Length: -1\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: chunked\r\nContent-Length: %d\r\n",
+    b"Transfer-Encoding: gzip, chunked\r\n",
+    b"Transfer-Encoding : chunked\r\n",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    b"Transfer-Encoding: CHUNKED\r\n",
+    b" Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding:\x0bchunked\r\n",
+)
+_BODIES = (
+    b"",
+    _HIDDEN,
+    b"0\r\n\r\n" + _HIDDEN,
+    b"%x\r\n" % len(_HIDDEN) + _HIDDEN + b"\r\n0\r\n\r\n",
+    b"5\r\nhello\r\n0\r\nTrailer: x\r\n\r\n",
+    b"5;x=y\r\nhello\r\n0\r\n\r\n",
+    b"0x5\r\nhello\r\n0\r\n\r\n",
+    b"-5\r\nhello\r\n0\r\n\r\n",
+    b"5\r\nhelloX\r\n0\r\n\r\n",
+)
+
+
+def read_naively(data):
+    """Return the requests in some bytes as the standard words them.
+
+    A second, plain reading: any doubt about where a request ends stops
+    it, and nothing after that is a request.
+    """
+    found = []
+    while data:
+        # Empty lines before a request are passed over (RFC 9112, 2.2).
+        while data.startswith(b"\r\n"):
+            data = data[2:]
+        head, mark, rest = data.partition(b"\r\n\r\n")
+        if not mark:
+            break
+        first, *lines = head.split(b"\r\n")
+        words = first.split(b" ")
+        if len(words) != 3 or words[2] != b"HTTP/1.1":
+            break
+        fields = [line.partition(b":")[::2] for line in lines]
+        if any(not name or name != name.strip() for name, _ in fields):
+            break
+        lengths = [v.strip() for n, v in fields if n == b"Content-Length"]
+        codings = [v for n, v in fields if n == b"Transfer-Encoding"]
+        if len(lengths) + len(codings) > 1:
+            break
+        body = b""
+        if lengths:
+            if not lengths[0].isdigit() or int(lengths[0]) > len(rest):
+                break
+            size = int(lengths[0])
+            body, rest = rest[:size], rest[size:]
+        elif codings:
+            if codings[0].strip(b" \t").lower() != b"chunked":
+                break
+            read = read_chunks(rest)
+            if read is None:
+                break
+            body, rest = read
+        found.append((words[1].decode(), body))
+        data = rest
+    return found
+
+
+def read_chunks(data):
+    """Return a chunked body and what follows it; None for a bad one."""
+    body = b""
+    while True:
+        line, mark, data = data.partition(b"\r\n")
+        size = line.partition(b";")[0].strip()
+        if not mark or not size or size.strip(b"0123456789abcdefABCDEF"):
+            return None
+        if not int(size, 16):
+            break
+        chunk, data = data[: int(size, 16)], data[int(size, 16) :]
+        if len(chunk) < int(size, 16) or data[:2] != b"\r\n":
+            return None
+        body, data = body + chunk, data[2:]
+    while True:
+        line, mark, data = data.partition(b"\r\n")
+        if not mark:
+            return None
+        if not line:
+            return body, data
+
+
+class FuzzTest(unittest.TestCase):
+    """What callers may send, well formed or not, against a plain reading."""
+
+    def setUp(self):
+        self.handled = []
+
+        def handle(inbound):
+            self.handled.append((inbound.target, inbound.body))
+            return ingress.Reply(status=200, headers=[], body=b"")
+
+        shared = ingress.Ingress(
+            handle, routes.Limits, timers.TimerService.now
+        )
+        listener = ingress.listen("127.0.0.1:0")
+        task = ingress.start_server(listener, shared)
+        self.addCleanup(task.kill)
+        self.address = listener.getsockname()
+
+    def send(self, data):
+        self.handled.clear()
+        with eventlet.Timeout(20):
+            client = green_socket.create_connection(self.address)
+            try:
+                client.sendall(data)
+                client.shutdown(socket.SHUT_WR)
+                while client.recv(65_536):
+                    continue
+            except OSError:
+                # Refused before all of it was read.
+                return
+            finally:
+                client.close()
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(_FRAMINGS),
+                strategies.sampled_from(_BODIES),
+                strategies.integers(-3, 3),
+            ),
+            min_size=1,
+            max_size=3,
+        )
+    )
+    @hypothesis.settings(
+        max_examples=400, deadline=None, derandomize=True, database=None
+    )
+    def test_no_request_is_read_that_another_parser_would_not_read(
+        self, parts
+    ):
+        """A request hidden in another one's body would run.
+
+        Headers disagree about where a body ends, by a little or a lot.
+        """
+        data = b""
+        for number, (framing, body, off) in enumerate(parts):
+            size = max(0, len(body) + off)
+            count = framing.count(b"%d")
+            head = framing % ((size,) * count)
+            line = b"POST /r%d HTTP/1.1\r\nHost: h\r\n" % number
+            data += line + head + b"\r\n" + body
+        self.send(data)
+        expected = read_naively(data)
+        self.assertEqual(self.handled, expected[: len(self.handled)])
+        if len(parts) == 1 and len(expected) == 1:
+            self.assertEqual(self.handled, expected)
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    @hypothesis.settings(
+        max_examples=200, deadline=None, derandomize=True, database=None
+    )
+    def test_bytes_that_are_no_request_are_never_handled(self, data):
+        self.send(data)
+        self.assertEqual(self.handled, [])
+
+
 if __name__ == "__main__":
     unittest.main()
