--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -169,7 +169,7 @@
         if self._domain:
             headers.append(("Content-Type", "text/event-stream"))
             return Reply(
-                status=200, headers=headers, body=self._stream(inbound)
+                status=200, headers=headers, body=self._stream(inbound, run)
             )
         return self._answer(inbound, headers)
 
@@ -199,7 +199,10 @@
         client.shutdown(socket.SHUT_RDWR)
         raise ConnectionAbortedError("written past the server")
 
-    def _stream(self, inbound: ingress.Inbound) -> abc.Iterator[bytes]:
+    def _stream(
+        self, inbound: ingress.Inbound, run: dict[str, typing.Any]
+    ) -> abc.Iterator[bytes]:
+        """Yield events; the run tells how many were made."""
         attempt = inbound.headers.get("X-Attempt-Id", "")
         first = int(inbound.headers.get("Last-Event-Id", "0")) + 1
         match = _RESET.search(inbound.path)
@@ -210,6 +213,7 @@
                 _reset(inbound.client)
             slow = "/slow/" in inbound.path and number > first
             eventlet.sleep(_SLOW_GAP if slow else _EVENT_GAP)
+            run["events"] = number
             yield f"id: {number}\ndata: {attempt} {number}\n\n".encode()
 
     # -- Orders
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 import pathlib
 import signal
 import socket
+import time
 import unittest
 
 import hypothesis
@@ -19,6 +20,8 @@
 from bench import gateways
 
 _WAIT = 60.0
+# Seconds in which a slow stream makes all its events.
+_SLOW_EVENTS = 3.0
 _GOLDEN = pathlib.Path(__file__).parent / "golden" / "gateway_session.txt"
 _ENGINES = ("e1", "e2", "e3", "e4")
 _APPS = ("a1", "a2")
@@ -360,17 +363,91 @@
             "served again",
         )
 
-    def test_a_stop_cuts_off_no_request(self):
-        """A caller's stream would break in a planned stop."""
+    def test_work_ends_when_the_caller_leaves(self):
+        """A replica would go on writing for a caller that has gone.
+
+        The caller closes its connection after the first event.
+        """
+        connection = self.open("/stream/slow/x", "leave-1")
+        response = connection.getresponse()
+        response.read1(10)
+        response.close()
+        connection.close()
+        fleet_module.wait_until(
+            lambda: '"leave-1"' in self.fleet.read_log("g1"), _WAIT, "its end"
+        )
+        (before,) = self.list_runs("leave-1")
+        self.assertLess(before["events"], 6)
+        time.sleep(_SLOW_EVENTS)
+        (after,) = self.list_runs("leave-1")
+        # A server learns of it by its first write, and stops at the second.
+        self.assertLessEqual(after["events"], before["events"] + 2)
+        self.assertLess(after["events"], 6)
+
+    def test_work_ends_when_the_caller_leaves_before_the_answer(self):
+        """A server would hold a slot for a caller that has gone."""
+        connection = self.open("/safe/hang/x", "leave-2")
+        fleet_module.wait_until(
+            lambda: self.list_runs("leave-2"), _WAIT, "its start"
+        )
+        connection.close()
+        fleet_module.wait_until(
+            lambda: self.find_line("g1", "ended_early", "leave-2"),
+            _WAIT,
+            "its end",
+        )
+        line = self.find_line("g1", "ended_early", "leave-2")
+        self.assertTrue(line["left"])
+        self.assertEqual(len(self.list_runs("leave-2")), line["sends"])
+
+    def test_all_gateways_killed_at_once_go_on_with_the_same_replicas(self):
+        """Every replica would be formed anew after a loss of power.
+
+        All gateways are killed together; what lasts is the store and the
+        instances' own reports. No order is needed to serve again.
+        """
+        orders = self.count_orders()
+        for name in ("g1", "g2"):
+            self.fleet.kill(name)
+        for name in ("g1", "g2"):
+            self.fleet.start_gateway(name)
+        for name in ("g1", "g2"):
+            fleet_module.wait_until(
+                lambda name=name: self.serves(name), _WAIT, name
+            )
+        self.assertEqual(self.count_orders(), orders)
+
+    def count_orders(self):
+        """Return the orders that each engine has accepted."""
+        found = {}
+        for name in _ENGINES:
+            answer = self.fleet.request("GET", name, "/currantwall/report")
+            found[name] = msgspec.json.decode(answer.data)["seq"]
+        return found
+
+    def find_line(self, gateway, event, attempt):
+        """Return the line of a gateway's log about a request, if any."""
+        for text in self.fleet.read_log(gateway).splitlines():
+            if f'"event": "{event}"' in text and f'"{attempt}"' in text:
+                return msgspec.json.decode(text)
+        return None
+
+    def open(self, target, attempt):
+        """Send a request and return its connection, not yet answered."""
         host, _, port = self.fleet.fronts["g1"].partition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=20)
         headers = {
             "Host": gateways.HOST,
-            "X-Attempt-Id": "stop-1",
+            "X-Attempt-Id": attempt,
             "X-Model": "m",
             "Authorization": f"Bearer {gateways.KEY}",
         }
-        connection.request("POST", "/stream/x", b"", headers)
+        connection.request("POST", target, b"", headers)
+        return connection
+
+    def test_a_stop_cuts_off_no_request(self):
+        """A caller's stream would break in a planned stop."""
+        connection = self.open("/stream/x", "stop-1")
         response = connection.getresponse()
         self.fleet.send_signal("g1", signal.SIGTERM)
         self.assertEqual(response.read(), make_events("stop-1", range(1, 7)))
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -138,28 +138,32 @@
         fields = [line.partition(b":")[::2] for line in lines]
         if any(not name or name != name.strip() for name, _ in fields):
             break
-        lengths = [v.strip() for n, v in fields if n == b"Content-Length"]
-        codings = [v for n, v in fields if n == b"Transfer-Encoding"]
-        if len(lengths) + len(codings) > 1:
+        read = read_body(fields, rest)
+        if read is None:
             break
-        body = b""
-        if lengths:
-            if not lengths[0].isdigit() or int(lengths[0]) > len(rest):
-                break
-            size = int(lengths[0])
-            body, rest = rest[:size], rest[size:]
-        elif codings:
-            if codings[0].strip(b" \t").lower() != b"chunked":
-                break
-            read = read_chunks(rest)
-            if read is None:
-                break
-            body, rest = read
+        body, data = read
         found.append((words[1].decode(), body))
-        data = rest
     return found
 
 
+def read_body(fields, data):
+    """Return a body and what follows it; None where its end is unclear."""
+    lengths = [v.strip() for n, v in fields if n == b"Content-Length"]
+    codings = [v for n, v in fields if n == b"Transfer-Encoding"]
+    if len(lengths) + len(codings) > 1:
+        return None
+    if lengths:
+        if not lengths[0].isdigit() or int(lengths[0]) > len(data):
+            return None
+        size = int(lengths[0])
+        return data[:size], data[size:]
+    if not codings:
+        return b"", data
+    if codings[0].strip(b" \t").lower() != b"chunked":
+        return None
+    return read_chunks(data)
+
+
 def read_chunks(data):
     """Return a chunked body and what follows it; None for a bad one."""
     body = b""
