--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -25,15 +25,18 @@
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
+from currantwall.transport import configurations
 from currantwall.transport import duties
 from currantwall.transport import exchanges
-from currantwall.transport import feeds
+from currantwall.transport import fleets
 from currantwall.transport import forwarding
 from currantwall.transport import heartbeats
 from currantwall.transport import ingress
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
+from currantwall.transport import peers
 from currantwall.transport import ports
+from currantwall.transport import registrations
 from currantwall.transport import sending
 from currantwall.transport import timers
 
@@ -107,7 +110,7 @@
             self._hear,
             self._clock,
         )
-        self._configuration = feeds.ConfigurationFeed(
+        self._configuration = configurations.ConfigurationFeed(
             self._store,
             documents,
             self._forwarder,
@@ -116,7 +119,7 @@
             self._clock,
         )
         self._configuration.on_change = self._tell_configuration
-        self._fleet_feed = feeds.FleetFeed(
+        self._fleet_feed = fleets.FleetFeed(
             self._store,
             documents,
             self._fleet,
@@ -124,7 +127,7 @@
             self._log,
             self._clock,
         )
-        self._nodes_feed = feeds.NodesFeed(
+        self._nodes_feed = registrations.NodesFeed(
             self._store, self._presence, self._log, self._clock
         )
         self._duties = duties.Duties(
@@ -244,10 +247,10 @@
 
     def _answer_peer(self, inbound: ingress.Inbound) -> ingress.Reply:
         """Give a peer the newest configuration or list of instances."""
-        if inbound.path == feeds.INSTANCES_PATH:
-            since = feeds.parse_since(inbound.target)
+        if inbound.path == peers.INSTANCES_PATH:
+            since = peers.parse_since(inbound.target)
             found = self._fleet_feed.list_changes(since)
-            body = feeds.compress(msgspec.msgpack.encode(found))
+            body = peers.compress(msgspec.msgpack.encode(found))
             return ingress.Reply(status=200, headers=[], body=body)
         if not self._configuration.document:
             return ingress.Reply(status=503, headers=[], body=b"")
--- /dev/null
+++ b/currantwall/transport/fleets.py
@@ -0,0 +1,196 @@
+"""Keeps the list of instances up to date.
+
+A few nodes of each data centre read it for all (`Presence.reads_store`),
+by reads that may be seconds old: they cost a tenth, and what must be
+fresh is asked of the instances themselves. The others fetch from them
+what has changed.
+"""
+
+import eventlet
+import eventlet.event
+import msgspec
+import result
+
+from currantwall.coordination import changes
+from currantwall.coordination import presence as presence_module
+from currantwall.state import upstreams
+from currantwall.transport import journal
+from currantwall.transport import peers
+from currantwall.transport import ports
+from currantwall.transport import timers
+
+__all__ = ["FleetFeed"]
+
+# Seconds after the store's return in which lapsed entries come back: two,
+# and one read.
+_ENTRIES_BACK = 2.5
+# Seconds between two reads of the instances' list.
+_FLEET_INTERVAL = 0.5
+# Seconds between two looks at whether a node has a newer list.
+_LOOK_INTERVAL = 0.25
+
+
+class FleetFeed:
+    """Keeps the list of instances.
+
+    A node that doesn't read the store, or is turned away by it, takes
+    what has changed from a peer that has a newer list.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        documents: ports.Documents,
+        fleet: upstreams.Fleet,
+        presence: presence_module.Presence,
+        log: journal.Journal,
+        clock: timers.TimerService,
+    ) -> None:
+        self._presence = presence
+        # When the store answered again after it had not.
+        self._regained: float | None = None
+        self._reachable = True
+        # When the store last answered this node.
+        self._answered: float | None = None
+        self._news = eventlet.event.Event()
+        # The newest list, for the peers.
+        self._changes: changes.ChangeLog[ports.StoredObject] = (
+            changes.ChangeLog()
+        )
+        self._store = store
+        self._documents = documents
+        self._fleet = fleet
+        self._log = log
+        self._clock = clock
+
+    @property
+    def changed(self) -> int:
+        """Return the revision at which the list last changed."""
+        return self._changes.changed
+
+    def run(self) -> None:
+        """Follow the store, or whoever reads it, for ever."""
+        while True:
+            now = self._clock.now()
+            if self._presence.reads_store(now):
+                self._read_store(now)
+                eventlet.sleep(_FLEET_INTERVAL)
+            else:
+                self._follow_reader(now)
+
+    def _read_store(self, asked: float) -> None:
+        stale = self._fleet.is_known
+        listed = self._store.list(self._documents.upstreams_kind, stale)
+        if isinstance(listed, result.Err):
+            self._reachable = False
+            self._ask_peer(asked)
+            return
+        self._note_reachable(asked)
+        self._answered = asked
+        self._take(listed.ok_value, asked)
+
+    def _follow_reader(self, now: float) -> None:
+        """Take what is new; wait where nothing is."""
+        if self._fleet.has_kept and not self._keeps_missing(now):
+            # What had lapsed has not come back.
+            held = ports.Listing(self._changes.objects, self._fleet.revision)
+            self._take(held, now)
+        newer = self._presence.find_newer_list(self.changed, now)
+        if newer is not None and self._fetch(newer, now):
+            return
+        if newer is None:
+            seen = self._presence.store_seen or 0.0
+            self._fleet.updated = max(self._fleet.updated, seen)
+        with eventlet.Timeout(_LOOK_INTERVAL, False):
+            self._news.wait()
+
+    def note_news(self, changed: int) -> None:
+        """Take note of a revision that another node has."""
+        if changed > self.changed:
+            news, self._news = self._news, eventlet.event.Event()
+            news.send(None)
+
+    def get_store_age(self, now: float) -> float | None:
+        """Return the seconds since the store answered this node.
+
+        None where it is not this node's turn to read it.
+        """
+        if self._answered is None or not self._presence.reads_store(now):
+            return None
+        return now - self._answered
+
+    def _note_reachable(self, now: float) -> None:
+        if not self._reachable:
+            self._reachable = True
+            self._regained = now
+
+    def _keeps_missing(self, now: float) -> bool:
+        """Return whether entries may be missing of instances that live.
+
+        Failure: entries lapse while the store is away, and with its
+        return the list lacks instances that serve; every replica would
+        be taken apart. They are back within two seconds.
+        """
+        return self._regained is not None and (
+            now < self._regained + _ENTRIES_BACK
+        )
+
+    # -- What peers have
+
+    def _ask_peer(self, now: float) -> None:
+        """Take the newest list that a peer has."""
+        newer = self._presence.find_newer_list(self.changed, now)
+        if newer is not None:
+            self._fetch(newer, now)
+
+    def _fetch(self, node: presence_module.NodeEntry, now: float) -> bool:
+        """Take what has changed from a peer; return whether that went."""
+        try:
+            data = peers.fetch(node.peer, peers.make_path(self.changed))
+            found = msgspec.msgpack.decode(data, type=ports.Listing)
+        except peers.FAILURES as error:
+            why = type(error).__name__
+            self._log.write("peer_fetch_failed", peer=node.id, why=why)
+            return False
+        if found.changed <= self.changed:
+            # It was told of before, but the peer has started again since.
+            return False
+        if found.lapsed and not self._keeps_missing(now):
+            self._regained = now
+        objects = found.objects
+        if found.since:
+            objects = self._changes.apply(objects, found.removed)
+        self._take(ports.Listing(objects, found.revision), now)
+        self._changes.note_included(found.changed)
+        return True
+
+    def list_changes(self, since: int) -> ports.Listing:
+        """Return what a peer lacks that asks from a revision."""
+        found = self._changes.list_since(since)
+        return ports.Listing(
+            found.objects,
+            self._fleet.revision,
+            found.removed,
+            found.since,
+            self.changed,
+            self._keeps_missing(self._clock.now()),
+        )
+
+    # -- What is known
+
+    def _take(self, listing: ports.Listing, asked: float) -> None:
+        found = self._documents.decode_upstreams(listing.objects)
+        before = {one.id for one in self._fleet.all()}
+        keep = self._keeps_missing(asked)
+        if not self._fleet.replace(found, listing.revision, asked, keep):
+            return
+        self._changes.replace(listing.objects, listing.revision)
+        after = {one.id for one in self._fleet.all()}
+        if before != after:
+            self._log.write(
+                "instances_changed",
+                added=sorted(after - before)[:8],
+                removed=sorted(before - after)[:8],
+                total=len(after),
+                revision=listing.revision,
+            )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -82,7 +82,7 @@
     ),
     Mutant(
         "entries that lapsed dropped by who doesn't read the store",
-        "currantwall/transport/feeds.py",
+        "currantwall/transport/fleets.py",
         "        if found.lapsed and not self._keeps_missing(now):\n",
         "        if False:\n",
         f"{_FEEDS}.FollowerTest.test_entries_that_lapsed_are_kept_here_too",
@@ -96,7 +96,7 @@
     ),
     Mutant(
         "lapsed entries taken as gone at once",
-        "currantwall/transport/feeds.py",
+        "currantwall/transport/fleets.py",
         "        return self._regained is not None and (\n",
         "        return False and (\n",
         f"{_FEEDS}.FleetFeedTest"
@@ -104,7 +104,7 @@
     ),
     Mutant(
         "an older configuration taken",
-        "currantwall/transport/feeds.py",
+        "currantwall/transport/configurations.py",
         "        if found.version <= self.version:\n",
         "        if False:\n",
         f"{_FEEDS}.ConfigurationFeedTest"
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -13,7 +13,9 @@
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
-from currantwall.transport import feeds
+from currantwall.transport import configurations
+from currantwall.transport import fleets
+from currantwall.transport import peers
 from currantwall.transport import ports
 
 Failure = ports.StoreFailure
@@ -130,7 +132,7 @@
     def setUp(self):
         self.clock = Clock()
         self.log = Log()
-        patch = mock.patch.object(feeds.eventlet, "sleep", self.clock.sleep)
+        patch = mock.patch.object(fleets.eventlet, "sleep", self.clock.sleep)
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -144,7 +146,7 @@
         self.presence = presence_module.Presence(make_entry("me"))
         self.fleet = upstreams.Fleet()
         self.store = Store(lists)
-        return feeds.FleetFeed(
+        return fleets.FleetFeed(
             self.store,
             Documents(),
             self.fleet,
@@ -207,11 +209,9 @@
         listing = ports.Listing(objects, 9, changed=9)
         data = msgspec.msgpack.encode(listing)
         self.store.limit = 2
-        with mock.patch.object(
-            feeds, "_fetch_from_peer", return_value=data
-        ) as fetch:
+        with mock.patch.object(peers, "fetch", return_value=data) as fetch:
             self.run_feed(feed)
-        fetch.assert_called_with("p2", f"{feeds.INSTANCES_PATH}?since=1")
+        fetch.assert_called_with("p2", f"{peers.INSTANCES_PATH}?since=1")
         self.assertEqual(self.list_names(), ["b"])
 
 
@@ -227,7 +227,7 @@
     def make(self, name):
         presence = presence_module.Presence(make_entry(name, capacity=0.5))
         fleet = upstreams.Fleet()
-        feed = feeds.FleetFeed(
+        feed = fleets.FleetFeed(
             Store([result.Err(Failure.UNAVAILABLE)]),
             Documents(),
             fleet,
@@ -240,10 +240,8 @@
     def read(self, revision, *names):
         """Let the reader have a list as of a revision."""
         listing = make_list(revision, *names).ok_value
-        kept = [
-            self.reader.feed._objects.get(one.name, one)
-            for one in listing.objects
-        ]
+        known = {one.name: one for one in self.reader.feed._changes.objects}
+        kept = [known.get(one.name, one) for one in listing.objects]
         listing = ports.Listing(tuple(kept), revision)
         self.reader.feed._take(listing, self.clock.now())
 
@@ -267,14 +265,14 @@
         calls = []
 
         def fetch(address, path):
-            since = feeds.parse_since(path)
+            since = peers.parse_since(path)
             found = self.reader.feed.list_changes(since)
             calls.append(found)
             return msgspec.msgpack.encode(found)
 
         with (
-            mock.patch.object(feeds, "_fetch_from_peer", fetch),
-            mock.patch.object(feeds.eventlet, "Timeout", mock.MagicMock()),
+            mock.patch.object(peers, "fetch", fetch),
+            mock.patch.object(fleets.eventlet, "Timeout", mock.MagicMock()),
             mock.patch.object(self.follower.feed, "_news"),
         ):
             self.follower.feed._follow_reader(self.clock.now())
@@ -370,7 +368,7 @@
     def make(self, lists, watches):
         self.table = Table()
         self.store = Store(lists, watches)
-        return feeds.ConfigurationFeed(
+        return configurations.ConfigurationFeed(
             self.store,
             Documents(),
             self.table,
