--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -44,8 +44,10 @@
 # Nodes of a data centre that read the store for all.
 _READERS = 2
 # Seconds since a reader's last answer from the store after which a node
-# reads the store itself: three reads.
-_FRESH = 1.5
+# reads the store itself: a read each 0.5 s and a heartbeat each 0.4 s,
+# and a digest more in a large fleet, with one of them lost.
+_FRESH = 1.3
+_FRESH_RELAYED = 1.8
 
 
 class Asks(enum.IntEnum):
@@ -430,7 +432,8 @@
         if self.me.id in [one.id for one in readers]:
             return True
         seen = self._store_seen
-        return seen is None or now - seen > _FRESH
+        fresh = _FRESH if self.is_small else _FRESH_RELAYED
+        return seen is None or now - seen > fresh
 
     @property
     def store_seen(self) -> float | None:
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -118,7 +118,7 @@
             self._log,
             self._clock,
         )
-        self._configuration.on_change = self._tell_configuration
+        self._configuration.on_change = self._tell_change
         self._fleet_feed = fleets.FleetFeed(
             self._store,
             documents,
@@ -127,6 +127,7 @@
             self._log,
             self._clock,
         )
+        self._fleet_feed.on_change = self._tell_list
         self._nodes_feed = registrations.NodesFeed(
             self._store, self._presence, self._log, self._clock
         )
@@ -350,10 +351,18 @@
             alarm = digests.Alarm((instance,))
             self._heartbeats.send_one(digests.Datagram((holder,), alarm))
 
-    def _tell_configuration(self) -> None:
-        """Have the others fetch a version without waiting for its turn."""
+    def _tell_change(self) -> None:
+        """Have the others fetch what is new without waiting their turn."""
         self._heartbeats.hurry()
 
+    def _tell_list(self) -> None:
+        """Tell of a newer list, where others wait for it.
+
+        A replica that was mended is used 0.2 s sooner on average.
+        """
+        if self._presence.reads_store(self._now()):
+            self._heartbeats.hurry()
+
     def _tell_loss(self, leader: ids.InstanceId) -> None:
         """Spread the verdict that a leader's replica is not whole."""
         now = self._now()
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -6,6 +6,8 @@
 what has changed.
 """
 
+from collections import abc
+
 import eventlet
 import eventlet.event
 import msgspec
@@ -53,6 +55,8 @@
         # When the store last answered this node.
         self._answered: float | None = None
         self._news = eventlet.event.Event()
+        # Called when the list held here has changed.
+        self.on_change: abc.Callable[[], None] = _ignore
         # The newest list, for the peers.
         self._changes: changes.ChangeLog[ports.StoredObject] = (
             changes.ChangeLog()
@@ -184,7 +188,10 @@
         keep = self._keeps_missing(asked)
         if not self._fleet.replace(found, listing.revision, asked, keep):
             return
+        known = self.changed
         self._changes.replace(listing.objects, listing.revision)
+        if self.changed > known:
+            self.on_change()
         after = {one.id for one in self._fleet.all()}
         if before != after:
             self._log.write(
@@ -194,3 +201,7 @@
                 total=len(after),
                 revision=listing.revision,
             )
+
+
+def _ignore() -> None:
+    return
