--- a/currantwall/coordination/leases.py
+++ b/currantwall/coordination/leases.py
@@ -10,10 +10,12 @@
 from currantwall.state import domain
 from currantwall.state import ids
 
-__all__ = ["LeaseTracker"]
+__all__ = ["LeaseTracker", "may_take"]
 
 # Writes remembered to date a lease that is settled by reading back.
 _SENT_LIMIT = 8
+# Nodes that may try for a lease whose first candidate does not.
+_CANDIDATES = 2
 
 
 class LeaseTracker:
@@ -83,3 +85,23 @@
             self._deadline = max(self._deadline, until)
         elif not self.is_mine():
             self._deadline = 0.0
+
+
+def may_take(
+    tracker: LeaseTracker, place: int, patience: float, now: float
+) -> bool:
+    """Return whether a node should try for a lease now.
+
+    The load it answers: a holder is lost and all nodes see its lease
+    lapse in the same tenth of a second; each try is a paid write of which
+    one succeeds.
+
+    Args:
+        tracker: What the node knows of the lease.
+        place: Its place in the order of preference, 0 first.
+        patience: Seconds that each candidate gives the one before it.
+        now: Monotonic time.
+    """
+    if place >= _CANDIDATES or not tracker.is_lapsed(now):
+        return False
+    return tracker.is_lapsed(now - place * patience)
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -26,6 +26,7 @@
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import configurations
+from currantwall.transport import domainleases
 from currantwall.transport import duties
 from currantwall.transport import exchanges
 from currantwall.transport import fleets
@@ -131,11 +132,13 @@
         self._nodes_feed = registrations.NodesFeed(
             self._store, self._presence, self._log, self._clock
         )
+        self._leases = domainleases.DomainLeases(
+            self._store, self._presence, self._log, self._clock
+        )
         self._duties = duties.Duties(
-            self._store,
+            self._leases,
             engines,
             self._fleet,
-            self._presence,
             self._balancer,
             self._log,
             self._meter,
@@ -282,7 +285,7 @@
             stalled=tuple(self._stalled),
             lost=tuple(self._lost),
             instances=self._fleet_feed.changed,
-            leases=self._duties.list_leases(now),
+            leases=self._leases.list_leases(now),
             store_age=self._fleet_feed.get_store_age(now),
         )
         return self._relay.list_datagrams(own, now)
@@ -330,7 +333,7 @@
         self._budget.note_nodes(self._presence.count())
         self._configuration.note_peer(told.node, told.configuration)
         self._fleet_feed.note_news(told.instances)
-        self._duties.note_leases(told.leases, now)
+        self._leases.note_leases(told.leases, now)
         self._suspect(told.stalled)
         for name in told.lost:
             self._take_loss(ids.InstanceId(name), now)
@@ -358,7 +361,7 @@
     def _tell_list(self) -> None:
         """Tell of a newer list, where others wait for it.
 
-        A replica that was mended is used 0.2 s sooner on average.
+        A replica that was mended would be used up to a heartbeat later.
         """
         if self._presence.reads_store(self._now()):
             self._heartbeats.hurry()
@@ -421,7 +424,7 @@
         self._log.write("stopping", in_flight=self._front.in_flight)
         self._front.is_closing = True
         self._heartbeats.send()
-        self._duties.release()
+        self._duties.stop()
         eventlet.spawn_n(self._nodes_feed.leave)
         last = began + self._settings.grace - _LAST_SECONDS
         quiet = began + self._settings.drain
--- /dev/null
+++ b/currantwall/transport/domainleases.py
@@ -0,0 +1,266 @@
+"""The leases of domains in the store: who may give orders there.
+
+For each domain one node holds a lease. Which node tries first follows
+from the domain's name and the live nodes; that it is only one follows
+from the conditional write alone.
+"""
+
+from collections import abc
+
+import eventlet
+import msgspec
+import result
+
+from currantwall.coordination import leases
+from currantwall.coordination import presence as presence_module
+from currantwall.state import domain as domain_module
+from currantwall.state import ids
+from currantwall.transport import journal
+from currantwall.transport import ports
+from currantwall.transport import timers
+
+__all__ = ["KIND", "DomainLease", "DomainLeases"]
+
+KIND = "currantwall-domains"
+
+# Seconds a lease lasts without renewal, and between renewals: a holder
+# that is killed is succeeded after 1.4 to 2.2 s.
+_TTL = 1.8
+_RENEWAL = 0.6
+# Seconds before its end at which a holder stops giving orders: an order
+# may be on its way that long.
+_MARGIN = 0.45
+# Seconds until a node that failed to take a lease tries again.
+_RETRY = 0.5
+# Seconds between two looks at the leases of the others; their renewals
+# come with the heartbeats.
+_LOOK_INTERVAL = 2.0
+
+
+class DomainLease:
+    """The lease of one domain as this node sees it."""
+
+    def __init__(
+        self, name: ids.DomainName, tracker: leases.LeaseTracker
+    ) -> None:
+        self.name = name
+        self.tracker = tracker
+        self.revision: int | None = None
+        self.fence = 0
+        # Who was last seen to hold it.
+        self.holder = ids.NodeId("")
+        self.writing = False
+        self.held = False
+        self.next_renewal = 0.0
+        self.next_try = 0.0
+
+
+class DomainLeases:
+    """Takes, renews and gives back the leases of domains."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        presence: presence_module.Presence,
+        log: journal.Journal,
+        clock: timers.TimerService,
+    ) -> None:
+        self._store = store
+        self._presence = presence
+        self._log = log
+        self._clock = clock
+        self._leases: dict[ids.DomainName, DomainLease] = {}
+        self._looked = False
+        self._next_look = 0.0
+        self._attempts = 0
+
+    def add(self, name: ids.DomainName) -> DomainLease:
+        """Return the lease of a domain that was not known."""
+        me = self._presence.me
+        tracker = leases.LeaseTracker(
+            me.id, ids.Incarnation(me.incarnation), _MARGIN
+        )
+        lease = self._leases[name] = DomainLease(name, tracker)
+        if self._looked:
+            self._looked = False
+            self._next_look = 0.0
+        return lease
+
+    def look(self, now: float) -> None:
+        """Look at all leases in the store if that is due."""
+        if now >= self._next_look:
+            self._next_look = now + _LOOK_INTERVAL
+            eventlet.spawn_n(self._look)
+
+    def tick(self, one: DomainLease, now: float) -> bool:
+        """Take or renew a lease if that is due; return whether it holds."""
+        holds = one.tracker.holds(now)
+        if holds != one.held:
+            one.held = holds
+            self._log.write(
+                "duty_taken" if holds else "duty_lost",
+                domain=one.name,
+                fence=one.fence,
+                revision=one.revision,
+            )
+        due = now >= one.next_renewal if holds else self._may_take(one, now)
+        if due:
+            self._write_lease(one, now)
+        return holds
+
+    def _look(self) -> None:
+        """Read the leases; what is seen late only delays a takeover."""
+        listed = self._store.list(KIND, stale=self._looked)
+        if isinstance(listed, result.Err):
+            return
+        now = self._clock.now()
+        found = {stored.name: stored for stored in listed.ok_value.objects}
+        for one in self._leases.values():
+            stored = found.get(one.name)
+            if stored is not None:
+                self._see(one, stored, now)
+            elif one.revision is None:
+                one.revision = 0
+                one.tracker.see(ids.Version(0), None, now)
+        self._looked = True
+
+    def _see(
+        self, one: DomainLease, stored: ports.StoredObject, now: float
+    ) -> None:
+        if one.revision is not None and stored.revision < one.revision:
+            return
+        try:
+            held = msgspec.json.decode(stored.value, type=domain_module.Domain)
+        except msgspec.MsgspecError as error:
+            # Counts as held by nobody; the next holder overwrites it.
+            self._log.write(
+                "lease_unreadable", domain=one.name, why=str(error)
+            )
+            held = None
+        one.revision = stored.revision
+        one.tracker.see(ids.Version(stored.revision), held, now)
+        if held is not None and held.lease is not None:
+            one.fence = held.lease.epoch
+            one.holder = held.lease.holder
+
+    def list_leases(self, now: float) -> dict[str, presence_module.Share]:
+        """Return the leases that this node holds."""
+        me = self._presence.me
+        return {
+            one.name: presence_module.Share(
+                one.revision or 0, one.fence, me.id, me.incarnation
+            )
+            for one in self._leases.values()
+            if one.tracker.holds(now)
+        }
+
+    def note_leases(
+        self,
+        held: abc.Mapping[str, presence_module.Share],
+        now: float,
+    ) -> None:
+        """Take note of other nodes' renewals.
+
+        They come sooner than a look at the store shows them, so that a
+        takeover counts from the last renewal and not from the last look.
+        """
+        for name, share in held.items():
+            one = self._leases.get(ids.DomainName(name))
+            if one is None or one.tracker.holds(now):
+                continue
+            if one.revision is not None and share.revision <= one.revision:
+                continue
+            one.revision = share.revision
+            one.fence = max(one.fence, share.epoch)
+            one.holder = share.holder
+            lease = domain_module.Lease(
+                holder=share.holder,
+                incarnation=ids.Incarnation(share.incarnation),
+                epoch=ids.Epoch(share.epoch),
+                ttl=_TTL,
+            )
+            value = domain_module.Domain(
+                name=one.name,
+                datacentre=self._presence.me.datacentre,
+                lease=lease,
+            )
+            one.tracker.see(ids.Version(share.revision), value, now)
+
+    def _may_take(self, one: DomainLease, now: float) -> bool:
+        if one.writing or now < one.next_try:
+            return False
+        rank = self._presence.rank(f"domain:{one.name}", now)
+        place = rank.index(self._presence.me.id)
+        return leases.may_take(one.tracker, place, _RENEWAL, now)
+
+    def _write_lease(self, one: DomainLease, now: float) -> None:
+        if one.writing:
+            return
+        one.writing = True
+        one.next_renewal = now + _RENEWAL
+        eventlet.spawn_n(self._store_lease, one, now)
+
+    def _store_lease(self, one: DomainLease, now: float) -> None:
+        me = self._presence.me
+        self._attempts += 1
+        attempt = ids.AttemptId(f"{me.id}:{me.incarnation}:{self._attempts}")
+        fence = one.fence if one.tracker.holds(now) else one.fence + 1
+        value = domain_module.Domain(
+            name=one.name,
+            datacentre=me.datacentre,
+            lease=domain_module.Lease(
+                holder=me.id,
+                incarnation=ids.Incarnation(me.incarnation),
+                epoch=ids.Epoch(fence),
+                ttl=_TTL,
+            ),
+            attempt=attempt,
+        )
+        one.tracker.note_sent(attempt, now)
+        try:
+            outcome = self._store.put(
+                KIND, one.name, msgspec.json.encode(value), one.revision
+            )
+            if isinstance(outcome, result.Ok):
+                self._see(one, outcome.ok_value, self._clock.now())
+            else:
+                one.next_try = self._clock.now() + _RETRY
+                self._log.write(
+                    "lease_not_written",
+                    domain=one.name,
+                    revision=one.revision,
+                    why=outcome.err_value.value,
+                )
+                self._read_lease(one)
+        finally:
+            one.writing = False
+
+    def _read_lease(self, one: DomainLease) -> None:
+        """Settle a write that failed or whose answer was lost."""
+        outcome = self._store.get(KIND, one.name)
+        if isinstance(outcome, result.Ok):
+            self._see(one, outcome.ok_value, self._clock.now())
+
+    def find_holder(self, name: ids.DomainName) -> ids.NodeId:
+        """Return who was last seen to hold a lease; empty for none."""
+        lease = self._leases.get(name)
+        return lease.holder if lease else ids.NodeId("")
+
+    def release(self) -> None:
+        """Give all leases back, so that a successor need not wait."""
+        for one in self._leases.values():
+            if one.tracker.holds(self._clock.now()):
+                value = domain_module.Domain(
+                    name=one.name,
+                    datacentre=self._presence.me.datacentre,
+                    lease=domain_module.Lease(
+                        holder=ids.NodeId(""),
+                        incarnation=ids.Incarnation(0),
+                        epoch=ids.Epoch(one.fence),
+                        ttl=0.0,
+                    ),
+                )
+                data = msgspec.json.encode(value)
+                eventlet.spawn_n(
+                    self._store.put, KIND, one.name, data, one.revision
+                )
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -1,26 +1,21 @@
-"""The duty for fabric domains: leases, probes, orders.
+"""The duty for fabric domains: probes and orders.
 
-For each domain one node holds a lease in the store and gives the orders
-there. Which node tries first follows from the domain's name and the live
-nodes; that it is only one follows from the lease alone.
+For each domain the node that holds its lease (`domainleases`) probes the
+instances, has replicas planned (`formation`) and gives the orders.
 """
 
 from collections import abc
 
 import eventlet
-import msgspec
-import result
 
 from currantwall.coordination import balancing
 from currantwall.coordination import formation
 from currantwall.coordination import knowledge
-from currantwall.coordination import leases
-from currantwall.coordination import presence as presence_module
 from currantwall.coordination import staging
-from currantwall.state import domain as domain_module
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
+from currantwall.transport import domainleases
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import ports
@@ -28,20 +23,6 @@
 
 __all__ = ["Duties"]
 
-KIND = "currantwall-domains"
-
-# Seconds a lease lasts without renewal, and between renewals: a holder
-# that is killed is succeeded after 1.4 to 2.2 s.
-_TTL = 1.8
-_RENEWAL = 0.6
-# Seconds before its end at which a holder stops giving orders: an order
-# may be on its way that long.
-_MARGIN = 0.45
-# Seconds until a node that failed to take a lease tries again.
-_RETRY = 0.5
-# Seconds between two looks at the leases of the others; their renewals
-# come with the heartbeats.
-_LOOK_INTERVAL = 2.0
 _TICK = 0.1
 # Seconds between two probes of one instance while something changes
 # there; its report is 0.2 s old itself.
@@ -51,8 +32,6 @@
 _STEADY_INTERVAL = 4.0
 # Seconds without a new instance after which the list counts as whole.
 _SETTLED = 1.2
-# Nodes that may try for a domain whose first candidate does not.
-_CANDIDATES = 2
 # Fencing numbers of one lease revision: more than the joins it may give.
 _EPOCHS = 1000
 
@@ -64,22 +43,14 @@
         self,
         name: ids.DomainName,
         service: ids.ServiceName,
-        tracker: leases.LeaseTracker,
+        lease: domainleases.DomainLease,
         planner: formation.Planner,
     ) -> None:
         self.name = name
         self.service = service
-        self.tracker = tracker
+        self.lease = lease
         self.planner = planner
         self.main = ""
-        self.revision: int | None = None
-        self.fence = 0
-        # Who was last seen to hold the lease.
-        self.holder = ids.NodeId("")
-        self.writing = False
-        self.held = False
-        self.next_renewal = 0.0
-        self.next_try = 0.0
         self.loads = staging.LoadBudget()
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
@@ -92,19 +63,17 @@
 
     def __init__(
         self,
-        store: ports.Store,
+        leases: domainleases.DomainLeases,
         engines: ports.Engines,
         fleet: upstreams.Fleet,
-        presence: presence_module.Presence,
         balancer: balancing.Balancer,
         log: journal.Journal,
         meter: metrics_module.Metrics,
         clock: timers.TimerService,
     ) -> None:
-        self._store = store
+        self._leases = leases
         self._engines = engines
         self._fleet = fleet
-        self._presence = presence
         self._balancer = balancer
         self._log = log
         self._meter = meter
@@ -113,9 +82,6 @@
         self._sizes: dict[ids.DomainName, int] = {}
         self._largest = 0
         self._grown_at = self._clock.now()
-        self._looked = False
-        self._next_look = 0.0
-        self._attempts = 0
         self._stopping = False
         self.on_loss: abc.Callable[[ids.InstanceId], None] = _ignore
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
@@ -125,15 +91,22 @@
     def run(self) -> None:
         """Look after the domains for ever."""
         while not self._stopping:
-            now = self._clock.now()
-            self._find_domains()
-            if now >= self._next_look:
-                self._next_look = now + _LOOK_INTERVAL
-                eventlet.spawn_n(self._look)
-            for one in self._domains.values():
-                self._tick(one, now)
+            self.tick(self._clock.now())
             eventlet.sleep(_TICK)
 
+    def tick(self, now: float) -> None:
+        """Do what is due for each domain."""
+        self._find_domains()
+        self._leases.look(now)
+        for one in self._domains.values():
+            if self._leases.tick(one.lease, now):
+                self._work(one, now)
+
+    def stop(self) -> None:
+        """Give all leases back, so that a successor need not wait."""
+        self._stopping = True
+        self._leases.release()
+
     def _find_domains(self) -> None:
         """Learn the domains from the instances."""
         if not self._is_settled():
@@ -181,207 +154,24 @@
 
     def _add(self, name: ids.DomainName, service: routes.Service) -> None:
         assert service.engine is not None
-        me = self._presence.me
-        tracker = leases.LeaseTracker(
-            me.id, ids.Incarnation(me.incarnation), _MARGIN
-        )
+        lease = self._leases.add(name)
         planner = formation.Planner(name, service.engine)
-        self._domains[name] = _Domain(name, service.name, tracker, planner)
-        if self._looked:
-            self._looked = False
-            self._next_look = 0.0
-
-    def _tick(self, one: _Domain, now: float) -> None:
-        holds = one.tracker.holds(now)
-        if holds != one.held:
-            one.held = holds
-            self._log.write(
-                "duty_taken" if holds else "duty_lost",
-                domain=one.name,
-                fence=one.fence,
-                revision=one.revision,
-            )
-        if holds:
-            if now >= one.next_renewal:
-                self._write_lease(one, now)
-            self._work(one, now)
-        elif self._may_take(one, now):
-            self._write_lease(one, now)
-
-    # -- Leases
-
-    def _look(self) -> None:
-        """Read the leases; what is seen late only delays a takeover."""
-        listed = self._store.list(KIND, stale=self._looked)
-        if isinstance(listed, result.Err):
-            return
-        now = self._clock.now()
-        found = {stored.name: stored for stored in listed.ok_value.objects}
-        for one in self._domains.values():
-            stored = found.get(one.name)
-            if stored is not None:
-                self._see(one, stored, now)
-            elif one.revision is None:
-                one.revision = 0
-                one.tracker.see(ids.Version(0), None, now)
-        self._looked = True
-
-    def _see(
-        self, one: _Domain, stored: ports.StoredObject, now: float
-    ) -> None:
-        if one.revision is not None and stored.revision < one.revision:
-            return
-        try:
-            held = msgspec.json.decode(stored.value, type=domain_module.Domain)
-        except msgspec.MsgspecError as error:
-            # Counts as held by nobody; the next holder overwrites it.
-            self._log.write(
-                "lease_unreadable", domain=one.name, why=str(error)
-            )
-            held = None
-        one.revision = stored.revision
-        one.tracker.see(ids.Version(stored.revision), held, now)
-        if held is not None and held.lease is not None:
-            one.fence = held.lease.epoch
-            one.holder = held.lease.holder
-
-    def list_leases(self, now: float) -> dict[str, presence_module.Share]:
-        """Return the leases that this node holds."""
-        me = self._presence.me
-        return {
-            one.name: presence_module.Share(
-                one.revision or 0, one.fence, me.id, me.incarnation
-            )
-            for one in self._domains.values()
-            if one.tracker.holds(now)
-        }
-
-    def note_leases(
-        self,
-        held: abc.Mapping[str, presence_module.Share],
-        now: float,
-    ) -> None:
-        """Take note of other nodes' renewals.
-
-        They come sooner than a look at the store shows them, so that a
-        takeover counts from the last renewal and not from the last look.
-        """
-        for name, share in held.items():
-            one = self._domains.get(ids.DomainName(name))
-            if one is None or one.tracker.holds(now):
-                continue
-            if one.revision is not None and share.revision <= one.revision:
-                continue
-            one.revision = share.revision
-            one.fence = max(one.fence, share.epoch)
-            one.holder = share.holder
-            lease = domain_module.Lease(
-                holder=share.holder,
-                incarnation=ids.Incarnation(share.incarnation),
-                epoch=ids.Epoch(share.epoch),
-                ttl=_TTL,
-            )
-            value = domain_module.Domain(
-                name=one.name,
-                datacentre=self._presence.me.datacentre,
-                lease=lease,
-            )
-            one.tracker.see(ids.Version(share.revision), value, now)
-
-    def _may_take(self, one: _Domain, now: float) -> bool:
-        if one.writing or now < one.next_try:
-            return False
-        if not one.tracker.is_lapsed(now):
-            return False
-        rank = self._presence.rank(f"domain:{one.name}", now)
-        place = rank.index(self._presence.me.id)
-        if place >= _CANDIDATES:
-            return False
-        # The second candidate waits for the first one to try.
-        return one.tracker.is_lapsed(now - place * _RENEWAL)
-
-    def _write_lease(self, one: _Domain, now: float) -> None:
-        if one.writing:
-            return
-        one.writing = True
-        one.next_renewal = now + _RENEWAL
-        eventlet.spawn_n(self._store_lease, one, now)
-
-    def _store_lease(self, one: _Domain, now: float) -> None:
-        me = self._presence.me
-        self._attempts += 1
-        attempt = ids.AttemptId(f"{me.id}:{me.incarnation}:{self._attempts}")
-        fence = one.fence if one.tracker.holds(now) else one.fence + 1
-        value = domain_module.Domain(
-            name=one.name,
-            datacentre=me.datacentre,
-            lease=domain_module.Lease(
-                holder=me.id,
-                incarnation=ids.Incarnation(me.incarnation),
-                epoch=ids.Epoch(fence),
-                ttl=_TTL,
-            ),
-            attempt=attempt,
-        )
-        one.tracker.note_sent(attempt, now)
-        try:
-            outcome = self._store.put(
-                KIND, one.name, msgspec.json.encode(value), one.revision
-            )
-            if isinstance(outcome, result.Ok):
-                self._see(one, outcome.ok_value, self._clock.now())
-            else:
-                one.next_try = self._clock.now() + _RETRY
-                self._log.write(
-                    "lease_not_written",
-                    domain=one.name,
-                    revision=one.revision,
-                    why=outcome.err_value.value,
-                )
-                self._read_lease(one)
-        finally:
-            one.writing = False
-
-    def _read_lease(self, one: _Domain) -> None:
-        """Settle a write that failed or whose answer was lost."""
-        outcome = self._store.get(KIND, one.name)
-        if isinstance(outcome, result.Ok):
-            self._see(one, outcome.ok_value, self._clock.now())
-
-    def release(self) -> None:
-        """Give all leases back, so that a successor need not wait."""
-        self._stopping = True
-        for one in self._domains.values():
-            if one.tracker.holds(self._clock.now()):
-                value = domain_module.Domain(
-                    name=one.name,
-                    datacentre=self._presence.me.datacentre,
-                    lease=domain_module.Lease(
-                        holder=ids.NodeId(""),
-                        incarnation=ids.Incarnation(0),
-                        epoch=ids.Epoch(one.fence),
-                        ttl=0.0,
-                    ),
-                )
-                data = msgspec.json.encode(value)
-                eventlet.spawn_n(
-                    self._store.put, KIND, one.name, data, one.revision
-                )
+        self._domains[name] = _Domain(name, service.name, lease, planner)
 
     # -- Probes and orders
 
     def find_holder(self, instance: ids.InstanceId) -> ids.NodeId:
         """Return who looks after an instance's domain; empty for none."""
         upstream = self._fleet.get(instance)
-        if upstream is None or upstream.domain not in self._domains:
+        if upstream is None:
             return ids.NodeId("")
-        return self._domains[upstream.domain].holder
+        return self._leases.find_holder(upstream.domain)
 
     def suspect(self, instance: ids.InstanceId) -> None:
         """Probe all of a replica whose leader seems to stall."""
         now = self._clock.now()
         for one in self._domains.values():
-            if not one.tracker.holds(now):
+            if not one.lease.tracker.holds(now):
                 continue
             leader = one.planner.knowledge.find(instance)
             if leader is None:
@@ -405,7 +195,7 @@
         allowed = self._count_loads(one, now)
         orders = one.planner.plan(
             now,
-            one.fence * _EPOCHS,
+            one.lease.fence * _EPOCHS,
             one.main,
             self._find_demands(one),
             allowed,
@@ -494,7 +284,7 @@
 
     def _give(self, one: _Domain, order: knowledge.Order) -> None:
         """Send an order while the lease certainly holds."""
-        if not one.tracker.holds(self._clock.now()):
+        if not one.lease.tracker.holds(self._clock.now()):
             return
         answer = self._engines.order(order)
         now = self._clock.now()
@@ -508,7 +298,7 @@
             replica=order.replica or order.model,
             epoch=order.epoch,
             sequence=order.sequence,
-            fence=one.fence,
+            fence=one.lease.fence,
             accepted=answer.accepted,
             answer=answer.detail,
         )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -58,7 +58,7 @@
     ),
     Mutant(
         "a fence used again",
-        "currantwall/transport/duties.py",
+        "currantwall/transport/domainleases.py",
         "else one.fence + 1\n",
         "else one.fence\n",
         f"{_DUTIES}.LeaseTest.test_a_fence_is_never_used_by_two_holders",
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,6 +16,7 @@
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
+from currantwall.transport import domainleases
 from currantwall.transport import duties
 from currantwall.transport import ports
 
@@ -94,11 +95,13 @@
         self.presence.ready = True
         self.serial = 0
         self.fleet = upstreams.Fleet()
+        self.leases = domainleases.DomainLeases(
+            self, self.presence, mock.Mock(), world
+        )
         self.duties = duties.Duties(
-            self,
+            self.leases,
             Engines(),
             self.fleet,
-            self.presence,
             mock.Mock(
                 has_seen_traffic=True,
                 count_busy=mock.Mock(return_value={}),
@@ -137,18 +140,10 @@
             if not (other.paused or other.dead):
                 self.hear(other)
         self.read_list()
-        now = self.world.now()
-        self.duties._find_domains()
-        if now >= self.duties._next_look:
-            self.duties._next_look = now + duties._LOOK_INTERVAL
-            self.duties._look()
-        for one in self.duties._domains.values():
-            self.duties._tick(one, now)
+        self.duties.tick(self.world.now())
 
     def holds(self, now):
-        return not self.dead and any(
-            one.tracker.holds(now) for one in self.duties._domains.values()
-        )
+        return not self.dead and bool(self.leases.list_leases(now))
 
     # -- The store, as this node reaches it
 
@@ -194,7 +189,7 @@
 class LeaseCase(unittest.TestCase):
     def setUp(self):
         patch = mock.patch.object(
-            duties.eventlet, "spawn_n", lambda task, *words: task(*words)
+            domainleases.eventlet, "spawn_n", lambda task, *words: task(*words)
         )
         patch.start()
         self.addCleanup(patch.stop)
@@ -251,9 +246,10 @@
         fences = {}
         for _ in range(4):
             (holder,) = world.list_holders()
-            (one,) = world.nodes[holder].duties._domains.values()
-            self.assertNotIn(one.fence, fences)
-            fences[one.fence] = holder
+            held = world.nodes[holder].leases.list_leases(world.now())
+            fence = held[_DOMAIN].epoch
+            self.assertNotIn(fence, fences)
+            fences[fence] = holder
             world.nodes[holder].paused = True
             world.run(4.5)
             world.nodes[holder].paused = False
