Fewer probes and connections: ask when something can have changed

Now first joins are not asked before they can be complete, members of a replica that waits to be opened rest, dark instances are asked twice a second, and probes go over kept connections, but for one after a miss. Nodes register with one call and watch the configuration only where they have to.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -90,8 +90,8 @@
             calm = name in settled and not known.missed
             calm = calm and not known.unsettled
             wait = steady if calm else 0.0
-            unknown = known.upstream.sequence is None
-            if now - known.seen >= wait or known.missed or unknown:
+            due = now - known.seen >= wait and now >= known.quiet_until
+            if due or known.missed or known.upstream.sequence is None:
                 found.append(name)
         return found
 
@@ -132,8 +132,17 @@
             leader = replica.leader
             spare = self._is_spare(replica)
             wanted = Phase.READY if spare else Phase.OPEN
-            if leader and leader.seat and leader.seat.phase is wanted:
+            if leader is None or leader.seat is None:
+                continue
+            if leader.seat.phase is wanted:
                 settled.update(one.id for one in replica.members)
+            elif leader.seat.phase is Phase.READY:
+                # It only waits to be opened: the others don't change.
+                settled.update(
+                    one.id
+                    for one in replica.members[1:]
+                    if one.seat and one.seat.phase is Phase.READY
+                )
         for name, known in self._known.items():
             if known.staging:
                 settled.add(name)
@@ -427,10 +436,22 @@
                 replica=name,
                 epoch=self._epoch,
                 members=listed,
+                lasts=self._expect_join(one, model),
             )
             for one in members
         ]
 
+    def _expect_join(
+        self, one: upstreams.Upstream, model: routes.Model
+    ) -> float:
+        """Return the seconds that a join takes at least.
+
+        Only one that has never joined in its life is sure to take long:
+        it has accepted a load at most.
+        """
+        new = one.seat is None and (one.sequence or 0) <= 1
+        return model.warm if new else 0.0
+
     def _stage(
         self,
         rest: dict[str, list[knowledge.Known]],
--- a/currantwall/coordination/knowledge.py
+++ b/currantwall/coordination/knowledge.py
@@ -26,6 +26,8 @@
 
 # Seconds for which a report may be older than an accepted order.
 _SETTLE = 1.0
+# Seconds before the expected end of a join at which it is asked for.
+_EARLY = 0.1
 # Seconds until the state of an instance that refused an order is known.
 _ASK_AGAIN = 0.25
 # Failed probes in a row after which an instance counts as silent.
@@ -51,6 +53,7 @@
     Attributes:
         sequence: Orders the instance must have accepted so far; it
             refuses if that differs.
+        lasts: Seconds until its effect is complete.
     """
 
     instance: ids.InstanceId
@@ -61,6 +64,7 @@
     replica: ids.ReplicaId = ids.ReplicaId("")
     epoch: int = 0
     members: tuple[ids.InstanceId, ...] = ()
+    lasts: float = 0.0
 
 
 class OrderAnswer(msgspec.Struct, frozen=True):
@@ -101,6 +105,8 @@
         self.staging_until = 0.0
         # Whether an order was sent whose effect no report has shown yet.
         self.unsettled = False
+        # Until when an accepted order is certainly not complete.
+        self.quiet_until = 0.0
 
     @property
     def is_silent(self) -> bool:
@@ -226,6 +232,7 @@
             held, sequence=order.sequence + 1, seat=seat
         )
         known.settles_at = now + _SETTLE
+        known.quiet_until = now + max(0.0, order.lasts - _EARLY)
         if order.kind is not OrderKind.OPEN:
             known.pending_until = 0.0
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -63,7 +63,7 @@
         names: names_module.HeaderNames,
         documents: ports.Documents,
         make_store: abc.Callable[[metrics_module.Metrics], ports.Store],
-        engines: ports.Engines,
+        make_engines: abc.Callable[[exchanges.Connections], ports.Engines],
     ) -> None:
         self._settings = settings
         self._documents = documents
@@ -137,7 +137,7 @@
         )
         self._duties = duties.Duties(
             self._leases,
-            engines,
+            make_engines(self._connections),
             self._fleet,
             self._balancer,
             self._log,
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -32,6 +32,8 @@
 # Seconds that a node which watches the store waits before it fetches a
 # newer version from a peer: its own watch mostly tells it first.
 _PEER_PATIENCE = 0.15
+# Seconds after the start in which the readers are heard.
+_START_PAUSE = 1.2
 # Seconds between two looks at whether this node has to watch.
 _LOOK_INTERVAL = 0.25
 
@@ -59,6 +61,7 @@
         self._spread = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
+        self._started = False
         # The newest document, compressed, for the peers.
         self.document = b""
         self.updated = 0.0
@@ -82,7 +85,12 @@
                 continue
             assert isinstance(listed, result.Ok)
             self._take_all(listed.ok_value, "store")
-            self._follow(listed.ok_value.revision)
+            if self.version and not self._started:
+                # Nobody is heard yet; most nodes need no watch of their own.
+                eventlet.sleep(_START_PAUSE)
+            self._started = True
+            if not self.version or self._reads_store():
+                self._follow(listed.ok_value.revision)
 
     def _reads_store(self) -> bool:
         return self._presence.reads_store(self._clock.now())
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -27,6 +27,9 @@
 # Seconds between two probes of one instance while something changes
 # there; its report is 0.2 s old itself.
 _PROBE_INTERVAL = 0.2
+# The same of an instance that has left several unanswered: a domain that
+# went dark comes back after seconds, and each miss is paid for.
+_SILENT_INTERVAL = 0.5
 # Seconds between two probes of instances of replicas that are whole and
 # open: their loss shows in the store's list, and sooner in the requests.
 _STEADY_INTERVAL = 4.0
@@ -240,27 +243,32 @@
         return found
 
     def _probe(self, one: _Domain, name: ids.InstanceId, now: float) -> None:
-        if name in one.probing:
+        known = one.planner.knowledge.instances.get(name)
+        if known is None or name in one.probing:
             return
-        if now < one.probed.get(name, 0.0) + _PROBE_INTERVAL:
-            return
-        upstream = one.planner.knowledge.find(name)
-        if upstream is None:
+        silent = known.is_silent
+        interval = _SILENT_INTERVAL if silent else _PROBE_INTERVAL
+        if now < one.probed.get(name, 0.0) + interval:
             return
+        upstream = known.upstream
         one.probed[name] = now
         one.probing.add(name)
-        eventlet.spawn_n(self._run_probe, one, upstream)
+        eventlet.spawn_n(self._run_probe, one, upstream, known.missed > 0)
 
-    def _run_probe(self, one: _Domain, upstream: upstreams.Upstream) -> None:
+    def _run_probe(
+        self, one: _Domain, upstream: upstreams.Upstream, fresh: bool
+    ) -> None:
         try:
-            found = self._engines.report(upstream)
+            found = self._engines.report(upstream, fresh)
         finally:
             one.probing.discard(upstream.id)
         self._meter.add("currantwall.probes", 1)
         now = self._clock.now()
         if isinstance(found, knowledge.Reach):
-            # A first miss is checked at once, a later one in its turn.
-            one.probed.pop(upstream.id, None)
+            known = one.planner.knowledge.instances.get(upstream.id)
+            if known is not None and not known.missed:
+                # A first miss is checked at once, a later one in its turn.
+                one.probed.pop(upstream.id, None)
             if one.planner.knowledge.note_failure(upstream.id, found):
                 self._log.write(
                     "instance_lost",
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -30,6 +30,7 @@
     "Outbound",
     "is_quiet",
     "open_connection",
+    "read_keep_alive",
 ]
 
 _select = eventlet.patcher.original("select").select
@@ -283,8 +284,6 @@
         connection = self._connection
         if connection is None or connection.sock is None:
             return
-        if response.headers.get("connection", "").lower() == "close":
-            return
         framed = response.chunked or "content-length" in response.headers
         if not framed:
             return
@@ -293,7 +292,7 @@
         ):
             return
         self._connection = None
-        keep = _read_keep_alive(response.headers.get("keep-alive", ""))
+        keep = read_keep_alive(response.headers)
         self._connections.give_back(self._instance, connection, keep)
 
 
@@ -309,9 +308,11 @@
     return not ready
 
 
-def _read_keep_alive(value: str) -> float:
+def read_keep_alive(headers: urllib3.HTTPHeaderDict) -> float:
     """Return the seconds for which an idle connection may be used."""
-    for part in value.split(","):
+    if headers.get("connection", "").lower() == "close":
+        return 0.0
+    for part in headers.get("keep-alive", "").split(","):
         name, _, number = part.strip().partition("=")
         if name.lower() == "timeout" and number.strip().isdecimal():
             return float(number) - _IDLE_MARGIN
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -109,9 +109,14 @@
     """The orders and reports of engine instances."""
 
     def report(
-        self, upstream: upstreams.Upstream
+        self, upstream: upstreams.Upstream, fresh: bool
     ) -> upstreams.Upstream | knowledge.Reach:
-        """Return what an instance says of itself, or how it failed."""
+        """Return what an instance says of itself, or how it failed.
+
+        Args:
+            upstream: The instance.
+            fresh: Whether to ask over a new connection.
+        """
         raise NotImplementedError
 
     def order(self, order: knowledge.Order) -> knowledge.OrderAnswer:
--- a/currantwall/transport/registrations.py
+++ b/currantwall/transport/registrations.py
@@ -68,7 +68,10 @@
     def _register(self) -> None:
         me = self._presence.me
         value = msgspec.json.encode(me)
-        outcome = self._store.put(NODES_KIND, me.id, value, None)
+        # Mostly there is none: its last process took it away.
+        outcome = self._store.put(NODES_KIND, me.id, value, 0)
+        if outcome == result.Err(ports.StoreFailure.CONFLICT):
+            outcome = self._store.put(NODES_KIND, me.id, value, None)
         self._registered = isinstance(outcome, result.Ok)
 
     def _take(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,6 +3,7 @@
 import pathlib
 import sys
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -10,9 +11,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
 
+from currantwall_platform import client  # noqa: E402
 from currantwall_platform import documents  # noqa: E402
+from currantwall_platform import engines  # noqa: E402
 from currantwall_platform import settings  # noqa: E402
 
+from currantwall.coordination import knowledge  # noqa: E402
 from currantwall.state import routes  # noqa: E402
 from currantwall.state import upstreams  # noqa: E402
 from currantwall.transport import ports  # noqa: E402
@@ -236,5 +240,43 @@
         self.assertIn("good", [one.id for one in found])
 
 
+class EnginesTest(unittest.TestCase):
+    def setUp(self):
+        self.connections = mock.Mock()
+        self.engines = engines.Engines(self.connections)
+        self.upstream = documents.Documents().decode_upstreams(
+            [ports.StoredObject("i-1", 1, msgspec.json.encode(ENTRY))]
+        )[0]
+
+    def report(self, fresh, **answer):
+        with mock.patch.object(client, "send", **answer):
+            return self.engines.report(self.upstream, fresh)
+
+    def test_a_probe_after_a_miss_asks_for_a_new_connection(self):
+        """A sound replica would be taken apart.
+
+        Connections that rested fall silent together, and both probes of
+        an instance go over one of them.
+        """
+        self.report(True, side_effect=TimeoutError())
+        self.connections.take.assert_called_with(
+            "i-1", self.upstream.address, True
+        )
+
+    def test_a_connection_is_kept_only_after_a_whole_answer(self):
+        good = client.Answer(200, b"{}", 3.0)
+        self.report(False, return_value=good)
+        self.connections.give_back.assert_called_once()
+        self.connections.give_back.reset_mock()
+        found = self.report(False, side_effect=TimeoutError())
+        self.assertIs(found, knowledge.Reach.SILENT)
+        self.connections.give_back.assert_not_called()
+
+    def test_an_address_that_another_server_has_counts_as_gone(self):
+        other = client.Answer(421, b"", 0.0)
+        found = self.report(False, return_value=other)
+        self.assertIs(found, knowledge.Reach.REFUSED)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -179,7 +179,7 @@
 class Engines:
     """Instances that report themselves and refuse each order."""
 
-    def report(self, upstream):
+    def report(self, upstream, fresh):
         return upstream
 
     def order(self, order):
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -365,6 +365,27 @@
         self.assertIs(victim.seat and victim.seat.phase is Phase.OPEN, False)
         self.assertEqual(session.world.broken, [])
 
+    def test_an_instance_is_not_asked_while_nothing_can_change(self):
+        """Each probe is paid for; at a start it was 60 an instance.
+
+        Load: nine instances form two replicas and stay whole. A first
+        join takes 1.6 s, in which a report can show nothing new.
+        """
+        world = World(9)
+        session = Session(world)
+        asked = []
+        real = session.planner.list_probes
+
+        def count(now, steady):
+            found = real(now, steady)
+            asked.extend(found)
+            return found
+
+        session.planner.list_probes = count
+        session.run(6.0)
+        self.assertEqual(session.count_open(), 2)
+        self.assertLess(len(asked) / len(world.engines), 12)
+
     def test_an_instance_born_again_under_its_id_is_taken_as_new(self):
         """A replica would wait for a member that has forgotten it.
 
