--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "bench.replicas",
     "bench.overload",
     "bench.peers",
+    "bench.digests",
 )
 
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -1,132 +1,27 @@
 """What nodes of a large fleet know of each other.
 
-Every node is the real one; a network of this test carries the datagrams
-and loses them where a node is dead or cut off.
+Every node is the real one; the network of `bench.digests` carries the
+datagrams and loses them where a node is dead or cut off.
 """
 
 import unittest
 
-from currantwall.coordination import digests
+from bench import digests as network
 from currantwall.coordination import directory
-from currantwall.coordination import presence as presence_module
-from currantwall.state import ids
 
-_ROUND = 0.4
 _PLACES = ("a", "b", "c")
-
-
-def make_entry(name, place, capacity=0.1):
-    return presence_module.NodeEntry(
-        id=ids.NodeId(name),
-        datacentre=ids.DatacentreName(place),
-        front=f"{name}:1",
-        heartbeats=f"{name}:2",
-        peer=f"{name}:3",
-        incarnation=1,
-        capacity=capacity,
-    )
-
-
-class Node:
-    """One node: what it tells, and what it was told."""
-
-    def __init__(self, entry):
-        self.entry = entry
-        self.presence = presence_module.Presence(entry)
-        self.presence.ready = True
-        self.relay = digests.Relay(self.presence)
-        self.serial = 0
-        self.loads = {}
-        self.lost = ()
-        self.heard_lost = {}
-        self.remote = {}
-        self.sent = 0
-        self.received = 0
-
-    def compose(self, now):
-        self.serial += 1
-        own = presence_module.Heartbeat(
-            node=self.entry,
-            serial=self.serial,
-            ready=True,
-            loads=self.loads,
-            lost=self.lost,
-        )
-        return self.relay.list_datagrams(own, now)
-
-    def hear(self, message, now):
-        self.received += 1
-        for name in message.lost:
-            self.heard_lost.setdefault(name, now)
-        if isinstance(message, presence_module.Heartbeat):
-            if self.presence.note_heartbeat(message, now):
-                self.relay.note_heartbeat(message, now)
-            return
-        if self.relay.note_digest(message, now) and not message.is_part:
-            self.remote = message.loads
-
-
-class Network:
-    """Nodes that tell each other what they have, in rounds."""
-
-    def __init__(self, each, places=_PLACES, large=2):
-        self.now = 100.0
-        self.nodes = {}
-        for place in places:
-            for number in range(each):
-                name = f"{place}-{number}"
-                capacity = 1.0 if number < large else 0.1
-                self.nodes[name] = Node(make_entry(name, place, capacity))
-        self.dead = set()
-        entries = [node.entry for node in self.nodes.values()]
-        for node in self.nodes.values():
-            node.presence.note_list(entries, self.now)
-
-    def run(self, seconds):
-        """Let all nodes send what is due until some time has passed."""
-        end = self.now + seconds
-        while self.now < end:
-            self.now += _ROUND
-            for name in self.nodes:
-                self.send(name)
-
-    def send(self, name):
-        """Carry what one node sends; relays pass urgent news on at once."""
-        urgent = [name]
-        while urgent:
-            sender = urgent.pop()
-            if sender in self.dead:
-                continue
-            for datagram in self.nodes[sender].compose(self.now):
-                for entry in datagram.to:
-                    self.nodes[sender].sent += 1
-                    if entry.id in self.dead:
-                        continue
-                    node = self.nodes[entry.id]
-                    node.hear(datagram.message, self.now)
-                    if node.relay.take_urgent():
-                        urgent.append(entry.id)
-
-    def live(self):
-        return [
-            one for one in self.nodes.values() if one.entry.id not in self.dead
-        ]
-
-    def find_relays(self, place):
-        node = next(iter(self.live()))
-        relays = node.presence.list_relays(place, self.now)
-        return [one.id for one in relays]
+make_entry = network.make_entry
 
 
 class LargeFleetTest(unittest.TestCase):
     def setUp(self):
-        self.net = Network(47)
+        self.net = network.Network(47, _PLACES, 2)
         self.net.run(4.0)
 
     def count_ready(self):
         return [
             len(node.presence.list_ready(self.net.now))
-            for node in self.net.live()
+            for node in self.net.list_live()
         ]
 
     def test_every_node_knows_all_others(self):
@@ -138,9 +33,7 @@
         Load: 141 nodes at rest; of a data centre's two large nodes each
         passes on what half of the others tell.
         """
-        for node in self.net.nodes.values():
-            node.sent = 0
-            node.received = 0
+        self.net.clear()
         self.net.run(4.0)
         counts = sorted(node.sent for node in self.net.nodes.values())
         self.assertEqual(counts[len(counts) // 2], 20)
@@ -179,7 +72,9 @@
         """
         self.net.nodes["a-30"].lost = ("i-9",)
         self.net.send("a-30")
-        told = [node for node in self.net.live() if "i-9" in node.heard_lost]
+        told = [
+            node for node in self.net.list_live() if "i-9" in node.heard_lost
+        ]
         self.assertGreaterEqual(len(told), 140)
 
     def test_the_fleet_goes_on_when_all_relays_die_at_once(self):
@@ -210,7 +105,7 @@
 
 class SmallFleetTest(unittest.TestCase):
     def test_every_heartbeat_goes_to_everyone(self):
-        net = Network(4)
+        net = network.Network(4, _PLACES, 0)
         net.run(2.0)
         for node in net.nodes.values():
             self.assertEqual(len(node.presence.list_ready(net.now)), 11)
