Notice the end of a load by the list, not by the next probe

The list of instances shows the end of a load within half a second; an entry that says otherwise than the last report now has its instance probed at once.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -91,7 +91,8 @@
             calm = calm and not known.unsettled
             wait = steady if calm else 0.0
             due = now - known.seen >= wait and now >= known.quiet_until
-            if due or known.missed or known.upstream.sequence is None:
+            unclear = known.missed or known.differs
+            if due or unclear or known.upstream.sequence is None:
                 found.append(name)
         return found
 
--- a/currantwall/coordination/knowledge.py
+++ b/currantwall/coordination/knowledge.py
@@ -33,8 +33,8 @@
 # Failed probes in a row after which an instance counts as silent.
 _SILENT_PROBES = 2
 # Seconds since the last report after which a list that says otherwise has
-# an instance probed at once; the list is older than that.
-_DIFFERING = 2.0
+# an instance probed at once; before, the list is the older of the two.
+_DIFFERING = 0.5
 
 
 class OrderKind(enum.Enum):
@@ -105,6 +105,9 @@
         self.staging_until = 0.0
         # Whether an order was sent whose effect no report has shown yet.
         self.unsettled = False
+        # Whether the list says otherwise than its last report: a load has
+        # ended, or a report was missed.
+        self.differs = False
         # Until when an accepted order is certainly not complete.
         self.quiet_until = 0.0
 
@@ -149,9 +152,10 @@
                 self.instances[one.id] = Known(one, now)
                 continue
             known.listed = True
-            if one.seat != known.upstream.seat:
-                # Either the list lags or a report was missed.
-                known.seen = min(known.seen, now - _DIFFERING)
+            known.differs = now - known.seen > _DIFFERING and (
+                one.seat != known.upstream.seat
+                or one.staged != known.upstream.staged
+            )
             if one.born > known.upstream.born:
                 known.refused = False
                 known.missed = 0
@@ -171,6 +175,7 @@
         known.missed = 0
         known.refused = False
         known.seen = now
+        known.differs = False
         if now < known.settles_at and _is_behind(reported, known.upstream):
             return
         if reported.sequence != known.upstream.sequence:
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -184,6 +184,8 @@
         self.now = 100.0
         self.late = []
         self.lose_answers = False
+        # Seconds between two probes of an instance at rest.
+        self.steady = 2.0
         self.planner = formation.Planner(ids.DomainName("d0"), ENGINE)
         self.fence = 1000
 
@@ -203,7 +205,7 @@
             if one.listed
         ]
         self.planner.knowledge.note_list(listed, self.now)
-        for name in self.planner.list_probes(self.now, 2.0):
+        for name in self.planner.list_probes(self.now, self.steady):
             engine = self.world.engines[name]
             if engine.up:
                 self.planner.knowledge.note_report(engine.describe(), self.now)
@@ -365,6 +367,23 @@
         self.assertIs(victim.seat and victim.seat.phase is Phase.OPEN, False)
         self.assertEqual(session.world.broken, [])
 
+    def test_the_end_of_a_load_is_seen_at_once(self):
+        """New instances would wait for seconds with their weights loaded.
+
+        A load takes 16 s, or a tenth of that before the first request,
+        and an instance that loads is asked every four seconds only; its
+        entry in the list changes as soon as the load has ended.
+        """
+        world = World(4, staged=())
+        session = Session(world)
+        session.steady = 30.0
+        session.run(1.0)
+        self.assertEqual({one.kind for one in world.orders}, {Kind.STAGE})
+        for engine in world.engines.values():
+            engine.staged = ("large",)
+        session.run(1.2)
+        self.assertIn(Kind.JOIN, {one.kind for one in world.orders})
+
     def test_an_instance_is_not_asked_while_nothing_can_change(self):
         """Each probe is paid for; at a start it was 60 an instance.
 
