--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -241,10 +241,17 @@
         return ingress.Reply(status=status, headers=[], body=b"")
 
     def _answer_directory(self, inbound: ingress.Inbound) -> ingress.Reply:
-        """Tell a caller the addresses of nodes that take requests."""
+        """Tell a caller the addresses of nodes that take requests.
+
+        Failure: a node that starts while the store is away knows nobody
+        and no configuration; callers that it gave its own address would
+        be refused there. Without an answer they ask another node.
+        """
         nodes = self._presence.list_ready(self._now())
-        if self._is_ready or not nodes:
+        if self._is_ready:
             nodes.append(self._presence.me)
+        if not nodes:
+            return ingress.Reply(status=503, headers=[], body=b"")
         given = directory.choose_addresses(nodes, inbound.caller)
         ttl = self._settings.address_ttl
         return _answer_json(self._documents.encode_addresses(given, ttl))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,6 +15,7 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import urllib3
 
 from bench import fleet as fleet_module
 from bench import gateways
@@ -348,6 +349,29 @@
         self.assertEqual(answer.status, 200)
         self.fleet.set_store(down=False)
 
+    def test_a_node_that_knows_nothing_sends_no_caller_to_itself(self):
+        """Callers were refused by a node that had just been added.
+
+        It starts while the store is away, at an address that no other
+        node knows, and is asked where to connect.
+        """
+        self.fleet.set_store(down=True)
+        self.addCleanup(self.fleet.set_store, down=False)
+        self.fleet.start_gateway("g9")
+        self.addCleanup(self.fleet.kill, "g9")
+        url = f"http://{self.fleet.directories['g9']}/"
+
+        def get_status():
+            try:
+                return self.fleet.http.request("GET", url).status
+            except urllib3.exceptions.HTTPError:
+                return None
+
+        fleet_module.wait_until(
+            lambda: get_status() is not None, _WAIT, "its start"
+        )
+        self.assertEqual(get_status(), 503)
+
     def test_a_lost_member_ends_its_replica_and_a_spare_joins(self):
         """A caller gets whole answers while an instance is killed."""
         self.fleet.start_upstream("e5", "pool", "d0", "m")
