--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -109,6 +109,7 @@
             settings.heartbeats,
             self._compose,
             self._hear,
+            self._meter,
             self._clock,
         )
         self._configuration = configurations.ConfigurationFeed(
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -270,6 +270,7 @@
                 # A first miss is checked at once, a later one in its turn.
                 one.probed.pop(upstream.id, None)
             if one.planner.knowledge.note_failure(upstream.id, found):
+                self._meter.add("currantwall.instances.lost", 1, found.value)
                 self._log.write(
                     "instance_lost",
                     instance=upstream.id,
--- a/currantwall/transport/heartbeats.py
+++ b/currantwall/transport/heartbeats.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from currantwall.coordination import digests
+from currantwall.transport import metrics as metrics_module
 from currantwall.transport import timers
 
 __all__ = ["Heartbeats"]
@@ -37,6 +38,7 @@
         address: str,
         compose: Compose,
         deliver: Deliver,
+        meter: metrics_module.Metrics,
         clock: timers.TimerService,
     ) -> None:
         host, _, port = address.rpartition(":")
@@ -46,6 +48,7 @@
         self._socket.bind((host, int(port)))
         self._compose = compose
         self._deliver = deliver
+        self._meter = meter
         self._clock = clock
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(digests.Message)
@@ -63,6 +66,7 @@
                 # Damaged, foreign, or an error of an earlier send.
                 eventlet.sleep(0)
                 continue
+            self._meter.add("currantwall.peers.received", 1)
             self._deliver(message)
 
     def run_sender(self) -> None:
@@ -94,6 +98,9 @@
     def send_one(self, datagram: digests.Datagram) -> None:
         """Send one message to each of its receivers."""
         data = self._encoder.encode(datagram.message)
+        self._meter.add("currantwall.peers.sent", len(datagram.to))
+        size = len(data) * len(datagram.to)
+        self._meter.add("currantwall.peers.sent_bytes", size)
         for entry in datagram.to:
             host, _, port = entry.heartbeats.rpartition(":")
             try:
