--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "bench.overload",
     "bench.peers",
     "bench.digests",
+    "bench.logs",
 )
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -112,11 +112,16 @@
         name: str,
         command: list[str],
         environment: dict[str, str] | None = None,
+        unread: bool = False,
     ) -> None:
+        """Start a process; its output goes to a file, or to nobody."""
         log = self.path / f"{name}.log"
         with log.open("ab") as stream:
             self._processes[name] = subprocess.Popen(
-                command, stdout=stream, stderr=stream, env=environment
+                command,
+                stdout=subprocess.PIPE if unread else stream,
+                stderr=stream,
+                env=environment,
             )
 
     def _pick(self, name: str) -> str:
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -55,13 +55,21 @@
             *options,
         )
 
-    def start_gateway(self, name: str, grace: float = 8.0) -> None:
-        """Start a gateway, or start it again at the same addresses."""
+    def start_gateway(
+        self, name: str, grace: float = 8.0, unread: bool = False
+    ) -> None:
+        """Start a gateway, or start it again at the same addresses.
+
+        Args:
+            name: Its name.
+            grace: Seconds from the request to stop until it is killed.
+            unread: Whether nobody reads what it writes.
+        """
         file = self.path / f"{name}.json"
         if not file.exists():
             self._write_settings(name, file, grace)
         environment = {"CURRANTWALL_SETTINGS": str(file), "PATH": "/bin"}
-        self._add(name, self.make_command(name), environment)
+        self._add(name, self.make_command(name), environment, unread)
 
     def make_command(self, name: str) -> list[str]:
         """Return what starts a gateway."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -56,6 +56,35 @@
         "        return now >= self._first_seen + 0.5\n",
         f"{_DUTIES}.LeaseTest.test_never_two_holders_whatever_happens",
     ),
+    Mutant(
+        "the least busy of all chosen",
+        f"{_COORDINATION}/balancing.py",
+        "_DRAWN = 2\n",
+        "_DRAWN = 2000\n",
+        "tests.test_balancing.LoadTest.test_nodes_do_not_all_choose_alike",
+    ),
+    Mutant(
+        "full replicas not passed over",
+        f"{_COORDINATION}/balancing.py",
+        "        if self.count_load(best.id) < best.slots:\n",
+        "        if True:\n",
+        "tests.test_balancing.LoadTest.test_the_last_free_slots_are_found",
+    ),
+    Mutant(
+        "two candidates for a lease",
+        f"{_COORDINATION}/leases.py",
+        "_CANDIDATES = 6\n",
+        "_CANDIDATES = 2\n",
+        f"{_DUTIES}.LeaseTest"
+        ".test_a_domain_finds_a_holder_when_the_first_are_turned_away",
+    ),
+    Mutant(
+        "the end of a load not looked for in the list",
+        f"{_COORDINATION}/knowledge.py",
+        "                or one.staged != known.upstream.staged\n",
+        "",
+        f"{_FORMATION}.test_the_end_of_a_load_is_seen_at_once",
+    ),
     Mutant(
         "a fence used again",
         "currantwall/transport/domainleases.py",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,6 +23,8 @@
 _WAIT = 60.0
 # Seconds in which a slow stream makes all its events.
 _SLOW_EVENTS = 3.0
+# Requests whose lines fill a pipe; each writes 0.2 KB.
+_LINES = 500
 _GOLDEN = pathlib.Path(__file__).parent / "golden" / "gateway_session.txt"
 _ENGINES = ("e1", "e2", "e3", "e4")
 _APPS = ("a1", "a2")
@@ -372,6 +374,21 @@
         )
         self.assertEqual(get_status(), 503)
 
+    def test_a_log_that_nobody_reads_costs_no_request(self):
+        """Callers would wait for ever behind a full pipe.
+
+        Whoever collects the output stands still; a pipe takes 64 KB, and
+        these requests write more than that.
+        """
+        self.fleet.start_gateway("g8", unread=True)
+        self.addCleanup(self.fleet.kill, "g8")
+        fleet_module.wait_until(lambda: self.serves("g8"), _WAIT, "g8")
+        statuses = {
+            self.send("GET", "/safe/x", gateway="g8").status
+            for _ in range(_LINES)
+        }
+        self.assertEqual(statuses, {200})
+
     def test_a_lost_member_ends_its_replica_and_a_spare_joins(self):
         """A caller gets whole answers while an instance is killed."""
         self.fleet.start_upstream("e5", "pool", "d0", "m")
