--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -17,12 +17,10 @@
 
 from currantwall.coordination import balancing
 from currantwall.coordination import budgets
-from currantwall.coordination import digests
 from currantwall.coordination import directory
 from currantwall.coordination import presence as presence_module
 from currantwall.protocol import names as names_module
 from currantwall.state import gateway
-from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import configurations
@@ -31,10 +29,10 @@
 from currantwall.transport import exchanges
 from currantwall.transport import fleets
 from currantwall.transport import forwarding
-from currantwall.transport import heartbeats
 from currantwall.transport import ingress
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
+from currantwall.transport import news
 from currantwall.transport import peers
 from currantwall.transport import ports
 from currantwall.transport import registrations
@@ -48,10 +46,6 @@
 # Seconds of the grace that are left when the process ends by itself.
 _LAST_SECONDS = 0.4
 _POLL = 0.05
-# Seconds for which urgent news goes into each heartbeat: two of them.
-_TOLD = 0.5
-# Stands for all other nodes where a relay adds up their counts.
-_ALL_NODES = ids.NodeId("")
 
 
 class Gateway:
@@ -90,7 +84,6 @@
             self._now,
         )
         self._sender.fleet_age = lambda now: now - self._fleet.updated
-        self._sender.on_doubt = self._tell_doubt
         self._forwarder = forwarding.Forwarder(
             self._sender, self._meter, self._log
         )
@@ -104,14 +97,6 @@
             capacity=settings.capacity,
         )
         self._presence = presence_module.Presence(me)
-        self._relay = digests.Relay(self._presence)
-        self._heartbeats = heartbeats.Heartbeats(
-            settings.heartbeats,
-            self._compose,
-            self._hear,
-            self._meter,
-            self._clock,
-        )
         self._configuration = configurations.ConfigurationFeed(
             self._store,
             documents,
@@ -120,7 +105,6 @@
             self._log,
             self._clock,
         )
-        self._configuration.on_change = self._tell_change
         self._fleet_feed = fleets.FleetFeed(
             self._store,
             documents,
@@ -129,7 +113,6 @@
             self._log,
             self._clock,
         )
-        self._fleet_feed.on_change = self._tell_list
         self._nodes_feed = registrations.NodesFeed(
             self._store, self._presence, self._log, self._clock
         )
@@ -146,18 +129,35 @@
             self._clock,
         )
         self._duties.services = self._list_services
-        self._duties.on_loss = self._tell_loss
-        # What the next heartbeats tell, and until when.
-        self._stalled: dict[str, float] = {}
-        self._lost: dict[str, float] = {}
-        # Requests in work as last told.
-        self._told_loads: dict[str, int] = {}
+        self._news = self._make_news()
         self._stopping = False
         self._listener: typing.Any = None
         self._front_task: typing.Any = None
         self._stopped = eventlet.event.Event()
         self._front = self._make_ingress(self._forwarder.serve)
 
+    def _make_news(self) -> news.News:
+        """Return what exchanges news, known to those who have some."""
+        made = news.News(
+            self._settings.heartbeats,
+            self._presence,
+            self._balancer,
+            self._budget,
+            self._configuration,
+            self._fleet_feed,
+            self._leases,
+            self._duties,
+            self._meter,
+            self._clock,
+        )
+        made.is_ready = lambda: self._is_ready
+        made.give_up = self._sender.give_up
+        self._sender.on_doubt = made.tell_doubt
+        self._duties.on_loss = made.tell_loss
+        self._configuration.on_change = made.tell_change
+        self._fleet_feed.on_change = made.tell_list
+        return made
+
     # -- Serving
 
     def run(self) -> None:
@@ -174,8 +174,8 @@
             )
         for task in (
             self._log.run,
-            self._heartbeats.run_receiver,
-            self._heartbeats.run_sender,
+            self._news.run_receiver,
+            self._news.run_sender,
             self._configuration.run,
             self._fleet_feed.run,
             self._nodes_feed.run,
@@ -275,116 +275,6 @@
             status=200, headers=headers, body=self._meter.render()
         )
 
-    # -- Heartbeats
-
-    def _compose(self, serial: int) -> list[digests.Datagram]:
-        """Return what is due to be told to the other nodes."""
-        now = self._now()
-        self._stalled = _drop_past(self._stalled, now)
-        self._lost = _drop_past(self._lost, now)
-        self._told_loads = self._balancer.list_loads()
-        self._presence.ready = self._is_ready
-        own = presence_module.Heartbeat(
-            node=self._presence.me,
-            serial=serial,
-            ready=self._is_ready,
-            configuration=self._configuration.version,
-            loads=self._told_loads,
-            stalled=tuple(self._stalled),
-            lost=tuple(self._lost),
-            instances=self._fleet_feed.changed,
-            leases=self._leases.list_leases(now),
-            store_age=self._fleet_feed.get_store_age(now),
-        )
-        return self._relay.list_datagrams(own, now)
-
-    def _hear(self, message: digests.Message) -> None:
-        now = self._now()
-        if isinstance(message, presence_module.Heartbeat):
-            self._hear_heartbeat(message, now)
-        elif isinstance(message, digests.Digest):
-            self._hear_digest(message, now)
-        else:
-            self._suspect(message.stalled)
-        if self._relay.take_urgent():
-            self._heartbeats.hurry()
-
-    def _hear_heartbeat(
-        self, heartbeat: presence_module.Heartbeat, now: float
-    ) -> None:
-        if not self._presence.note_heartbeat(heartbeat, now):
-            return
-        self._relay.note_heartbeat(heartbeat, now)
-        if heartbeat.asks is not presence_module.Asks.ANSWERS:
-            name = heartbeat.node.id
-            self._balancer.note_loads(name, heartbeat.loads, now)
-        self._take_news(heartbeat, now)
-
-    def _hear_digest(self, digest: digests.Digest, now: float) -> None:
-        if not self._relay.note_digest(digest, now):
-            return
-        acting = self._relay.is_acting(now)
-        if acting and digest.is_part:
-            self._balancer.note_loads(digest.node.id, digest.loads, now)
-        elif not acting and not digest.is_part:
-            # The sum of all nodes, from whichever relay came last.
-            others = _subtract(digest.loads, self._told_loads)
-            self._balancer.note_loads(_ALL_NODES, others, now)
-        self._take_news(digest, now)
-
-    def _take_news(
-        self,
-        told: presence_module.Heartbeat | digests.Digest,
-        now: float,
-    ) -> None:
-        """Act on what another node tells."""
-        self._budget.note_nodes(self._presence.count())
-        self._configuration.note_peer(told.node, told.configuration)
-        self._fleet_feed.note_news(told.instances)
-        self._leases.note_leases(told.leases, now)
-        self._suspect(told.stalled)
-        for name in told.lost:
-            self._take_loss(ids.InstanceId(name), now)
-
-    def _suspect(self, stalled: abc.Iterable[str]) -> None:
-        for name in stalled:
-            self._duties.suspect(ids.InstanceId(name))
-
-    def _tell_doubt(self, instance: ids.InstanceId) -> None:
-        """Have the holder of its domain look at a silent upstream."""
-        self._stalled[instance] = self._now() + _TOLD
-        self._duties.suspect(instance)
-        if self._presence.is_small:
-            self._heartbeats.hurry()
-            return
-        holder = self._presence.get(self._duties.find_holder(instance))
-        if holder is not None:
-            alarm = digests.Alarm((instance,))
-            self._heartbeats.send_one(digests.Datagram((holder,), alarm))
-
-    def _tell_change(self) -> None:
-        """Have the others fetch what is new without waiting their turn."""
-        self._heartbeats.hurry()
-
-    def _tell_list(self) -> None:
-        """Tell of a newer list, where others wait for it.
-
-        A replica that was mended would be used up to a heartbeat later.
-        """
-        if self._presence.reads_store(self._now()):
-            self._heartbeats.hurry()
-
-    def _tell_loss(self, leader: ids.InstanceId) -> None:
-        """Spread the verdict that a leader's replica is not whole."""
-        now = self._now()
-        self._lost[leader] = now + _TOLD
-        self._take_loss(leader, now)
-        self._heartbeats.hurry()
-
-    def _take_loss(self, leader: ids.InstanceId, now: float) -> None:
-        self._balancer.note_loss(leader, now)
-        self._sender.give_up(leader)
-
     # -- Housekeeping
 
     def _sweep(self) -> None:
@@ -431,7 +321,7 @@
         began = self._now()
         self._log.write("stopping", in_flight=self._front.in_flight)
         self._front.is_closing = True
-        self._heartbeats.send()
+        self._news.send()
         self._duties.stop()
         eventlet.spawn_n(self._nodes_feed.leave)
         last = began + self._settings.grace - _LAST_SECONDS
@@ -447,23 +337,6 @@
         os._exit(0)
 
 
-def _subtract(
-    total: abc.Mapping[str, int], own: abc.Mapping[str, int]
-) -> dict[str, int]:
-    """Return the counts of the other nodes."""
-    found = {}
-    for name, count in total.items():
-        others = count - own.get(name, 0)
-        if others > 0:
-            found[name] = others
-    return found
-
-
-def _drop_past(news: dict[str, float], now: float) -> dict[str, float]:
-    """Return the news that is still told."""
-    return {name: until for name, until in news.items() if until > now}
-
-
 def _answer_json(body: bytes) -> ingress.Reply:
     headers = [("Content-Type", "application/json")]
     return ingress.Reply(status=200, headers=headers, body=body)
