Soak: a stop that leaves a request without an answer is always seen

Now an answer that never came counts whatever happens to servers, unless the gateway itself was struck.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -277,28 +277,47 @@
 @promise
 def check_stops(observed: Observed) -> abc.Iterator[str]:
     """A planned stop cuts off no request."""
-    stops = [
-        (at, name) for at, what, name in observed.history if what == "stopping"
-    ]
-    for at, name in stops:
-        others = [
-            when
-            for when, what, who in observed.history
-            if at - _CALM <= when <= at + 3.0
-            and (what, who) != ("stopping", name)
-            and what not in ("configured", "stopped", "reloaded")
-        ]
-        if others:
+    for at, what, name in observed.history:
+        if what != "stopping":
             continue
         for one in observed.attempts:
             under_way = one.gateway == name and one.read <= at <= one.ended
-            cut = one.status == 0 or not one.whole
+            if not under_way or not one.read or one.left:
+                continue
+            if one.status == 0 and not _is_killed(observed, name, at, one):
+                # Whatever becomes of servers, a gateway says so itself.
+                yield f"{one.id} {one.target}: no answer, {one.failure}"
             broke_off = "reset" in one.target or "torn" in one.target
-            asked = one.read and not one.left and not broke_off
-            if under_way and cut and asked:
+            cut = one.status and not one.whole and not broke_off
+            if cut and not _list_others(observed, name, at):
                 yield f"{one.id} {one.target}: cut, {one.failure}"
 
 
+def _is_killed(
+    observed: Observed, gateway: str, at: float, one: Attempt
+) -> bool:
+    """Return whether a gateway was struck while it stopped."""
+    return any(
+        name == gateway and at - _CALM <= when <= one.ended
+        for when, what, name in observed.history
+        if what in ("killed", "paused", "resumed")
+    )
+
+
+def _list_others(
+    observed: Observed, gateway: str, at: float
+) -> list[tuple[float, str, str]]:
+    """Return what else went wrong around a stop."""
+    planned = ("configured", "stopped", "reloaded", "started")
+    return [
+        (when, what, name)
+        for when, what, name in observed.history
+        if at - _CALM <= when <= at + 3.0
+        and (what, name) != ("stopping", gateway)
+        and what not in planned
+    ]
+
+
 @promise
 def check_final_answers(observed: Observed) -> abc.Iterator[str]:
     """Each request has its final answer by its deadline."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,6 +207,11 @@
         self.history.append((20.05, "stopping", "g1"))
         self.add(status=0, whole=False, failure="RemoteDisconnected")
         self.assert_broken("stops")
+        # A server's trouble is no excuse, the gateway's own is.
+        self.history.append((20.02, "killed", "a1"))
+        self.assert_broken("stops")
+        self.history.append((20.06, "killed", "g1"))
+        self.assertEqual(self.check(), [])
 
     def test_an_answer_that_comes_too_late(self):
         self.add(status=504, ended=29.0)
