--- a/currantwall/coordination/digests.py
+++ b/currantwall/coordination/digests.py
@@ -58,7 +58,7 @@
     loads: dict[str, int] = {}
     stalled: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
-    leases: dict[str, presence_module.Share] = {}
+    leases: dict[str, presence_module.HeldLease] = {}
 
 
 class Alarm(msgspec.Struct, frozen=True, tag="alarm"):
@@ -85,7 +85,7 @@
         self.loads: dict[str, int] = {}
         self.stalled: dict[str, None] = {}
         self.lost: dict[str, None] = {}
-        self.leases: dict[str, presence_module.Share] = {}
+        self.leases: dict[str, presence_module.HeldLease] = {}
 
     def add_loads(self, loads: abc.Mapping[str, int]) -> None:
         for name, count in loads.items():
@@ -94,10 +94,10 @@
     def add_news(self, told: "presence_module.Heartbeat | Digest") -> None:
         self.stalled.update(dict.fromkeys(told.stalled))
         self.lost.update(dict.fromkeys(told.lost))
-        for domain, share in told.leases.items():
+        for domain, lease in told.leases.items():
             held = self.leases.get(domain)
-            if held is None or share.revision > held.revision:
-                self.leases[domain] = share
+            if held is None or lease.revision > held.revision:
+                self.leases[domain] = lease
 
 
 class _Asker:
--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -20,7 +20,14 @@
 from currantwall.state import ids
 from currantwall.state import rendezvous
 
-__all__ = ["Asks", "Heartbeat", "NodeEntry", "Presence", "Share"]
+__all__ = [
+    "ABSENT_AFTER",
+    "Asks",
+    "Heartbeat",
+    "HeldLease",
+    "NodeEntry",
+    "Presence",
+]
 
 # Seconds without a heartbeat after which callers are not sent to a node:
 # three heartbeats, and half a second for a busy link.
@@ -60,8 +67,14 @@
     ANSWERS = 2
 
 
-class Share(msgspec.Struct, frozen=True):
-    """A node's say in a domain: revision and epoch of its lease."""
+class HeldLease(msgspec.Struct, frozen=True):
+    """The lease of a domain as its holder tells of it.
+
+    Attributes:
+        revision: Of the stored object; rises with each renewal.
+        epoch: Fencing number of its orders.
+        incarnation: Start of the holder's process.
+    """
 
     revision: int
     epoch: int
@@ -122,7 +135,7 @@
     stalled: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
     instances: int = 0
-    leases: dict[str, Share] = {}
+    leases: dict[str, HeldLease] = {}
     store_age: float | None = None
 
 
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -64,7 +64,6 @@
         self._started = False
         # The newest document, compressed, for the peers.
         self.document = b""
-        self.updated = 0.0
         # Called when another version has come into force.
         self.on_change: abc.Callable[[], None] = _ignore
 
@@ -152,7 +151,6 @@
         before = self.version
         self._forwarder.table = routes.RouteTable(found)
         self.document = peers.compress(document)
-        self.updated = self._clock.now()
         self._log.write(
             "configuration_applied",
             version=found.version,
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -145,11 +145,11 @@
             one.fence = held.lease.epoch
             one.holder = held.lease.holder
 
-    def list_leases(self, now: float) -> dict[str, presence_module.Share]:
+    def list_leases(self, now: float) -> dict[str, presence_module.HeldLease]:
         """Return the leases that this node holds."""
         me = self._presence.me
         return {
-            one.name: presence_module.Share(
+            one.name: presence_module.HeldLease(
                 one.revision or 0, one.fence, me.id, me.incarnation
             )
             for one in self._leases.values()
@@ -158,7 +158,7 @@
 
     def note_leases(
         self,
-        held: abc.Mapping[str, presence_module.Share],
+        held: abc.Mapping[str, presence_module.HeldLease],
         now: float,
     ) -> None:
         """Take note of other nodes' renewals.
@@ -166,19 +166,19 @@
         They come sooner than a look at the store shows them, so that a
         takeover counts from the last renewal and not from the last look.
         """
-        for name, share in held.items():
+        for name, told in held.items():
             one = self._leases.get(ids.DomainName(name))
             if one is None or one.tracker.holds(now):
                 continue
-            if one.revision is not None and share.revision <= one.revision:
+            if one.revision is not None and told.revision <= one.revision:
                 continue
-            one.revision = share.revision
-            one.fence = max(one.fence, share.epoch)
-            one.holder = share.holder
+            one.revision = told.revision
+            one.fence = max(one.fence, told.epoch)
+            one.holder = told.holder
             lease = domain_module.Lease(
-                holder=share.holder,
-                incarnation=ids.Incarnation(share.incarnation),
-                epoch=ids.Epoch(share.epoch),
+                holder=told.holder,
+                incarnation=ids.Incarnation(told.incarnation),
+                epoch=ids.Epoch(told.epoch),
                 ttl=_TTL,
             )
             value = domain_module.Domain(
@@ -186,7 +186,7 @@
                 datacentre=self._presence.me.datacentre,
                 lease=lease,
             )
-            one.tracker.see(ids.Version(share.revision), value, now)
+            one.tracker.see(ids.Version(told.revision), value, now)
 
     def _may_take(self, one: DomainLease, now: float) -> bool:
         if one.writing or now < one.next_try:
