--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,7 @@
 # Route, method and how the server misbehaves, with how often each comes.
 _REQUESTS = (
     (6, "POST", "/stream/x"),
+    (2, "POST", "/stream/slow/x"),
     (2, "POST", "/stream/reset3/x"),
     (1, "POST", "/once/x"),
     (1, "POST", "/once/reset2/x"),
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -21,7 +21,10 @@
 # room for a busy machine.
 _CALM = 6.0
 _IN_FORCE = 6.0
-# The same for a server that leaves.
+# Seconds before a request in which a disturbance may still break it off.
+_STRUCK = 1.0
+# Seconds after which a server that leaves gets no new request: the
+# platform's two, and room for a busy machine.
 _LEFT = 6.0
 # Seconds beyond its deadline within which a request has its answer.
 _ANSWERED = 3.0 + 2.0
@@ -289,7 +292,7 @@
                 yield f"{one.id} {one.target}: no answer, {one.failure}"
             broke_off = "reset" in one.target or "torn" in one.target
             cut = one.status and not one.whole and not broke_off
-            if cut and not _list_others(observed, name, at):
+            if cut and not _list_others(observed, name, one):
                 yield f"{one.id} {one.target}: cut, {one.failure}"
 
 
@@ -305,14 +308,14 @@
 
 
 def _list_others(
-    observed: Observed, gateway: str, at: float
+    observed: Observed, gateway: str, one: Attempt
 ) -> list[tuple[float, str, str]]:
-    """Return what else went wrong around a stop."""
-    planned = ("configured", "stopped", "reloaded", "started")
+    """Return what else may have broken an answer off."""
+    planned = ("configured", "stopped", "reloaded", "started", "mended")
     return [
         (when, what, name)
         for when, what, name in observed.history
-        if at - _CALM <= when <= at + 3.0
+        if one.began - _STRUCK <= when <= one.ended
         and (what, name) != ("stopping", gateway)
         and what not in planned
     ]
