Keep a domain's model as it grows; keep its spares at the start

(2) a domain that grew by two instances made the following ones change models, and instances that were added were loaded with what their domain does not serve.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -73,6 +73,7 @@
         self._leaders: dict[tuple[str, int], ids.InstanceId] = {}
         self._epoch = 0
         self._main = ""
+        self._busy = True
 
     # -- What is known
 
@@ -158,6 +159,7 @@
         main: str,
         demands: abc.Mapping[str, Demand],
         loads: int = 1000,
+        busy: bool = True,
     ) -> list[knowledge.Order]:
         """Return the orders that are due.
 
@@ -168,8 +170,10 @@
             main: Model that this domain is meant for.
             demands: Need and supply of each model by name.
             loads: Loads of weights that may start now.
+            busy: Whether requests have come.
         """
         self._main = main
+        self._busy = busy
         seen = max(
             (
                 known.upstream.seat.epoch
@@ -482,6 +486,7 @@
                 known.staging or known.upstream.busy
                 for known in self._known.values()
             ),
+            busy=self._busy,
             formed=self.count_replicas(),
         )
         loads = staging.choose_loads(self._engine, stock)
--- a/currantwall/coordination/staging.py
+++ b/currantwall/coordination/staging.py
@@ -47,6 +47,8 @@
         cover: Slots of each model's replicas, those to come included,
             for each of its requests in work.
         loading: Whether a load is under way here.
+        busy: Whether requests have come. Before, replicas are forming
+            everywhere, and how many there are says nothing.
         formed: Replicas of each model in this domain.
     """
 
@@ -56,6 +58,7 @@
     usable: int
     cover: abc.Mapping[str, float]
     loading: bool = False
+    busy: bool = True
     formed: abc.Mapping[str, int] = {}
 
 
@@ -95,21 +98,30 @@
 
 
 def assign_models(
-    engine: routes.Engine, sizes: abc.Mapping[ids.DomainName, int]
+    engine: routes.Engine,
+    sizes: abc.Mapping[ids.DomainName, int],
+    staged: abc.Mapping[ids.DomainName, str] | None = None,
 ) -> dict[ids.DomainName, str]:
     """Return the model that each domain is meant for.
 
     Every node works out the same from the configuration and the list of
-    domains. The domains are dealt out in the order of their names, which
-    spreads each model over the data centres.
+    instances. The domains are dealt out in the order of their names,
+    which spreads each model over the data centres; one that has a model
+    keeps it.
 
     Args:
         engine: Models with their expected shares of the work.
         sizes: Instances of each domain.
+        staged: Model that most instances of a domain have, where most
+            have the same.
     """
     supply = dict.fromkeys((model.name for model in engine.models), 0.0)
     found = {}
-    for name in sorted(sizes):
+    for name, model in (staged or {}).items():
+        if model in supply and name in sizes:
+            found[name] = model
+            supply[model] += sizes[name]
+    for name in sorted(sizes.keys() - found.keys()):
         fitting = [one for one in engine.models if one.size <= sizes[name]]
         chosen = min(
             fitting or engine.models,
@@ -135,7 +147,7 @@
     if stock.cover[stock.main.name] < _PLENTY:
         return stock.main
     scarce = min(engine.models, key=lambda one: stock.cover[one.name])
-    is_scarce = stock.cover[scarce.name] < _SCARCE
+    is_scarce = stock.busy and stock.cover[scarce.name] < _SCARCE
     if is_scarce and scarce.size <= len(stock.blank):
         return scarce
     return stock.main
@@ -153,7 +165,9 @@
     stranded = _find_stranded(engine, stock)
     if stranded:
         return stranded
-    spares_main = stock.cover[stock.main.name] >= _PLENTY
+    # Failure: at the start the first domains to form take the other model
+    # for scarce and give up their spares; a loss then costs a replica.
+    spares_main = stock.busy and stock.cover[stock.main.name] >= _PLENTY
     for model in sorted(engine.models, key=lambda one: stock.cover[one.name]):
         others = [
             instance
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -4,6 +4,7 @@
 instances, has replicas planned (`formation`) and gives the orders.
 """
 
+import collections
 from collections import abc
 
 import eventlet
@@ -117,14 +118,15 @@
         for service in self.services():
             if service.engine is None:
                 continue
-            sizes: dict[ids.DomainName, int] = {}
-            for one in self._fleet.list_service(service.name):
-                if one.domain:
-                    sizes[one.domain] = sizes.get(one.domain, 0) + 1
+            instances = self._fleet.list_service(service.name)
+            sizes = collections.Counter(
+                one.domain for one in instances if one.domain
+            )
             for name in sizes:
                 if name not in self._domains:
                     self._add(name, service)
-            self._assign(service.engine, sizes)
+            staged = _find_staged(instances, sizes)
+            self._assign(service.engine, sizes, staged)
 
     def _is_settled(self) -> bool:
         """Return whether the list of instances has stopped growing.
@@ -142,9 +144,12 @@
         return bool(self._domains) or seen - self._grown_at > _SETTLED
 
     def _assign(
-        self, engine: routes.Engine, sizes: dict[ids.DomainName, int]
+        self,
+        engine: routes.Engine,
+        sizes: abc.Mapping[ids.DomainName, int],
+        staged: abc.Mapping[ids.DomainName, str],
     ) -> None:
-        """Learn the largest size of each domain, and so its model.
+        """Learn the largest size of each domain, and its model.
 
         Sizes only grow here: which model a domain is meant for must not
         change whenever an instance is lost.
@@ -152,7 +157,8 @@
         for name, size in sizes.items():
             self._sizes[name] = max(self._sizes.get(name, 0), size)
         known = {name: self._sizes[name] for name in sizes}
-        for name, model in staging.assign_models(engine, known).items():
+        found = staging.assign_models(engine, known, staged)
+        for name, model in found.items():
             self._domains[name].main = model
 
     def _add(self, name: ids.DomainName, service: routes.Service) -> None:
@@ -202,6 +208,7 @@
             one.main,
             self._find_demands(one),
             allowed,
+            self._balancer.has_seen_traffic,
         )
         stage = knowledge.OrderKind.STAGE
         one.loads.spend(sum(order.kind is stage for order in orders))
@@ -322,6 +329,29 @@
     return
 
 
+def _find_staged(
+    instances: abc.Iterable[upstreams.Upstream],
+    sizes: abc.Mapping[ids.DomainName, int],
+) -> dict[ids.DomainName, str]:
+    """Return the model that more than half of a domain's instances have.
+
+    Failure: domains are dealt out by size, and one that grows by two
+    instances makes others change places; new instances are then loaded
+    with a model of which their domain has nothing.
+    """
+    counts = collections.Counter(
+        (one.domain, model)
+        for one in instances
+        for model in one.staged
+        if one.domain
+    )
+    return {
+        name: model
+        for (name, model), count in counts.items()
+        if 2 * count > sizes[name]
+    }
+
+
 def _describe(upstream: upstreams.Upstream) -> str:
     seat = upstream.seat
     if seat is None:
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -475,6 +475,19 @@
         self.assertEqual(found, again)
         self.assertEqual(sorted(found.values()).count("large"), 3)
 
+    def test_a_domain_keeps_the_model_that_it_has(self):
+        """New instances were loaded with a model they could never serve.
+
+        One domain grows by two instances, and those after it in the order
+        of the names change places.
+        """
+        sizes = {ids.DomainName(f"d{n}"): 37 for n in range(6)}
+        first = staging.assign_models(ENGINE, sizes)
+        grown = sizes | {ids.DomainName("d0"): 39}
+        self.assertNotEqual(staging.assign_models(ENGINE, grown), first)
+        kept = staging.assign_models(ENGINE, grown, first)
+        self.assertEqual(kept, first)
+
     def test_a_domain_too_small_for_a_model_is_given_another(self):
         sizes = {ids.DomainName("d0"): 3}
         found = staging.assign_models(ENGINE, sizes)
@@ -511,6 +524,23 @@
         cover = {"large": 1.5, "small": 0.5}
         self.assertEqual(self.choose(idle=idle, cover=cover), [])
 
+    def test_spares_are_kept_while_replicas_form_everywhere(self):
+        """Each loss cost a replica of sixteen.
+
+        At the start the first domain to form has five spares, sees no
+        replica of the other model yet, and turned four of them into one.
+        """
+        idle = {"large": ("a", "b", "c", "d")}
+        cover = {"large": 6.0, "small": 0.0}
+        wide = (LARGE, msgspec.structs.replace(SMALL, size=4))
+        engine = msgspec.structs.replace(ENGINE, models=wide)
+        stock = staging.Stock(
+            main=LARGE, blank=(), idle=idle, usable=37, cover=cover, busy=False
+        )
+        self.assertEqual(staging.choose_loads(engine, stock), [])
+        later = msgspec.structs.replace(stock, busy=True)
+        self.assertEqual(len(staging.choose_loads(engine, later)), 4)
+
     def test_what_two_models_leave_over_makes_one_replica(self):
         idle = {"large": ("a", "b", "c"), "small": ("d",)}
         self.assertEqual(self.choose(idle=idle), [("d", "large")])
