--- a/soak/promises.py
+++ b/soak/promises.py
@@ -292,7 +292,7 @@
                 yield f"{one.id} {one.target}: no answer, {one.failure}"
             broke_off = "reset" in one.target or "torn" in one.target
             cut = one.status and not one.whole and not broke_off
-            if cut and not _list_others(observed, name, one):
+            if cut and not _is_excused(observed, name, one):
                 yield f"{one.id} {one.target}: cut, {one.failure}"
 
 
@@ -307,18 +307,19 @@
     )
 
 
-def _list_others(
-    observed: Observed, gateway: str, one: Attempt
-) -> list[tuple[float, str, str]]:
-    """Return what else may have broken an answer off."""
-    planned = ("configured", "stopped", "reloaded", "started", "mended")
-    return [
-        (when, what, name)
-        for when, what, name in observed.history
-        if one.began - _STRUCK <= when <= one.ended
+def _is_excused(observed: Observed, gateway: str, one: Attempt) -> bool:
+    """Return whether a server's trouble may have broken an answer off."""
+    servers = {gateway}
+    for name, line in observed.list_runs():
+        if line["run"]["attempt"] == one.id:
+            servers |= {name, *(line["seat"] or {"members": ()})["members"]}
+    return any(
+        name in servers
+        and one.began - _STRUCK <= when <= one.ended
         and (what, name) != ("stopping", gateway)
-        and what not in planned
-    ]
+        and what not in ("stopped", "reloaded", "started")
+        for when, what, name in observed.history
+    )
 
 
 @promise
