--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -441,13 +441,17 @@
         a tenth of a thin link. The others read it only while they hear
         of no reader that the store answers.
         """
-        readers = self.list_relays(self.me.datacentre, now)[:_READERS]
-        if self.me.id in [one.id for one in readers]:
+        if self.is_reader(now):
             return True
         seen = self._store_seen
         fresh = _FRESH if self.is_small else _FRESH_RELAYED
         return seen is None or now - seen > fresh
 
+    def is_reader(self, now: float) -> bool:
+        """Return whether this node reads the store for its data centre."""
+        readers = self.list_relays(self.me.datacentre, now)[:_READERS]
+        return self.me.id in [one.id for one in readers]
+
     @property
     def store_seen(self) -> float | None:
         """Return when some reader last had an answer from the store."""
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -29,6 +29,8 @@
 _WATCH_WAIT = 4.0
 _BACKOFF_FIRST = 0.1
 _BACKOFF_LIMIT = 1.0
+# The same where other nodes read the store for this one.
+_PATIENCE_LIMIT = 4.0
 # Seconds that a node which watches the store waits before it fetches a
 # newer version from a peer: its own watch mostly tells it first.
 _PEER_PATIENCE = 0.15
@@ -58,6 +60,7 @@
         self._clock = clock
         seed = hashing.hash_text(presence.me.id)
         self._backoff = calls.Backoff(_BACKOFF_FIRST, _BACKOFF_LIMIT, seed)
+        self._patience = calls.Backoff(_BACKOFF_FIRST, _PATIENCE_LIMIT, seed)
         self._spread = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
@@ -106,6 +109,7 @@
             # Not before: the store may drop its history again and again,
             # and each time the list is read anew without any wait.
             self._backoff.succeed()
+            self._patience.succeed()
             assert isinstance(changed, result.Ok)
             self._take_all(changed.ok_value, "store")
             since = max(since, changed.ok_value.revision)
@@ -126,9 +130,20 @@
             self._reachable = False
             why = outcome.err_value.value
             self._log.write("store_lost", why=why, version=self.version)
-        eventlet.sleep(self._backoff.fail())
+        eventlet.sleep(self._choose_backoff().fail())
         return False
 
+    def _choose_backoff(self) -> calls.Backoff:
+        """Return how long to wait after a failure.
+
+        Failure: in an outage every node calls the store each second, and
+        each call is paid for. Those that read for others are enough.
+        """
+        hurries = not self.version or self._presence.is_reader(
+            self._clock.now()
+        )
+        return self._backoff if hurries else self._patience
+
     def _take_all(self, listing: ports.Listing, source: str) -> None:
         for stored in listing.objects:
             if stored.name == self._documents.configuration_name:
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -28,6 +28,8 @@
 _ENTRIES_BACK = 2.5
 # Seconds between two reads of the instances' list.
 _FLEET_INTERVAL = 0.5
+# The same after a failure, where other nodes read the store for this one.
+_OUTAGE_INTERVAL = 2.0
 # Seconds between two looks at whether a node has a newer list.
 _LOOK_INTERVAL = 0.25
 
@@ -78,10 +80,20 @@
             now = self._clock.now()
             if self._presence.reads_store(now):
                 self._read_store(now)
-                eventlet.sleep(_FLEET_INTERVAL)
+                eventlet.sleep(self._choose_wait(now))
             else:
                 self._follow_reader(now)
 
+    def _choose_wait(self, now: float) -> float:
+        """Return the seconds until the next read.
+
+        In an outage those that read for others are enough.
+        """
+        hurries = not self._fleet.is_known or self._presence.is_reader(now)
+        if self._reachable or hurries:
+            return _FLEET_INTERVAL
+        return _OUTAGE_INTERVAL
+
     def _read_store(self, asked: float) -> None:
         stale = self._fleet.is_known
         listed = self._store.list(self._documents.upstreams_kind, stale)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -328,6 +328,27 @@
         self.clock.time += 3.0
         self.assertTrue(self.reads_store())
 
+    def test_an_outage_is_left_to_the_readers(self):
+        """In an outage the calls of all nodes cost as much as a day's.
+
+        Load: a store that answers nobody for twenty seconds, and a node
+        that hears two readers which get no answer either.
+        """
+        self.read(10, "a")
+        self.tell(store_age=5.0)
+        self.follow()
+        self.clock.time += 3.0
+        feed = self.follower.feed
+        feed._store = Store([result.Err(Failure.UNAVAILABLE)])
+        before = self.clock.time
+        for _ in range(100):
+            self.tell(store_age=self.clock.time - 90.0)
+            if self.clock.time - before > 20.0:
+                break
+            feed._read_store(self.clock.time)
+            self.clock.sleep(feed._choose_wait(self.clock.time))
+        self.assertLessEqual(feed._store.calls, 11)
+
     def test_entries_that_lapsed_are_kept_here_too(self):
         """Every replica would be taken apart after an outage.
 
@@ -406,6 +427,15 @@
         self.run_feed(feed)
         self.assertGreater(self.clock.time - 100.0, 5.0)
 
+    def test_an_outage_is_left_to_those_that_read_for_others(self):
+        lists = [make_versions(1, 7), result.Err(Failure.UNAVAILABLE)]
+        feed = self.make(lists, [result.Err(Failure.UNAVAILABLE)])
+        peers_ = [make_entry(f"n{n}", capacity=9.0) for n in range(2)]
+        feed._presence.note_list(peers_, self.clock.now())
+        self.store.limit = 12
+        self.run_feed(feed)
+        self.assertGreater(self.clock.time - 100.0, 15.0)
+
     def test_the_loss_and_return_of_the_store_are_told_once(self):
         feed = self.make(
             [
