Hear a relay again whose clock went back between two processes

Found by reading: a digest with an older incarnation than the last one was refused without end, so the nodes that a relay served would not hear it after such a restart. The test fails without the change.

--- a/currantwall/coordination/digests.py
+++ b/currantwall/coordination/digests.py
@@ -139,7 +139,11 @@
     def note_digest(self, digest: Digest, now: float) -> bool:
         """Take note of a digest; return whether it is a newer one."""
         held = self._parts if digest.is_part else self._views
-        _, last = held.get(digest.node.id, (0.0, None))
+        at, last = held.get(digest.node.id, (now, None))
+        if last is not None and now - at > presence_module.ABSENT_AFTER:
+            # The clock may have gone back between two processes of the
+            # relay; what is heard now counts.
+            last = None
         if last is not None and _is_late(digest, last):
             return False
         nodes = digest.nodes
--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -223,6 +223,7 @@
     ) -> None:
         """Take note of a relay whose digest came."""
         peer = self._put(entry)
+        peer.entry = entry
         peer.heard = now
         peer.asked = None
         peer.ready = True
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -6,6 +6,8 @@
 
 import unittest
 
+import msgspec
+
 from bench import digests as network
 from currantwall.coordination import directory
 
@@ -96,6 +98,27 @@
         self.net.run(6.0)
         self.assertEqual(set(self.count_ready()), {140})
 
+    def test_a_relay_whose_clock_went_back_is_heard_again(self):
+        """A data centre would hear no news from its best nodes for good.
+
+        A relay starts again after its time of day went back, so its new
+        process looks older than the one before.
+        """
+        relay = self.net.nodes["a-0"]
+        self.net.dead.add("a-0")
+        self.net.run(4.0)
+        older = msgspec.structs.replace(relay.entry, incarnation=0)
+        self.net.nodes["a-0"] = network.Node(older)
+        entries = [node.entry for node in self.net.nodes.values()]
+        self.net.nodes["a-0"].presence.note_list(entries, self.net.now)
+        self.net.dead.clear()
+        self.net.run(16.0)
+        self.assertEqual(set(self.count_ready()), {140})
+        member = self.net.nodes["a-30"]
+        at, digest = member.relay._views["a-0"]
+        self.assertEqual(digest.node.incarnation, 0)
+        self.assertLess(self.net.now - at, 1.0)
+
     def test_a_node_that_nobody_lists_is_looked_up(self):
         presence = self.net.nodes["a-30"].presence
         self.assertFalse(presence.lacks_entries)
