A leader that answers 421 is tried again and again: test, listed as red

Cause: the answer counts as one of a full server, which is avoided for 0.2 s, and an upstream that refuses everything looks idle.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,6 +23,8 @@
 _WAIT = 60.0
 # Seconds in which a slow stream makes all its events.
 _SLOW_EVENTS = 3.0
+# Seconds for which an instance that is gone is not tried again.
+_AVOIDED = 2.0
 # Requests whose lines fill a pipe; each writes 0.2 KB.
 _LINES = 500
 _GOLDEN = pathlib.Path(__file__).parent / "golden" / "gateway_session.txt"
@@ -374,6 +376,38 @@
         )
         self.assertEqual(get_status(), 503)
 
+    def test_an_address_that_another_server_has_is_left_alone(self):
+        """Requests were refused although every other server was idle.
+
+        A server is gone and its address has another one, which answers
+        421; the list of instances is old, for the store is away. The
+        entry looks idle, so it was chosen again and again.
+        """
+        entry = {"service": "app", "address": self.fleet.addresses["a1"]}
+        entry |= {"zone": "a", "slots": 4, "state": "ready"}
+        base = f"http://{self.fleet.addresses['platform']}/currantwall"
+        body = {"metadata": {"name": "a9"}, "spec": entry}
+        data = msgspec.json.encode(body)
+        self.fleet.http.request("POST", f"{base}/objects/servers", body=data)
+        self.addCleanup(
+            self.fleet.http.request, "DELETE", f"{base}/objects/servers/a9"
+        )
+
+        def count():
+            log = self.fleet.read_log("g1")
+            return log.count('"why": "status 421"')
+
+        def meets_it():
+            self.send("GET", "/safe/x")
+            return count() > 0
+
+        fleet_module.wait_until(meets_it, _WAIT, "the first 421")
+        first = count()
+        end = time.monotonic() + _AVOIDED
+        while time.monotonic() < end:
+            self.send("GET", "/safe/x")
+        self.assertLessEqual(count() - first, 2)
+
     def test_a_log_that_nobody_reads_costs_no_request(self):
         """Callers would wait for ever behind a full pipe.
 
