Start each tenure of a domain without what an earlier one knew

A node that lost a domain and took it again gave its first orders by what it had known in its earlier tenure; another holder had opened a replica in between, and the members' sequence numbers still fit. The test fails without the change.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -75,6 +75,11 @@
         self._main = ""
         self._busy = True
 
+    @property
+    def engine(self) -> routes.Engine:
+        """Return what the instances have in common."""
+        return self._engine
+
     # -- What is known
 
     def list_probes(self, now: float, steady: float) -> list[ids.InstanceId]:
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -55,6 +55,8 @@
         self.lease = lease
         self.planner = planner
         self.main = ""
+        # Fencing number of the tenure that the planner's knowledge is of.
+        self.fence = 0
         self.loads = staging.LoadBudget()
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
@@ -104,8 +106,23 @@
         self._leases.look(now)
         for one in self._domains.values():
             if self._leases.tick(one.lease, now):
+                self._begin(one)
                 self._work(one, now)
 
+    def _begin(self, one: _Domain) -> None:
+        """Forget what an earlier tenure of this node knew.
+
+        Failure: another node held the domain in between and opened a
+        replica; this one takes it up again, still has its leader for
+        unopened and gives its members to another replica. What the
+        instances report is asked for anew, and none gets an order before.
+        """
+        if one.fence == one.lease.fence:
+            return
+        one.fence = one.lease.fence
+        one.planner = formation.Planner(one.name, one.planner.engine)
+        one.probed.clear()
+
     def stop(self) -> None:
         """Give all leases back, so that a successor need not wait."""
         self._stopping = True
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest import mock
 
+import msgspec
 import result
 
 from currantwall.coordination import knowledge
@@ -100,9 +101,10 @@
         self.leases = domainleases.DomainLeases(
             self, self.presence, mock.Mock(), world
         )
+        self.engines = Engines()
         self.duties = duties.Duties(
             self.leases,
-            Engines(),
+            self.engines,
             self.fleet,
             mock.Mock(
                 has_seen_traffic=True,
@@ -182,10 +184,18 @@
 class Engines:
     """Instances that report themselves and refuse each order."""
 
+    def __init__(self):
+        self.sequence = None
+        self.silent = False
+        self.orders = []
+
     def report(self, upstream, fresh):
-        return upstream
+        if self.silent:
+            return knowledge.Reach.SILENT
+        return msgspec.structs.replace(upstream, sequence=self.sequence)
 
     def order(self, order):
+        self.orders.append(order)
         return knowledge.OrderAnswer(False)
 
 
@@ -315,6 +325,34 @@
             self.assertEqual(len(world.list_holders()), 1, seed)
 
 
+class TenureTest(LeaseCase):
+    def test_a_holder_that_comes_back_gives_no_order_by_what_it_knew(self):
+        """An instance joined a replica while its own one was open.
+
+        A node holds the domain, loses it to another one that goes on
+        with the replicas, and holds it again: what it knew of the
+        instances is from before.
+        """
+        world = self.make("n1", "n2")
+        (holder,) = world.list_holders()
+        node = world.nodes[holder]
+        engines = node.engines
+        engines.sequence = 3
+        world.run(2.0)
+        self.assertTrue(engines.orders)
+        node.paused = True
+        world.run(4.5)
+        engines.silent = True
+        engines.orders.clear()
+        for other in world.nodes.values():
+            other.dead = other is not node
+        node.paused = False
+        while not world.list_holders():
+            world.run(_STEP)
+        world.run(3 * _STEP)
+        self.assertEqual(engines.orders, [])
+
+
 class StartTest(LeaseCase):
     def test_a_domain_is_not_dealt_out_by_half_a_list(self):
         """A third of a domain would be loaded with the wrong model.
