Leave an address alone that another server answers for

Cause: a 421 was taken for a refusal under load and forgotten after 0.2 s, so the entry of a server that had gone was chosen again and again while the list could not be renewed.

The entry is avoided for as long as a replica that lost a member; a newer epoch ends that at once. Ruled out: dropping the entry from the list, for the next read would bring it back.

--- a/currantwall/coordination/attempts.py
+++ b/currantwall/coordination/attempts.py
@@ -52,6 +52,8 @@
     UNREACHED = "unreached"
     # The upstream says that it did not run the request.
     NOT_RUN = "not_run"
+    # Another server answered, or one that no longer leads its replica.
+    MISDIRECTED = "misdirected"
     # No answer, or one that cannot be trusted; it may have run.
     LOST = "lost"
     # The upstream fell silent; it may run the request later.
@@ -62,7 +64,11 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether the upstream may have acted on the request."""
-        return self not in (Failure.UNREACHED, Failure.NOT_RUN)
+        return self not in (
+            Failure.UNREACHED,
+            Failure.NOT_RUN,
+            Failure.MISDIRECTED,
+        )
 
 
 class Progress(msgspec.Struct):
--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -207,6 +207,18 @@
         """Note that an upstream would not take a request just now."""
         self._avoid(upstream, now + _REFUSAL_AVOIDANCE)
 
+    def note_misdirected(
+        self, upstream: upstreams.Upstream, now: float
+    ) -> None:
+        """Note that another server answers where an upstream was listed.
+
+        Failure: the entry of a server that has gone looks idle, so each
+        request goes there first and is refused. It stays in the list
+        while the store is away; a new replica has a newer epoch and is
+        not avoided.
+        """
+        self._avoid(upstream, now + _LOSS_AVOIDANCE)
+
     def note_failure(
         self, upstream: upstreams.Upstream, now: float, avoid: bool
     ) -> None:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -38,6 +38,8 @@
 # Seconds by which a caller's time is shortened on the way to an upstream,
 # so that what is left there is never more than the caller's.
 _WAY_BACK = 0.004
+# Status of a server that a request was not meant for.
+_MISDIRECTED = 421
 _HOP_HEADERS = frozenset(
     (
         "connection",
@@ -228,6 +230,8 @@
             request.progress.runs += 1
         if failure is Failure.NOT_RUN:
             self._balancer.note_refusal(current.upstream, now)
+        elif failure is Failure.MISDIRECTED:
+            self._balancer.note_misdirected(current.upstream, now)
         else:
             avoid = failure in (Failure.UNREACHED, Failure.STALLED)
             self._balancer.note_failure(current.upstream, now, avoid)
@@ -320,7 +324,9 @@
     ) -> Failure | None:
         """Return what is wrong with an answer's head, None if nothing."""
         names = self.names
-        if head.headers.get(names.not_run) is not None or head.status == 421:
+        if head.status == _MISDIRECTED:
+            return Failure.MISDIRECTED
+        if head.headers.get(names.not_run) is not None:
             return Failure.NOT_RUN
         if head.headers.get(names.attempt) != request.attempt:
             return Failure.LOST
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -174,6 +174,21 @@
         self.balancer.note_loss(ids.InstanceId("a0"), 1.0)
         self.assertEqual(self.choose(1.1).id, "b0")
 
+    def test_a_leader_that_another_server_answers_for_is_avoided(self):
+        """Requests were refused although another replica was idle.
+
+        The list is old: one of its servers has gone, another one has the
+        address and answers each request with 421. The entry looks idle.
+        """
+        gone = self.fleet.get(ids.InstanceId("a0"))
+        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.note_misdirected(gone, 1.0)
+        self.assertEqual(self.choose(4.0).id, "b0")
+        self.fleet.replace(
+            [*make_replica("a", epoch=2), *make_replica("b")], 2, 4.1
+        )
+        self.assertEqual(self.choose(4.2).id, "a0")
+
     def test_a_mended_replica_may_be_tried_again(self):
         """A stream would end although its replica stands again.
 
