Let members leave a leader that refuses before they join another

Cause: a refused probe was taken for the end of the process. Ruled out: orders of an earlier tenure, late orders (sequence numbers fit).

Before: the test finds three members in two replicas; after: none. Price: one round of leave orders after a crash of a leader.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -296,10 +296,11 @@
             return self._dissolve_without_leader(replica, now)
         phase = leader.seat.phase
         known = self._known[leader.id]
-        if phase is Phase.BROKEN or known.is_gone:
+        if phase is Phase.BROKEN:
             return everyone, []
-        if known.is_silent:
-            # It may be cut off from here alone and still take requests.
+        if known.is_gone or known.is_silent:
+            # It may be cut off from here alone and still take requests, or
+            # have stopped listening and still be ending its work.
             return set(), self._leave(replica.members[1:], now)
         if phase is Phase.JOINING:
             waits = self._is_assembling(replica, now)
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -46,6 +46,8 @@
         self.up = True
         self.listed = True
         self.leaving = False
+        # Whether it has stopped listening while it ends its work.
+        self.refusing = False
         self.highest = 0
 
     def advance(self, now):
@@ -207,7 +209,11 @@
         self.planner.knowledge.note_list(listed, self.now)
         for name in self.planner.list_probes(self.now, self.steady):
             engine = self.world.engines[name]
-            if engine.up:
+            if engine.refusing:
+                self.planner.knowledge.note_failure(
+                    name, knowledge.Reach.REFUSED
+                )
+            elif engine.up:
                 self.planner.knowledge.note_report(engine.describe(), self.now)
             else:
                 self.planner.knowledge.note_failure(
@@ -297,6 +303,32 @@
         session.run(3.0)
         self.assertEqual(session.world.broken, [])
 
+    def test_members_leave_a_leader_that_has_stopped_listening(self):
+        """Two replicas answered with the same instances.
+
+        A leader is taken away while the store is down, so nobody hears of
+        it: it no longer listens, but ends the work it has. A successor
+        finds its probes refused and took the process for gone.
+        """
+        for takes_over in (False, True):
+            session = self.start(7)
+            leader = next(
+                one
+                for one in session.world.engines.values()
+                if one.seat.phase is Phase.OPEN
+            )
+            leader.refusing = True
+            if takes_over:
+                session.replace_planner()
+            else:
+                session.planner.knowledge.note_failure(
+                    leader.id, knowledge.Reach.REFUSED
+                )
+            session.run(2.0)
+            self.assertEqual(session.world.broken, [])
+            # The draining leader and the replica formed in its place.
+            self.assertEqual(session.count_open(), 2)
+
     def test_a_successor_leaves_open_replicas_alone(self):
         """Every takeover would stop all replicas of a domain.
 
