Mix models in a domain where that gives clearly more of the shortest

Cause: with one model a domain, domains of eleven that are meant for a model of six hold one replica and five spares: 20 of 66 instances idle, four replicas of the larger model, which was short in every load.

Change: where a mix of replicas that leaves an instance over gives the shortest model at least a fifth more than one model a domain, all domains are mixed alike (six and three of eleven); spares of each model in turn, blank instances go to the model that lacks the largest part of its own. The mix is worked out for the mean size of the domains, so that single losses don't change it. Domains of 9 (4 and 3), 27 (12 and 6) and 37 (16 and 4) keep to one model.

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from currantwall.coordination import knowledge
+from currantwall.coordination import layout as layout_module
 from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
@@ -72,7 +73,7 @@
         # Who led each replica; tells that a leader has left it.
         self._leaders: dict[tuple[str, int], ids.InstanceId] = {}
         self._epoch = 0
-        self._main = ""
+        self._layout = layout_module.Layout("")
         self._busy = True
 
     @property
@@ -161,7 +162,7 @@
         self,
         now: float,
         fence: int,
-        main: str,
+        layout: layout_module.Layout,
         demands: abc.Mapping[str, Demand],
         loads: int = 1000,
         busy: bool = True,
@@ -172,12 +173,12 @@
             now: Monotonic time.
             fence: Number that rises with each holder of the domain;
                 epochs of joins begin there.
-            main: Model that this domain is meant for.
+            layout: What this domain is meant for.
             demands: Need and supply of each model by name.
             loads: Loads of weights that may start now.
             busy: Whether requests have come.
         """
-        self._main = main
+        self._layout = layout
         self._busy = busy
         seen = max(
             (
@@ -472,7 +473,15 @@
         now: float,
     ) -> list[knowledge.Order]:
         """Return the loads of weights for instances that cannot join."""
-        main = self._engine.find(self._main) or self._engine.models[0]
+        layout = self._layout
+        main = self._engine.find(layout.main) or self._engine.models[0]
+        held = self._count_held()
+        wanted = {}
+        if layout.replicas:
+            usable = sum(one.is_usable for one in self._known.values())
+            wanted = layout_module.count_wanted(
+                self._engine, layout.replicas, usable
+            )
         stock = staging.Stock(
             main=main,
             blank=tuple(
@@ -494,10 +503,21 @@
             ),
             busy=self._busy,
             formed=self.count_replicas(),
+            wanted=wanted,
+            held=held,
         )
         loads = staging.choose_loads(self._engine, stock)
         return [self._load(one, now) for one in loads[:allowed]]
 
+    def _count_held(self) -> dict[str, int]:
+        """Return the usable instances that have or load each model."""
+        found: dict[str, int] = {}
+        for known in self._known.values():
+            name = known.staging or self._staged_model(known)
+            if name and known.is_usable:
+                found[name] = found.get(name, 0) + 1
+        return found
+
     def _measure_cover(
         self,
         rest: dict[str, list[knowledge.Known]],
--- a/currantwall/coordination/staging.py
+++ b/currantwall/coordination/staging.py
@@ -50,6 +50,8 @@
         busy: Whether requests have come. Before, replicas are forming
             everywhere, and how many there are says nothing.
         formed: Replicas of each model in this domain.
+        wanted: Instances of each model where the domain is mixed.
+        held: Usable instances with each model, or loading it.
     """
 
     main: routes.Model
@@ -60,6 +62,8 @@
     loading: bool = False
     busy: bool = True
     formed: abc.Mapping[str, int] = {}
+    wanted: abc.Mapping[str, int] = {}
+    held: abc.Mapping[str, int] = {}
 
 
 class LoadBudget:
@@ -136,12 +140,31 @@
 def choose_loads(engine: routes.Engine, stock: Stock) -> list[Load]:
     """Return the loads that are wanted now."""
     found: list[Load] = []
-    if stock.blank:
+    if stock.wanted:
+        found = _fill_mix(engine, stock)
+    elif stock.blank:
         model = _choose_model(engine, stock)
         found = [Load(instance, model) for instance in stock.blank]
     return found + _choose_exchanges(engine, stock)
 
 
+def _fill_mix(engine: routes.Engine, stock: Stock) -> list[Load]:
+    """Return the loads of blank instances in a mixed domain.
+
+    Each goes to the model that lacks the largest part of its instances.
+    """
+    held = dict(stock.held)
+    found = []
+    for instance in stock.blank:
+        model = min(
+            (one for one in engine.models if stock.wanted.get(one.name)),
+            key=lambda one: held.get(one.name, 0) / stock.wanted[one.name],
+        )
+        held[model.name] = held.get(model.name, 0) + 1
+        found.append(Load(instance, model))
+    return found
+
+
 def _choose_model(engine: routes.Engine, stock: Stock) -> routes.Model:
     """Return the model that blank instances are loaded with."""
     if stock.cover[stock.main.name] < _PLENTY:
@@ -162,7 +185,7 @@
     """
     if stock.loading:
         return []
-    stranded = _find_stranded(engine, stock)
+    stranded = [] if stock.wanted else _find_stranded(engine, stock)
     if stranded:
         return stranded
     # Failure: at the start the first domains to form take the other model
@@ -180,6 +203,7 @@
             continue
         begun = missing < model.size
         scarce = stock.cover[model.name] < _SCARCE and spares_main
+        scarce = scarce and not stock.wanted
         if scarce or begun or stock.usable < stock.main.size:
             return [Load(instance, model) for instance in others[:missing]]
     return []
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -12,6 +12,7 @@
 from currantwall.coordination import balancing
 from currantwall.coordination import formation
 from currantwall.coordination import knowledge
+from currantwall.coordination import layout as layout_module
 from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
@@ -54,7 +55,7 @@
         self.service = service
         self.lease = lease
         self.planner = planner
-        self.main = ""
+        self.layout = layout_module.Layout("")
         # Fencing number of the tenure that the planner's knowledge is of.
         self.fence = 0
         self.loads = staging.LoadBudget()
@@ -175,8 +176,12 @@
             self._sizes[name] = max(self._sizes.get(name, 0), size)
         known = {name: self._sizes[name] for name in sizes}
         found = staging.assign_models(engine, known, staged)
+        # As dealt out at first, whatever the domains have by now: a mixed
+        # domain has more instances of one model than of the other.
+        dealt = staging.assign_models(engine, known)
+        mix = layout_module.choose_mix(engine, known, dealt)
         for name, model in found.items():
-            self._domains[name].main = model
+            self._domains[name].layout = layout_module.Layout(model, mix)
 
     def _add(self, name: ids.DomainName, service: routes.Service) -> None:
         assert service.engine is not None
@@ -222,7 +227,7 @@
         orders = one.planner.plan(
             now,
             one.lease.fence * _EPOCHS,
-            one.main,
+            one.layout,
             self._find_demands(one),
             allowed,
             self._balancer.has_seen_traffic,
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -13,6 +13,7 @@
 
 from currantwall.coordination import formation
 from currantwall.coordination import knowledge
+from currantwall.coordination import layout
 from currantwall.coordination import staging
 from currantwall.state import ids
 from currantwall.state import routes
@@ -180,9 +181,10 @@
 class Session:
     """A planner and its world, step by step."""
 
-    def __init__(self, world, main="large"):
+    def __init__(self, world, main="large", mix=None):
         self.world = world
         self.main = main
+        self.mix = mix or {}
         self.now = 100.0
         self.late = []
         self.lose_answers = False
@@ -219,7 +221,9 @@
                 self.planner.knowledge.note_failure(
                     name, knowledge.Reach.SILENT
                 )
-        orders = self.planner.plan(self.now, self.fence, self.main, NONE)
+        orders = self.planner.plan(
+            self.now, self.fence, layout.Layout(self.main, self.mix), NONE
+        )
         # Orders of one step overtake each other; joins first is the worst.
         orders.sort(key=lambda order: order.kind is not Kind.JOIN)
         for order in orders:
@@ -461,6 +465,55 @@
         session.run(20.0)
         self.assertEqual(session.count_open(), 1)
 
+    def test_a_mixed_domain_forms_both_models_and_keeps_a_spare_of_each(self):
+        """The larger model was short while half of a domain stood idle.
+
+        Nine blank instances are meant for a replica of four, one of three,
+        and two spares. Each replica then loses a member; neither loss may
+        wait for a load of weights.
+        """
+        world = World(9, ())
+        session = Session(world, mix={"large": 1, "small": 1})
+        session.run(25.0)
+        self.assertEqual(session.count_open(), 2)
+        for size in (LARGE.size, SMALL.size):
+            victim = next(
+                one
+                for one in world.engines.values()
+                if one.seat and one.seat.rank == 1 and len(one.members) == size
+            )
+            victim.up = False
+            session.suspect(victim)
+            session.run(1.5)
+            self.assertEqual(session.count_open(), 2)
+        self.assertEqual(world.broken, [])
+
+    def test_a_replacement_in_a_mixed_domain_gets_what_is_short(self):
+        """A replica of the larger model waited for a member in vain.
+
+        It has lost two members and the domain's spare of its model is
+        used; the instance that comes anew must be loaded for it.
+        """
+        world = World(9, ())
+        session = Session(world, mix={"large": 1, "small": 1})
+        session.run(25.0)
+        for _ in range(2):
+            victim = next(
+                one
+                for one in world.engines.values()
+                if one.up and one.seat.rank == 1 and len(one.members) == 4
+            )
+            victim.up, victim.listed = False, False
+            session.suspect(victim)
+            session.run(2.0)
+        world.engines["new"] = Engine("new")
+        session.run(1.0)
+        loads = [o.model for o in world.orders if o.kind is Kind.STAGE]
+        self.assertEqual(loads[-1], "large")
+        session.run(20.0)
+        self.assertEqual(session.count_open(), 2)
+        self.assertEqual(world.broken, [])
+
     def test_a_domain_too_small_for_its_model_takes_the_other(self):
         session = Session(World(3, ("large",)))
         session.run(20.0)
@@ -526,6 +579,44 @@
         self.assertEqual(found, {"d0": "small"})
 
 
+class MixTest(unittest.TestCase):
+    """Whether domains hold replicas of several models."""
+
+    @staticmethod
+    def choose(size, shares, sizes):
+        models = tuple(
+            msgspec.structs.replace(model, size=count, share=share)
+            for model, count, share in zip(
+                (LARGE, SMALL), sizes, shares, strict=True
+            )
+        )
+        engine = msgspec.structs.replace(ENGINE, models=models)
+        domains = {ids.DomainName(f"d{n}"): size for n in range(6)}
+        mains = staging.assign_models(engine, domains)
+        return layout.choose_mix(engine, domains, mains)
+
+    def test_domains_are_mixed_where_one_model_leaves_half_of_them_idle(self):
+        """The larger model was short while 20 of 66 instances stood idle.
+
+        Six domains of eleven, replicas of six and of three, as much work
+        for each: one model a domain makes four and six replicas.
+        """
+        found = self.choose(11, (0.67, 0.33), (6, 3))
+        self.assertEqual(found, {"large": 1, "small": 1})
+
+    def test_domains_stay_mixed_after_single_losses(self):
+        found = self.choose(10, (0.67, 0.33), (6, 3))
+        self.assertEqual(found, {"large": 1, "small": 1})
+
+    def test_domains_keep_to_one_model_where_that_fills_them(self):
+        for size, shares, sizes in (
+            (9, (0.57, 0.43), (4, 3)),
+            (37, (0.5, 0.5), (16, 4)),
+            (27, (0.5, 0.5), (12, 6)),
+        ):
+            self.assertEqual(self.choose(size, shares, sizes), {}, size)
+
+
 class LoadsTest(unittest.TestCase):
     def choose(self, **kwargs):
         fields = {
