Count how requests ended, and what made the late ones late

An operator could ask after one request only. The line of an answer tells what made it late (first event or pause), the seconds to its first event and its longest pause, over all attempts; currantwall causes counts all requests of some logs by cause. No decision changes.

--- a/currantwall/cli/explanations.py
+++ b/currantwall/cli/explanations.py
@@ -16,7 +16,15 @@
 
 from currantwall.cli import output
 
-__all__ = ["Cause", "Explanation", "Line", "explain", "read_lines"]
+__all__ = [
+    "Cause",
+    "Explanation",
+    "Line",
+    "explain",
+    "find_cause",
+    "read_files",
+    "read_lines",
+]
 
 _ENDS = ("refused", "answered", "ended_early")
 # Seconds before and after a request in which other lines may tell why.
@@ -111,7 +119,7 @@
     own = [line for line in lines if line.fields.get("request") == request]
     if not own:
         return None
-    cause, summary = _find_cause(own, lines)
+    cause, summary = find_cause(own, lines)
     first = own[0].at - _BEFORE
     last = own[-1].at + _AFTER
     replicas = {line.fields.get("replica") for line in own} - {None}
@@ -135,9 +143,15 @@
     return line.event in _AROUND and line.node == own[0].node
 
 
-def _find_cause(
+def find_cause(
     own: abc.Sequence[Line], lines: abc.Sequence[Line]
 ) -> tuple[Cause, str]:
+    """Return why a request ended as it did, and a sentence about it.
+
+    Args:
+        own: Its lines, oldest first.
+        lines: All lines, or those that tell of lost instances.
+    """
     ends = [line for line in own if line.event in _ENDS]
     failures = [line for line in own if line.event == "attempt_failed"]
     if not ends:
@@ -215,7 +229,7 @@
 
     Example: currantwall explain 9c41d07be2a35f68 logs/*.log
     """
-    found = explain(read_lines(_read_files(logs)), request)
+    found = explain(read_lines(read_files(logs)), request)
     if found is None:
         typer.echo(f"no line names request {request}", err=True)
         raise typer.Exit(_NOT_FOUND)
@@ -247,7 +261,7 @@
     """
     found = [
         line
-        for line in read_lines(_read_files(logs))
+        for line in read_lines(read_files(logs))
         if not event or line.event in event
     ]
     if json:
@@ -257,7 +271,8 @@
         typer.echo(_format(line))
 
 
-def _read_files(paths: abc.Iterable[pathlib.Path]) -> abc.Iterator[str]:
+def read_files(paths: abc.Iterable[pathlib.Path]) -> abc.Iterator[str]:
+    """Yield the lines of some files; `-` stands for standard input."""
     for path in paths:
         if str(path) == "-":
             yield from sys.stdin
--- a/currantwall/cli/main.py
+++ b/currantwall/cli/main.py
@@ -8,6 +8,7 @@
 
 import typer
 
+from currantwall.cli import causes
 from currantwall.cli import client
 from currantwall.cli import explanations
 from currantwall.cli import forecasts
@@ -30,6 +31,7 @@
 app.command("forecast")(forecasts.show_forecast)
 app.command("timeline")(timelines.show_timeline)
 app.command("explain")(explanations.show_explanation)
+app.command("causes")(causes.show_causes)
 app.command("history")(explanations.show_history)
 Json = typing.Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
--- a/currantwall/coordination/attempts.py
+++ b/currantwall/coordination/attempts.py
@@ -17,10 +17,12 @@
 __all__ = [
     "Ending",
     "Failure",
+    "Lateness",
     "Progress",
     "Verdict",
     "decide",
     "end_unserved",
+    "find_lateness",
 ]
 
 # Sends of one request at most, those included that certainly ran nowhere.
@@ -114,6 +116,32 @@
     TIMED_OUT = "timed_out"
 
 
+class Lateness(enum.Enum):
+    """What made an answer late."""
+
+    # The first event, or a whole answer, came after the objective.
+    FIRST = "first"
+    # Two events were further apart than the route allows.
+    PAUSE = "pause"
+
+
+def find_lateness(
+    route: routes.Route, first: float, pause: float
+) -> Lateness | None:
+    """Return what made an answer late, None if it was on time.
+
+    Args:
+        route: Its route; objectives that it lacks are always met.
+        first: Seconds to the first event, or to the whole answer.
+        pause: Longest time between two events, in seconds.
+    """
+    if 0 < route.target < first:
+        return Lateness.FIRST
+    if 0 < route.gap < pause:
+        return Lateness.PAUSE
+    return None
+
+
 def wait_for_answer(route: routes.Route) -> float | None:
     """Return the seconds without an answer that count as a stall.
 
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -67,6 +67,9 @@
         budget: Seconds that the caller said it would wait.
         inbox: What its attempts and the caller's leaving tell.
         tried: Upstreams that it was sent to, by `Upstream.life`.
+        first: Seconds until its caller got the first event; None before.
+        pause: Longest time between two events, in seconds.
+        told: Monotonic time of the last event.
     """
 
     inbound: ingress.Inbound
@@ -84,6 +87,17 @@
     last_event: str = ""
     watcher: typing.Any = None
     left: bool = False
+    first: float | None = None
+    pause: float = 0.0
+    told: float = 0.0
+
+    def note_events(self, now: float) -> None:
+        """Note that events go to the caller."""
+        if self.first is None:
+            self.first = now - self.inbound.received
+        else:
+            self.pause = max(self.pause, now - self.told)
+        self.told = now
 
 
 class Try(msgspec.Struct, kw_only=True):
@@ -93,9 +107,5 @@
     exchange: exchanges.Exchange
     sent: float
     heard: float
-    # Seconds from sending to the first event, once that is here.
-    first: float | None = None
-    # Longest time between two of its events, in seconds.
-    pause: float = 0.0
     head: exchanges.Head | None = None
     noted: bool = False
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -184,12 +184,10 @@
         self, request: requests.Request, current: requests.Try
     ) -> None:
         """Note the first event of an attempt."""
-        current.first = current.heard - current.sent
-        self._queue.note_first(request, current.first)
+        self._queue.note_first(request, current.heard - current.sent)
 
     def note_pause(self, current: requests.Try, seconds: float) -> None:
         """Note the time between two events of an attempt."""
-        current.pause = max(current.pause, seconds)
         self._balancer.note_pause(current.upstream.id, seconds, current.heard)
 
     def note_success(self, current: requests.Try) -> None:
@@ -426,8 +424,9 @@
             upstream=current.upstream.id,
             status=status,
             left=request.left,
-            first=round(current.first, 4) if current.first else None,
-            pause=round(current.pause, 4),
+            late=_explain_lateness(request, spent),
+            first=round(request.first, 4) if request.first else None,
+            pause=round(request.pause, 4),
             sends=request.progress.sends,
             spent=round(spent, 4),
             version=request.version,
@@ -435,6 +434,13 @@
         )
 
 
+def _explain_lateness(request: requests.Request, spent: float) -> str | None:
+    """Return what made an answer late, in a word; None if it was on time."""
+    first = spent if request.first is None else request.first
+    found = attempts.find_lateness(request.route, first, request.pause)
+    return found.value if found else None
+
+
 def _ignore(_: ids.InstanceId) -> None:
     return
 
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -163,6 +163,7 @@
                 fresh = [one for one in ready if self._is_next(request, one)]
                 if fresh:
                     request.last_event = fresh[-1].id or request.last_event
+                    request.note_events(self._sender.now())
                     yield b"".join(one.data for one in fresh)
                 if ended:
                     if splitter.rest:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bench import fleet as fleet_module
+from currantwall.cli import causes
 from currantwall.cli import explanations
 from tests import test_gateway
 
@@ -98,7 +99,7 @@
         self.assertIsNone(self.explain("never-sent"))
 
 
-class ExplainTest(unittest.TestCase):
+class LogCase(unittest.TestCase):
     def read(self, *lines):
         stamped = []
         for number, line in enumerate(lines):
@@ -109,6 +110,8 @@
             stamped.append(msgspec.json.encode(fields | line).decode())
         return explanations.read_lines(stamped)
 
+
+class ExplainTest(LogCase):
     def test_what_is_no_line_of_a_log_is_passed_over(self):
         texts = ["Traceback", "{", '{"event": 1}', "  1.5 g1 {}"]
         self.assertEqual(explanations.read_lines(texts), [])
@@ -170,5 +173,43 @@
         self.assertIs(found.cause, Cause.SERVED)
 
 
+class CausesTest(LogCase):
+    def answer(self, request, late=None):
+        fields = {"event": "answered", "request": request, "status": 200}
+        return fields | {
+            "upstream": "e1",
+            "sends": 1,
+            "spent": 1,
+            "late": late,
+        }
+
+    def test_requests_are_counted_by_what_made_them_late(self):
+        """An operator would have to ask after each request singly."""
+        failed = {"event": "attempt_failed", "failure": "lost", "why": "head"}
+        failed |= {"upstream": "e1", "after": 0.1}
+        refused = {"event": "refused", "status": 503, "why": "too long"}
+        lines = self.read(
+            self.answer("a"),
+            {"event": "placed", "request": "b"},
+            self.answer("b", "first"),
+            failed | {"request": "c"},
+            self.answer("c", "pause"),
+            self.answer("d", "pause"),
+            refused | {"request": "e", "retry_after": 1.0},
+        )
+        found = {
+            (one.cause, one.detail): one.requests
+            for one in causes.count_causes(lines)
+        }
+        expected = {
+            ("served", ""): 1,
+            ("late", "waited for a place"): 1,
+            ("late", "sent again: lost"): 1,
+            ("late", "long pause"): 1,
+            ("refused", "too long"): 1,
+        }
+        self.assertEqual(found, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -247,6 +247,14 @@
         self.assertIsNot(repeat, Verdict.GIVE_UP)
         self.assertIs(last, Verdict.GIVE_UP)
 
+    def test_what_made_an_answer_late_is_told(self):
+        route = make_route(target=0.4, gap=0.2)
+        find = attempts.find_lateness
+        self.assertIsNone(find(route, 0.3, 0.1))
+        self.assertIs(find(route, 0.5, 0.1), attempts.Lateness.FIRST)
+        self.assertIs(find(route, 0.3, 0.25), attempts.Lateness.PAUSE)
+        self.assertIsNone(find(make_route(), 9.0, 9.0))
+
     def test_a_hint_grows_with_the_outage_seen_so_far(self):
         """Callers came back after half a second and were refused again.
 
