--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     "bench.relay",
     "bench.replicas",
     "bench.overload",
+    "bench.surge",
     "bench.peers",
     "bench.digests",
     "bench.logs",
--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -13,7 +13,6 @@
 """
 
 from collections import abc
-import heapq
 import math
 
 import msgspec
@@ -41,9 +40,6 @@
 # Cost of leaving the data centre, in requests in work: 1.4 ms one way
 # and priced traffic against about 5 ms for each further request.
 _REMOTE_COST = 0.5
-# Upstreams that one choice is made between. Three make 4 in 1,000 requests
-# of that replay wait, four 15.
-_DRAWN = 2
 # Weight of the newest pause in the mean of an upstream.
 _PAUSE_WEIGHT = 0.1
 # Seconds after which the pauses of an upstream say nothing: it may have
@@ -176,9 +172,7 @@
         self, usable: list[upstreams.Upstream], salt: str
     ) -> upstreams.Upstream:
         """Return the better of some upstreams drawn by a request's id."""
-        drawn = heapq.nsmallest(
-            _DRAWN, usable, key=lambda one: _draw(one, salt)
-        )
+        drawn = _draw_two(usable, salt)
         best = min(drawn, key=lambda one: self._cost(one, salt))
         if self.count_load(best.id) < best.slots:
             return best
@@ -348,6 +342,18 @@
         return busy
 
 
+def _draw_two(
+    usable: list[upstreams.Upstream], salt: str
+) -> list[upstreams.Upstream]:
+    """Return two different upstreams by chance, or the only one."""
+    count = len(usable)
+    if count <= 2:
+        return usable
+    turns, first = divmod(hashing.hash_text(salt), count)
+    second = (first + 1 + turns % (count - 1)) % count
+    return [usable[first], usable[second]]
+
+
 def _draw(one: upstreams.Upstream, salt: str) -> int:
     """Return a number that puts upstreams into an order by chance."""
     return hashing.hash_text(f"{salt}{one.id}")
--- a/currantwall/coordination/placing.py
+++ b/currantwall/coordination/placing.py
@@ -7,6 +7,8 @@
 others leave it takes its part (`backlog.divide_places`).
 """
 
+import math
+
 import msgspec
 
 from currantwall.coordination import backlog as backlog_module
@@ -34,6 +36,16 @@
 _USUAL_SLOWNESS = 1.5
 
 
+def _measure_usual_pause(ticket: Ticket) -> float:
+    """Return the seconds above which a replica's pauses show it slow."""
+    timing = ticket.engine.timing
+    model = ticket.engine.find(ticket.kind.model)
+    if timing is None or model is None:
+        return math.inf
+    one_pass = capacity.expect_pass(timing, model.pace, ticket.engine.slots)
+    return _USUAL_SLOWNESS * one_pass
+
+
 class Placement(msgspec.Struct, frozen=True):
     """A place for a request; it is counted as taken.
 
@@ -205,29 +217,24 @@
     def _make_count(self, ticket: Ticket, now: float) -> balancing.CountPlaces:
         """Return what tells how full a replica may be for a request."""
         late = self.backlog.is_late(ticket, now)
-        return lambda one: capacity.share_places(
-            capacity.count_places(
-                ticket.engine,
-                ticket.kind.model,
-                ticket.gap,
-                self._measure_slowness(one, ticket, now),
-            ),
-            late,
-        )
+        usual = _measure_usual_pause(ticket)
 
-    def _measure_slowness(
-        self, one: upstreams.Upstream, ticket: Ticket, now: float
-    ) -> float:
-        """Return the factor by which a replica departs from its timing."""
-        pause = self._balancer.get_pause(one.id, now)
-        timing = ticket.engine.timing
-        model = ticket.engine.find(ticket.kind.model)
-        if pause is None or timing is None or model is None:
-            return 1.0
-        one_pass = capacity.expect_pass(
-            timing, model.pace, ticket.engine.slots
-        )
-        return max(1.0, pause / (_USUAL_SLOWNESS * one_pass))
+        def count(slowness: float) -> int:
+            places = capacity.count_places(
+                ticket.engine, ticket.kind.model, ticket.gap, slowness
+            )
+            return capacity.share_places(places, late)
+
+        # The same for all replicas that are not slow.
+        sound = count(1.0)
+
+        def count_places(one: upstreams.Upstream) -> int:
+            pause = self._balancer.get_pause(one.id, now)
+            if pause is None or pause <= usual:
+                return sound
+            return count(pause / usual)
+
+        return count_places
 
     def _assume_first(self, ticket: Ticket) -> None:
         """Expect what the timing says before a first event was seen."""
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -163,6 +163,8 @@
         self._upstreams: dict[ids.InstanceId, Upstream] = {}
         self._by_service: dict[ids.ServiceName, list[Upstream]] = {}
         self._replicas: dict[ids.ServiceName, list[Replica]] = {}
+        # Whole replicas that take requests, by service and model.
+        self._serving: dict[tuple[ids.ServiceName, str], list[Replica]] = {}
 
     @property
     def is_known(self) -> bool:
@@ -205,6 +207,12 @@
             name: list_replicas(members)
             for name, members in self._by_service.items()
         }
+        self._serving = {}
+        for name, replicas in self._replicas.items():
+            for one in replicas:
+                if one.is_serving:
+                    key = (name, one.model)
+                    self._serving.setdefault(key, []).append(one)
         return True
 
     def get(self, instance: ids.InstanceId) -> Upstream | None:
@@ -223,11 +231,7 @@
         self, service: ids.ServiceName, model: str
     ) -> list[Replica]:
         """Return the whole replicas of a model that take requests."""
-        return [
-            one
-            for one in self._replicas.get(service, ())
-            if one.model == model and one.is_serving
-        ]
+        return self._serving.get((service, model), [])
 
     def list_replicas(self, service: ids.ServiceName) -> list[Replica]:
         """Return all replicas of a service, whole or not."""
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,12 +1,5 @@
-"""Load at its worst, replayed: what waits, who goes first, who is refused.
+"""Load at its worst, replayed: what waits, who goes first, who is refused."""
 
-In virtual time: the real decisions of several gateways before replicas
-that work on so many requests at once and take the next by rank. What the
-gateways tell each other arrives late.
-"""
-
-import heapq
-import random
 import unittest
 
 import msgspec
@@ -16,177 +9,14 @@
 from currantwall.coordination import capacity
 from currantwall.coordination import placing
 from currantwall.state import ids
-from currantwall.state import routes
 from currantwall.state import upstreams
+from standins import surge
 
-_SERVICE = ids.ServiceName("pool")
-_KIND = backlog.Kind(_SERVICE, "m")
-_MODEL = routes.Model(name="m", size=1, share=1.0)
-_TIMING = routes.Timing(
-    step=0.00645,
-    per_request=0.000193,
-    per_token=0.00000000586,
-    read_token=1 / 56_100,
-    steps=6,
-    prompt=1115,
-    answer=152,
-)
-_ENGINE = routes.Engine(slots=13, models=(_MODEL,), timing=_TIMING)
-# Seconds to the first event that are on time, and that callers bear.
-_TARGET = 0.4
-_BORNE = 2.0
-# Seconds between two heartbeats, at rest and while replicas are full.
-_TOLD = 0.4
-_TOLD_PRESSED = 0.12
-# Seconds of a run with its first event at the start, and until then.
-_FIRST = 0.12
-_LASTS = 1.2
-
-
-def make_ticket(name, arrived=0.0, **fields):
-    ticket = backlog.Ticket(
-        request=name,
-        kind=_KIND,
-        engine=_ENGINE,
-        gap=0.25,
-        arrived=arrived,
-        objective=arrived + _TARGET,
-        patience=arrived + _BORNE,
-    )
-    return msgspec.structs.replace(ticket, **fields)
-
-
-def make_leader(number, slots=13):
-    name = upstreams.name_replica("m", 1, f"r{number}")
-    return upstreams.Upstream(
-        id=ids.InstanceId(f"i{number}"),
-        service=_SERVICE,
-        address=f"i{number}:1",
-        datacentre=ids.DatacentreName("here"),
-        slots=slots,
-        seat=upstreams.Seat(name, 1, 0, upstreams.Phase.OPEN),
-    )
-
-
-class Replay:
-    """Requests, gateways and replicas in virtual time.
-
-    Args:
-        waits: Whether requests wait for places; otherwise each is sent at
-            once to the better of two replicas that are drawn.
-    """
-
-    def __init__(self, waits, gateways=15, replicas=6, seed=1):
-        self.waits = waits
-        self.chance = random.Random(seed)
-        fleet = upstreams.Fleet()
-        fleet.replace([make_leader(n) for n in range(replicas)], 1, 0)
-        place = ids.DatacentreName("here")
-        self.balancers = [
-            balancing.Balancer(fleet, place) for _ in range(gateways)
-        ]
-        self.placers = [placing.Placer(one) for one in self.balancers]
-        self.working = {f"i{n}": 0 for n in range(replicas)}
-        self.queues = {f"i{n}": [] for n in range(replicas)}
-        # What came of each request: arrival, and seconds to its first event.
-        self.firsts = []
-        self.refused = []
-        self.events = []
-        self.count = 0
-
-    def plan(self, at, act, *words):
-        self.count += 1
-        heapq.heappush(self.events, (at, self.count, act, words))
-
-    def run(self, rate, surge, begin, end, seconds):
-        """Play a load that is `surge` times as high for a while."""
-        at = 0.0
-        while at < seconds:
-            now_rate = rate * surge if begin <= at < end else rate
-            at += self.chance.expovariate(now_rate)
-            node = self.chance.randrange(len(self.placers))
-            self.plan(at, self.arrive, node, f"r{self.count}")
-        for node in range(len(self.placers)):
-            self.plan(self.chance.uniform(0, _TOLD), self.tell, node, seconds)
-            if self.waits:
-                self.plan(0.05, self.tick, node, seconds)
-        while self.events:
-            now, _, act, words = heapq.heappop(self.events)
-            act(now, *words)
-
-    def arrive(self, now, node, request):
-        ticket = make_ticket(request, now)
-        if not self.waits:
-            found = self.balancers[node].choose(
-                _SERVICE, "m", (), request, now
-            )
-            self.balancers[node].begin(found.id)
-            self.send(now, node, found.id, ticket, 0)
-            return
-        found = self.placers[node].ask(ticket, now)
-        if isinstance(found, placing.Placement):
-            self.place(now, node, found)
-        else:
-            self.placers[node].add(ticket)
-
-    def place(self, now, node, placement):
-        rank = 0 if placement.in_time else 1
-        name = placement.upstream.id
-        self.send(now, node, name, placement.ticket, rank)
-
-    def send(self, now, node, replica, ticket, rank):
-        entry = (rank, now, ticket.request, node, ticket)
-        heapq.heappush(self.queues[replica], entry)
-        self.begin(now, replica)
-
-    def begin(self, now, replica):
-        while self.queues[replica] and self.working[replica] < 13:
-            _, sent, _, node, ticket = heapq.heappop(self.queues[replica])
-            if now > ticket.arrived + _BORNE:
-                self.balancers[node].end(replica)
-                continue
-            self.working[replica] += 1
-            self.firsts.append((ticket.arrived, now + _FIRST - ticket.arrived))
-            first = now + _FIRST - sent
-            self.placers[node].backlog.note_first(_KIND, first)
-            lasts = self.chance.uniform(0.5, 1.5) * _LASTS
-            self.plan(now + lasts, self.end, node, replica)
-
-    def end(self, now, node, replica):
-        self.working[replica] -= 1
-        self.balancers[node].end(replica)
-        if self.waits:
-            for placement in self.placers[node].replace_ended(now):
-                self.place(now, node, placement)
-        self.begin(now, replica)
-
-    def tick(self, now, node, seconds):
-        placer = self.placers[node]
-        for kind in placer.backlog.list_kinds():
-            self.refused += placer.turn_away(kind, now)
-            for placement in placer.fill(kind, now):
-                self.place(now, node, placement)
-        if now < seconds + _BORNE:
-            self.plan(now + placing.TICK, self.tick, node, seconds)
-
-    def tell(self, now, node, seconds):
-        loads = self.balancers[node].list_loads()
-        for number, balancer in enumerate(self.balancers):
-            if number != node:
-                balancer.note_loads(ids.NodeId(f"n{node}"), loads, now)
-        pressed = max(self.working.values()) > 9
-        wait = _TOLD_PRESSED if self.waits and pressed else _TOLD
-        if now < seconds + _BORNE:
-            self.plan(now + wait, self.tell, node, seconds)
-
-    def share_in_time(self, begin, end):
-        """Return the part of the requests of a time that were in time."""
-        firsts = [first for at, first in self.firsts if begin <= at < end]
-        refused = sum(
-            begin <= one.ticket.arrived < end for one in self.refused
-        )
-        good = sum(first <= _TARGET for first in firsts)
-        return good / (len(firsts) + refused)
+_KIND = surge.KIND
+_ENGINE = surge.ENGINE
+_TIMING = surge.TIMING
+make_leader = surge.make_leader
+make_ticket = surge.make_ticket
 
 
 class SurgeTest(unittest.TestCase):
@@ -196,9 +26,9 @@
     taken at the usual load.
     """
 
-    def play(self, waits, seed=1):
-        replay = Replay(waits, seed=seed)
-        replay.run(39.0, 2.0, 8.0, 16.0, 26.0)
+    def play(self, factor, seed):
+        replay = surge.Replay(surge.Policy.WAITS, seed=seed)
+        replay.run(surge.Surge(rate=39.0, factor=factor))
         return replay
 
     def test_most_are_in_time_while_twice_as_many_come(self):
@@ -208,13 +38,13 @@
         wait behind them.
         """
         for seed in (1, 2, 3):
-            share = self.play(True, seed).share_in_time(8.0, 16.0)
+            share = self.play(2.0, seed).share_in_time(8.0, 16.0)
             self.assertGreater(share, 0.6, seed)
 
     def test_it_is_over_a_second_after_the_load(self):
         """Callers waited for six more seconds after the load was gone."""
         for seed in (1, 2, 3):
-            share = self.play(True, seed).share_in_time(17.0, 26.0)
+            share = self.play(2.0, seed).share_in_time(17.0, 26.0)
             self.assertGreater(share, 0.95, seed)
 
     def test_nothing_is_refused_while_places_are_free(self):
@@ -223,8 +53,7 @@
         Counts that are a moment old made replicas look full.
         """
         for seed in (1, 2, 3):
-            replay = Replay(True, seed=seed)
-            replay.run(39.0, 1.0, 0.0, 0.0, 26.0)
+            replay = self.play(1.0, seed)
             self.assertEqual(replay.refused, [])
             self.assertGreater(replay.share_in_time(0.0, 26.0), 0.98)
 
