Take a replica for slow only beside faster ones

Cause, found on reading: a gateway that is short of processor time or whose links lose packets sees every replica pause, takes all of them for slow and holds its requests back although they are idle. The test finds 4 places in 28 before, 28 after; where one of two replicas is slow it gets 2, the other 14.

--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -245,6 +245,16 @@
             return None
         return conduct.pause
 
+    def find_least_pause(
+        self, service: ids.ServiceName, model: str, now: float
+    ) -> float:
+        """Return the least mean pause among a model's replicas, or 0."""
+        pauses = [
+            self.get_pause(one.id, now)
+            for one in self._list_candidates(service, model)
+        ]
+        return min((one for one in pauses if one is not None), default=0.0)
+
     def note_success(self, instance: ids.InstanceId) -> None:
         """Note an answer in order."""
         conduct = self._get(instance)
--- a/currantwall/coordination/placing.py
+++ b/currantwall/coordination/placing.py
@@ -232,10 +232,22 @@
             pause = self._balancer.get_pause(one.id, now)
             if pause is None or pause <= usual:
                 return sound
-            return count(pause / usual)
+            return count(max(1.0, pause / self._relate(usual, ticket, now)))
 
         return count_places
 
+    def _relate(self, usual: float, ticket: Ticket, now: float) -> float:
+        """Return the usual pause, or what the fastest replica shows.
+
+        Failure: a gateway that is short of processor time, or whose links
+        lose packets, sees every replica pause; it would take all of them
+        for slow and hold its requests back.
+        """
+        least = self._balancer.find_least_pause(
+            ticket.kind.service, ticket.kind.model, now
+        )
+        return max(usual, _USUAL_SLOWNESS * least)
+
     def _assume_first(self, ticket: Ticket) -> None:
         """Expect what the timing says before a first event was seen."""
         timing = ticket.engine.timing
