--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,7 +41,46 @@
 _DIGESTS = "tests.test_digests"
 _FEEDS = "tests.test_feeds"
 _FORMATION = "tests.test_formation.FormationTest"
+_PLACING = "tests.test_placing"
 MUTANTS = (
+    Mutant(
+        "a leader that refuses is taken for gone",
+        f"{_COORDINATION}/formation.py",
+        "        if phase is Phase.BROKEN:\n",
+        "        if phase is Phase.BROKEN or known.is_gone:\n",
+        f"{_FORMATION}.test_members_leave_a_leader_that_has_stopped_listening",
+    ),
+    Mutant(
+        "the oldest first, in time or not",
+        f"{_COORDINATION}/backlog.py",
+        "        if self.is_late(ticket, now):\n            # Whose",
+        "        if True:\n            # Whose",
+        f"{_PLACING}.BacklogTest"
+        ".test_who_can_be_in_time_goes_before_who_cannot",
+    ),
+    Mutant(
+        "no bound to what a replica is sent",
+        f"{_COORDINATION}/balancing.py",
+        "        if count_places is not None:\n",
+        "        if False:\n",
+        f"{_PLACING}.SurgeTest.test_most_are_in_time_while_twice_as_many_come",
+    ),
+    Mutant(
+        "a slow gateway blames the replicas",
+        f"{_COORDINATION}/placing.py",
+        "        return max(usual, _USUAL_SLOWNESS * least)\n",
+        "        return usual\n",
+        f"{_PLACING}.PlacerTest"
+        ".test_a_gateway_that_is_slow_itself_does_not_blame_the_replicas",
+    ),
+    Mutant(
+        "an address of another server is tried again",
+        f"{_COORDINATION}/balancing.py",
+        "now + _LOSS_AVOIDANCE)\n\n    def note_failure",
+        "now)\n\n    def note_failure",
+        "tests.test_gateway_parts.BalancerTest"
+        ".test_a_leader_that_another_server_answers_for_is_avoided",
+    ),
     Mutant(
         "a list that stands still taken for whole",
         "currantwall/transport/duties.py",
@@ -59,8 +98,8 @@
     Mutant(
         "the least busy of all chosen",
         f"{_COORDINATION}/balancing.py",
-        "_DRAWN = 2\n",
-        "_DRAWN = 2000\n",
+        "        drawn = _draw_two(usable, salt)\n",
+        "        drawn = usable\n",
         "tests.test_balancing.LoadTest.test_nodes_do_not_all_choose_alike",
     ),
     Mutant(
