--- a/currantwall/cli/causes.py
+++ b/currantwall/cli/causes.py
@@ -6,11 +6,8 @@
 
 import collections
 from collections import abc
-import pathlib
-import typing
 
 import msgspec
-import typer
 
 from currantwall.cli import explanations
 from currantwall.cli import output
@@ -82,13 +79,8 @@
 
 
 def show_causes(
-    logs: typing.Annotated[
-        list[pathlib.Path],
-        typer.Argument(help="Logs of the gateways; - for standard input."),
-    ],
-    json: typing.Annotated[
-        bool, typer.Option("--json", help="Print JSON.")
-    ] = False,
+    logs: explanations.Logs,
+    json: explanations.Json = False,
 ) -> None:
     """Tell how all requests ended, by cause.
 
--- a/currantwall/cli/explanations.py
+++ b/currantwall/cli/explanations.py
@@ -19,7 +19,9 @@
 __all__ = [
     "Cause",
     "Explanation",
+    "Json",
     "Line",
+    "Logs",
     "explain",
     "find_cause",
     "read_files",
@@ -41,6 +43,13 @@
 )
 _NOT_FOUND = 1
 
+# Arguments of the commands that read logs.
+Logs = typing.Annotated[
+    list[pathlib.Path],
+    typer.Argument(help="Logs of the gateways; - for standard input."),
+]
+Json = typing.Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
 
 class Cause(enum.Enum):
     """Why a request ended as it did."""
@@ -215,13 +224,8 @@
 
 def show_explanation(
     request: typing.Annotated[str, typer.Argument(help="Its id.")],
-    logs: typing.Annotated[
-        list[pathlib.Path],
-        typer.Argument(help="Logs of the gateways; - for standard input."),
-    ],
-    json: typing.Annotated[
-        bool, typer.Option("--json", help="Print JSON.")
-    ] = False,
+    logs: Logs,
+    json: Json = False,
 ) -> None:
     """Tell from the logs why a request ended as it did.
 
@@ -244,16 +248,11 @@
 
 
 def show_history(
-    logs: typing.Annotated[
-        list[pathlib.Path],
-        typer.Argument(help="Logs of the gateways; - for standard input."),
-    ],
+    logs: Logs,
     event: typing.Annotated[
         list[str] | None, typer.Option(help="Only these events.")
     ] = None,
-    json: typing.Annotated[
-        bool, typer.Option("--json", help="Print JSON.")
-    ] = False,
+    json: Json = False,
 ) -> None:
     """Show the lines of several gateways in the order of their time.
 
--- a/currantwall/transport/counters.py
+++ b/currantwall/transport/counters.py
@@ -1,7 +1,7 @@
 """Raises the counters that the parts of an entry's node name.
 
 Apart from `metrics`, so that a gateway, which has no such parts, need not
-load them: they take 3 MB of its memory and a fifth of its start.
+load them.
 """
 
 from currantwall.coordination import actions
