Pick both internal ports of a test's gateway

Traced: the stream of the first was answered with a compressed list of instances, the answer of the port for peers. The second internal port was the first plus one and never picked; it was then picked at random as the same gateway's port for callers, and eventlet lets listeners share a port. The first failure left the gateway stopped, which failed the others.

Product code is untouched.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -88,6 +88,21 @@
     raise FleetError("no free port")
 
 
+def pick_port_pair() -> tuple[int, int]:
+    """Return two free ports next to each other.
+
+    Failure: only the first is picked, the second is later picked for
+    something else, and as listeners may share a port a caller is answered
+    by the wrong one.
+    """
+    for _ in range(_PORT_TRIES):
+        first = pick_port()
+        if first + 1 not in _PICKED:
+            _PICKED.add(first + 1)
+            return first, first + 1
+    raise FleetError("no free pair of ports")
+
+
 class Fleet:
     """Processes of one site."""
 
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -84,7 +84,7 @@
     ) -> None:
         ip = f"127.0.0.{self._next_host}"
         self._next_host += 1
-        ports = [fleet_module.pick_port() for _ in range(4)]
+        ports = [fleet_module.pick_port() for _ in range(3)]
         listen = {
             "front": f"{ip}:{ports[0]}",
             "ready": f"{ip}:{ports[1]}",
@@ -98,7 +98,7 @@
             "ip": ip,
             "zone": "a",
             "listen": listen,
-            "internalPorts": [ports[3], ports[3] + 1],
+            "internalPorts": fleet_module.pick_port_pair(),
             "bounds": {
                 "graceS": grace,
                 "retryBudgetRatio": 0.2,
