Log what the feed of instances keeps, loses and hears of leaving

An incident could not be told from the logs: the feed of instances said nothing when it lost or regained the store, when it kept instances that the list lacks, or when an entry began to drain. It does now; the logic is unchanged.

--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -38,6 +38,8 @@
 _START_PAUSE = 1.2
 # Seconds between two looks at whether this node has to watch.
 _LOOK_INTERVAL = 0.25
+# Tells this feed's loss of the store from another one's in the log.
+_FEED = "configuration"
 
 
 class ConfigurationFeed:
@@ -123,13 +125,17 @@
         if isinstance(outcome, result.Ok):
             if not self._reachable:
                 self._reachable = True
-                self._log.write("store_regained", version=self.version)
+                self._log.write(
+                    "store_regained", feed=_FEED, version=self.version
+                )
             return True
         expired = outcome.err_value is ports.StoreFailure.EXPIRED
         if self._reachable and not expired:
             self._reachable = False
             why = outcome.err_value.value
-            self._log.write("store_lost", why=why, version=self.version)
+            self._log.write(
+                "store_lost", feed=_FEED, why=why, version=self.version
+            )
         eventlet.sleep(self._choose_backoff().fail())
         return False
 
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -15,6 +15,7 @@
 
 from currantwall.coordination import changes
 from currantwall.coordination import presence as presence_module
+from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import journal
 from currantwall.transport import peers
@@ -32,6 +33,10 @@
 _OUTAGE_INTERVAL = 2.0
 # Seconds between two looks at whether a node has a newer list.
 _LOOK_INTERVAL = 0.25
+# Tells this feed's loss of the store from another one's in the log.
+_FEED = "instances"
+# Names in one line of the log.
+_NAMES_LIMIT = 8
 
 
 class FleetFeed:
@@ -57,6 +62,8 @@
         # When the store last answered this node.
         self._answered: float | None = None
         self._news = eventlet.event.Event()
+        # Instances held although the list lacks them.
+        self._kept: set[ids.InstanceId] = set()
         # Called when the list held here has changed.
         self.on_change: abc.Callable[[], None] = _ignore
         # The newest list, for the peers.
@@ -98,7 +105,7 @@
         stale = self._fleet.is_known
         listed = self._store.list(self._documents.upstreams_kind, stale)
         if isinstance(listed, result.Err):
-            self._reachable = False
+            self._note_unreachable(listed.err_value)
             self._ask_peer(asked)
             return
         self._note_reachable(asked)
@@ -135,10 +142,16 @@
             return None
         return now - self._answered
 
+    def _note_unreachable(self, why: ports.StoreFailure) -> None:
+        if self._reachable:
+            self._reachable = False
+            self._log.write("store_lost", feed=_FEED, why=why.value)
+
     def _note_reachable(self, now: float) -> None:
         if not self._reachable:
             self._reachable = True
             self._regained = now
+            self._log.write("store_regained", feed=_FEED)
 
     def _keeps_missing(self, now: float) -> bool:
         """Return whether entries may be missing of instances that live.
@@ -196,7 +209,7 @@
 
     def _take(self, listing: ports.Listing, asked: float) -> None:
         found = self._documents.decode_upstreams(listing.objects)
-        before = {one.id for one in self._fleet.all()}
+        before = self._list_states()
         keep = self._keeps_missing(asked)
         if not self._fleet.replace(found, listing.revision, asked, keep):
             return
@@ -204,14 +217,43 @@
         self._changes.replace(listing.objects, listing.revision)
         if self.changed > known:
             self.on_change()
-        after = {one.id for one in self._fleet.all()}
-        if before != after:
+        self._log_changes(before, listing.revision)
+        self._log_kept({one.id for one in found}, listing.revision)
+
+    def _list_states(self) -> dict[ids.InstanceId, bool]:
+        """Return the instances, and whether each is being drained."""
+        return {one.id: one.leaving for one in self._fleet.all()}
+
+    def _log_changes(
+        self, before: dict[ids.InstanceId, bool], revision: int
+    ) -> None:
+        after = self._list_states()
+        if before == after:
+            return
+        leaving = [
+            name
+            for name, leaves in after.items()
+            if leaves and not before.get(name)
+        ]
+        self._log.write(
+            "instances_changed",
+            added=sorted(after.keys() - before.keys())[:_NAMES_LIMIT],
+            leaving=sorted(leaving)[:_NAMES_LIMIT],
+            removed=sorted(before.keys() - after.keys())[:_NAMES_LIMIT],
+            total=len(after),
+            revision=revision,
+        )
+
+    def _log_kept(self, listed: set[ids.InstanceId], revision: int) -> None:
+        """Log the instances that are held although the list lacks them."""
+        kept = {one.id for one in self._fleet.all()} - listed
+        if kept != self._kept:
+            self._kept = kept
             self._log.write(
-                "instances_changed",
-                added=sorted(after - before)[:8],
-                removed=sorted(before - after)[:8],
-                total=len(after),
-                revision=listing.revision,
+                "instances_kept",
+                kept=sorted(kept)[:_NAMES_LIMIT],
+                count=len(kept),
+                revision=revision,
             )
 
 
