Tell an outage of the store from a refusal by what all nodes were answered

What callers saw: streams that were cut and requests that were sent again, because they had gone to instances up to 2.3 s after these had left.

Cause: entries lapse while the store is away and come back late, so a node that got the store back kept missing entries for 2.5 s. It took its own loss of the store for an outage, though the store served the others; each further refusal began the time anew; and it passed the state on as a flag, from which every receiver began 2.5 s of its own. Class of fault: a grace period entered on one node's evidence and handed on as a verdict, without the time at which it began.

Why this works: an outage is now a time in which a call failed and nobody was answered, and each node finds it for itself from the times that nodes tell anyway. A node passes on when the store last failed, not that it keeps something: a receiver that knows of answers in that time keeps nothing, and one that doesn't ends at the same moment as the sender.

test_entries_that_lapsed_are_kept_here_too set a private field of the reader, which is gone; it plays the outage itself now and demands the same. Mutants: two moved to the new guards, three new.

--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from currantwall.coordination import outages
 from currantwall.state import ids
 from currantwall.state import rendezvous
 
@@ -165,6 +166,7 @@
         self._peers: dict[ids.NodeId, _Peer] = {}
         # When some reader last had an answer from the store.
         self._store_seen: float | None = None
+        self.store_history = outages.StoreHistory()
         self._score = rendezvous.score("relay", me.id)
 
     # -- What is heard
@@ -251,6 +253,7 @@
     def _note_store(self, age: float | None, now: float) -> None:
         if age is not None:
             self._store_seen = max(self._store_seen or 0.0, now - age)
+            self.store_history.note_answer(now - age)
 
     def _put(self, entry: NodeEntry) -> _Peer:
         peer = self._peers.get(entry.id)
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -14,6 +14,7 @@
 import result
 
 from currantwall.coordination import changes
+from currantwall.coordination import outages
 from currantwall.coordination import presence as presence_module
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -56,8 +57,7 @@
         clock: timers.TimerService,
     ) -> None:
         self._presence = presence
-        # When the store answered again after it had not.
-        self._regained: float | None = None
+        self._history = presence.store_history
         self._reachable = True
         # When the store last answered this node.
         self._answered: float | None = None
@@ -105,10 +105,12 @@
         stale = self._fleet.is_known
         listed = self._store.list(self._documents.upstreams_kind, stale)
         if isinstance(listed, result.Err):
+            self._history.note_failure(asked)
             self._note_unreachable(listed.err_value)
             self._ask_peer(asked)
             return
-        self._note_reachable(asked)
+        self._history.note_answer(asked)
+        self._note_reachable()
         self._answered = asked
         self._take(listed.ok_value, asked)
 
@@ -147,22 +149,26 @@
             self._reachable = False
             self._log.write("store_lost", feed=_FEED, why=why.value)
 
-    def _note_reachable(self, now: float) -> None:
+    def _note_reachable(self) -> None:
         if not self._reachable:
             self._reachable = True
-            self._regained = now
             self._log.write("store_regained", feed=_FEED)
 
-    def _keeps_missing(self, now: float) -> bool:
-        """Return whether entries may be missing of instances that live.
+    def _find_return(self, now: float) -> outages.Outage | None:
+        """Return the outage from which the store has just come back.
 
         Failure: entries lapse while the store is away, and with its
         return the list lacks instances that serve; every replica would
         be taken apart. They are back within two seconds.
         """
-        return self._regained is not None and (
-            now < self._regained + _ENTRIES_BACK
-        )
+        outage = self._history.find_last_outage()
+        if outage is None or now >= outage.ended + _ENTRIES_BACK:
+            return None
+        return outage
+
+    def _keeps_missing(self, now: float) -> bool:
+        """Return whether entries may be missing of instances that live."""
+        return self._find_return(now) is not None
 
     # -- What peers have
 
@@ -184,8 +190,8 @@
         if found.changed <= self.changed:
             # It was told of before, but the peer has started again since.
             return False
-        if found.lapsed and not self._keeps_missing(now):
-            self._regained = now
+        if found.failure_age is not None:
+            self._history.note_failure(now - found.failure_age)
         objects = found.objects
         if found.since:
             objects = self._changes.apply(objects, found.removed)
@@ -195,6 +201,8 @@
 
     def list_changes(self, since: int) -> ports.Listing:
         """Return what a peer lacks that asks from a revision."""
+        now = self._clock.now()
+        outage = self._find_return(now)
         found = self._changes.list_since(since)
         return ports.Listing(
             found.objects,
@@ -202,7 +210,7 @@
             found.removed,
             found.since,
             self.changed,
-            self._keeps_missing(self._clock.now()),
+            now - outage.failed if outage else None,
         )
 
     # -- What is known
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -52,8 +52,9 @@
             whole.
         changed: Revision at which the objects were last seen to differ
             from before; set in what nodes pass on.
-        lapsed: Whether objects may be missing whose writers live, because
-            the store has just come back.
+        failure_age: Seconds since the store failed to answer, where it has
+            just come back from an outage and objects may be missing whose
+            writers live; else None.
     """
 
     objects: tuple[StoredObject, ...]
@@ -61,7 +62,7 @@
     removed: frozenset[str] = frozenset()
     since: int = 0
     changed: int = 0
-    lapsed: bool = False
+    failure_age: float | None = None
 
 
 Outcome = result.Result[StoredObject, StoreFailure]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -151,7 +151,7 @@
     Mutant(
         "entries that lapsed dropped by who doesn't read the store",
         "currantwall/transport/fleets.py",
-        "        if found.lapsed and not self._keeps_missing(now):\n",
+        "        if found.failure_age is not None:\n",
         "        if False:\n",
         f"{_FEEDS}.FollowerTest.test_entries_that_lapsed_are_kept_here_too",
     ),
@@ -165,11 +165,35 @@
     Mutant(
         "lapsed entries taken as gone at once",
         "currantwall/transport/fleets.py",
-        "        return self._regained is not None and (\n",
-        "        return False and (\n",
+        "        return self._find_return(now) is not None\n",
+        "        return False\n",
         f"{_FEEDS}.FleetFeedTest"
         ".test_entries_that_lapsed_in_an_outage_are_kept_for_a_while",
     ),
+    Mutant(
+        "a refusal taken for an outage by who was refused",
+        f"{_COORDINATION}/outages.py",
+        "            if ended - began <= _SHORTEST_OUTAGE:\n",
+        "            if ended - began <= 0.0:\n",
+        f"{_FEEDS}.FleetFeedTest"
+        ".test_who_leaves_is_dropped_after_this_node_was_turned_away",
+    ),
+    Mutant(
+        "a refusal taken for an outage by who was told",
+        f"{_COORDINATION}/presence.py",
+        "            self.store_history.note_answer(now - age)\n",
+        "            pass\n",
+        f"{_FEEDS}.FollowerTest"
+        ".test_who_leaves_is_dropped_after_a_reader_was_turned_away",
+    ),
+    Mutant(
+        "a silence without a failure taken for an outage",
+        f"{_COORDINATION}/outages.py",
+        "            if failed:\n",
+        "            if True:\n",
+        "tests.test_outages.StoreHistoryTest"
+        ".test_a_silence_in_which_no_call_failed_is_no_outage",
+    ),
     Mutant(
         "an older configuration taken",
         "currantwall/transport/configurations.py",
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -412,6 +412,13 @@
             self.clock.sleep(feed._choose_wait(self.clock.time))
         self.assertLessEqual(feed._store.calls, 11)
 
+    def play_outage(self, seconds):
+        """Let the store answer nobody; it holds nothing new at its end."""
+        for age in range(1, seconds):
+            self.pass_time(1.0, age)
+            self.ask_store(result.Err(Failure.UNAVAILABLE))
+        self.pass_time(1.0, seconds)
+
     def test_entries_that_lapsed_are_kept_here_too(self):
         """Every replica would be taken apart after an outage.
 
@@ -419,16 +426,15 @@
         keeps them; a node that takes its list must do the same, and drop
         them when the reader does.
         """
-        self.read(10, "a", "b")
+        self.ask_store(make_list(10, "a", "b"))
         self.tell()
         self.follow()
-        self.reader.feed._regained = self.clock.now()
-        self.read(20, "a")
+        self.play_outage(5)
+        self.ask_store(make_list(20, "a"))
         self.tell()
         self.follow()
         self.assertEqual(self.list_names(), ["a", "b"])
-        self.clock.time += 5.0
-        self.tell()
+        self.pass_time(5.0, 0.0)
         self.follow()
         self.assertEqual(self.list_names(), ["a"])
 
@@ -457,10 +463,7 @@
         self.ask_store(make_list(10, "a", "b"))
         self.tell()
         self.follow()
-        for outage in (1.0, 2.0, 3.0, 4.0):
-            self.pass_time(1.0, outage)
-            self.ask_store(result.Err(Failure.UNAVAILABLE))
-        self.pass_time(1.0, 5.0)
+        self.play_outage(5)
         returned = self.clock.now()
         self.ask_store(make_list(20, "a"))
         self.pass_time(2.0, 2.0)
