Bound what is remembered of the store's answers; a lone reader's belief

A relay hears the store's age some forty times a second under load and remembered each for ten seconds. Nodes are shown not to believe in an outage that only a reader saw which was cut off from everybody; the test fails with the least length of an outage at zero (a mutant). A mutant that its test did not notice points to the right one.

--- a/currantwall/coordination/outages.py
+++ b/currantwall/coordination/outages.py
@@ -20,7 +20,9 @@
 # read the store do so each half second.
 _SHORTEST_OUTAGE = 0.75
 # Seconds for which answers are remembered.
-_MEMORY = 10.0
+_MEMORY = 5.0
+# Seconds after an answer in which no other one is remembered.
+_RESOLUTION = 0.05
 _FAILURES_LIMIT = 32
 
 
@@ -52,7 +54,10 @@
         Args:
             at: Monotonic time of the call, of this or another node.
         """
-        bisect.insort(self._answers, at)
+        place = bisect.bisect_right(self._answers, at)
+        if place and at - self._answers[place - 1] < _RESOLUTION:
+            return
+        self._answers.insert(place, at)
         oldest = self._answers[-1] - _MEMORY
         # The last answer before that may be where an outage began.
         first = bisect.bisect_left(self._answers, oldest) - 1
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -179,12 +179,20 @@
         ".test_who_leaves_is_dropped_after_this_node_was_turned_away",
     ),
     Mutant(
-        "a refusal taken for an outage by who was told",
+        "what others were answered counts for nothing",
         f"{_COORDINATION}/presence.py",
         "            self.store_history.note_answer(now - age)\n",
         "            pass\n",
+        f"{_FEEDS}.FleetFeedTest"
+        ".test_who_leaves_is_dropped_after_this_node_was_turned_away",
+    ),
+    Mutant(
+        "a refusal taken for an outage by who was told",
+        f"{_COORDINATION}/outages.py",
+        "            if ended - began <= _SHORTEST_OUTAGE:\n",
+        "            if ended - began <= 0.0:\n",
         f"{_FEEDS}.FollowerTest"
-        ".test_who_leaves_is_dropped_after_a_reader_was_turned_away",
+        ".test_who_leaves_is_dropped_after_a_reader_was_cut_off",
     ),
     Mutant(
         "a silence without a failure taken for an outage",
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -456,6 +456,23 @@
         self.follow()
         self.assertEqual(self.list_names(), ["a", "b", "d"])
 
+    def test_who_leaves_is_dropped_after_a_reader_was_cut_off(self):
+        """Nodes believed in an outage that only a lone reader had seen."""
+        self.ask_store(make_list(10, "a", "b"))
+        self.tell()
+        self.follow()
+        for _ in range(4):
+            # The reader hears nobody; the follower hears other readers.
+            self.clock.time += 0.5
+            self.ask_store(result.Err(Failure.LOST))
+            self.tell()
+        self.clock.time += 0.5
+        self.ask_store(make_list(20, "a"))
+        self.assertIsNotNone(self.reader.feed.list_changes(10).failure_age)
+        self.tell()
+        self.follow()
+        self.assertEqual(self.list_names(), ["a"])
+
     def test_lapsed_entries_are_not_kept_longer_by_who_hears_of_them_late(
         self,
     ):
