--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -463,10 +463,11 @@
         self.follow()
         for _ in range(4):
             # The reader hears nobody; the follower hears other readers.
-            self.clock.time += 0.5
+            self.clock.time += 0.25
             self.ask_store(result.Err(Failure.LOST))
+            self.clock.time += 0.25
             self.tell()
-        self.clock.time += 0.5
+        self.clock.time += 0.25
         self.ask_store(make_list(20, "a"))
         self.assertIsNotNone(self.reader.feed.list_changes(10).failure_age)
         self.tell()
