Let a test's restarted engine answer before the next test begins

Cause: the cleanup of test_a_lost_member_ends_its_replica_and_a_spare_joins starts the killed engine again and returns before it listens, which takes about half a second. Usually other tests run in between; when three of them failed at once, for a port given twice, they took no time. The tests of explanations restart a member in the same way.

The new test fails when the wait is taken out.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -20,6 +20,8 @@
 PROGRAM = pathlib.Path(__file__).parent.parent / "platform" / "run.py"
 _STORE = "platform"
 _PATH = "/currantwall/objects"
+_REPORT = "/currantwall/report"
+_START_SECONDS = 15.0
 
 
 class Gateways(fleet_module.Fleet):
@@ -55,6 +57,13 @@
             *options,
         )
 
+    def restart_engine(self, name: str, domain: str, staged: str) -> None:
+        """Start an engine again after its end; return once it answers."""
+        self.start_upstream(name, "pool", domain, staged)
+        fleet_module.wait_until(
+            lambda: self.is_answering(name, _REPORT), _START_SECONDS, name
+        )
+
     def start_gateway(
         self, name: str, grace: float = 8.0, unread: bool = False
     ) -> None:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -86,7 +86,7 @@
         time.sleep(_FIRST_EVENT)
         (member,) = [one for one in run["members"] if one != run["members"][0]]
         self.fleet.kill(member)
-        self.addCleanup(self.fleet.start_upstream, member, "pool", "d0", "m")
+        self.addCleanup(self.fleet.restart_engine, member, "d0", "m")
         reader.join()
         self.assertFalse(caught["answer"].whole)
         found = self.await_end("why-3")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bench import fleet
+from bench import gateways
 
 
 class PortTest(unittest.TestCase):
@@ -20,5 +21,18 @@
         self.assertEqual(len(set(given)), len(given))
 
 
+class RestartTest(unittest.TestCase):
+    def test_an_engine_that_was_restarted_answers_the_next_test(self):
+        """A test met a restarted engine before it listened."""
+        site = gateways.Gateways()
+        self.addCleanup(site.stop)
+        site.start_platform()
+        site.restart_engine("e1", "d0", "m")
+        site.kill("e1")
+        site.restart_engine("e1", "d0", "m")
+        answer = site.request("GET", "e1", "/currantwall/report")
+        self.assertEqual(answer.status, 200)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -432,7 +432,7 @@
         """A caller gets whole answers while an instance is killed."""
         self.fleet.start_upstream("e5", "pool", "d0", "m")
         self.fleet.kill("e1")
-        self.addCleanup(self.fleet.start_upstream, "e1", "pool", "d0", "m")
+        self.addCleanup(self.fleet.restart_engine, "e1", "d0", "m")
         for _ in range(20):
             answer = self.send("POST", "/stream/x")
             if answer.status == 200:
