Keep lapsed entries also where the list comes before the news of an answer

Cause: an outage was only known once it was over. It is known now while it lasts, and ends with the first answer that is heard of.

The new test failed before this change ('a' kept, 'b' dropped) and passes now. What was kept is dropped at the same place for all nodes, whether they read the store or not.

--- a/currantwall/coordination/outages.py
+++ b/currantwall/coordination/outages.py
@@ -31,11 +31,12 @@
 
     Attributes:
         failed: Monotonic time of the last call in it that failed.
-        ended: Monotonic time of the first answer after it.
+        ended: Monotonic time of the first answer after it; None while no
+            answer is known.
     """
 
     failed: float
-    ended: float
+    ended: float | None
 
 
 class StoreHistory:
@@ -68,13 +69,14 @@
         """Take note of a call that failed at a monotonic time."""
         self._failures.append(at)
 
-    def find_last_outage(self) -> Outage | None:
-        """Return the last outage that is over, None where none is known."""
-        for place in range(len(self._answers) - 1, 0, -1):
-            began, ended = self._answers[place - 1 : place + 1]
-            if ended - began <= _SHORTEST_OUTAGE:
-                continue
-            failed = [at for at in self._failures if began < at < ended]
-            if failed:
-                return Outage(max(failed), ended)
+    def find_last_outage(self, now: float) -> Outage | None:
+        """Return the last outage, over or not; None where none is known."""
+        ended: float | None = None
+        for began in reversed(self._answers):
+            until = now if ended is None else ended
+            if until - began > _SHORTEST_OUTAGE:
+                failed = [at for at in self._failures if began < at < until]
+                if failed:
+                    return Outage(max(failed), ended)
+            ended = began
         return None
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -85,6 +85,7 @@
         """Follow the store, or whoever reads it, for ever."""
         while True:
             now = self._clock.now()
+            self._drop_kept(now)
             if self._presence.reads_store(now):
                 self._read_store(now)
                 eventlet.sleep(self._choose_wait(now))
@@ -116,10 +117,6 @@
 
     def _follow_reader(self, now: float) -> None:
         """Take what is new; wait where nothing is."""
-        if self._fleet.has_kept and not self._keeps_missing(now):
-            # What had lapsed has not come back.
-            held = ports.Listing(self._changes.objects, self._fleet.revision)
-            self._take(held, now)
         newer = self._presence.find_newer_list(self.changed, now)
         if newer is not None and self._fetch(newer, now):
             return
@@ -129,6 +126,12 @@
         with eventlet.Timeout(_LOOK_INTERVAL, False):
             self._news.wait()
 
+    def _drop_kept(self, now: float) -> None:
+        """Drop what had lapsed and has not come back in time."""
+        if self._fleet.has_kept and not self._keeps_missing(now):
+            held = ports.Listing(self._changes.objects, self._fleet.revision)
+            self._take(held, now)
+
     def note_news(self, changed: int) -> None:
         """Take note of a revision that another node has."""
         if changed > self.changed:
@@ -154,21 +157,22 @@
             self._reachable = True
             self._log.write("store_regained", feed=_FEED)
 
-    def _find_return(self, now: float) -> outages.Outage | None:
-        """Return the outage from which the store has just come back.
+    def _find_outage(self, now: float) -> outages.Outage | None:
+        """Return the outage for which entries may be missing.
 
         Failure: entries lapse while the store is away, and with its
         return the list lacks instances that serve; every replica would
         be taken apart. They are back within two seconds.
         """
-        outage = self._history.find_last_outage()
-        if outage is None or now >= outage.ended + _ENTRIES_BACK:
-            return None
-        return outage
+        outage = self._history.find_last_outage(now)
+        if outage is None or outage.ended is None:
+            # A list may come from a peer before the news of an answer.
+            return outage
+        return outage if now < outage.ended + _ENTRIES_BACK else None
 
     def _keeps_missing(self, now: float) -> bool:
         """Return whether entries may be missing of instances that live."""
-        return self._find_return(now) is not None
+        return self._find_outage(now) is not None
 
     # -- What peers have
 
@@ -202,7 +206,7 @@
     def list_changes(self, since: int) -> ports.Listing:
         """Return what a peer lacks that asks from a revision."""
         now = self._clock.now()
-        outage = self._find_return(now)
+        outage = self._find_outage(now)
         found = self._changes.list_since(since)
         return ports.Listing(
             found.objects,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -165,7 +165,7 @@
     Mutant(
         "lapsed entries taken as gone at once",
         "currantwall/transport/fleets.py",
-        "        return self._find_return(now) is not None\n",
+        "        return self._find_outage(now) is not None\n",
         "        return False\n",
         f"{_FEEDS}.FleetFeedTest"
         ".test_entries_that_lapsed_in_an_outage_are_kept_for_a_while",
@@ -173,8 +173,8 @@
     Mutant(
         "a refusal taken for an outage by who was refused",
         f"{_COORDINATION}/outages.py",
-        "            if ended - began <= _SHORTEST_OUTAGE:\n",
-        "            if ended - began <= 0.0:\n",
+        "            if until - began > _SHORTEST_OUTAGE:\n",
+        "            if until - began > 0.0:\n",
         f"{_FEEDS}.FleetFeedTest"
         ".test_who_leaves_is_dropped_after_this_node_was_turned_away",
     ),
@@ -189,19 +189,27 @@
     Mutant(
         "a refusal taken for an outage by who was told",
         f"{_COORDINATION}/outages.py",
-        "            if ended - began <= _SHORTEST_OUTAGE:\n",
-        "            if ended - began <= 0.0:\n",
+        "            if until - began > _SHORTEST_OUTAGE:\n",
+        "            if until - began > 0.0:\n",
         f"{_FEEDS}.FollowerTest"
         ".test_who_leaves_is_dropped_after_a_reader_was_cut_off",
     ),
     Mutant(
         "a silence without a failure taken for an outage",
         f"{_COORDINATION}/outages.py",
-        "            if failed:\n",
-        "            if True:\n",
+        "                if failed:\n",
+        "                failed.append(now)\n                if True:\n",
         "tests.test_outages.StoreHistoryTest"
         ".test_a_silence_in_which_no_call_failed_is_no_outage",
     ),
+    Mutant(
+        "an outage not known before an answer is",
+        f"{_COORDINATION}/outages.py",
+        "            until = now if ended is None else ended\n",
+        "            until = began if ended is None else ended\n",
+        f"{_FEEDS}.FollowerTest"
+        ".test_lapsed_entries_are_kept_by_who_hears_of_the_list_first",
+    ),
     Mutant(
         "an older configuration taken",
         "currantwall/transport/configurations.py",
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -305,6 +305,7 @@
             mock.patch.object(fleets.eventlet, "Timeout", mock.MagicMock()),
             mock.patch.object(self.follower.feed, "_news"),
         ):
+            self.follower.feed._drop_kept(self.clock.now())
             self.follower.feed._follow_reader(self.clock.now())
         return calls
 
@@ -438,6 +439,31 @@
         self.follow()
         self.assertEqual(self.list_names(), ["a"])
 
+    def test_lapsed_entries_are_kept_by_who_hears_of_the_list_first(self):
+        """A node dropped live replicas as the reader's heartbeat was lost."""
+        self.ask_store(make_list(10, "a", "b"))
+        self.tell()
+        self.follow()
+        self.play_outage(5)
+        self.ask_store(make_list(20, "a"))
+        self.follower.presence.note_heartbeat(
+            presence_module.Heartbeat(
+                node=make_entry("third"),
+                serial=1,
+                ready=True,
+                instances=self.reader.feed.changed,
+            ),
+            self.clock.now(),
+        )
+        self.follow()
+        self.assertEqual(self.list_names(), ["a", "b"])
+        self.pass_time(1.0, 0.0)
+        self.follow()
+        self.assertEqual(self.list_names(), ["a", "b"])
+        self.pass_time(3.0, 0.0)
+        self.follow()
+        self.assertEqual(self.list_names(), ["a"])
+
     def test_who_leaves_is_dropped_after_a_reader_was_turned_away(self):
         """Nodes the store never refused sent requests to who had left."""
         self.ask_store(make_list(10, "a", "b", "c"))
