Show outages and refusals to a fleet of 141 nodes behind relays

Two tests over real nodes: none believes in an outage while one relay is refused by the store for four seconds, though told of all its failures; and after six seconds without any answer every node finds the outage, with its end within two rounds of the store's return. Both pass on the code as it is; they guard what nodes in a large fleet know only through relays.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -53,6 +53,8 @@
         self.serial = 0
         self.loads: dict[str, int] = {}
         self.lost: tuple[str, ...] = ()
+        # When the store last answered it; None where it never asked.
+        self.answered: float | None = None
         self.heard_lost: dict[str, float] = {}
         self.remote: dict[str, int] = {}
         self.sent = 0
@@ -68,9 +70,25 @@
             ready=True,
             loads=self.loads,
             lost=self.lost,
+            store_age=self._get_store_age(now),
         )
         return self.relay.list_datagrams(own, now)
 
+    def _get_store_age(self, now: float) -> float | None:
+        if self.answered is None or not self.presence.reads_store(now):
+            return None
+        return now - self.answered
+
+    def ask_store(self, is_refused: bool, now: float) -> None:
+        """Read the store, where it is this node's turn."""
+        if not self.presence.reads_store(now):
+            return
+        if is_refused:
+            self.presence.store_history.note_failure(now)
+            return
+        self.answered = now
+        self.presence.store_history.note_answer(now)
+
     def hear(self, message: digests.Message, now: float) -> None:
         """Take a message as the gateway does."""
         self.received += 1
@@ -98,6 +116,8 @@
                 capacity = 1.0 if number < large else 0.1
                 self.nodes[name] = Node(make_entry(name, place, capacity))
         self.dead: set[str] = set()
+        # Nodes that the store turns away; None where there is no store.
+        self.refused: set[str] | None = None
         self._encoder = msgspec.msgpack.Encoder()
         entries = [node.entry for node in self.nodes.values()]
         for node in self.nodes.values():
@@ -109,6 +129,9 @@
         while self.now < end:
             self.now += ROUND
             for name in self.nodes:
+                if self.refused is not None:
+                    is_refused = name in self.refused
+                    self.nodes[name].ask_store(is_refused, self.now)
                 self.send(name)
 
     def send(self, name: str) -> None:
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -29,6 +29,49 @@
     def test_every_node_knows_all_others(self):
         self.assertEqual(set(self.count_ready()), {140})
 
+    def list_outages(self, since):
+        """Return what each node finds that is told of all failures."""
+        failures = {
+            at
+            for node in self.net.nodes.values()
+            for at in node.presence.store_history._failures
+            if at >= since
+        }
+        found = []
+        for node in self.net.nodes.values():
+            for at in sorted(failures):
+                node.presence.store_history.note_failure(at)
+            history = node.presence.store_history
+            found.append(history.find_last_outage(self.net.now))
+        return found
+
+    def test_no_node_believes_in_an_outage_that_one_relay_sees(self):
+        """All nodes of a data centre kept instances that had left."""
+        self.net.refused = set()
+        self.net.run(4.0)
+        self.net.refused = {self.net.find_relays("a")[0]}
+        since = self.net.now
+        self.net.run(4.0)
+        self.net.refused = set()
+        self.net.run(2.0)
+        self.assertEqual(set(self.list_outages(since)), {None})
+
+    def test_every_node_finds_an_outage_and_its_end(self):
+        """Some nodes took every replica apart after an outage."""
+        self.net.refused = set()
+        self.net.run(4.0)
+        since = self.net.now
+        self.net.refused = set(self.net.nodes)
+        self.net.run(6.0)
+        self.net.refused = set()
+        returned = self.net.now
+        self.net.run(2.0)
+        found = self.list_outages(since)
+        self.assertNotIn(None, found)
+        ends = [one.ended - returned for one in found]
+        self.assertGreaterEqual(min(ends), 0.0)
+        self.assertLessEqual(max(ends), 2 * network.ROUND)
+
     def test_a_node_sends_little_however_large_the_fleet_is(self):
         """Control would take more of a thin link the larger the fleet is.
 
