--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,8 @@
 from bench import fleet
 from bench import gateways
 
+_START_SECONDS = 60.0
+
 
 class PortTest(unittest.TestCase):
     def test_no_port_is_given_twice(self):
@@ -27,6 +29,11 @@
         site = gateways.Gateways()
         self.addCleanup(site.stop)
         site.start_platform()
+        fleet.wait_until(
+            lambda: site.is_answering("platform", "/currantwall/objects/x"),
+            _START_SECONDS,
+            "store",
+        )
         site.restart_engine("e1", "d0", "m")
         site.kill("e1")
         site.restart_engine("e1", "d0", "m")
