--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "bench.peers",
     "bench.digests",
     "bench.logs",
+    "bench.nodes",
 )
 
 
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -31,6 +31,8 @@
         super().__init__()
         self._next_host = 10
         self.version = 0
+        # What each gateway's machine gives to it, as its settings say.
+        self.limits: dict[str, float] = {}
         self.fronts: dict[str, str] = {}
         self.readies: dict[str, str] = {}
         self.directories: dict[str, str] = {}
@@ -108,6 +110,7 @@
             "zone": "a",
             "listen": listen,
             "internalPorts": fleet_module.pick_port_pair(),
+            "limits": self.limits,
             "bounds": {
                 "graceS": grace,
                 "retryBudgetRatio": 0.2,
