--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -38,7 +38,7 @@
 _LOOK_INTERVAL = 2.0
 # Seconds without news of a lease, which comes with the heartbeats, after
 # which it is looked at: two renewals.
-_UNTOLD = 1.2
+_UNTOLD = 1.6
 
 
 class DomainLease:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from bench import digests as network
 from currantwall.coordination import balancing
 from currantwall.coordination import leases
 from currantwall.coordination import presence as presence_module
@@ -177,6 +178,35 @@
             node.leases.note_leases(held, world.time)
 
 
+class ReadersTest(unittest.TestCase):
+    def count_readers(self, places):
+        net = network.Network(20, places, 3)
+        net.run(4.0)
+        return sum(
+            node.presence.is_reader(net.now) for node in net.nodes.values()
+        )
+
+    def test_the_readers_do_not_grow_with_the_data_centres(self):
+        """Each data centre more made two nodes more ask the same."""
+        self.assertEqual(self.count_readers(("a", "b", "c")), 6)
+        self.assertEqual(self.count_readers(("a", "b", "c", "d", "e")), 5)
+
+    def test_a_reader_that_dies_is_followed_by_another(self):
+        """A data centre would hear of no change until another one's came."""
+        places = ("a", "b", "c", "d", "e")
+        net = network.Network(20, places, 3)
+        net.run(4.0)
+        reader = net.find_relays("b")[0]
+        net.dead.add(reader)
+        net.run(3.2)
+        readers = [
+            node.entry.datacentre
+            for node in net.list_live()
+            if node.presence.is_reader(net.now)
+        ]
+        self.assertEqual(sorted(readers), list(places))
+
+
 class LoadsTest(unittest.TestCase):
     def test_counts_follow_each_message_and_end_with_their_node(self):
         """Replicas would look busy with requests that have ended."""
