Let a domain wait for replacements while the other model has plenty

Now a domain too small for the moment turns its idle instances only where the other model is scarce, or where it is below half of a replica or never was large enough. The first test fails on the code before (replicas of 4, not of 16).

--- a/currantwall/coordination/formation.py
+++ b/currantwall/coordination/formation.py
@@ -496,6 +496,7 @@
                 for model in self._engine.models
             },
             usable=sum(known.is_usable for known in self._known.values()),
+            size=layout.size,
             cover=self._measure_cover(rest, formed, demands),
             loading=any(
                 known.staging or known.upstream.busy
--- a/currantwall/coordination/layout.py
+++ b/currantwall/coordination/layout.py
@@ -35,10 +35,12 @@
     Attributes:
         main: Model of the domain; the only one where it is not mixed.
         replicas: Replicas of each model where it is mixed, else empty.
+        size: Most instances that the domain has had.
     """
 
     main: str
     replicas: abc.Mapping[str, int] = {}
+    size: int = 0
 
 
 def choose_mix(
--- a/currantwall/coordination/staging.py
+++ b/currantwall/coordination/staging.py
@@ -20,6 +20,8 @@
 # first, replicas of it are needed; above the second, it can spare some.
 _SCARCE = 1.3
 _PLENTY = 2.5
+# Part of a replica below which a domain doesn't wait for replacements.
+_HOPELESS = 0.5
 # The weight store counts the loads that start within so many seconds, and
 # bears a few beyond its rate. Half of that may start at once, for a domain
 # mostly gets two instances at a time, the other half one by one.
@@ -44,6 +46,7 @@
         idle: Instances that wait with a model's weights, by model; too
             few to form a replica of it.
         usable: Instances of the domain that can serve, busy ones too.
+        size: Most instances that the domain has had.
         cover: Slots of each model's replicas, those to come included,
             for each of its requests in work.
         loading: Whether a load is under way here.
@@ -58,6 +61,7 @@
     blank: tuple[ids.InstanceId, ...]
     idle: abc.Mapping[str, tuple[ids.InstanceId, ...]]
     usable: int
+    size: int
     cover: abc.Mapping[str, float]
     loading: bool = False
     busy: bool = True
@@ -180,17 +184,13 @@
     """Return loads that turn idle instances into a replica.
 
     Only where the idle ones cannot form one of the model they have, and
-    the other model is scarce, has begun here, or the domain is too small
-    for its own.
+    the other model is worth the loads.
     """
     if stock.loading:
         return []
     stranded = [] if stock.wanted else _find_stranded(engine, stock)
     if stranded:
         return stranded
-    # Failure: at the start the first domains to form take the other model
-    # for scarce and give up their spares; a loss then costs a replica.
-    spares_main = stock.busy and stock.cover[stock.main.name] >= _PLENTY
     for model in sorted(engine.models, key=lambda one: stock.cover[one.name]):
         others = [
             instance
@@ -201,14 +201,41 @@
         missing = model.size - len(stock.idle.get(model.name, ()))
         if not 0 < missing <= len(others):
             continue
-        begun = missing < model.size
-        scarce = stock.cover[model.name] < _SCARCE and spares_main
-        scarce = scarce and not stock.wanted
-        if scarce or begun or stock.usable < stock.main.size:
+        if _is_worth_loads(stock, model, begun=missing < model.size):
             return [Load(instance, model) for instance in others[:missing]]
     return []
 
 
+def _is_worth_loads(stock: Stock, model: routes.Model, begun: bool) -> bool:
+    """Return whether idle instances are to be turned to a model.
+
+    Failure: a domain lost a few members of its only large replica, turned
+    the idle ones to the other model, of which there was plenty, and could
+    not form its own again when the replacements were loaded.
+
+    Args:
+        stock: What the domain has.
+        model: The model of a replica that could be formed.
+        begun: Whether some of its instances wait here already.
+    """
+    too_small = stock.usable < stock.main.size
+    if stock.wanted or model.name == stock.main.name:
+        return begun or too_small
+    waits = (
+        stock.size >= stock.main.size
+        and stock.usable >= _HOPELESS * stock.main.size
+    )
+    if too_small and not waits:
+        return True
+    # Failure: at the start the first domains to form take the other model
+    # for scarce and give up their spares; a loss then costs a replica.
+    spares_main = stock.busy and stock.cover[stock.main.name] >= _PLENTY
+    scarce = stock.cover[model.name] < _SCARCE
+    if spares_main:
+        return scarce or begun
+    return scarce and too_small
+
+
 def _find_stranded(engine: routes.Engine, stock: Stock) -> list[Load]:
     """Return loads for instances that wait for a model in vain.
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -189,7 +189,9 @@
         dealt = staging.assign_models(engine, known)
         mix = layout_module.choose_mix(engine, known, dealt)
         for name, model in found.items():
-            self._domains[name].layout = layout_module.Layout(model, mix)
+            self._domains[name].layout = layout_module.Layout(
+                model, mix, self._sizes[name]
+            )
 
     def _add(self, name: ids.DomainName, service: routes.Service) -> None:
         assert service.engine is not None
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -76,7 +76,8 @@
 class World:
     """The instances of one domain and what was promised about them."""
 
-    def __init__(self, count, staged=("large",)):
+    def __init__(self, count, staged=("large",), engine=ENGINE):
+        self.engine = engine
         self.engines = {f"i{n}": Engine(f"i{n}", staged) for n in range(count)}
         self.broken = []
         self.orders = []
@@ -120,11 +121,11 @@
         if moves and self.leader_serves(old.replica, old.epoch):
             self.broken.append(f"{engine.id} in two replicas")
         model = upstreams.parse_name(order.replica)[0]
-        wait = LARGE.load
+        wait = self.engine.find(model).load
         if engine.last_model == model:
             wait = HOT_JOIN
         elif model in engine.staged:
-            wait = ENGINE.find(model).warm
+            wait = self.engine.find(model).warm
         engine.highest = order.epoch
         engine.last_model = model
         engine.ready_at = now + wait
@@ -154,7 +155,7 @@
             if not ready or seat.epoch != order.epoch:
                 self.broken.append(f"{order.replica} opened without {name}")
         model, _ = upstreams.parse_name(order.replica)
-        if len(engine.members) != ENGINE.find(model).size:
+        if len(engine.members) != self.engine.find(model).size:
             self.broken.append(f"{order.replica} opened too small")
         engine.seat = msgspec.structs.replace(engine.seat, phase=Phase.OPEN)
         return True
@@ -172,7 +173,7 @@
         return True
 
     def stage(self, engine, order, now):
-        load = ENGINE.find(order.model).load
+        load = self.engine.find(order.model).load
         engine.staging = (order.model, now + load)
         return True
 
@@ -184,17 +185,23 @@
         self.world = world
         self.main = main
         self.mix = mix or {}
+        self.demands = NONE
+        self.size = 0
         self.now = 100.0
         self.late = []
         self.lose_answers = False
         # Seconds between two probes of an instance at rest.
         self.steady = 2.0
-        self.planner = formation.Planner(ids.DomainName("d0"), ENGINE)
+        self.planner = formation.Planner(
+            ids.DomainName("d0"), self.world.engine
+        )
         self.fence = 1000
 
     def replace_planner(self):
         """Let a successor take over, who knows only what it sees."""
-        self.planner = formation.Planner(ids.DomainName("d0"), ENGINE)
+        self.planner = formation.Planner(
+            ids.DomainName("d0"), self.world.engine
+        )
         self.fence += 1000
 
     def step(self, seconds=0.1):
@@ -221,7 +228,10 @@
                     name, knowledge.Reach.SILENT
                 )
         orders = self.planner.plan(
-            self.now, self.fence, layout.Layout(self.main, self.mix), NONE
+            self.now,
+            self.fence,
+            layout.Layout(self.main, self.mix, self.size),
+            self.demands,
         )
         # Orders of one step overtake each other; joins first is the worst.
         orders.sort(key=lambda order: order.kind is not Kind.JOIN)
@@ -518,6 +528,65 @@
         session.run(20.0)
         self.assertEqual(session.count_open(), 1)
 
+    def lose_four_of_nineteen(self, demands):
+        """Return a domain whose replica of sixteen has lost its members.
+
+        Replacements come ten seconds later.
+        """
+        large = msgspec.structs.replace(LARGE, size=16)
+        small = msgspec.structs.replace(SMALL, size=4)
+        engine = msgspec.structs.replace(ENGINE, models=(large, small))
+        session = Session(World(19, ("large",), engine))
+        session.demands = demands
+        session.size = 19
+        session.run(5.0)
+        for number in (1, 4, 9, 12):
+            victim = session.world.engines[f"i{number}"]
+            victim.up, victim.listed = False, False
+            session.suspect(victim)
+        session.run(10.0)
+        for number in range(4):
+            session.world.engines[f"new{number}"] = Engine(f"new{number}")
+        session.run(20.0)
+        self.assertEqual(session.world.broken, [])
+        return session
+
+    def test_a_domain_waits_for_replacements_while_others_have_plenty(self):
+        """The larger model was gone for the rest of the day.
+
+        Fifteen instances are left of a replica of sixteen; four of them
+        were loaded with the other model, of which there was enough, and
+        the four replacements did not make up for them.
+        """
+        session = self.lose_four_of_nineteen(
+            {
+                "large": formation.Demand(6.0, 0),
+                "small": formation.Demand(29.0, 8),
+            }
+        )
+        self.assertEqual(session.count_open(), 1)
+        (leader,) = [
+            one
+            for one in session.world.engines.values()
+            if one.seat and one.seat.phase is Phase.OPEN
+        ]
+        self.assertEqual(len(leader.members), 16)
+
+    def test_a_domain_too_small_helps_out_where_the_other_is_short(self):
+        """Fifteen instances stood idle while callers were turned away."""
+        session = self.lose_four_of_nineteen(
+            {
+                "large": formation.Demand(6.0, 2),
+                "small": formation.Demand(29.0, 2),
+            }
+        )
+        members = {
+            len(one.members)
+            for one in session.world.engines.values()
+            if one.seat and one.seat.phase is Phase.OPEN
+        }
+        self.assertEqual(members, {4})
+
     @hypothesis.settings(
         max_examples=40, deadline=None, derandomize=True, database=None
     )
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -86,6 +86,7 @@
             "blank": (),
             "idle": {},
             "usable": 9,
+            "size": 9,
             "cover": {"large": 2.0, "small": 2.0},
         }
         found = staging.choose_loads(ENGINE, staging.Stock(**fields | kwargs))
@@ -120,7 +121,13 @@
         wide = (LARGE, msgspec.structs.replace(SMALL, size=4))
         engine = msgspec.structs.replace(ENGINE, models=wide)
         stock = staging.Stock(
-            main=LARGE, blank=(), idle=idle, usable=37, cover=cover, busy=False
+            main=LARGE,
+            blank=(),
+            idle=idle,
+            usable=37,
+            size=37,
+            cover=cover,
+            busy=False,
         )
         self.assertEqual(staging.choose_loads(engine, stock), [])
         later = msgspec.structs.replace(stock, busy=True)
@@ -144,6 +151,7 @@
         stock = staging.Stock(
             main=SMALL,
             blank=(),
+            size=37,
             idle={"small": ("a",), "large": waiting},
             usable=37,
             cover={"large": 2.0, "small": 2.0},
