--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -37,6 +37,8 @@
 _STEADY_INTERVAL = 4.0
 # Seconds without a new instance after which the list counts as whole.
 _SETTLED = 1.2
+# Seconds between two looks at what the domains are meant for.
+_DEAL_INTERVAL = 1.0
 # Fencing numbers of one lease revision: more than the joins it may give.
 _EPOCHS = 1000
 
@@ -89,6 +91,7 @@
         self._sizes: dict[ids.DomainName, int] = {}
         # The list and the services that the domains were last dealt out by.
         self._dealt: tuple[int, tuple[routes.Service, ...]] | None = None
+        self._next_deal = 0.0
         self._supply = _Supply(fleet)
         self._largest = 0
         self._grown_at = self._clock.now()
@@ -106,7 +109,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due for each domain."""
-        self._find_domains()
+        self._find_domains(now)
         self._leases.look(now)
         for one in self._domains.values():
             if self._leases.tick(one.lease, now):
@@ -132,15 +135,20 @@
         self._stopping = True
         self._leases.release()
 
-    def _find_domains(self) -> None:
-        """Learn the domains from the instances, where these have changed."""
-        if not self._is_settled():
+    def _find_domains(self, now: float) -> None:
+        """Learn the domains from the instances, where these have changed.
+
+        The load it answers: in a thousand instances a few change their
+        state several times a second, which says nothing of the domains.
+        """
+        if not self._is_settled() or now < self._next_deal:
             return
         services = tuple(self.services())
         state = self._fleet.generation, services
         if state == self._dealt:
             return
         self._dealt = state
+        self._next_deal = now + _DEAL_INTERVAL
         for service in services:
             if service.engine is None:
                 continue
