Take over what has changed in a list, not the whole of it

A member of a fleet of 1,100 instances fetched a few changed entries and went through all of them six times to find out what they changed. It now updates the list in place; the whole list is compared only where it was read or entries may be missing.

--- a/currantwall/coordination/changes.py
+++ b/currantwall/coordination/changes.py
@@ -76,10 +76,29 @@
             self._removals[name] = revision
         for name in objects.keys() & self._removals.keys():
             del self._removals[name]
+        self._forget_removals()
+        self._objects = objects
+
+    def _forget_removals(self) -> None:
         while len(self._removals) > _REMOVALS_LIMIT:
             oldest = min(self._removals, key=self._removals.__getitem__)
             self._horizon = max(self._horizon, self._removals.pop(oldest))
-        self._objects = objects
+
+    def merge(
+        self,
+        objects: abc.Iterable[Item],
+        removed: abc.Iterable[str],
+        revision: int,
+    ) -> None:
+        """Take over what has changed in the list as of a revision."""
+        for one in objects:
+            self._objects[one.name] = one
+            self._removals.pop(one.name, None)
+        for name in removed:
+            if self._objects.pop(name, None) is not None:
+                self._removals[name] = revision
+        self._forget_removals()
+        self.changed = max(self.changed, revision)
 
     def note_included(self, changed: int) -> None:
         """Take note that another node's changes are part of this list.
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -14,6 +14,7 @@
 from currantwall.state import ids
 
 __all__ = [
+    "Change",
     "Fleet",
     "Phase",
     "Replica",
@@ -169,6 +170,23 @@
         del index[key]
 
 
+def _differs(held: Upstream | None, listed: Upstream) -> bool:
+    # Most are the same object: an entry that stayed is not decoded anew.
+    return held is not listed and held != listed
+
+
+class Change(msgspec.Struct, frozen=True):
+    """What a list of instances changed.
+
+    Attributes:
+        old: Instances that are gone or differ, as they were.
+        new: Instances that are new or differ, as they are.
+    """
+
+    old: tuple[Upstream, ...]
+    new: tuple[Upstream, ...]
+
+
 class Fleet:
     """The registered instances as one node knows them.
 
@@ -179,6 +197,7 @@
         revision: Revision of the list it was read from.
         updated: Monotonic time of the last read.
         generation: Rises with each change of any instance.
+        changed: What the last list changed.
         has_kept: Whether instances may be held that the list lacks.
     """
 
@@ -186,6 +205,7 @@
         self.revision = 0
         self.updated = 0.0
         self.generation = 0
+        self.changed = Change((), ())
         self.has_kept = False
         self._upstreams: dict[ids.InstanceId, Upstream] = {}
         self._by_service: _Index[ids.ServiceName] = {}
@@ -226,26 +246,51 @@
             return False
         self.updated = now
         if revision == self.revision and not self.has_kept:
+            self.changed = Change((), ())
             return True
         self.has_kept = keep_missing
         self.revision = revision
-        kept = self._upstreams if keep_missing else {}
-        self._change({**kept, **{one.id: one for one in upstreams}})
+        listed = {one.id: one for one in upstreams}
+        gone = () if keep_missing else self._upstreams.keys() - listed.keys()
+        self._change(listed.values(), gone)
+        return True
+
+    def update(
+        self,
+        upstreams: abc.Iterable[Upstream],
+        gone: abc.Iterable[ids.InstanceId],
+        revision: int,
+        now: float,
+    ) -> bool:
+        """Take over what differs from the list that is held.
+
+        Args:
+            upstreams: Instances that are new or differ.
+            gone: Instances that are no longer listed.
+            revision: Revision of the list with these changes.
+            now: Monotonic time at which it was asked for.
+
+        Returns:
+            False where a newer list is held already.
+        """
+        if revision < self.revision:
+            return False
+        self.updated = now
+        self.revision = revision
+        self._change(upstreams, gone)
         return True
 
-    def _change(self, after: dict[ids.InstanceId, Upstream]) -> None:
+    def _change(
+        self,
+        upstreams: abc.Iterable[Upstream],
+        gone: abc.Iterable[ids.InstanceId],
+    ) -> None:
         """Take over the instances, looking only at those that differ."""
-        before, self._upstreams = self._upstreams, after
-        old = [
-            one
-            for name, one in before.items()
-            if after.get(name) is not one and after.get(name) != one
-        ]
-        new = [
-            one
-            for name, one in after.items()
-            if before.get(name) is not one and before.get(name) != one
-        ]
+        held = self._upstreams
+        new = [one for one in upstreams if _differs(held.get(one.id), one)]
+        old = [held[name] for name in gone if name in held]
+        old += [held[one.id] for one in new if one.id in held]
+        self.changed = Change(tuple(old), tuple(new))
         if not old and not new:
             return
         self.generation += 1
@@ -258,6 +303,7 @@
                 self._form(key)
 
     def _add(self, one: Upstream) -> None:
+        self._upstreams[one.id] = one
         self._by_service.setdefault(one.service, {})[one.id] = one
         place = (one.service, one.domain)
         self._by_domain.setdefault(place, {})[one.id] = one
@@ -266,6 +312,7 @@
             self._by_seat.setdefault(seat, {})[one.id] = one
 
     def _remove(self, one: Upstream) -> None:
+        del self._upstreams[one.id]
         _drop(self._by_service, one.service, one.id)
         _drop(self._by_domain, (one.service, one.domain), one.id)
         seat = _find_seat(one)
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -196,13 +196,20 @@
             return False
         if found.failure_age is not None:
             self._history.note_failure(now - found.failure_age)
-        objects = found.objects
-        if found.since:
-            objects = self._changes.apply(objects, found.removed)
-        self._take(ports.Listing(objects, found.revision), now)
+        self._take_passed_on(found, now)
         self._changes.note_included(found.changed)
         return True
 
+    def _take_passed_on(self, found: ports.Listing, now: float) -> None:
+        """Take over a peer's list, or what has changed in it."""
+        if not found.since:
+            self._take(found, now)
+        elif self._fleet.has_kept or self._keeps_missing(now):
+            objects = self._changes.apply(found.objects, found.removed)
+            self._take(ports.Listing(objects, found.revision), now)
+        else:
+            self._take_changes(found, now)
+
     def list_changes(self, since: int) -> ports.Listing:
         """Return what a peer lacks that asks from a revision."""
         now = self._clock.now()
@@ -219,9 +226,20 @@
 
     # -- What is known
 
+    def _take_changes(self, found: ports.Listing, asked: float) -> None:
+        """Take over what differs from the list held here."""
+        listed, unreadable = self._decoder.decode_changes(
+            found.objects, found.removed
+        )
+        gone = {ids.InstanceId(name) for name in found.removed} | unreadable
+        if not self._fleet.update(listed, gone, found.revision, asked):
+            return
+        self._changes.merge(found.objects, found.removed, found.revision)
+        self.on_change()
+        self._log_changes(found.revision)
+
     def _take(self, listing: ports.Listing, asked: float) -> None:
         found = self._decoder.decode(listing.objects)
-        before = self._list_states()
         keep = self._keeps_missing(asked)
         if not self._fleet.replace(found, listing.revision, asked, keep):
             return
@@ -229,17 +247,15 @@
         self._changes.replace(listing.objects, listing.revision)
         if self.changed > known:
             self.on_change()
-        self._log_changes(before, listing.revision)
-        self._log_kept({one.id for one in found}, listing.revision)
-
-    def _list_states(self) -> dict[ids.InstanceId, bool]:
-        """Return the instances, and whether each is being drained."""
-        return {one.id: one.leaving for one in self._fleet.all()}
-
-    def _log_changes(
-        self, before: dict[ids.InstanceId, bool], revision: int
-    ) -> None:
-        after = self._list_states()
+        self._log_changes(listing.revision)
+        if keep or self._kept:
+            self._log_kept({one.id for one in found}, listing.revision)
+
+    def _log_changes(self, revision: int) -> None:
+        """Log who came, began to drain or went with the last list."""
+        change = self._fleet.changed
+        before = {one.id: one.leaving for one in change.old}
+        after = {one.id: one.leaving for one in change.new}
         if before == after:
             return
         leaving = [
@@ -252,7 +268,7 @@
             added=sorted(after.keys() - before.keys())[:_NAMES_LIMIT],
             leaving=sorted(leaving)[:_NAMES_LIMIT],
             removed=sorted(before.keys() - after.keys())[:_NAMES_LIMIT],
-            total=len(after),
+            total=len(self._fleet.all()),
             revision=revision,
         )
 
@@ -282,17 +298,13 @@
     ) -> list[upstreams.Upstream]:
         """Return the instances in readable entries."""
         held = self._held
-        fresh = [
-            one
-            for one in objects
-            if one.name not in held or held[one.name][0] != one.revision
-        ]
-        decoded = {
-            one.id: one for one in self._documents.decode_upstreams(fresh)
-        }
-        for stored in fresh:
-            name = ids.InstanceId(stored.name)
-            held[stored.name] = stored.revision, decoded.get(name)
+        self._decode(
+            [
+                one
+                for one in objects
+                if one.name not in held or held[one.name][0] != one.revision
+            ]
+        )
         if len(held) > len(objects):
             present = {one.name for one in objects}
             for name in held.keys() - present:
@@ -300,6 +312,28 @@
         listed = (held[one.name][1] for one in objects)
         return [one for one in listed if one is not None]
 
+    def decode_changes(
+        self,
+        objects: abc.Collection[ports.StoredObject],
+        removed: abc.Iterable[str],
+    ) -> tuple[list[upstreams.Upstream], set[ids.InstanceId]]:
+        """Return the instances in some entries, and who is unreadable."""
+        self._decode(objects)
+        for name in removed:
+            self._held.pop(name, None)
+        listed = [self._held[one.name][1] for one in objects]
+        found = [one for one in listed if one is not None]
+        names = {ids.InstanceId(one.name) for one in objects}
+        return found, names - {one.id for one in found}
+
+    def _decode(self, objects: abc.Collection[ports.StoredObject]) -> None:
+        decoded = {
+            one.id: one for one in self._documents.decode_upstreams(objects)
+        }
+        for stored in objects:
+            name = ids.InstanceId(stored.name)
+            self._held[stored.name] = stored.revision, decoded.get(name)
+
 
 def _ignore() -> None:
     return
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -85,6 +85,30 @@
             fresh.replace(whole.values(), 1, 1.0)
             self.assertEqual(describe(fleet), describe(fresh), revision)
 
+    def test_changes_alone_give_what_the_whole_list_does(self):
+        """Nodes that follow a reader would route by another list than it."""
+        draw = random.Random(7)
+        fleet = upstreams.Fleet()
+        held = {}
+        for revision in range(1, 300):
+            listed = {one.id: one for one in self.draw_list(draw)}
+            differs = [
+                one for name, one in listed.items() if held.get(name) != one
+            ]
+            gone = held.keys() - listed.keys()
+            fleet.update(differs, gone, revision, float(revision))
+            held = listed
+            fresh = upstreams.Fleet()
+            fresh.replace(listed.values(), 1, 1.0)
+            self.assertEqual(describe(fleet), describe(fresh), revision)
+
+    def test_older_changes_are_refused(self):
+        fleet = upstreams.Fleet()
+        one = make_instance(0, 0, 0, Phase.OPEN)
+        fleet.update([one], (), 5, 1.0)
+        self.assertFalse(fleet.update((), [one.id], 4, 2.0))
+        self.assertIsNotNone(fleet.get(one.id))
+
     def test_an_equal_list_is_no_change(self):
         fleet = upstreams.Fleet()
         for revision in (1, 2):
@@ -117,6 +141,15 @@
         ]
         self.assertEqual([len(names) for names in asked], [9, 1, 0])
 
+    def test_an_entry_that_became_unreadable_is_gone(self):
+        """Requests would go on to where no server is named any more."""
+        documents = mock.Mock()
+        documents.decode_upstreams.return_value = []
+        decoder = fleets._Decoder(documents)
+        spoilt = ports.StoredObject("i0", 2, b"spoilt")
+        found, gone = decoder.decode_changes([spoilt], ())
+        self.assertEqual((found, gone), ([], {"i0"}))
+
     def test_an_entry_that_comes_back_is_decoded_anew(self):
         """An instance would be held as it was before it left."""
         documents = mock.Mock()
