--- a/currantwall/transport/green.py
+++ b/currantwall/transport/green.py
@@ -1,8 +1,12 @@
 """Making the standard library cooperative, before anything uses it."""
 
+from collections import abc
+import contextlib
+import sys
+import types
 import warnings
 
-__all__ = ["patch"]
+__all__ = ["hide_asyncio", "patch"]
 
 
 def patch(threads: bool = True) -> None:
@@ -21,3 +25,22 @@
     import eventlet
 
     eventlet.monkey_patch(thread=threads)
+
+
+@contextlib.contextmanager
+def hide_asyncio() -> abc.Iterator[None]:
+    """Have imports of asyncio find an empty package meanwhile.
+
+    For a process that runs no coroutine: libraries load it for functions
+    that are never called here, which makes each start longer.
+    """
+    if "asyncio" in sys.modules:
+        yield
+        return
+    empty = types.ModuleType("asyncio")
+    empty.__path__ = []
+    sys.modules["asyncio"] = empty
+    try:
+        yield
+    finally:
+        del sys.modules["asyncio"]
