--- a/currantwall/coordination/balancing.py
+++ b/currantwall/coordination/balancing.py
@@ -289,17 +289,30 @@
         wait = _FIRST_AVOIDANCE * 2 ** (conduct.failures - 1)
         self._avoid(upstream, now + min(wait, _LONGEST_AVOIDANCE))
 
-    def note_loss(self, instance: ids.InstanceId, now: float) -> None:
-        """Note the verdict that an upstream's replica is not whole."""
+    def note_loss(
+        self, instance: ids.InstanceId, epoch: int, now: float
+    ) -> None:
+        """Note the verdict that a leader's replica is not whole.
+
+        Failure: relays repeat a verdict for a second and more, in which
+        the leader may have come to lead the mended replica.
+        """
         upstream = self._fleet.get(instance)
-        if upstream is not None:
-            self._avoid(upstream, now + _LOSS_AVOIDANCE)
+        if upstream is None:
+            return
+        if upstream.seat is None or upstream.seat.epoch <= epoch:
+            self._avoid_life(instance, epoch, now + _LOSS_AVOIDANCE)
 
     def _avoid(self, upstream: upstreams.Upstream, until: float) -> None:
-        conduct = self._get(upstream.id)
+        epoch = upstream.seat.epoch if upstream.seat else 0
+        self._avoid_life(upstream.id, epoch, until)
+
+    def _avoid_life(
+        self, instance: ids.InstanceId, epoch: int, until: float
+    ) -> None:
+        conduct = self._get(instance)
         conduct.avoid_until = max(conduct.avoid_until, until)
-        if upstream.seat is not None:
-            conduct.epoch = upstream.seat.epoch
+        conduct.epoch = epoch
 
     # -- What nodes tell each other
 
--- a/currantwall/coordination/presence.py
+++ b/currantwall/coordination/presence.py
@@ -122,7 +122,8 @@
         configuration: Version in force, 0 for none.
         loads: Requests in work by upstream.
         stalled: Upstreams it saw fall silent of late.
-        lost: Leaders whose replica it found to lack a member of late.
+        lost: Leaders, by their lives, whose replica it found to lack a
+            member of late.
         instances: Revision of the list of instances, 0 for none.
         leases: The leases that it holds, by domain.
         store_age: Seconds since the store last answered this node; None
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -21,7 +21,9 @@
     "Seat",
     "Upstream",
     "list_replicas",
+    "name_life",
     "name_replica",
+    "parse_life",
     "parse_name",
 ]
 
@@ -76,7 +78,7 @@
     @property
     def life(self) -> str:
         """Return what tells a mended replica's leader from before."""
-        return f"{self.id}@{self.seat.epoch if self.seat else 0}"
+        return name_life(self.id, self.seat.epoch if self.seat else 0)
 
 
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,6 +119,19 @@
     return ids.ReplicaId(f"{model}.{size}.{token}")
 
 
+def name_life(instance: ids.InstanceId, epoch: int) -> str:
+    """Return what tells a leader of one replica from that of the next."""
+    return f"{instance}@{epoch}"
+
+
+def parse_life(life: str) -> tuple[ids.InstanceId, int] | None:
+    """Return instance and epoch of a life, None for a foreign text."""
+    instance, mark, epoch = life.rpartition("@")
+    if not mark or not epoch.isdecimal():
+        return None
+    return ids.InstanceId(instance), int(epoch)
+
+
 def parse_name(name: str) -> tuple[str, int] | None:
     """Return model and size of a replica id, None for a foreign one."""
     parts = name.rsplit(".", 2)
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -99,7 +99,8 @@
         self._largest = 0
         self._grown_at = self._clock.now()
         self._stopping = False
-        self.on_loss: abc.Callable[[ids.InstanceId], None] = _ignore
+        # Told of a leader whose replica has lost a member, by its life.
+        self.on_loss: abc.Callable[[str], None] = _ignore
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
 
     # -- The loop
@@ -332,7 +333,7 @@
             if member is not None and member.seat is not None:
                 leads = member.seat.rank == 0
                 if leads and member.seat.phase is upstreams.Phase.OPEN:
-                    self.on_loss(name)
+                    self.on_loss(member.life)
 
     def _give(self, one: _Domain, order: knowledge.Order) -> None:
         """Send an order while the lease certainly holds."""
@@ -391,7 +392,7 @@
 _EXPECTED_BUSY = 10.0
 
 
-def _ignore(_: ids.InstanceId) -> None:
+def _ignore(_: str) -> None:
     return
 
 
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -11,6 +11,7 @@
 from currantwall.coordination import digests
 from currantwall.coordination import presence as presence_module
 from currantwall.state import ids
+from currantwall.state import upstreams
 from currantwall.transport import configurations
 from currantwall.transport import domainleases
 from currantwall.transport import duties
@@ -62,8 +63,9 @@
         self.send = self._heartbeats.send
         # Whether this node takes requests.
         self.is_ready: abc.Callable[[], bool] = _say_no
-        # Ends the attempts at a leader that has lost a member.
-        self.give_up: abc.Callable[[ids.InstanceId], None] = _ignore
+        # Ends the attempts at a leader, by its life, that has lost a
+        # member.
+        self.give_up: abc.Callable[[str], None] = _ignore
         # What the next heartbeats tell, and until when.
         self._stalled: dict[str, float] = {}
         self._lost: dict[str, float] = {}
@@ -136,8 +138,8 @@
         self._fleets.note_news(told.instances)
         self._leases.note_leases(told.leases, now)
         self._suspect(told.stalled)
-        for name in told.lost:
-            self._take_loss(ids.InstanceId(name), now)
+        for life in told.lost:
+            self._take_loss(life, now)
 
     def _suspect(self, stalled: abc.Iterable[str]) -> None:
         for name in stalled:
@@ -177,23 +179,25 @@
         if self._presence.reads_store(self._now()):
             self._heartbeats.hurry()
 
-    def tell_loss(self, leader: ids.InstanceId) -> None:
+    def tell_loss(self, life: str) -> None:
         """Spread the verdict that a leader's replica is not whole."""
         now = self._now()
-        self._lost[leader] = now + _TOLD
-        self._take_loss(leader, now)
+        self._lost[life] = now + _TOLD
+        self._take_loss(life, now)
         self._heartbeats.hurry()
 
-    def _take_loss(self, leader: ids.InstanceId, now: float) -> None:
-        self._balancer.note_loss(leader, now)
-        self.give_up(leader)
+    def _take_loss(self, life: str, now: float) -> None:
+        parsed = upstreams.parse_life(life)
+        if parsed is not None:
+            self._balancer.note_loss(*parsed, now)
+            self.give_up(life)
 
 
 def _say_no() -> bool:
     return False
 
 
-def _ignore(_: ids.InstanceId) -> None:
+def _ignore(_: str) -> None:
     return
 
 
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -89,10 +89,9 @@
         self._numbers = itertools.count(1)
         # When each upstream last sent anything to this node.
         self._pulse: dict[ids.InstanceId, float] = {}
-        # Attempts under way at each upstream, with who waits for them.
-        self._active: dict[
-            ids.InstanceId, dict[int, eventlet.queue.LightQueue]
-        ] = {}
+        # Attempts under way at each upstream, by its life, with who waits
+        # for them.
+        self._active: dict[str, dict[int, eventlet.queue.LightQueue]] = {}
 
     def begin(self, request: requests.Request) -> None:
         """Count a request of a caller."""
@@ -174,7 +173,7 @@
             self._connections,
             self.names,
         )
-        active = self._active.setdefault(upstream.id, {})
+        active = self._active.setdefault(upstream.life, {})
         active[exchange.number] = request.inbox
         return requests.Try(
             upstream=upstream, exchange=exchange, sent=now, heard=now
@@ -194,13 +193,13 @@
         """Note an attempt that ended in order."""
         self._balancer.note_success(current.upstream.id)
 
-    def give_up(self, instance: ids.InstanceId) -> None:
+    def give_up(self, life: str) -> None:
         """End all attempts at a leader whose replica has lost a member.
 
         Failure: such a leader stalls for seconds without a word; what
         waits there goes on elsewhere as soon as the loss is known.
         """
-        for number, inbox in self._active.get(instance, {}).items():
+        for number, inbox in self._active.get(life, {}).items():
             failed = exchanges.Failed(number, True, "verdict", "member lost")
             if not inbox.full():
                 inbox.put(failed)
@@ -259,10 +258,11 @@
         if not current.noted:
             current.noted = True
             self._balancer.end(current.upstream.id)
-            active = self._active.get(current.upstream.id, {})
+            life = current.upstream.life
+            active = self._active.get(life, {})
             active.pop(current.exchange.number, None)
             if not active:
-                self._active.pop(current.upstream.id, None)
+                self._active.pop(life, None)
             self._queue.note_end(current.upstream)
 
     def fail(
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -171,9 +171,24 @@
         self.assertEqual(self.choose(1.2).id, "a0")
 
     def test_a_leader_that_lost_a_member_is_avoided(self):
-        self.balancer.note_loss(ids.InstanceId("a0"), 1.0)
+        self.balancer.note_loss(ids.InstanceId("a0"), 1, 1.0)
         self.assertEqual(self.choose(1.1).id, "b0")
 
+    def test_a_mended_replica_is_not_avoided_for_an_old_verdict(self):
+        """Places were lost for four seconds after each loss.
+
+        Relays repeat a verdict for a second; meanwhile the leader leads
+        the replica that was mended.
+        """
+        self.fleet.replace(
+            [*make_replica("a", epoch=2), *make_replica("b")], 2, 1.0
+        )
+        self.balancer.note_loads(ids.NodeId("n"), {"b0": 5}, 1.0)
+        self.balancer.note_loss(ids.InstanceId("a0"), 1, 1.0)
+        self.assertEqual(self.choose(1.1).id, "a0")
+        self.balancer.note_loss(ids.InstanceId("a0"), 2, 1.2)
+        self.assertEqual(self.choose(1.3).id, "b0")
+
     def test_a_leader_that_another_server_answers_for_is_avoided(self):
         """Requests were refused although another replica was idle.
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from bench import digests as network
 from currantwall.coordination import balancing
 from currantwall.coordination import digests
@@ -89,6 +91,17 @@
         made._hear(self.digest(0, False, 50, serial=2))
         self.assertEqual(self.balancer.count_load(_HEAD), 6)
 
+    def test_attempts_at_a_mended_replica_outlive_an_old_verdict(self):
+        """Streams were cut and begun again at the replica just mended."""
+        made = self.make(0.1)
+        ended = []
+        made.give_up = ended.append
+        beat = msgspec.structs.replace(
+            self.beat(5, Asks.NOTHING, 0), lost=(f"{_HEAD}@3", "foreign")
+        )
+        made._hear(beat)
+        self.assertEqual(ended, [f"{_HEAD}@3"])
+
     def test_a_doubt_goes_straight_to_the_holder(self):
         """A stalled replica would be looked at half a second later."""
         made = self.make(0.1)
