Patch everything again where threads are patched

Since starts without locks were made possible, naming threads alone left sockets unpatched in the daemon, the stand-ins and the soak: an entry answered nobody while it waited for another process. The gateway, which leaves threads out, was not concerned. The first test fails without it.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from bench import report
-from currantwall.coordination import digests
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import digests
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import ids
 
 __all__ = ["Network", "Node", "make_entry", "measure_digests"]
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -17,9 +17,9 @@
 from bench import gateways as gateways_module
 from bench import relay
 from bench import report
-from currantwall.coordination import changes
-from currantwall.coordination import digests
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import changes
+from currantwall.coordination.peers import digests
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import domain as domain_module
 from currantwall.state import ids
 from currantwall.transport import peers
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -19,14 +19,14 @@
 from bench import load as load_module
 from bench import report
 from currantwall.coordination import actions
-from currantwall.coordination import admission
-from currantwall.coordination import evidence
-from currantwall.coordination import fairness
 from currantwall.coordination import messages
 from currantwall.coordination import part
-from currantwall.coordination import retries
-from currantwall.coordination import routing
 from currantwall.coordination import wire
+from currantwall.coordination.replicas import evidence
+from currantwall.coordination.requests import admission
+from currantwall.coordination.requests import fairness
+from currantwall.coordination.requests import retries
+from currantwall.coordination.requests import routing
 from currantwall.state import domain
 from currantwall.state import ids
 from currantwall.state import instances
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -16,8 +16,8 @@
 from bench import relay
 from bench import report
 from currantwall.coordination import actions
-from currantwall.coordination import edits
 from currantwall.coordination import wire
+from currantwall.coordination.profiles import edits
 from currantwall.state import ids
 from standins import sites
 from standins import virtual
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -7,8 +7,8 @@
 import time
 
 from bench import report
-from currantwall.coordination import balancing
-from currantwall.coordination import placing
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import placing
 from currantwall.state import ids
 from currantwall.state import upstreams
 from standins import surge
--- a/currantwall/cli/forecasts.py
+++ b/currantwall/cli/forecasts.py
@@ -11,8 +11,8 @@
 from currantwall.cli import client
 from currantwall.cli import output
 from currantwall.cli import profiles
-from currantwall.coordination import forecast
-from currantwall.coordination import usage
+from currantwall.coordination.profiles import forecast
+from currantwall.coordination.profiles import usage
 from currantwall.protocol import operators
 
 __all__ = ["show_forecast"]
--- a/currantwall/cli/main.py
+++ b/currantwall/cli/main.py
@@ -16,7 +16,7 @@
 from currantwall.cli import profiles
 from currantwall.cli import stops
 from currantwall.cli import timelines
-from currantwall.coordination import entries as entries_module
+from currantwall.coordination.peers import entries as entries_module
 from currantwall.protocol import operators
 
 __all__ = ["app", "main"]
--- a/currantwall/cli/profiles.py
+++ b/currantwall/cli/profiles.py
@@ -10,7 +10,7 @@
 
 from currantwall.cli import client
 from currantwall.cli import output
-from currantwall.coordination import edits
+from currantwall.coordination.profiles import edits
 from currantwall.protocol import operators
 from currantwall.state import objects
 from currantwall.state import profile
--- a/currantwall/coordination/node.py
+++ b/currantwall/coordination/node.py
@@ -9,25 +9,25 @@
 import collections
 
 from currantwall.coordination import actions
-from currantwall.coordination import admission
-from currantwall.coordination import broadcast
 from currantwall.coordination import calls
-from currantwall.coordination import configuration
-from currantwall.coordination import controllers
-from currantwall.coordination import edits
-from currantwall.coordination import entries
-from currantwall.coordination import evidence
-from currantwall.coordination import granting
-from currantwall.coordination import homes
-from currantwall.coordination import links
-from currantwall.coordination import membership
 from currantwall.coordination import messages
-from currantwall.coordination import observation
 from currantwall.coordination import part
-from currantwall.coordination import routing
-from currantwall.coordination import stopping
-from currantwall.coordination import usage
 from currantwall.coordination import wire
+from currantwall.coordination.peers import broadcast
+from currantwall.coordination.peers import entries
+from currantwall.coordination.peers import links
+from currantwall.coordination.peers import membership
+from currantwall.coordination.profiles import configuration
+from currantwall.coordination.profiles import edits
+from currantwall.coordination.profiles import granting
+from currantwall.coordination.profiles import usage
+from currantwall.coordination.replicas import controllers
+from currantwall.coordination.replicas import evidence
+from currantwall.coordination.replicas import observation
+from currantwall.coordination.requests import admission
+from currantwall.coordination.requests import homes
+from currantwall.coordination.requests import routing
+from currantwall.coordination.stops import stopping
 from currantwall.state import ids
 from currantwall.state import members
 from currantwall.state import settings as settings_module
--- /dev/null
+++ b/currantwall/coordination/requests/balancing.py
@@ -0,0 +1,401 @@
+"""Which upstream takes a request.
+
+The load it answers: many short requests from several nodes at once,
+over upstreams some of which are slow, fail, or have fallen silent
+without anybody having said so yet. A node knows its own requests in
+work exactly and those of the other nodes as of their last heartbeat.
+
+Were each node to take the least busy of all upstreams by what it knows,
+all would take the same ones until they hear of each other again. A node
+therefore draws two and takes the better one, weighted by how they behaved
+of late. Upstreams with as many requests as they bear are left out; what
+then finds none waits in the backlog (`backlog`).
+"""
+
+from collections import abc
+import math
+
+import msgspec
+
+from currantwall.state import hashing
+from currantwall.state import ids
+from currantwall.state import upstreams
+
+__all__ = ["Balancer", "Unavailable"]
+
+# Seconds without a choice after a failure: doubled with each failure in
+# a row. The first is as long as a replica takes to be mended.
+_FIRST_AVOIDANCE = 0.7
+_LONGEST_AVOIDANCE = 4.0
+# Seconds without a choice after an upstream refused a request: about the
+# time in which one of its own ends.
+_REFUSAL_AVOIDANCE = 0.2
+# Seconds without a choice after a replica was found to have lost a member.
+# It does not come back under the same epoch; the list shows it gone by then.
+_LOSS_AVOIDANCE = 4.0
+# Weight of the newest outcome in the share of failures.
+_FAILURE_WEIGHT = 0.2
+# How much more costly an upstream looks that fails every request.
+_FAILURE_COST = 20.0
+# Cost of leaving the data centre, in requests in work: 1.4 ms one way
+# and priced traffic against about 5 ms for each further request.
+_REMOTE_COST = 0.5
+# Weight of the newest pause in the mean of an upstream.
+_PAUSE_WEIGHT = 0.1
+# Seconds after which the pauses of an upstream say nothing: it may have
+# recovered, which only new requests show.
+_PAUSE_AGE = 3.0
+# Seconds after which another node's count of requests says nothing.
+_LOAD_AGE = 2.0
+# Seconds until a caller may try again when no replica serves: what it
+# takes to notice a loss, join anew and open.
+_MENDING = 1.0
+# Seconds until a caller may try again when everything is full: about one
+# answer of a full replica.
+_DRAINING = 0.5
+
+
+class Unavailable(msgspec.Struct, frozen=True):
+    """No upstream can take the request now.
+
+    Attributes:
+        reason: For the log and the caller.
+        retry_after: Seconds after which a try makes sense.
+        is_full: Whether there are upstreams, all with enough to do.
+    """
+
+    reason: str
+    retry_after: float
+    is_full: bool = False
+
+
+# Returns the requests that an upstream may have in work at once.
+CountPlaces = abc.Callable[[upstreams.Upstream], int]
+
+
+class _Conduct:
+    """How one upstream has behaved towards this node."""
+
+    def __init__(self) -> None:
+        self.in_work = 0
+        self.failures = 0
+        self.failure_share = 0.0
+        self.avoid_until = 0.0
+        # Mean seconds from one event of its streams to the next, and when
+        # the last one came.
+        self.pause = 0.0
+        self.paused_at = -math.inf
+        # Remembered so that the same replica, mended, starts afresh.
+        self.epoch = 0
+
+
+class Balancer:
+    """Chooses upstreams; keeps what this node saw of each."""
+
+    def __init__(
+        self, fleet: upstreams.Fleet, datacentre: ids.DatacentreName
+    ) -> None:
+        self._fleet = fleet
+        self._datacentre = datacentre
+        self._conduct: dict[ids.InstanceId, _Conduct] = {}
+        self._remote: dict[
+            ids.NodeId, tuple[float, abc.Mapping[str, int]]
+        ] = {}
+        self._remote_sums: dict[str, int] = {}
+        # Requests that wait at this node, by the name they are told under.
+        self.waiting: abc.Mapping[str, int] = {}
+        # Whether any node has sent a request to an upstream yet.
+        self.has_seen_traffic = False
+
+    # -- Choosing
+
+    def choose(
+        self,
+        service: ids.ServiceName,
+        model: str | None,
+        excluded: abc.Container[str],
+        salt: str,
+        now: float,
+        count_places: CountPlaces | None = None,
+    ) -> upstreams.Upstream | Unavailable:
+        """Return the upstream for a request.
+
+        Args:
+            service: Where the route leads.
+            model: Model of the replica; None for plain services.
+            excluded: Upstreams that this request has tried, by
+                `Upstream.life`: a mended replica may be tried again.
+            salt: Breaks ties, so that nodes do not all choose alike.
+            now: Monotonic time.
+            count_places: What an upstream may have in work; None for any
+                number.
+        """
+        candidates = self._list_candidates(service, model)
+        if not candidates:
+            return Unavailable("no upstream serves", _MENDING)
+        fresh = [one for one in candidates if one.life not in excluded]
+        usable = [one for one in fresh if not self._is_avoided(one, now)]
+        if not usable:
+            if model is not None and not fresh:
+                return Unavailable("all were tried", _MENDING)
+            if model is not None:
+                return Unavailable("all stall or fail", _MENDING)
+            # Plain services: a doubtful one is better than none.
+            usable = fresh
+            if not usable:
+                return Unavailable("all were tried", _DRAINING)
+        if count_places is not None:
+            usable = [
+                one
+                for one in usable
+                if self.count_load(one.id) < count_places(one)
+            ]
+            if not usable:
+                return Unavailable("all are full", _DRAINING, is_full=True)
+        return self._choose_drawn(usable, salt)
+
+    def count_free(
+        self,
+        service: ids.ServiceName,
+        model: str,
+        count_places: CountPlaces,
+        now: float,
+    ) -> int:
+        """Return the places of a model's replicas that are free."""
+        return sum(
+            max(0, count_places(one) - self.count_load(one.id))
+            for one in self._list_candidates(service, model)
+            if not self._is_avoided(one, now)
+        )
+
+    def _choose_drawn(
+        self, usable: list[upstreams.Upstream], salt: str
+    ) -> upstreams.Upstream:
+        """Return the better of some upstreams drawn by a request's id."""
+        drawn = _draw_two(usable, salt)
+        best = min(drawn, key=lambda one: self._cost(one, salt))
+        if self.count_load(best.id) < best.slots:
+            return best
+        # All that were drawn are full: few have room, if any.
+        return min(usable, key=lambda one: self._cost(one, salt))
+
+    def _list_candidates(
+        self, service: ids.ServiceName, model: str | None
+    ) -> list[upstreams.Upstream]:
+        if model is None:
+            return [
+                one
+                for one in self._fleet.list_service(service)
+                if not one.leaving
+            ]
+        replicas = self._fleet.list_serving(service, model)
+        return [one.members[0] for one in replicas]
+
+    def _cost(self, one: upstreams.Upstream, salt: str) -> tuple[float, int]:
+        conduct = self._conduct.get(one.id)
+        share = conduct.failure_share if conduct else 0.0
+        cost = (1 + self.count_load(one.id)) * (1 + _FAILURE_COST * share)
+        if one.datacentre != self._datacentre:
+            cost += _REMOTE_COST
+        return cost, _draw(one, salt)
+
+    def _is_avoided(self, one: upstreams.Upstream, now: float) -> bool:
+        conduct = self._conduct.get(one.id)
+        if conduct is None or now >= conduct.avoid_until:
+            return False
+        return one.seat is None or conduct.epoch >= one.seat.epoch
+
+    def count_load(self, instance: ids.InstanceId) -> int:
+        """Return the known requests in work at an upstream."""
+        conduct = self._conduct.get(instance)
+        own = conduct.in_work if conduct else 0
+        return own + self._remote_sums.get(instance, 0)
+
+    # -- What was seen
+
+    def _get(self, instance: ids.InstanceId) -> _Conduct:
+        conduct = self._conduct.get(instance)
+        if conduct is None:
+            conduct = self._conduct[instance] = _Conduct()
+        return conduct
+
+    def begin(self, instance: ids.InstanceId) -> None:
+        """Note a request that is on its way to an upstream."""
+        self._get(instance).in_work += 1
+        self.has_seen_traffic = True
+
+    def end(self, instance: ids.InstanceId) -> None:
+        """Note that a request has ended there."""
+        self._get(instance).in_work -= 1
+
+    def note_pause(
+        self, instance: ids.InstanceId, seconds: float, now: float
+    ) -> None:
+        """Note the time between two events of an upstream's stream."""
+        conduct = self._get(instance)
+        if now - conduct.paused_at > _PAUSE_AGE:
+            conduct.pause = seconds
+        conduct.pause += _PAUSE_WEIGHT * (seconds - conduct.pause)
+        conduct.paused_at = now
+
+    def get_pause(self, instance: ids.InstanceId, now: float) -> float | None:
+        """Return the mean pause of an upstream's streams, if any is seen."""
+        conduct = self._conduct.get(instance)
+        if conduct is None or now - conduct.paused_at > _PAUSE_AGE:
+            return None
+        return conduct.pause
+
+    def find_least_pause(
+        self, service: ids.ServiceName, model: str, now: float
+    ) -> float:
+        """Return the least mean pause among a model's replicas, or 0."""
+        pauses = [
+            self.get_pause(one.id, now)
+            for one in self._list_candidates(service, model)
+        ]
+        return min((one for one in pauses if one is not None), default=0.0)
+
+    def note_success(self, instance: ids.InstanceId) -> None:
+        """Note an answer in order."""
+        conduct = self._get(instance)
+        conduct.failures = 0
+        conduct.failure_share *= 1 - _FAILURE_WEIGHT
+
+    def note_refusal(self, upstream: upstreams.Upstream, now: float) -> None:
+        """Note that an upstream would not take a request just now."""
+        self._avoid(upstream, now + _REFUSAL_AVOIDANCE)
+
+    def note_misdirected(
+        self, upstream: upstreams.Upstream, now: float
+    ) -> None:
+        """Note that another server answers where an upstream was listed.
+
+        Failure: the entry of a server that has gone looks idle, so each
+        request goes there first and is refused. It stays in the list
+        while the store is away; a new replica has a newer epoch and is
+        not avoided.
+        """
+        self._avoid(upstream, now + _LOSS_AVOIDANCE)
+
+    def note_failure(
+        self, upstream: upstreams.Upstream, now: float, avoid: bool
+    ) -> None:
+        """Note a failure; `avoid` where the next request would fail too."""
+        conduct = self._get(upstream.id)
+        conduct.failure_share += _FAILURE_WEIGHT * (1 - conduct.failure_share)
+        if not avoid:
+            return
+        conduct.failures += 1
+        wait = _FIRST_AVOIDANCE * 2 ** (conduct.failures - 1)
+        self._avoid(upstream, now + min(wait, _LONGEST_AVOIDANCE))
+
+    def note_loss(
+        self, instance: ids.InstanceId, epoch: int, now: float
+    ) -> None:
+        """Note the verdict that a leader's replica is not whole.
+
+        Failure: relays repeat a verdict for a second and more, in which
+        the leader may have come to lead the mended replica.
+        """
+        upstream = self._fleet.get(instance)
+        if upstream is None:
+            return
+        if upstream.seat is None or upstream.seat.epoch <= epoch:
+            self._avoid_life(instance, epoch, now + _LOSS_AVOIDANCE)
+
+    def _avoid(self, upstream: upstreams.Upstream, until: float) -> None:
+        epoch = upstream.seat.epoch if upstream.seat else 0
+        self._avoid_life(upstream.id, epoch, until)
+
+    def _avoid_life(
+        self, instance: ids.InstanceId, epoch: int, until: float
+    ) -> None:
+        conduct = self._get(instance)
+        conduct.avoid_until = max(conduct.avoid_until, until)
+        conduct.epoch = epoch
+
+    # -- What nodes tell each other
+
+    def list_loads(self) -> dict[str, int]:
+        """Return this node's requests in work by upstream.
+
+        With those that wait here, which the sums of relays then hold too.
+        """
+        found = {
+            name: conduct.in_work
+            for name, conduct in self._conduct.items()
+            if conduct.in_work > 0
+        }
+        return found | dict(self.waiting)
+
+    def count_waiting(self, name: str) -> int:
+        """Return the requests that wait at other nodes, by their name."""
+        return self._remote_sums.get(name, 0)
+
+    def note_loads(
+        self, node: ids.NodeId, loads: abc.Mapping[str, int], now: float
+    ) -> None:
+        """Take note of another node's requests in work.
+
+        The sums follow each message by what it changes: a relay of a
+        large fleet takes over a hundred a second.
+        """
+        self._drop_loads(node)
+        self._remote[node] = (now, loads)
+        for name, count in loads.items():
+            self._remote_sums[name] = self._remote_sums.get(name, 0) + count
+        self.has_seen_traffic = self.has_seen_traffic or bool(loads)
+        self._expire_loads(now)
+
+    def _drop_loads(self, node: ids.NodeId) -> None:
+        """Take a node's counts out of the sums."""
+        _, loads = self._remote.pop(node, (0.0, {}))
+        for name, count in loads.items():
+            rest = self._remote_sums[name] - count
+            if rest:
+                self._remote_sums[name] = rest
+            else:
+                del self._remote_sums[name]
+
+    def _expire_loads(self, now: float) -> None:
+        """Forget the counts of nodes that have fallen silent."""
+        # The oldest come first: each message moves its node to the end.
+        while self._remote:
+            node, (at, _) = next(iter(self._remote.items()))
+            if now - at <= _LOAD_AGE:
+                return
+            self._drop_loads(node)
+
+    def expire(self, now: float) -> None:
+        """Forget old counts and upstreams that are no longer listed."""
+        self._expire_loads(now)
+        for name, conduct in list(self._conduct.items()):
+            if conduct.in_work <= 0 and self._fleet.get(name) is None:
+                del self._conduct[name]
+
+    def count_busy(self, service: ids.ServiceName) -> dict[str, int]:
+        """Return the known requests in work of each model."""
+        busy: dict[str, int] = {}
+        for replica in self._fleet.list_replicas(service):
+            leader = replica.leader
+            if leader is not None:
+                load = self.count_load(leader.id)
+                busy[replica.model] = busy.get(replica.model, 0) + load
+        return busy
+
+
+def _draw_two(
+    usable: list[upstreams.Upstream], salt: str
+) -> list[upstreams.Upstream]:
+    """Return two different upstreams by chance, or the only one."""
+    count = len(usable)
+    if count <= 2:
+        return usable
+    turns, first = divmod(hashing.hash_text(salt), count)
+    second = (first + 1 + turns % (count - 1)) % count
+    return [usable[first], usable[second]]
+
+
+def _draw(one: upstreams.Upstream, salt: str) -> int:
+    """Return a number that puts upstreams into an order by chance."""
+    return hashing.hash_text(f"{salt}{one.id}")
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -15,10 +15,10 @@
 import eventlet.event
 import msgspec
 
-from currantwall.coordination import balancing
-from currantwall.coordination import budgets
-from currantwall.coordination import directory
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import directory
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import budgets
 from currantwall.protocol import names as names_module
 from currantwall.state import gateway
 from currantwall.state import routes
--- a/currantwall/protocol/http.py
+++ b/currantwall/protocol/http.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from currantwall.coordination import homes
-from currantwall.coordination import routing
+from currantwall.coordination.requests import homes
+from currantwall.coordination.requests import routing
 
 __all__ = [
     "ATTEMPTS_HEADER",
--- a/currantwall/protocol/operators.py
+++ b/currantwall/protocol/operators.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from currantwall.coordination import edits
-from currantwall.coordination import forecast
-from currantwall.coordination import usage
+from currantwall.coordination.profiles import edits
+from currantwall.coordination.profiles import forecast
+from currantwall.coordination.profiles import usage
 from currantwall.state import ids
 from currantwall.state import members
 from currantwall.state import profile as profile_module
--- a/currantwall/transport/callers.py
+++ b/currantwall/transport/callers.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from currantwall.coordination import actions
-from currantwall.coordination import admission
-from currantwall.coordination import evidence
-from currantwall.coordination import homes
-from currantwall.coordination import retries
-from currantwall.coordination import routing
+from currantwall.coordination.replicas import evidence
+from currantwall.coordination.requests import admission
+from currantwall.coordination.requests import homes
+from currantwall.coordination.requests import retries
+from currantwall.coordination.requests import routing
 from currantwall.protocol import errors
 from currantwall.protocol import http as http_protocol
 from currantwall.state import ids
--- a/currantwall/transport/chats.py
+++ b/currantwall/transport/chats.py
@@ -9,9 +9,9 @@
 import result
 import xxhash
 
-from currantwall.coordination import homes
-from currantwall.coordination import retries
-from currantwall.coordination import routing
+from currantwall.coordination.requests import homes
+from currantwall.coordination.requests import retries
+from currantwall.coordination.requests import routing
 from currantwall.protocol import errors
 from currantwall.protocol import http as http_protocol
 from currantwall.state import ids
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -12,7 +12,7 @@
 import result
 
 from currantwall.coordination import calls
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import hashing
 from currantwall.state import routes
 from currantwall.transport import forwarding
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -11,8 +11,8 @@
 import msgspec
 import result
 
-from currantwall.coordination import leases
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.replicas import leases
 from currantwall.state import domain as domain_module
 from currantwall.state import ids
 from currantwall.transport import journal
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -9,11 +9,11 @@
 
 import eventlet
 
-from currantwall.coordination import balancing
-from currantwall.coordination import formation
-from currantwall.coordination import knowledge
-from currantwall.coordination import layout as layout_module
-from currantwall.coordination import staging
+from currantwall.coordination.replicas import formation
+from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.replicas import layout as layout_module
+from currantwall.coordination.replicas import staging
+from currantwall.coordination.requests import balancing
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -13,9 +13,9 @@
 import msgspec
 import result
 
-from currantwall.coordination import changes
-from currantwall.coordination import outages
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import changes
+from currantwall.coordination.peers import outages
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import journal
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -10,7 +10,7 @@
 import eventlet.hubs
 import eventlet.queue
 
-from currantwall.coordination import attempts
+from currantwall.coordination.requests import attempts
 from currantwall.state import routes
 from currantwall.transport import ingress
 from currantwall.transport import journal
--- a/currantwall/transport/green.py
+++ b/currantwall/transport/green.py
@@ -24,7 +24,8 @@
     warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     import eventlet
 
-    eventlet.monkey_patch(thread=threads)
+    # With `all`, or naming one module alone would leave out the others.
+    eventlet.monkey_patch(all=True, thread=threads)
 
 
 @contextlib.contextmanager
--- a/currantwall/transport/heartbeats.py
+++ b/currantwall/transport/heartbeats.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket as green_socket
 import msgspec
 
-from currantwall.coordination import digests
+from currantwall.coordination.peers import digests
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import timers
 
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -1,15 +1,15 @@
 """What this node tells the others, and what it makes of what they tell.
 
 Heartbeats, digests and alarms come and go here; who gets which is decided
-in `coordination.digests`.
+in `coordination.peers.digests`.
 """
 
 from collections import abc
 
-from currantwall.coordination import balancing
-from currantwall.coordination import budgets
-from currantwall.coordination import digests
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import digests
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import budgets
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import configurations
--- a/currantwall/transport/operators.py
+++ b/currantwall/transport/operators.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from currantwall.coordination import edits
-from currantwall.coordination import forecast
+from currantwall.coordination.profiles import edits
+from currantwall.coordination.profiles import forecast
 from currantwall.protocol import http as http_protocol
 from currantwall.protocol import operators
 from currantwall.protocol import signing
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -7,7 +7,7 @@
 import msgspec
 import result
 
-from currantwall.coordination import knowledge
+from currantwall.coordination.replicas import knowledge
 from currantwall.state import routes
 from currantwall.state import upstreams
 
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -1,8 +1,8 @@
 """Requests that wait for a place at a replica.
 
 Who gets which place and who is turned away is decided in
-`coordination.placing`. Here requests wait, each in the task that serves
-its caller, and are told by a message into their inbox.
+`coordination.requests.placing`. Here requests wait, each in the task that
+serves its caller, and are told by a message into their inbox.
 """
 
 from collections import abc
@@ -11,10 +11,10 @@
 import eventlet.event
 import eventlet.queue
 
-from currantwall.coordination import attempts
-from currantwall.coordination import backlog
-from currantwall.coordination import balancing
-from currantwall.coordination import placing
+from currantwall.coordination.requests import attempts
+from currantwall.coordination.requests import backlog
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import placing
 from currantwall.state import upstreams
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
--- a/currantwall/transport/registrations.py
+++ b/currantwall/transport/registrations.py
@@ -4,7 +4,7 @@
 import msgspec
 import result
 
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.transport import journal
 from currantwall.transport import ports
 from currantwall.transport import timers
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -5,7 +5,7 @@
 import eventlet.queue
 import msgspec
 
-from currantwall.coordination import attempts
+from currantwall.coordination.requests import attempts
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -12,9 +12,9 @@
 import eventlet.queue
 import urllib3
 
-from currantwall.coordination import attempts
-from currantwall.coordination import balancing
-from currantwall.coordination import budgets
+from currantwall.coordination.requests import attempts
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import budgets
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
 from currantwall.state import upstreams
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from currantwall.coordination import attempts
+from currantwall.coordination.requests import attempts
 from currantwall.protocol import events
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
--- a/currantwall/transport/upstreams.py
+++ b/currantwall/transport/upstreams.py
@@ -9,9 +9,9 @@
 import urllib3
 
 from currantwall.coordination import actions
-from currantwall.coordination import homes
 from currantwall.coordination import messages
 from currantwall.coordination import part
+from currantwall.coordination.requests import homes
 from currantwall.protocol import errors
 from currantwall.protocol import upstream
 from currantwall.state import instances
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -4,7 +4,7 @@
 is cut off, not signed, or meant for another request is never passed on.
 """
 
-from currantwall.coordination import attempts
+from currantwall.coordination.requests import attempts
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
 from currantwall.transport import requests
--- a/standins/sites.py
+++ b/standins/sites.py
@@ -5,9 +5,9 @@
 import msgspec
 import result
 
-from currantwall.coordination import configuration
-from currantwall.coordination import edits
-from currantwall.coordination import routing
+from currantwall.coordination.profiles import configuration
+from currantwall.coordination.profiles import edits
+from currantwall.coordination.requests import routing
 from currantwall.state import ids
 from currantwall.state import instances
 from currantwall.state import objects
--- a/standins/surge.py
+++ b/standins/surge.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from currantwall.coordination import backlog
-from currantwall.coordination import balancing
-from currantwall.coordination import placing
+from currantwall.coordination.requests import backlog
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import placing
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from currantwall.coordination import routing
+from currantwall.coordination.requests import routing
 from currantwall.state import domain
 from currantwall.state import ids
 from currantwall.state import objects
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -45,14 +45,14 @@
 MUTANTS = (
     Mutant(
         "a leader that refuses is taken for gone",
-        f"{_COORDINATION}/formation.py",
+        f"{_COORDINATION}/replicas/formation.py",
         "        if phase is Phase.BROKEN:\n",
         "        if phase is Phase.BROKEN or known.is_gone:\n",
         f"{_FORMATION}.test_members_leave_a_leader_that_has_stopped_listening",
     ),
     Mutant(
         "the oldest first, in time or not",
-        f"{_COORDINATION}/backlog.py",
+        f"{_COORDINATION}/requests/backlog.py",
         "        if self.is_late(ticket, now):\n            # Whose",
         "        if True:\n            # Whose",
         f"{_PLACING}.BacklogTest"
@@ -60,14 +60,14 @@
     ),
     Mutant(
         "no bound to what a replica is sent",
-        f"{_COORDINATION}/balancing.py",
+        f"{_COORDINATION}/requests/balancing.py",
         "        if count_places is not None:\n",
         "        if False:\n",
         f"{_PLACING}.SurgeTest.test_most_are_in_time_while_twice_as_many_come",
     ),
     Mutant(
         "a slow gateway blames the replicas",
-        f"{_COORDINATION}/placing.py",
+        f"{_COORDINATION}/requests/placing.py",
         "        return max(usual, _USUAL_SLOWNESS * least)\n",
         "        return usual\n",
         f"{_PLACING}.PlacerTest"
@@ -75,7 +75,7 @@
     ),
     Mutant(
         "an address of another server is tried again",
-        f"{_COORDINATION}/balancing.py",
+        f"{_COORDINATION}/requests/balancing.py",
         "now + _LOSS_AVOIDANCE)\n\n    def note_failure",
         "now)\n\n    def note_failure",
         "tests.test_gateway_parts.BalancerTest"
@@ -90,28 +90,28 @@
     ),
     Mutant(
         "a lease taken before it has lapsed",
-        f"{_COORDINATION}/leases.py",
+        f"{_COORDINATION}/replicas/leases.py",
         "        return now >= self._first_seen + self._lease.ttl\n",
         "        return now >= self._first_seen + 0.5\n",
         f"{_DUTIES}.LeaseTest.test_never_two_holders_whatever_happens",
     ),
     Mutant(
         "the least busy of all chosen",
-        f"{_COORDINATION}/balancing.py",
+        f"{_COORDINATION}/requests/balancing.py",
         "        drawn = _draw_two(usable, salt)\n",
         "        drawn = usable\n",
         "tests.test_balancing.LoadTest.test_nodes_do_not_all_choose_alike",
     ),
     Mutant(
         "full replicas not passed over",
-        f"{_COORDINATION}/balancing.py",
+        f"{_COORDINATION}/requests/balancing.py",
         "        if self.count_load(best.id) < best.slots:\n",
         "        if True:\n",
         "tests.test_balancing.LoadTest.test_the_last_free_slots_are_found",
     ),
     Mutant(
         "two candidates for a lease",
-        f"{_COORDINATION}/leases.py",
+        f"{_COORDINATION}/replicas/leases.py",
         "_CANDIDATES = 6\n",
         "_CANDIDATES = 2\n",
         f"{_DUTIES}.LeaseTest"
@@ -119,7 +119,7 @@
     ),
     Mutant(
         "the end of a load not looked for in the list",
-        f"{_COORDINATION}/knowledge.py",
+        f"{_COORDINATION}/replicas/knowledge.py",
         "                or one.staged != known.upstream.staged\n",
         "",
         f"{_FORMATION}.test_the_end_of_a_load_is_seen_at_once",
@@ -133,7 +133,7 @@
     ),
     Mutant(
         "counts of a node added up by both its relays",
-        f"{_COORDINATION}/digests.py",
+        f"{_COORDINATION}/peers/digests.py",
         "            if told.asks is Asks.RELAY:\n",
         "            if True:\n",
         f"{_DIGESTS}.LargeFleetTest"
@@ -141,7 +141,7 @@
     ),
     Mutant(
         "silent nodes never asked to relay",
-        f"{_COORDINATION}/presence.py",
+        f"{_COORDINATION}/peers/presence.py",
         "        if self._is_heard(peer, now) or peer.asked is None:\n"
         "            return True\n",
         "        return self._is_heard(peer, now)\n",
@@ -157,7 +157,7 @@
     ),
     Mutant(
         "survivors move while their leader serves",
-        f"{_COORDINATION}/formation.py",
+        f"{_COORDINATION}/replicas/formation.py",
         "        return set(), self._leave((leader,), now)\n",
         "        return everyone, self._leave((leader,), now)\n",
         f"{_FORMATION}.test_a_survivor_never_joins_while_its_leader_serves",
@@ -172,7 +172,7 @@
     ),
     Mutant(
         "a refusal taken for an outage by who was refused",
-        f"{_COORDINATION}/outages.py",
+        f"{_COORDINATION}/peers/outages.py",
         "            if until - began > _SHORTEST_OUTAGE:\n",
         "            if until - began > 0.0:\n",
         f"{_FEEDS}.FleetFeedTest"
@@ -180,7 +180,7 @@
     ),
     Mutant(
         "what others were answered counts for nothing",
-        f"{_COORDINATION}/presence.py",
+        f"{_COORDINATION}/peers/presence.py",
         "            self.store_history.note_answer(now - age)\n",
         "            pass\n",
         f"{_FEEDS}.FleetFeedTest"
@@ -188,7 +188,7 @@
     ),
     Mutant(
         "a refusal taken for an outage by who was told",
-        f"{_COORDINATION}/outages.py",
+        f"{_COORDINATION}/peers/outages.py",
         "            if until - began > _SHORTEST_OUTAGE:\n",
         "            if until - began > 0.0:\n",
         f"{_FEEDS}.FollowerTest"
@@ -196,7 +196,7 @@
     ),
     Mutant(
         "a silence without a failure taken for an outage",
-        f"{_COORDINATION}/outages.py",
+        f"{_COORDINATION}/peers/outages.py",
         "                if failed:\n",
         "                failed.append(now)\n                if True:\n",
         "tests.test_outages.StoreHistoryTest"
@@ -204,7 +204,7 @@
     ),
     Mutant(
         "an outage not known before an answer is",
-        f"{_COORDINATION}/outages.py",
+        f"{_COORDINATION}/peers/outages.py",
         "            until = now if ended is None else ended\n",
         "            until = began if ended is None else ended\n",
         f"{_FEEDS}.FollowerTest"
@@ -228,7 +228,7 @@
     ),
     Mutant(
         "broken verdict ignored",
-        f"{_COORDINATION}/evidence.py",
+        f"{_COORDINATION}/replicas/evidence.py",
         "            elif self._condemns(opinion, now):\n"
         "                return False\n",
         "",
@@ -236,7 +236,7 @@
     ),
     Mutant(
         "evidence never grows old",
-        f"{_COORDINATION}/evidence.py",
+        f"{_COORDINATION}/replicas/evidence.py",
         "        if not whole or now - whole > self._ttl:\n",
         "        if not whole:\n",
         f"{_REPLICAS}.LossTest.test_cut_observers_end_requests"
@@ -244,7 +244,7 @@
     ),
     Mutant(
         "silence counts as proof",
-        f"{_COORDINATION}/evidence.py",
+        f"{_COORDINATION}/replicas/evidence.py",
         "        if opinion.verdict is not wire.Verdict.BROKEN:\n"
         "            return False\n",
         "",
@@ -252,7 +252,7 @@
     ),
     Mutant(
         "own lapsed lease is left alone",
-        f"{_COORDINATION}/leases.py",
+        f"{_COORDINATION}/replicas/leases.py",
         "        if self._version is None or self.holds(now):\n"
         "            return False\n",
         "        if self._version is None or self.is_mine():\n"
@@ -261,21 +261,21 @@
     ),
     Mutant(
         "no margin on the lease",
-        f"{_COORDINATION}/leases.py",
+        f"{_COORDINATION}/replicas/leases.py",
         "            until = sent + ttl - self._margin\n",
         "            until = now + ttl\n",
         f"{_REPLICAS}.LeaseTest.test_order_is_not_sent_after_the_deadline",
     ),
     Mutant(
         "taker trusts the first sight of any version",
-        f"{_COORDINATION}/leases.py",
+        f"{_COORDINATION}/replicas/leases.py",
         "            self._first_seen = now\n",
         "            self._first_seen = self._first_seen or now\n",
         f"{_REPLICAS}.LeaseTest.test_taker_counts_the_whole_ttl_itself",
     ),
     Mutant(
         "grant not asked for",
-        f"{_COORDINATION}/placement.py",
+        f"{_COORDINATION}/replicas/placement.py",
         "    if held + accelerators > share.granted:\n        return None\n",
         "",
         f"{_REPLICAS}.CapacityTest"
@@ -283,35 +283,35 @@
     ),
     Mutant(
         "grant lowered below what is held",
-        f"{_COORDINATION}/shares.py",
+        f"{_COORDINATION}/profiles/shares.py",
         "granted=min(share.granted, granted), target=target",
         "granted=0, target=target",
         f"{_REPLICAS}.CapacityTest",
     ),
     Mutant(
         "nothing settles a lost ledger write",
-        f"{_COORDINATION}/controller.py",
+        f"{_COORDINATION}/replicas/controller.py",
         "            if self._must_write:\n",
         "            if False:\n",
         f"{_REPLICAS}.CapacityTest",
     ),
     Mutant(
         "shares used under another epoch",
-        f"{_COORDINATION}/shares.py",
+        f"{_COORDINATION}/profiles/shares.py",
         "if share.epoch == epoch and name not in self._unsettled:",
         "if name not in self._unsettled:",
         f"{_REPLICAS}.CapacityTest.test_share_of_a_former_holder_is_not_used",
     ),
     Mutant(
         "capacity not asked for",
-        f"{_COORDINATION}/granting.py",
+        f"{_COORDINATION}/profiles/granting.py",
         "    return held.total + more <= wanted.capacity\n",
         "    return True\n",
         f"{_REPLICAS}.CapacityTest.test_capacity_bounds_what_is_held",
     ),
     Mutant(
         "draining ends at once",
-        f"{_COORDINATION}/controller.py",
+        f"{_COORDINATION}/replicas/controller.py",
         "            if heard is None or report is None"
         " or not report.is_quiet:\n",
         "            if heard is None or report is None:\n",
@@ -319,21 +319,21 @@
     ),
     Mutant(
         "no surge while rolling over",
-        f"{_COORDINATION}/granting.py",
+        f"{_COORDINATION}/profiles/granting.py",
         "    return int(bool(stale) and serving <= wanted.replicas)\n",
         "    return 0\n",
         f"{_REPLICAS}.CapacityTest.test_new_version_rolls_over_without_a_gap",
     ),
     Mutant(
         "lower class keeps its room",
-        f"{_COORDINATION}/granting.py",
+        f"{_COORDINATION}/profiles/granting.py",
         "        if yielding != wanted.name:\n",
         "        if True:\n",
         f"{_REPLICAS}.ClassesTest.test_higher_class_gets_the_room",
     ),
     Mutant(
         "returned member is waited for",
-        f"{_COORDINATION}/repair.py",
+        f"{_COORDINATION}/replicas/repair.py",
         "    if repair is Repair.WAIT and not broken.missing:\n",
         "    if False:\n",
         "tests.test_repair.RepairTest"
@@ -341,7 +341,7 @@
     ),
     Mutant(
         "spares are given to the first",
-        f"{_COORDINATION}/repair.py",
+        f"{_COORDINATION}/replicas/repair.py",
         "            if held is None or total < held.cost:\n",
         "            if held is None:\n",
         "tests.test_repair.RepairTest.test_never_dearer_than_brute_force",
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -16,7 +16,7 @@
 from currantwall_platform import engines  # noqa: E402
 from currantwall_platform import settings  # noqa: E402
 
-from currantwall.coordination import knowledge  # noqa: E402
+from currantwall.coordination.replicas import knowledge  # noqa: E402
 from currantwall.state import routes  # noqa: E402
 from currantwall.state import upstreams  # noqa: E402
 from currantwall.transport import ports  # noqa: E402
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -9,7 +9,7 @@
 import random
 import unittest
 
-from currantwall.coordination import balancing
+from currantwall.coordination.requests import balancing
 from currantwall.state import ids
 from currantwall.state import upstreams
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bench import digests as network
-from currantwall.coordination import directory
+from currantwall.coordination.peers import directory
 
 _PLACES = ("a", "b", "c")
 make_entry = network.make_entry
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -12,8 +12,8 @@
 import msgspec
 import result
 
-from currantwall.coordination import knowledge
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.replicas import knowledge
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -9,7 +9,7 @@
 import msgspec
 import result
 
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from currantwall.cli import forecasts
-from currantwall.coordination import forecast
-from currantwall.coordination import usage
+from currantwall.coordination.profiles import forecast
+from currantwall.coordination.profiles import usage
 from currantwall.state import ids
 from currantwall.state import profile
 
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -11,9 +11,9 @@
 from hypothesis import strategies
 import msgspec
 
-from currantwall.coordination import formation
-from currantwall.coordination import knowledge
-from currantwall.coordination import layout
+from currantwall.coordination.replicas import formation
+from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.replicas import layout
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -5,10 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from currantwall.coordination import attempts
-from currantwall.coordination import balancing
-from currantwall.coordination import budgets
-from currantwall.coordination import presence
+from currantwall.coordination.peers import presence
+from currantwall.coordination.requests import attempts
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import budgets
 from currantwall.protocol import events
 from currantwall.state import ids
 from currantwall.state import routes
--- /dev/null
+++ b/tests/test_green.py
@@ -0,0 +1,46 @@
+"""What is made cooperative at the start of a process."""
+
+import pathlib
+import subprocess
+import sys
+import unittest
+
+_SCRIPT = """
+from currantwall.transport import green
+with green.hide_asyncio():
+    green.patch({arguments})
+import eventlet.patcher
+print(*(eventlet.patcher.is_monkey_patched(one)
+        for one in ("socket", "select", "time", "thread")))
+import asyncio
+print(asyncio.run(asyncio.sleep(0, "runs")))
+"""
+
+
+class PatchTest(unittest.TestCase):
+    def run_script(self, arguments):
+        done = subprocess.run(
+            [sys.executable, "-c", _SCRIPT.format(arguments=arguments)],
+            capture_output=True,
+            text=True,
+            cwd=pathlib.Path(__file__).parent.parent,
+            check=False,
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+        return done.stdout.split()
+
+    def test_everything_is_patched(self):
+        """Only locks were, and each wait for the network stopped all."""
+        self.assertEqual(self.run_script("")[:4], ["True"] * 4)
+
+    def test_threads_can_be_left_alone(self):
+        found = self.run_script("threads=False")[:4]
+        self.assertEqual(found, ["True", "True", "True", "False"])
+
+    def test_asyncio_is_there_for_who_loads_it_later(self):
+        """A scrape page's library may run a coroutine of its own."""
+        self.assertEqual(self.run_script("threads=False")[-1], "runs")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -13,10 +13,10 @@
 import eventlet.event
 
 from bench import digests as network
-from currantwall.coordination import balancing
-from currantwall.coordination import leases
-from currantwall.coordination import presence as presence_module
-from currantwall.coordination import staging
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.replicas import leases
+from currantwall.coordination.replicas import staging
+from currantwall.coordination.requests import balancing
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import fleets
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from bench import digests as network
-from currantwall.coordination import balancing
-from currantwall.coordination import digests
-from currantwall.coordination import presence as presence_module
+from currantwall.coordination.peers import digests
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import balancing
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import news
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from currantwall.coordination import outages
+from currantwall.coordination.peers import outages
 
 
 class StoreHistoryTest(unittest.TestCase):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from currantwall.coordination import actions
-from currantwall.coordination import edits
-from currantwall.coordination import links
 from currantwall.coordination import messages
 from currantwall.coordination import wire
+from currantwall.coordination.peers import links
+from currantwall.coordination.profiles import edits
 from currantwall.protocol import codec
 from currantwall.state import ids
 from currantwall.state import instances
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from currantwall.coordination import backlog
-from currantwall.coordination import balancing
-from currantwall.coordination import capacity
-from currantwall.coordination import placing
+from currantwall.coordination.requests import backlog
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import capacity
+from currantwall.coordination.requests import placing
 from currantwall.state import ids
 from currantwall.state import upstreams
 from standins import surge
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -20,8 +20,9 @@
 sys.meta_path.insert(0, Block())
 import currantwall.coordination, currantwall.state
 for package in (currantwall.coordination, currantwall.state):
-    for found in pkgutil.iter_modules(package.__path__):
-        importlib.import_module(package.__name__ + "." + found.name)
+    prefix = package.__name__ + "."
+    for found in pkgutil.walk_packages(package.__path__, prefix):
+        importlib.import_module(found.name)
 print("imported")
 """
 
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from currantwall.coordination import repair
+from currantwall.coordination.replicas import repair
 from currantwall.state import ids
 from currantwall.state import settings
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -9,11 +9,11 @@
 
 from currantwall.coordination import actions
 from currantwall.coordination import calls
-from currantwall.coordination import leases
 from currantwall.coordination import messages
-from currantwall.coordination import routing
-from currantwall.coordination import shares
 from currantwall.coordination import wire
+from currantwall.coordination.profiles import shares
+from currantwall.coordination.replicas import leases
+from currantwall.coordination.requests import routing
 from currantwall.state import domain
 from currantwall.state import ids
 from currantwall.state import objects
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -9,15 +9,15 @@
 from hypothesis import strategies as st
 
 from currantwall.coordination import actions
-from currantwall.coordination import breakers
-from currantwall.coordination import evidence
-from currantwall.coordination import fairness
-from currantwall.coordination import homes
-from currantwall.coordination import latency
 from currantwall.coordination import messages
-from currantwall.coordination import retries
-from currantwall.coordination import routing
 from currantwall.coordination import wire
+from currantwall.coordination.replicas import evidence
+from currantwall.coordination.requests import breakers
+from currantwall.coordination.requests import fairness
+from currantwall.coordination.requests import homes
+from currantwall.coordination.requests import latency
+from currantwall.coordination.requests import retries
+from currantwall.coordination.requests import routing
 from currantwall.state import ids
 from currantwall.state import keys
 from standins import sites
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -9,9 +9,9 @@
 import unittest
 
 from currantwall.coordination import actions
-from currantwall.coordination import edits
-from currantwall.coordination import homes
 from currantwall.coordination import part
+from currantwall.coordination.profiles import edits
+from currantwall.coordination.requests import homes
 from currantwall.state import ids
 from standins import sites
 from standins import virtual
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from currantwall.coordination import layout
-from currantwall.coordination import staging
+from currantwall.coordination.replicas import layout
+from currantwall.coordination.replicas import staging
 from currantwall.state import ids
 from tests import test_formation
 
