--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -98,12 +98,14 @@
         """
         if now < self._next_look:
             return
-        self._next_look = now + _LOOK_INTERVAL
         untold = [
             one
             for one in self._leases.values()
             if one.tracker.is_silent(now, _UNTOLD)
         ]
+        if not untold:
+            return
+        self._next_look = now + _LOOK_INTERVAL
         if any(self._is_candidate(one, now) for one in untold):
             eventlet.spawn_n(self._look)
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -174,6 +174,7 @@
     def test_nothing_is_worked_out_while_nothing_changes(self):
         """Days were given up for want of processor time at 195 nodes."""
         world = self.make("a", "b", "c")
+        world.run(2.0, lambda: tell_leases(world))
         rank = mock.patch.object(
             presence_module.rendezvous, "rank", side_effect=AssertionError
         )
