--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -81,6 +81,38 @@
         "tests.test_gateway_parts.BalancerTest"
         ".test_a_leader_that_another_server_answers_for_is_avoided",
     ),
+    Mutant(
+        "an old verdict takes the place of a newer one",
+        f"{_COORDINATION}/requests/balancing.py",
+        "        if upstream.seat is None or upstream.seat.epoch <= epoch:\n",
+        "        if True:\n",
+        "tests.test_gateway_parts.BalancerTest"
+        ".test_a_mended_replica_is_not_avoided_for_an_old_verdict",
+    ),
+    Mutant(
+        "a domain gives up its model for one of which there is plenty",
+        f"{_COORDINATION}/replicas/staging.py",
+        "    return scarce and too_small\n",
+        "    return too_small\n",
+        "tests.test_formation.FormationTest"
+        ".test_a_domain_waits_for_replacements_while_others_have_plenty",
+    ),
+    Mutant(
+        "an instance that left is kept where only changes are taken over",
+        "currantwall/state/upstreams.py",
+        "        old = [held[name] for name in gone if name in held]\n",
+        "        old = []\n",
+        "tests.test_large_fleet.FleetTest"
+        ".test_changes_alone_give_what_the_whole_list_does",
+    ),
+    Mutant(
+        "leases read by nodes that may not hold them",
+        f"{_COORDINATION}/replicas/leases.py",
+        "    return place < _CANDIDATES\n",
+        "    return True\n",
+        "tests.test_large_fleet.QuietTest"
+        ".test_only_who_may_hold_a_lease_reads_it",
+    ),
     Mutant(
         "a list that stands still taken for whole",
         "currantwall/transport/duties.py",
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -187,6 +187,7 @@
         self.balancer.note_loss(ids.InstanceId("a0"), 1, 1.0)
         self.assertEqual(self.choose(1.1).id, "a0")
         self.balancer.note_loss(ids.InstanceId("a0"), 2, 1.2)
+        self.balancer.note_loss(ids.InstanceId("a0"), 1, 1.25)
         self.assertEqual(self.choose(1.3).id, "b0")
 
     def test_a_leader_that_another_server_answers_for_is_avoided(self):
