Read the list afresh where reads that may be old lag behind the store

While the store drops its history, reads that may be old show the list of three seconds ago, for twelve seconds, the store being stable most of the time; all nodes relied on them alone. Class of fault: trust in data without a bound on its age.

The store's revision rises with each write, and renewals of leases and the watch of the configuration tell it all the time. The first test fails without it (shown before the change).

--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from currantwall.coordination.peers import outages
+from currantwall.coordination.peers import staleness
 from currantwall.state import ids
 from currantwall.state import rendezvous
 
@@ -170,6 +171,8 @@
         # When some reader last had an answer from the store.
         self._store_seen: float | None = None
         self.store_history = outages.StoreHistory()
+        # What is known of the store's revision.
+        self.staleness = staleness.Staleness()
         # This node among its peers, where relays are chosen.
         self._own = _Peer(me)
         # The nodes of each data centre in the order in which they are
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -115,6 +115,7 @@
             assert isinstance(changed, result.Ok)
             self._take_all(changed.ok_value, "store")
             since = max(since, changed.ok_value.revision)
+            self._presence.staleness.note_revision(since, self._clock.now())
             if not self._reads_store():
                 return
 
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -168,6 +168,7 @@
             )
             held = None
         one.revision = stored.revision
+        self._presence.staleness.note_revision(stored.revision, now)
         one.tracker.see(ids.Version(stored.revision), held, now)
         if held is not None and held.lease is not None:
             one.fence = held.lease.epoch
@@ -201,6 +202,7 @@
             if one.revision is not None and told.revision <= one.revision:
                 continue
             one.revision = told.revision
+            self._presence.staleness.note_revision(told.revision, now)
             one.fence = max(one.fence, told.epoch)
             one.holder = told.holder
             lease = domain_module.Lease(
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -104,7 +104,7 @@
         return _OUTAGE_INTERVAL
 
     def _read_store(self, asked: float) -> None:
-        listed = self._store.list(self._documents.upstreams_kind, stale=True)
+        listed = self._list_upstreams(asked)
         if isinstance(listed, result.Err):
             self._history.note_failure(asked)
             self._note_unreachable(listed.err_value)
@@ -115,6 +115,27 @@
         self._answered = asked
         self._take(listed.ok_value, asked)
 
+    def _list_upstreams(
+        self, asked: float
+    ) -> result.Result[ports.Listing, ports.StoreFailure]:
+        """Read the list; afresh where reads that may be old lag.
+
+        Failure: such reads are seconds old at times, and an instance that
+        said that it leaves gets requests for as long.
+        """
+        kind = self._documents.upstreams_kind
+        staleness = self._presence.staleness
+        if staleness.is_wary(asked):
+            return self._store.list(kind, stale=False)
+        listed = self._store.list(kind, stale=True)
+        if isinstance(listed, result.Err):
+            return listed
+        revision = listed.ok_value.revision
+        if not staleness.note_read(revision, asked):
+            return listed
+        self._log.write("old_read", feed=_FEED, revision=revision)
+        return self._store.list(kind, stale=False)
+
     def _follow_reader(self, now: float) -> None:
         """Take what is new; wait where nothing is."""
         newer = self._presence.find_newer_list(self.changed, now)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -195,6 +195,52 @@
         self.run_feed(feed)
         self.assertEqual(self.list_names(), ["a"])
 
+    def test_who_leaves_is_dropped_although_old_reads_lag(self):
+        """Requests reached a server over two seconds after it said so.
+
+        Reads that may be old were three seconds behind for some time; the
+        store answered, and leases were renewed all the while.
+        """
+        feed = self.make([])
+        began = self.clock.time
+        gone_at = began + 6.0
+
+        def make_listing(at):
+            revision = 10 + int((at - began) * 10)
+            names = ["a", "b"] if at < gone_at else ["a"]
+            return make_list(revision, *names)
+
+        def read(kind, stale=False):
+            now = self.clock.time
+            if now > gone_at + 1.5:
+                raise Stop
+            revision = 10 + int((now - began) * 10)
+            self.presence.staleness.note_revision(revision - 5, now)
+            return make_listing(max(now - 3.0, began) if stale else now)
+
+        self.store.list = read
+        self.run_feed(feed)
+        self.assertEqual(self.list_names(), ["a"])
+
+    def test_reads_may_be_old_while_they_hardly_lag(self):
+        """Each read would cost ten times as much."""
+        feed = self.make([])
+        began = self.clock.time
+        fresh = []
+
+        def read(kind, stale=False):
+            now = self.clock.time
+            if now > began + 10.0:
+                raise Stop
+            fresh.append(not stale)
+            revision = 10 + int((now - began) * 10)
+            self.presence.staleness.note_revision(revision - 3, now)
+            return make_list(revision - 4, "a")
+
+        self.store.list = read
+        self.run_feed(feed)
+        self.assertEqual(sum(fresh), 0)
+
     def test_who_leaves_is_dropped_after_this_node_was_turned_away(self):
         """Requests went on to servers that had left for good."""
         feed = self.make(
