Hold requests while a node that starts learns what it needs

Callers saw 503 with half a second to wait from a node that had just begun to listen: the configuration and the list of instances came 60 ms later. A request waits for them now, 0.3 s after the start at most.

--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -49,6 +49,9 @@
 
 # Seconds in which a node that starts learns the configuration.
 _STARTING = 0.5
+# Seconds after a node's start in which it holds requests: the store
+# answers in milliseconds, unless it is away.
+_START_HOLD = 0.3
 # How long callers wait for an event: so many seconds, objectives for the
 # first event, or longest pauses, whichever is the longest.
 _BORNE_LEAST = 2.0
@@ -174,6 +177,20 @@
     return Ending.BAD_GATEWAY if in_time else Ending.TIMED_OUT
 
 
+def wait_for_start(lasted: float) -> float:
+    """Return the seconds that a request waits for its node to know enough.
+
+    The load pattern: all nodes restart at once, and callers connect as
+    soon as they listen. The configuration and the list of instances come
+    a moment later; a refused request comes back after its objective, one
+    that waits is served in time.
+
+    Args:
+        lasted: Seconds since the node started.
+    """
+    return max(0.0, _START_HOLD - lasted)
+
+
 def hint_start(lasted: float) -> float:
     """Return the seconds until a node knows a configuration, or so.
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -47,6 +47,8 @@
 # Seconds of the grace that are left when the process ends by itself.
 _LAST_SECONDS = 0.4
 _POLL = 0.05
+# Seconds between two looks at whether a node that starts can serve.
+_START_POLL = 0.01
 
 
 class Gateway:
@@ -187,12 +189,19 @@
             self._nodes_feed.run,
             self._duties.run,
             self._queue.run,
+            self._open_front,
             self._sweep,
         ):
             eventlet.spawn_n(self._keep, task)
         self._log.write("started", front=settings.front)
         self._stopped.wait()
 
+    def _open_front(self) -> None:
+        """Let requests through once the node can serve them."""
+        while not self._is_ready:
+            eventlet.sleep(_START_POLL)
+        self._forwarder.open()
+
     def _list_servers(self) -> dict[str, ingress.Handler]:
         """Return the handlers of the other addresses."""
         settings = self._settings
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -7,6 +7,7 @@
 import socket
 
 import eventlet
+import eventlet.event
 import eventlet.hubs
 import eventlet.queue
 
@@ -46,6 +47,7 @@
         self.is_closed = False
         self._sender = sender
         self._began = sender.now()
+        self._opened = eventlet.event.Event()
         self._names = sender.names
         self._meter = meter
         self._log = log
@@ -57,8 +59,21 @@
         """Return whether a configuration is in force."""
         return self.table is not None
 
+    def open(self) -> None:
+        """Let requests through that wait for the end of the start."""
+        if not self._opened.ready():
+            self._opened.send(None)
+
+    def _wait_for_start(self) -> None:
+        if self._opened.ready():
+            return
+        lasted = self._sender.now() - self._began
+        with eventlet.Timeout(attempts.wait_for_start(lasted), False):
+            self._opened.wait()
+
     def serve(self, inbound: ingress.Inbound) -> Reply:
         """Answer one request."""
+        self._wait_for_start()
         attempt = inbound.headers.get(self._names.attempt, "")
         try:
             request = self._admit(inbound, attempt)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -355,6 +355,23 @@
         self.assertEqual(answer.status, 200)
         self.fleet.set_store(down=False)
 
+    def test_callers_that_come_at_once_to_a_node_that_starts_are_served(self):
+        """After a restart of all nodes the first callers were refused."""
+        self.fleet.kill("g2")
+        self.fleet.start_gateway("g2")
+
+        def send_first():
+            try:
+                return self.send("GET", "/safe/first", gateway="g2")
+            except ConnectionRefusedError:
+                return None
+
+        end = time.monotonic() + _WAIT
+        answer = send_first()
+        while answer is None and time.monotonic() < end:
+            answer = send_first()
+        self.assertEqual(answer.status, 200)
+
     def test_a_node_that_knows_nothing_sends_no_caller_to_itself(self):
         """Callers were refused by a node that had just been added.
 
