--- a/currantwall/transport/green.py
+++ b/currantwall/transport/green.py
@@ -9,8 +9,8 @@
 __all__ = ["hide_asyncio", "patch"]
 
 
-def patch(threads: bool = True) -> None:
-    """Patch sockets, sleeping and, unless told otherwise, threads.
+def patch(threads: bool = True, processes: bool = True) -> None:
+    """Patch sockets, sleeping and, unless told otherwise, the rest.
 
     eventlet says on import that it is in maintenance. docs/STYLE.md
     tells why it is used all the same; every start need not repeat it.
@@ -20,12 +20,16 @@
             network. A process without threads that holds none then can
             leave them alone: to exchange those that exist, each object
             of the process is looked at.
+        processes: Whether waiting for other processes is cooperative. A
+            process that starts none need not load what that takes.
     """
     warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     import eventlet
 
     # With `all`, or naming one module alone would leave out the others.
-    eventlet.monkey_patch(all=True, thread=threads)
+    eventlet.monkey_patch(
+        all=True, thread=threads, subprocess=processes, psycopg=False
+    )
 
 
 @contextlib.contextmanager
--- a/tests/test_green.py
+++ b/tests/test_green.py
@@ -37,6 +37,10 @@
         found = self.run_script("threads=False")[:4]
         self.assertEqual(found, ["True", "True", "True", "False"])
 
+    def test_processes_can_be_left_alone(self):
+        found = self.run_script("threads=False, processes=False")[:4]
+        self.assertEqual(found, ["True", "True", "True", "False"])
+
     def test_asyncio_is_there_for_who_loads_it_later(self):
         """A scrape page's library may run a coroutine of its own."""
         self.assertEqual(self.run_script("threads=False")[-1], "runs")
