Lend spares to a model that the work has shifted to

Demand was counted in requests in work only, and spares were turned only where a model had 1.3 slots a request or less.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -52,7 +52,8 @@
     """What one model needs and has, over the whole service.
 
     Attributes:
-        busy: Requests in work; or the model's expected share of them.
+        busy: Requests in work or waiting; or the model's expected share of
+            them.
         replicas: Replicas that serve or are about to, in other domains.
     """
 
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -332,6 +332,10 @@
         """Return the requests that wait at other nodes, by their name."""
         return self._remote_sums.get(name, 0)
 
+    def count_all_waiting(self, name: str) -> int:
+        """Return the requests that wait at all nodes, by their name."""
+        return self.waiting.get(name, 0) + self.count_waiting(name)
+
     def note_loads(
         self, node: ids.NodeId, loads: abc.Mapping[str, int], now: float
     ) -> None:
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -13,6 +13,7 @@
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
 from currantwall.coordination.replicas import staging
+from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
 from currantwall.state import ids
 from currantwall.state import routes
@@ -280,7 +281,11 @@
             for model in service.engine.models:
                 # Few requests say little: begin with what was expected.
                 expected = model.share * max(_EXPECTED_BUSY - total, 0)
-                need = busy.get(model.name, 0) + expected
+                kind = backlog.Kind(one.service, model.name)
+                waiting = self._balancer.count_all_waiting(
+                    backlog.name_count(kind)
+                )
+                need = busy.get(model.name, 0) + waiting + expected
                 found[model.name] = formation.Demand(
                     need, supply.get(model.name, 0)
                 )
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -109,6 +109,7 @@
             mock.Mock(
                 has_seen_traffic=True,
                 count_busy=mock.Mock(return_value={}),
+                count_all_waiting=mock.Mock(return_value=0),
             ),
             mock.Mock(),
             mock.Mock(),
