Tell losses while nobody can hold a domain's lease

The last holder goes on with the probes now, or the first in rank where that one is gone; it gives no order, and a node that hears nobody tells nothing.

--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -318,6 +318,20 @@
         rest = [one.id for one in listed if one.capacity < able]
         return rendezvous.rank(duty, first) + rendezvous.rank(duty, rest)
 
+    def is_live(self, node: ids.NodeId, now: float) -> bool:
+        """Return whether a node takes requests; this one always counts."""
+        peer = self._peers.get(node)
+        if peer is None:
+            return node == self.me.id
+        return peer.ready and self._is_heard(peer, now)
+
+    def is_alone(self, now: float) -> bool:
+        """Return whether none of the other nodes is heard.
+
+        Such a node is rather cut off itself than the last one alive.
+        """
+        return len(self._peers) > 0 and not self.list_ready(now)
+
     def count(self) -> int:
         """Return the nodes known, this one included."""
         return len(self._peers) + 1
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -118,6 +118,23 @@
         rank = self._presence.rank(f"domain:{one.name}", now)
         return rank.index(self._presence.me.id)
 
+    def is_prober(self, one: DomainLease, now: float) -> bool:
+        """Return whether this node looks for losses in a lapsed domain.
+
+        The load pattern: the store is away for seconds, no lease can be
+        renewed, and instances are lost all the same. No order may be given
+        then, but callers need not be sent to replicas that are not whole.
+        """
+        if not one.tracker.is_lapsed(now) or self._presence.is_alone(now):
+            return False
+        return self._find_prober(one, now) == self._presence.me.id
+
+    def _find_prober(self, one: DomainLease, now: float) -> ids.NodeId:
+        """Return the last holder if it lives, else the first in rank."""
+        if self._presence.is_live(one.holder, now):
+            return one.holder
+        return self._presence.rank(f"domain:{one.name}", now)[0]
+
     def tick(self, one: DomainLease, now: float) -> bool:
         """Take or renew a lease if that is due; return whether it holds."""
         holds = one.tracker.holds(now)
@@ -279,10 +296,10 @@
         if isinstance(outcome, result.Ok):
             self._see(one, outcome.ok_value, self._clock.now())
 
-    def find_holder(self, name: ids.DomainName) -> ids.NodeId:
-        """Return who was last seen to hold a lease; empty for none."""
+    def find_prober(self, name: ids.DomainName, now: float) -> ids.NodeId:
+        """Return who looks for losses in a domain; empty for nobody."""
         lease = self._leases.get(name)
-        return lease.holder if lease else ids.NodeId("")
+        return self._find_prober(lease, now) if lease else ids.NodeId("")
 
     def release(self) -> None:
         """Give all leases back, so that a successor need not wait."""
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -1,7 +1,8 @@
 """The duty for fabric domains: probes and orders.
 
 For each domain the node that holds its lease (`domainleases`) probes the
-instances, has replicas planned (`formation`) and gives the orders.
+instances, has replicas planned (`formation`) and gives the orders. While
+nobody can hold the lease one node goes on with the probes alone.
 """
 
 import collections
@@ -26,8 +27,8 @@
 
 __all__ = ["Duties"]
 
-# Seconds between two rounds of a node that looks after a domain, and of
-# one that doesn't.
+# Seconds between two rounds of a node that probes a domain, and of one
+# that doesn't.
 _TICK = 0.1
 _IDLE_TICK = 0.25
 # Seconds between two probes of one instance while something changes
@@ -36,6 +37,8 @@
 # The same of an instance that has left several unanswered: a domain that
 # went dark comes back after seconds, and each miss is paid for.
 _SILENT_INTERVAL = 0.5
+# The same where no order can be given: only losses are looked for.
+_PROBER_INTERVAL = 1.0
 # Seconds between two probes of instances of replicas that are whole and
 # open: their loss shows in the store's list, and sooner in the requests.
 _STEADY_INTERVAL = 4.0
@@ -64,6 +67,8 @@
         self.layout = layout_module.Layout("")
         # Fencing number of the tenure that the planner's knowledge is of.
         self.fence = 0
+        # Whether this node probes the instances.
+        self.is_probed = False
         self.loads = staging.LoadBudget()
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
@@ -110,8 +115,8 @@
         """Look after the domains for ever."""
         while not self._stopping:
             self.tick(self._clock.now())
-            holds = any(one.lease.held for one in self._domains.values())
-            eventlet.sleep(_TICK if holds else _IDLE_TICK)
+            probes = any(one.is_probed for one in self._domains.values())
+            eventlet.sleep(_TICK if probes else _IDLE_TICK)
 
     def tick(self, now: float) -> None:
         """Do what is due for each domain."""
@@ -119,8 +124,16 @@
         self._leases.look(now)
         for one in self._domains.values():
             if self._leases.tick(one.lease, now):
+                one.is_probed = True
                 self._begin(one)
                 self._work(one, now)
+                continue
+            is_prober = self._leases.is_prober(one.lease, now)
+            if is_prober and not one.is_probed:
+                self._forget(one)
+            one.is_probed = is_prober
+            if is_prober:
+                self._probe_members(one, now)
 
     def _begin(self, one: _Domain) -> None:
         """Forget what an earlier tenure of this node knew.
@@ -133,6 +146,11 @@
         if one.fence == one.lease.fence:
             return
         one.fence = one.lease.fence
+        self._forget(one)
+
+    @staticmethod
+    def _forget(one: _Domain) -> None:
+        """Have the instances' state asked for anew."""
         one.planner = formation.Planner(one.name, one.planner.engine)
         one.probed.clear()
 
@@ -215,18 +233,18 @@
 
     # -- Probes and orders
 
-    def find_holder(self, instance: ids.InstanceId) -> ids.NodeId:
-        """Return who looks after an instance's domain; empty for none."""
+    def find_prober(self, instance: ids.InstanceId) -> ids.NodeId:
+        """Return who probes an instance's domain; empty for nobody."""
         upstream = self._fleet.get(instance)
         if upstream is None:
             return ids.NodeId("")
-        return self._leases.find_holder(upstream.domain)
+        return self._leases.find_prober(upstream.domain, self._clock.now())
 
     def suspect(self, instance: ids.InstanceId) -> None:
         """Probe all of a replica whose leader seems to stall."""
         now = self._clock.now()
         for one in self._domains.values():
-            if not one.lease.tracker.holds(now):
+            if not one.is_probed:
                 continue
             leader = one.planner.knowledge.find(instance)
             if leader is None:
@@ -234,11 +252,17 @@
             for name in one.planner.knowledge.list_companions(instance):
                 self._probe(one, name, now)
 
-    def _work(self, one: _Domain, now: float) -> None:
+    def _probe_members(self, one: _Domain, now: float) -> None:
+        """Probe the instances whose report is wanted."""
         members = self._fleet.list_domain(one.service, one.name)
         one.planner.knowledge.note_list(members, now)
+        interval = _PROBE_INTERVAL if one.lease.held else _PROBER_INTERVAL
         for name in one.planner.list_probes(now, _STEADY_INTERVAL):
-            self._probe(one, name, now)
+            self._probe(one, name, now, interval)
+
+    def _work(self, one: _Domain, now: float) -> None:
+        """Probe the instances and give the orders that are due."""
+        self._probe_members(one, now)
         state = one.planner.describe()
         if state != one.state:
             one.state = state
@@ -291,12 +315,19 @@
                 )
         return found
 
-    def _probe(self, one: _Domain, name: ids.InstanceId, now: float) -> None:
+    def _probe(
+        self,
+        one: _Domain,
+        name: ids.InstanceId,
+        now: float,
+        interval: float = _PROBE_INTERVAL,
+    ) -> None:
+        """Probe an instance, once an interval at most."""
         known = one.planner.knowledge.instances.get(name)
         if known is None or name in one.probing:
             return
-        silent = known.is_silent
-        interval = _SILENT_INTERVAL if silent else _PROBE_INTERVAL
+        if known.is_silent:
+            interval = max(interval, _SILENT_INTERVAL)
         if now < one.probed.get(name, 0.0) + interval:
             return
         upstream = known.upstream
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -146,16 +146,16 @@
             self._duties.suspect(ids.InstanceId(name))
 
     def tell_doubt(self, instance: ids.InstanceId) -> None:
-        """Have the holder of its domain look at a silent upstream."""
+        """Have a silent upstream looked at by who probes its domain."""
         self._stalled[instance] = self._now() + _TOLD
         self._duties.suspect(instance)
         if self._presence.is_small:
             self._heartbeats.hurry()
             return
-        holder = self._presence.get(self._duties.find_holder(instance))
-        if holder is not None:
+        prober = self._presence.get(self._duties.find_prober(instance))
+        if prober is not None:
             alarm = digests.Alarm((instance,))
-            self._heartbeats.send_one(digests.Datagram((holder,), alarm))
+            self._heartbeats.send_one(digests.Datagram((prober,), alarm))
 
     def tell_loads(self) -> None:
         """Tell of requests in work sooner, while replicas are nearly full.
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -97,6 +97,8 @@
         self.presence = presence_module.Presence(self.entry)
         self.presence.ready = True
         self.serial = 0
+        # Of its instance, as the list tells it.
+        self.seat = None
         self.fleet = upstreams.Fleet()
         self.leases = domainleases.DomainLeases(
             self, self.presence, mock.Mock(), world
@@ -125,6 +127,7 @@
             address="e1:1",
             datacentre=ids.DatacentreName("a"),
             domain=_DOMAIN,
+            seat=self.seat,
         )
         now = self.world.now()
         self.fleet.replace([one], round(now * 10), now)
@@ -354,6 +357,68 @@
         self.assertEqual(engines.orders, [])
 
 
+class ProbeTest(LeaseCase):
+    """Losses while the store is away and nobody can hold the lease."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = self.make("n1", "n2", "n3")
+        self.told = []
+        seat = upstreams.Seat(
+            upstreams.name_replica("m", 1, "r"), 1, 0, upstreams.Phase.OPEN
+        )
+        for node in self.world.nodes.values():
+            node.seat = seat
+            node.engines.sequence = 3
+            node.duties.on_loss = lambda life, node=node: self.told.append(
+                (node.name, life)
+            )
+        self.world.run(5.0)
+
+    def lose_store(self):
+        for node in self.world.nodes.values():
+            node.way = "down"
+        self.world.run(4.0)
+        self.assertEqual(self.world.list_holders(), [])
+
+    def lose_instance(self):
+        for node in self.world.nodes.values():
+            node.engines.silent = True
+            node.duties.suspect(ids.InstanceId("e1"))
+        self.world.run(1.0)
+
+    def test_a_loss_is_told_while_the_store_is_away(self):
+        """A hundred gateways each waited a second for the lost replica."""
+        (holder,) = self.world.list_holders()
+        self.lose_store()
+        self.lose_instance()
+        self.assertEqual([name for name, _ in self.told], [holder])
+
+    def test_a_loss_is_told_though_the_last_holder_is_gone_too(self):
+        (holder,) = self.world.list_holders()
+        self.world.nodes[holder].dead = True
+        self.lose_store()
+        self.lose_instance()
+        self.assertEqual(len(self.told), 1)
+
+    def test_no_order_is_given_while_nobody_holds_the_lease(self):
+        self.lose_store()
+        for node in self.world.nodes.values():
+            node.engines.orders.clear()
+        self.lose_instance()
+        for node in self.world.nodes.values():
+            self.assertEqual(node.engines.orders, [])
+
+    def test_a_node_that_hears_nobody_tells_no_losses(self):
+        """A node that was cut off took every instance for lost."""
+        (holder,) = self.world.list_holders()
+        for node in self.world.nodes.values():
+            node.paused = node.name != holder
+        self.lose_store()
+        self.lose_instance()
+        self.assertEqual(self.told, [])
+
+
 class StartTest(LeaseCase):
     def test_a_domain_is_not_dealt_out_by_half_a_list(self):
         """A third of a domain would be loaded with the wrong model.
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -105,7 +105,7 @@
     def test_a_doubt_goes_straight_to_the_holder(self):
         """A stalled replica would be looked at half a second later."""
         made = self.make(0.1)
-        made._duties.find_holder.return_value = ids.NodeId("n9")
+        made._duties.find_prober.return_value = ids.NodeId("n9")
         made.tell_doubt(_HEAD)
         (datagram,) = made._heartbeats.send_one.call_args.args
         self.assertEqual([one.id for one in datagram.to], ["n9"])
