Have nodes that are no readers try an absent store less often

When no reader has an answer every node looks for itself: the configuration after 0.1 s and then at twice the wait, the list each two seconds. They try each four seconds now; a hundred that do so by turns find the store back within a tenth of a second, and the readers go on as before.

--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -29,8 +29,10 @@
 _WATCH_WAIT = 4.0
 _BACKOFF_FIRST = 0.1
 _BACKOFF_LIMIT = 1.0
-# The same where other nodes read the store for this one.
-_PATIENCE_LIMIT = 4.0
+# The same where other nodes read the store for this one: a hundred that
+# try by turns find out soon enough when it is back.
+_PATIENCE_FIRST = 4.0
+_PATIENCE_LIMIT = 8.0
 # Seconds that a node which watches the store waits before it fetches a
 # newer version from a peer: its own watch mostly tells it first.
 _PEER_PATIENCE = 0.15
@@ -62,7 +64,7 @@
         self._clock = clock
         seed = hashing.hash_text(presence.me.id)
         self._backoff = calls.Backoff(_BACKOFF_FIRST, _BACKOFF_LIMIT, seed)
-        self._patience = calls.Backoff(_BACKOFF_FIRST, _PATIENCE_LIMIT, seed)
+        self._patience = calls.Backoff(_PATIENCE_FIRST, _PATIENCE_LIMIT, seed)
         self._spread = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -31,7 +31,7 @@
 # Seconds between two reads of the instances' list.
 _FLEET_INTERVAL = 0.5
 # The same after a failure, where other nodes read the store for this one.
-_OUTAGE_INTERVAL = 2.0
+_OUTAGE_INTERVAL = 4.0
 # Seconds between two looks at whether a node has a newer list.
 _LOOK_INTERVAL = 0.25
 # Tells this feed's loss of the store from another one's in the log.
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -633,6 +633,21 @@
         self.run_feed(feed)
         self.assertGreater(self.clock.time - 100.0, 15.0)
 
+    def test_an_outage_costs_others_than_readers_a_call_in_seconds(self):
+        """An outage of eight seconds cost as many calls as the whole day.
+
+        No reader has an answer, and each of 132 nodes looks for itself.
+        """
+        lists = [make_versions(1, 7), result.Err(Failure.LOST)]
+        feed = self.make(lists, [result.Err(Failure.LOST)])
+        peers_ = [make_entry(f"n{n}", capacity=9.0) for n in range(2)]
+        feed._presence.note_list(peers_, self.clock.now())
+        began = self.clock.now()
+        self.store.limit = 5
+        self.run_feed(feed)
+        # The first list, the first watch, and three tries.
+        self.assertGreater(self.clock.now() - began, 8.0)
+
     def test_the_loss_and_return_of_the_store_are_told_once(self):
         feed = self.make(
             [
