Names of the field: ejection, retry after, strict reads, token bucket

The words that a newcomer had to ask about in the way of a request and in staging: avoidance is ejection, conduct health, a line a queue, hint_return estimate_retry_after, LoadBudget the token bucket LoadBucket, wary reads strict ones.

--- a/currantwall/coordination/peers/staleness.py
+++ b/currantwall/coordination/peers/staleness.py
@@ -15,7 +15,7 @@
 # it counts as too old.
 _TOLERANCE = 0.5
 # Seconds in which no read may be old after one was too old.
-_WARY = 4.0
+_STRICT_READS = 4.0
 
 
 class Staleness:
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         # When each revision became known, both rising.
         self._known: collections.deque[tuple[float, int]] = collections.deque()
-        self._wary_until = 0.0
+        self._strict_until = 0.0
 
     def note_revision(self, revision: int, now: float) -> None:
         """Take note that the store has come to a revision."""
@@ -45,12 +45,12 @@
         at, newest = self._known[0]
         if now - at < _TOLERANCE or revision >= newest:
             return False
-        self._wary_until = now + _WARY
+        self._strict_until = now + _STRICT_READS
         return True
 
-    def is_wary(self, now: float) -> bool:
+    def is_strict(self, now: float) -> bool:
         """Return whether reads of late were too old."""
-        return now < self._wary_until
+        return now < self._strict_until
 
     def _forget(self, now: float) -> None:
         """Keep the newest revision that has been known for long enough."""
--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -14,25 +14,25 @@
 from currantwall.state import ids
 from currantwall.state import routes
 
-__all__ = ["Load", "LoadBudget", "Stock", "assign_models", "choose_loads"]
+__all__ = ["Load", "LoadBucket", "Stock", "assign_models", "choose_loads"]
 
 # Slots of a model's replicas for each of its requests in work: below the
 # first, replicas of it are needed; above the second, it can spare some.
-_SCARCE = 1.3
-_PLENTY = 2.5
+_LOW_COVER = 1.3
+_HIGH_COVER = 2.5
 # Factor between the covers of two models above which the instances that
 # one keeps for losses serve better in replicas of the other.
 _IMBALANCE = 2.0
 # Idle instances that a domain keeps for losses all the same.
 _SPARES = 1
 # Part of a replica below which a domain doesn't wait for replacements.
-_HOPELESS = 0.5
+_MIN_REPLICA_PART = 0.5
 # The weight store counts the loads that start within so many seconds, and
 # bears a few beyond its rate. Half of that may start at once, for a domain
 # mostly gets two instances at a time, the other half one by one.
 _WINDOW = 5.0
-_BEYOND = 3.0
-_AT_ONCE = 0.5
+_BURST = 3.0
+_INITIAL_PART = 0.5
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -75,8 +75,8 @@
     held: abc.Mapping[str, int] = {}
 
 
-class LoadBudget:
-    """The loads that one domain may start.
+class LoadBucket:
+    """A token bucket: the loads that one domain may start.
 
     Each domain keeps to an equal part of what the weight store bears, so
     that their holders need not hear of each other.
@@ -94,13 +94,13 @@
             domains: Domains that share it.
             now: Monotonic time.
         """
-        part = (rate * _WINDOW + _BEYOND) / max(domains, 1)
+        part = (rate * _WINDOW + _BURST) / max(domains, 1)
         # One at least, or a small part would never allow any.
-        most = max(1.0, part * _AT_ONCE)
+        most = max(1.0, part * _INITIAL_PART)
         if self._at is None:
             self._held = most
         else:
-            gained = (now - self._at) * part * (1 - _AT_ONCE) / _WINDOW
+            gained = (now - self._at) * part * (1 - _INITIAL_PART) / _WINDOW
             self._held = min(most, self._held + gained)
         self._at = now
         return int(self._held)
@@ -176,10 +176,10 @@
 
 def _choose_model(engine: routes.Engine, stock: Stock) -> routes.Model:
     """Return the model that blank instances are loaded with."""
-    if stock.cover[stock.main.name] < _PLENTY:
+    if stock.cover[stock.main.name] < _HIGH_COVER:
         return stock.main
     scarce = min(engine.models, key=lambda one: stock.cover[one.name])
-    is_scarce = stock.busy and stock.cover[scarce.name] < _SCARCE
+    is_scarce = stock.busy and stock.cover[scarce.name] < _LOW_COVER
     if is_scarce and scarce.size <= len(stock.blank):
         return scarce
     return stock.main
@@ -221,7 +221,7 @@
     """
     main = stock.main
     spare = len(stock.idle.get(main.name, ())) - _SPARES
-    if stock.wanted or not stock.busy or stock.cover[main.name] < _PLENTY:
+    if stock.wanted or not stock.busy or stock.cover[main.name] < _HIGH_COVER:
         return []
     least = min(engine.models, key=lambda one: stock.cover[one.name])
     if stock.cover[main.name] < _IMBALANCE * stock.cover[least.name]:
@@ -249,14 +249,14 @@
         return begun or too_small
     waits = (
         stock.size >= stock.main.size
-        and stock.usable >= _HOPELESS * stock.main.size
+        and stock.usable >= _MIN_REPLICA_PART * stock.main.size
     )
     if too_small and not waits:
         return True
     # Failure: at the start the first domains to form take the other model
     # for scarce and give up their spares; a loss then costs a replica.
-    spares_main = stock.busy and stock.cover[stock.main.name] >= _PLENTY
-    scarce = stock.cover[model.name] < _SCARCE
+    spares_main = stock.busy and stock.cover[stock.main.name] >= _HIGH_COVER
+    scarce = stock.cover[model.name] < _LOW_COVER
     if spares_main:
         return scarce or begun
     return scarce and too_small
--- a/currantwall/coordination/requests/backlog.py
+++ b/currantwall/coordination/requests/backlog.py
@@ -24,7 +24,7 @@
 
 __all__ = ["Backlog", "Kind", "Ticket"]
 
-# Seconds over which starts are counted to tell how fast the line moves.
+# Seconds over which starts are counted to tell how fast the queue moves.
 _RATE_WINDOW = 2.0
 # Part of the first events that come faster than is expected. Failure: with
 # the mean, one surge makes all requests look late from the start, they go
@@ -35,7 +35,7 @@
 
 
 class Kind(msgspec.Struct, frozen=True):
-    """What requests of one line have in common."""
+    """What requests of one queue have in common."""
 
     service: ids.ServiceName
     model: str
@@ -80,7 +80,7 @@
         self.expected *= 1 + _STEP * side
 
 
-class _Line:
+class _Queue:
     """Requests of one kind that wait, and how fast they get places."""
 
     def __init__(self) -> None:
@@ -96,48 +96,48 @@
 
 
 class Backlog:
-    """The lines of one gateway."""
+    """The queues of one gateway."""
 
     def __init__(self) -> None:
-        self._lines: dict[Kind, _Line] = {}
+        self._queues: dict[Kind, _Queue] = {}
 
-    def _get(self, kind: Kind) -> _Line:
-        line = self._lines.get(kind)
-        if line is None:
-            line = self._lines[kind] = _Line()
-        return line
+    def _get(self, kind: Kind) -> _Queue:
+        queue = self._queues.get(kind)
+        if queue is None:
+            queue = self._queues[kind] = _Queue()
+        return queue
 
     # -- Who waits
 
     def add(self, ticket: Ticket) -> None:
         """Let a request wait."""
-        line = self._get(ticket.kind)
-        if not line.tickets:
-            line.since = ticket.arrived
-        line.tickets.append(ticket)
+        queue = self._get(ticket.kind)
+        if not queue.tickets:
+            queue.since = ticket.arrived
+        queue.tickets.append(ticket)
 
     def remove(self, ticket: Ticket) -> None:
         """Take a request out, if it is there."""
-        line = self._get(ticket.kind)
-        if ticket in line.tickets:
-            line.tickets.remove(ticket)
+        queue = self._get(ticket.kind)
+        if ticket in queue.tickets:
+            queue.tickets.remove(ticket)
 
     def count(self, kind: Kind) -> int:
         """Return the requests of a kind that wait."""
-        line = self._lines.get(kind)
-        return len(line.tickets) if line else 0
+        queue = self._queues.get(kind)
+        return len(queue.tickets) if queue else 0
 
     def list_kinds(self) -> list[Kind]:
         """Return the kinds of which requests wait."""
-        return [kind for kind, one in self._lines.items() if one.tickets]
+        return [kind for kind, one in self._queues.items() if one.tickets]
 
     def list_tickets(self, kind: Kind, now: float) -> list[Ticket]:
         """Return the requests of a kind in the order they go."""
-        line = self._get(kind)
-        if len(line.tickets) < 2:
-            return list(line.tickets)
+        queue = self._get(kind)
+        if len(queue.tickets) < 2:
+            return list(queue.tickets)
         return sorted(
-            line.tickets, key=lambda one: self._place(one, line, now)
+            queue.tickets, key=lambda one: self._place(one, queue, now)
         )
 
     def is_late(self, ticket: Ticket, now: float) -> bool:
@@ -145,7 +145,7 @@
         return now + self.expect_first(ticket.kind) > ticket.objective
 
     def _place(
-        self, ticket: Ticket, line: _Line, now: float
+        self, ticket: Ticket, queue: _Queue, now: float
     ) -> tuple[bool, int, float]:
         if self.is_late(ticket, now):
             # Whose caller gives up first goes first.
@@ -161,16 +161,16 @@
 
     def note_first(self, kind: Kind, seconds: float) -> None:
         """Note how long a request took from its place to its first event."""
-        line = self._get(kind)
-        if line.first is None:
-            line.first = _FirstEvents(seconds)
-        line.first.note(seconds)
+        queue = self._get(kind)
+        if queue.first is None:
+            queue.first = _FirstEvents(seconds)
+        queue.first.note(seconds)
 
     def assume_first(self, kind: Kind, seconds: float) -> None:
         """Set what is expected before any first event was seen."""
-        line = self._get(kind)
-        if line.first is None:
-            line.first = _FirstEvents(seconds)
+        queue = self._get(kind)
+        if queue.first is None:
+            queue.first = _FirstEvents(seconds)
 
     def expect_first(self, kind: Kind) -> float:
         """Return the seconds from a place to the first event."""
@@ -212,7 +212,9 @@
                 ahead += late
         return found
 
-    def hint_return(self, kind: Kind, least: float, now: float) -> float:
+    def estimate_retry_after(
+        self, kind: Kind, least: float, now: float
+    ) -> float:
         """Return the seconds after which a request finds room again.
 
         The time in which the backlog is worked off at the present rate,
@@ -224,21 +226,21 @@
             least: Seconds in which the places of a replica come free.
             now: Monotonic time.
         """
-        line = self._get(kind)
+        queue = self._get(kind)
         rate = self.measure_rate(kind, False, now)
         rate += self.measure_rate(kind, True, now)
         rate = max(rate, 1 / _RATE_WINDOW)
-        lasted = now - line.since if line.tickets else 0.0
-        return max(least, lasted, len(line.tickets) / rate)
+        lasted = now - queue.since if queue.tickets else 0.0
+        return max(least, lasted, len(queue.tickets) / rate)
 
     # -- What other gateways are told
 
     def list_counts(self) -> dict[Kind, int]:
         """Return the requests that wait, by kind."""
         return {
-            kind: len(line.tickets)
-            for kind, line in self._lines.items()
-            if line.tickets
+            kind: len(queue.tickets)
+            for kind, queue in self._queues.items()
+            if queue.tickets
         }
 
 
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -29,14 +29,14 @@
 
 # Seconds without a choice after a failure: doubled with each failure in
 # a row. The first is as long as a replica takes to be mended.
-_FIRST_AVOIDANCE = 0.7
-_LONGEST_AVOIDANCE = 4.0
+_BASE_EJECTION = 0.7
+_MAX_EJECTION = 4.0
 # Seconds without a choice after an upstream refused a request: about the
 # time in which one of its own ends.
-_REFUSAL_AVOIDANCE = 0.2
+_REFUSAL_EJECTION = 0.2
 # Seconds without a choice after a replica was found to have lost a member.
 # It does not come back under the same epoch; the list shows it gone by then.
-_LOSS_AVOIDANCE = 4.0
+_LOSS_EJECTION = 4.0
 # Weight of the newest outcome in the share of failures.
 _FAILURE_WEIGHT = 0.2
 # How much more costly an upstream looks that fails every request.
@@ -72,10 +72,10 @@
 _LOAD_AGE = 2.0
 # Seconds until a caller may try again when no replica serves: what it
 # takes to notice a loss, join anew and open.
-_MENDING = 1.0
+_RETRY_RECOVERING = 1.0
 # Seconds until a caller may try again when everything is full: about one
 # answer of a full replica.
-_DRAINING = 0.5
+_RETRY_SATURATED = 0.5
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -96,7 +96,7 @@
 CountPlaces = abc.Callable[[upstreams.Upstream], int]
 
 
-class _Conduct:
+class _Health:
     """How one upstream has behaved towards this node."""
 
     def __init__(self) -> None:
@@ -107,7 +107,7 @@
         self.lost: collections.deque[float] = collections.deque(
             maxlen=_LOST_LIMIT
         )
-        self.avoid_until = 0.0
+        self.ejected_until = 0.0
         # Mean seconds from one event of its streams to the next, and when
         # the last one came.
         self.pause = 0.0
@@ -124,7 +124,7 @@
     ) -> None:
         self._fleet = fleet
         self._datacentre = datacentre
-        self._conduct: dict[ids.InstanceId, _Conduct] = {}
+        self._health: dict[ids.InstanceId, _Health] = {}
         self._remote: dict[
             ids.NodeId, tuple[float, abc.Mapping[str, int]]
         ] = {}
@@ -164,18 +164,18 @@
         """
         candidates = self._list_candidates(service, model)
         if not candidates:
-            return Unavailable("no upstream serves", _MENDING)
+            return Unavailable("no upstream serves", _RETRY_RECOVERING)
         fresh = [one for one in candidates if one.life not in excluded]
-        usable = [one for one in fresh if not self._is_avoided(one, now)]
+        usable = [one for one in fresh if not self._is_ejected(one, now)]
         if not usable:
             if model is not None and not fresh:
-                return Unavailable("all were tried", _MENDING)
+                return Unavailable("all were tried", _RETRY_RECOVERING)
             if model is not None:
-                return Unavailable("all stall or fail", _MENDING)
+                return Unavailable("all stall or fail", _RETRY_RECOVERING)
             # Plain services: a doubtful one is better than none.
             usable = fresh
             if not usable:
-                return Unavailable("all were tried", _DRAINING)
+                return Unavailable("all were tried", _RETRY_SATURATED)
         if count_places is not None:
             usable = [
                 one
@@ -183,7 +183,9 @@
                 if self.count_load(one.id) < count_places(one)
             ]
             if not usable:
-                return Unavailable("all are full", _DRAINING, is_full=True)
+                return Unavailable(
+                    "all are full", _RETRY_SATURATED, is_full=True
+                )
         return self._choose_drawn(usable, salt, turnover)
 
     def count_free(
@@ -197,7 +199,7 @@
         return sum(
             max(0, count_places(one) - self.count_load(one.id))
             for one in self._list_candidates(service, model)
-            if not self._is_avoided(one, now)
+            if not self._is_ejected(one, now)
         )
 
     def _choose_drawn(
@@ -254,8 +256,8 @@
         return [one.members[0] for one in replicas]
 
     def _cost(self, one: upstreams.Upstream, salt: str) -> tuple[float, int]:
-        conduct = self._conduct.get(one.id)
-        share = conduct.failure_share if conduct else 0.0
+        health = self._health.get(one.id)
+        share = health.failure_share if health else 0.0
         lost = self._remote_sums.get(_name_lost(one.id), 0)
         cost = (1 + self.count_load(one.id)) * (1 + _FAILURE_COST * share)
         cost *= 1 + _LOST_COST * lost
@@ -263,25 +265,25 @@
             cost += _REMOTE_COST
         return cost, _draw(one, salt)
 
-    def _is_avoided(self, one: upstreams.Upstream, now: float) -> bool:
-        conduct = self._conduct.get(one.id)
-        if conduct is None or now >= conduct.avoid_until:
+    def _is_ejected(self, one: upstreams.Upstream, now: float) -> bool:
+        health = self._health.get(one.id)
+        if health is None or now >= health.ejected_until:
             return False
-        return one.seat is None or conduct.epoch >= one.seat.epoch
+        return one.seat is None or health.epoch >= one.seat.epoch
 
     def count_load(self, instance: ids.InstanceId) -> int:
         """Return the known requests in work at an upstream."""
-        conduct = self._conduct.get(instance)
-        own = conduct.in_work if conduct else 0
+        health = self._health.get(instance)
+        own = health.in_work if health else 0
         return own + self._remote_sums.get(instance, 0)
 
     # -- What was seen
 
-    def _get(self, instance: ids.InstanceId) -> _Conduct:
-        conduct = self._conduct.get(instance)
-        if conduct is None:
-            conduct = self._conduct[instance] = _Conduct()
-        return conduct
+    def _get(self, instance: ids.InstanceId) -> _Health:
+        health = self._health.get(instance)
+        if health is None:
+            health = self._health[instance] = _Health()
+        return health
 
     def begin(self, instance: ids.InstanceId) -> None:
         """Note a request that is on its way to an upstream."""
@@ -296,18 +298,18 @@
         self, instance: ids.InstanceId, seconds: float, now: float
     ) -> None:
         """Note the time between two events of an upstream's stream."""
-        conduct = self._get(instance)
-        if now - conduct.paused_at > _PAUSE_AGE:
-            conduct.pause = seconds
-        conduct.pause += _PAUSE_WEIGHT * (seconds - conduct.pause)
-        conduct.paused_at = now
+        health = self._get(instance)
+        if now - health.paused_at > _PAUSE_AGE:
+            health.pause = seconds
+        health.pause += _PAUSE_WEIGHT * (seconds - health.pause)
+        health.paused_at = now
 
     def get_pause(self, instance: ids.InstanceId, now: float) -> float | None:
         """Return the mean pause of an upstream's streams, if any is seen."""
-        conduct = self._conduct.get(instance)
-        if conduct is None or now - conduct.paused_at > _PAUSE_AGE:
+        health = self._health.get(instance)
+        if health is None or now - health.paused_at > _PAUSE_AGE:
             return None
-        return conduct.pause
+        return health.pause
 
     def find_least_pause(
         self, service: ids.ServiceName, model: str, now: float
@@ -321,13 +323,13 @@
 
     def note_success(self, instance: ids.InstanceId) -> None:
         """Note an answer in order."""
-        conduct = self._get(instance)
-        conduct.failures = 0
-        conduct.failure_share *= 1 - _FAILURE_WEIGHT
+        health = self._get(instance)
+        health.failures = 0
+        health.failure_share *= 1 - _FAILURE_WEIGHT
 
     def note_refusal(self, upstream: upstreams.Upstream, now: float) -> None:
         """Note that an upstream would not take a request just now."""
-        self._avoid(upstream, now + _REFUSAL_AVOIDANCE)
+        self._eject(upstream, now + _REFUSAL_EJECTION)
 
     def note_misdirected(
         self, upstream: upstreams.Upstream, now: float
@@ -339,19 +341,19 @@
         while the store is away; a new replica has a newer epoch and is
         not avoided.
         """
-        self._avoid(upstream, now + _LOSS_AVOIDANCE)
+        self._eject(upstream, now + _LOSS_EJECTION)
 
     def note_failure(
         self, upstream: upstreams.Upstream, now: float, avoid: bool
     ) -> None:
         """Note a failure; `avoid` where the next request would fail too."""
-        conduct = self._get(upstream.id)
-        conduct.failure_share += _FAILURE_WEIGHT * (1 - conduct.failure_share)
+        health = self._get(upstream.id)
+        health.failure_share += _FAILURE_WEIGHT * (1 - health.failure_share)
         if not avoid:
             return
-        conduct.failures += 1
-        wait = _FIRST_AVOIDANCE * 2 ** (conduct.failures - 1)
-        self._avoid(upstream, now + min(wait, _LONGEST_AVOIDANCE))
+        health.failures += 1
+        wait = _BASE_EJECTION * 2 ** (health.failures - 1)
+        self._eject(upstream, now + min(wait, _MAX_EJECTION))
 
     def note_lost_answer(self, instance: ids.InstanceId, now: float) -> None:
         """Note an answer of a plain service that did not come, or not whole.
@@ -374,18 +376,18 @@
         if upstream is None:
             return
         if upstream.seat is None or upstream.seat.epoch <= epoch:
-            self._avoid_life(instance, epoch, now + _LOSS_AVOIDANCE)
+            self._eject_life(instance, epoch, now + _LOSS_EJECTION)
 
-    def _avoid(self, upstream: upstreams.Upstream, until: float) -> None:
+    def _eject(self, upstream: upstreams.Upstream, until: float) -> None:
         epoch = upstream.seat.epoch if upstream.seat else 0
-        self._avoid_life(upstream.id, epoch, until)
+        self._eject_life(upstream.id, epoch, until)
 
-    def _avoid_life(
+    def _eject_life(
         self, instance: ids.InstanceId, epoch: int, until: float
     ) -> None:
-        conduct = self._get(instance)
-        conduct.avoid_until = max(conduct.avoid_until, until)
-        conduct.epoch = epoch
+        health = self._get(instance)
+        health.ejected_until = max(health.ejected_until, until)
+        health.epoch = epoch
 
     # -- What nodes tell each other
 
@@ -396,10 +398,10 @@
         sums of relays then hold too.
         """
         found: dict[str, int] = {}
-        for name, conduct in self._conduct.items():
-            if conduct.in_work > 0:
-                found[name] = conduct.in_work
-            lost = sum(now - at <= _LOST_AGE for at in conduct.lost)
+        for name, health in self._health.items():
+            if health.in_work > 0:
+                found[name] = health.in_work
+            lost = sum(now - at <= _LOST_AGE for at in health.lost)
             if lost:
                 found[_name_lost(name)] = lost
         return found | dict(self.waiting)
@@ -447,9 +449,9 @@
     def expire(self, now: float) -> None:
         """Forget old counts and upstreams that are no longer listed."""
         self._expire_loads(now)
-        for name, conduct in list(self._conduct.items()):
-            if conduct.in_work <= 0 and self._fleet.get(name) is None:
-                del self._conduct[name]
+        for name, health in list(self._health.items()):
+            if health.in_work <= 0 and self._fleet.get(name) is None:
+                del self._health[name]
 
     def count_busy(self, service: ids.ServiceName) -> dict[str, int]:
         """Return the known requests in work of each model."""
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -122,10 +122,10 @@
         load = self._balancer.count_load(upstream.id)
         return load > _PRESSED * upstream.slots
 
-    def hint_return(self, ticket: Ticket, now: float) -> float:
+    def estimate_retry_after(self, ticket: Ticket, now: float) -> float:
         """Return the seconds after which a request finds room again."""
         least = _measure_turnover(ticket)
-        return self.backlog.hint_return(ticket.kind, least, now)
+        return self.backlog.estimate_retry_after(ticket.kind, least, now)
 
     # -- Those that wait
 
@@ -178,7 +178,7 @@
         """Return those that cannot begin before their caller gives up."""
         hopeless = self.backlog.list_hopeless(kind, now)
         found = [
-            Refusal(ticket, self.hint_return(ticket, now))
+            Refusal(ticket, self.estimate_retry_after(ticket, now))
             for ticket in hopeless
         ]
         for ticket in hopeless:
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -69,7 +69,7 @@
         self.fence = 0
         # Whether this node probes the instances.
         self.is_probed = False
-        self.loads = staging.LoadBudget()
+        self.loads = staging.LoadBucket()
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
         # As last written to the log.
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -125,7 +125,7 @@
         """
         kind = self._documents.upstreams_kind
         staleness = self._presence.staleness
-        if staleness.is_wary(asked):
+        if staleness.is_strict(asked):
             return self._store.list(kind, stale=False)
         listed = self._store.list(kind, stale=True)
         if isinstance(listed, result.Err):
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -115,7 +115,7 @@
                 if waiting.placed is not None:
                     # It was given a place in this very moment.
                     continue
-                hint = self._placer.hint_return(ticket, self._now())
+                hint = self._placer.estimate_retry_after(ticket, self._now())
                 return balancing.Unavailable("no place in time", hint)
             if isinstance(message, requests.Placed):
                 return message.upstream
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -111,8 +111,12 @@
     def test_a_hint_grows_with_the_load_that_has_lasted(self):
         """Callers came back after half a second and were refused again."""
         self.backlog.add(make_ticket("a", 0.0))
-        self.assertEqual(self.backlog.hint_return(_KIND, 1.3, 0.1), 2.0)
-        self.assertEqual(self.backlog.hint_return(_KIND, 1.3, 5.0), 5.0)
+        self.assertEqual(
+            self.backlog.estimate_retry_after(_KIND, 1.3, 0.1), 2.0
+        )
+        self.assertEqual(
+            self.backlog.estimate_retry_after(_KIND, 1.3, 5.0), 5.0
+        )
 
     def test_gateways_share_the_places_that_all_hear_of(self):
         """Fifteen gateways gave the same free place to a request each."""
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -191,7 +191,7 @@
         Load: forty instances without weights come at once in each of
         six domains, for a minute.
         """
-        budgets = [staging.LoadBudget() for _ in range(6)]
+        budgets = [staging.LoadBucket() for _ in range(6)]
         started = []
         for step in range(600):
             now = step / 10.0
