--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -43,6 +43,52 @@
 _FORMATION = "tests.test_formation.FormationTest"
 _PLACING = "tests.test_placing"
 MUTANTS = (
+    Mutant(
+        "nobody tells of losses while nobody holds a lease",
+        "currantwall/transport/domainleases.py",
+        "        return self._find_prober(one, now) == self._presence.me.id\n",
+        "        return False\n",
+        f"{_DUTIES}.ProbeTest.test_a_loss_is_told_while_the_store_is_away",
+    ),
+    Mutant(
+        "a node that hears nobody tells losses",
+        "currantwall/transport/domainleases.py",
+        "is_lapsed(now) or self._presence.is_alone(now):",
+        "is_lapsed(now):",
+        f"{_DUTIES}.ProbeTest.test_a_node_that_hears_nobody_tells_no_losses",
+    ),
+    Mutant(
+        "lost answers are kept to oneself",
+        f"{_COORDINATION}/requests/balancing.py",
+        "                found[_name_lost(name)] = lost\n",
+        "                pass\n",
+        "tests.test_balancing.LostAnswersTest"
+        ".test_what_one_node_lost_the_others_avoid",
+    ),
+    Mutant(
+        "late counts are taken for fresh ones",
+        f"{_COORDINATION}/requests/balancing.py",
+        "        if len(drawn) == 2 and self.are_counts_relayed and",
+        "        if False and",
+        "tests.test_balancing.LoadTest"
+        ".test_counts_as_old_as_requests_do_not_overrun_replicas",
+    ),
+    Mutant(
+        "spares are kept whatever the other model lacks",
+        f"{_COORDINATION}/replicas/staging.py",
+        "    stranded = stranded or _lend_spares(engine, stock)\n",
+        "",
+        "tests.test_staging.LoadsTest"
+        ".test_spares_go_to_the_model_that_the_work_has_shifted_to",
+    ),
+    Mutant(
+        "nodes that start refuse at once",
+        f"{_COORDINATION}/requests/attempts.py",
+        "    return max(0.0, _START_HOLD - lasted)\n",
+        "    return 0.0\n",
+        "tests.test_gateway.TroubleTest"
+        ".test_callers_that_come_at_once_to_a_node_that_starts_are_served",
+    ),
     Mutant(
         "a leader that refuses is taken for gone",
         f"{_COORDINATION}/replicas/formation.py",
@@ -76,7 +122,7 @@
     Mutant(
         "an address of another server is tried again",
         f"{_COORDINATION}/requests/balancing.py",
-        "now + _LOSS_AVOIDANCE)\n\n    def note_failure",
+        "now + _LOSS_EJECTION)\n\n    def note_failure",
         "now)\n\n    def note_failure",
         "tests.test_gateway_parts.BalancerTest"
         ".test_a_leader_that_another_server_answers_for_is_avoided",
@@ -137,8 +183,8 @@
     Mutant(
         "full replicas not passed over",
         f"{_COORDINATION}/requests/balancing.py",
-        "        if self.count_load(best.id) < best.slots:\n",
-        "        if True:\n",
+        "        is_full = self.count_load(best.id) >= best.slots\n",
+        "        is_full = False\n",
         "tests.test_balancing.LoadTest.test_the_last_free_slots_are_found",
     ),
     Mutant(
