--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -20,11 +20,6 @@
 # first, replicas of it are needed; above the second, it can spare some.
 _LOW_COVER = 1.3
 _HIGH_COVER = 2.5
-# Factor between the covers of two models above which the instances that
-# one keeps for losses serve better in replicas of the other.
-_IMBALANCE = 2.0
-# Idle instances that a domain keeps for losses all the same.
-_SPARES = 1
 # Part of a replica below which a domain doesn't wait for replacements.
 _MIN_REPLICA_PART = 0.5
 # The weight store counts the loads that start within so many seconds, and
@@ -194,7 +189,6 @@
     if stock.loading:
         return []
     stranded = [] if stock.wanted else _find_stranded(engine, stock)
-    stranded = stranded or _lend_spares(engine, stock)
     if stranded:
         return stranded
     for model in sorted(engine.models, key=lambda one: stock.cover[one.name]):
@@ -212,26 +206,6 @@
     return []
 
 
-def _lend_spares(engine: routes.Engine, stock: Stock) -> list[Load]:
-    """Return loads that turn spares of a domain to a model with less room.
-
-    The load pattern: the work has shifted from one model to another. The
-    first has several times the slots that its requests take and idle
-    instances beside them; the second one is close to its limit.
-    """
-    main = stock.main
-    spare = len(stock.idle.get(main.name, ())) - _SPARES
-    if stock.wanted or not stock.busy or stock.cover[main.name] < _HIGH_COVER:
-        return []
-    least = min(engine.models, key=lambda one: stock.cover[one.name])
-    if stock.cover[main.name] < _IMBALANCE * stock.cover[least.name]:
-        return []
-    have = len(stock.idle.get(least.name, ()))
-    count = (have + spare) // least.size * least.size - have
-    chosen = stock.idle[main.name][:count] if count > 0 else ()
-    return [Load(instance, least) for instance in chosen]
-
-
 def _is_worth_loads(stock: Stock, model: routes.Model, begun: bool) -> bool:
     """Return whether idle instances are to be turned to a model.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -73,14 +73,6 @@
         "tests.test_balancing.LoadTest"
         ".test_counts_as_old_as_requests_do_not_overrun_replicas",
     ),
-    Mutant(
-        "spares are kept whatever the other model lacks",
-        f"{_COORDINATION}/replicas/staging.py",
-        "    stranded = stranded or _lend_spares(engine, stock)\n",
-        "",
-        "tests.test_staging.LoadsTest"
-        ".test_spares_go_to_the_model_that_the_work_has_shifted_to",
-    ),
     Mutant(
         "nodes that start refuse at once",
         f"{_COORDINATION}/requests/attempts.py",
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -133,28 +133,6 @@
         later = msgspec.structs.replace(stock, busy=True)
         self.assertEqual(len(staging.choose_loads(engine, later)), 4)
 
-    def test_spares_go_to_the_model_that_the_work_has_shifted_to(self):
-        """Fifteen spares stood idle while the other model was late.
-
-        Load: ten in eleven requests want the smaller model, which was
-        expected to have half of the work.
-        """
-        idle = {"large": tuple("abcde")}
-        cover = {"large": 5.6, "small": 1.9}
-        loads = self.choose(idle=idle, cover=cover, usable=37, size=37)
-        self.assertEqual([model for _, model in loads], ["small"] * 3)
-
-    def test_spares_stay_where_both_models_have_room(self):
-        """Each loss would cost a load, though nobody is short."""
-        idle = {"large": tuple("abcde")}
-        for cover in (
-            {"large": 5.6, "small": 3.0},
-            {"large": 2.4, "small": 0.8},
-        ):
-            with self.subTest(cover=cover):
-                kept = self.choose(idle=idle, cover=cover, usable=37, size=37)
-                self.assertEqual(kept, [])
-
     def test_what_two_models_leave_over_makes_one_replica(self):
         idle = {"large": ("a", "b", "c"), "small": ("d",)}
         self.assertEqual(self.choose(idle=idle), [("d", "large")])
