Listen before the libraries are loaded

While all nodes restart callers were refused by each of them until it had loaded what it needs, 0.6 s on the smaller machines, and most callers come back once only. The first thing a process does now is to listen; those who connect meanwhile wait in the kernel.

--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -49,9 +49,9 @@
 
 # Seconds in which a node that starts learns the configuration.
 _STARTING = 0.5
-# Seconds after a node's start in which it holds requests: the store
-# answers in milliseconds, unless it is away.
-_START_HOLD = 0.3
+# Seconds after a node's start in which it holds requests. Most callers
+# come back once only, and one that was refused may not be served at all.
+_START_HOLD = 1.0
 # How long callers wait for an event: so many seconds, objectives for the
 # first event, or longest pauses, whichever is the longest.
 _BORNE_LEAST = 2.0
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -8,6 +8,7 @@
 from collections import abc
 import os
 import signal
+import socket
 import time
 import typing
 
@@ -31,6 +32,7 @@
 from currantwall.transport import forwarding
 from currantwall.transport import ingress
 from currantwall.transport import journal
+from currantwall.transport import listeners
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import news
 from currantwall.transport import peers
@@ -61,7 +63,19 @@
         documents: ports.Documents,
         make_store: abc.Callable[[metrics_module.Metrics], ports.Store],
         make_engines: abc.Callable[[exchanges.Connections], ports.Engines],
+        listener: socket.socket | None = None,
     ) -> None:
+        """Wire the parts.
+
+        Args:
+            settings: What the process is told of itself.
+            names: Headers of requests and answers.
+            documents: Decodes what the store holds.
+            make_store: Makes the client of the store.
+            make_engines: Makes what speaks to engines.
+            listener: Listens at the front address; opened by `run` where
+                the program has not done so.
+        """
         self._settings = settings
         self._documents = documents
         self._clock = timers.TimerService()
@@ -138,7 +152,7 @@
         self._duties.services = self._list_services
         self._news = self._make_news()
         self._stopping = False
-        self._listener: typing.Any = None
+        self._listener: typing.Any = listener
         self._front_task: typing.Any = None
         self._stopped = eventlet.event.Event()
         self._front = self._make_ingress(self._forwarder.serve)
@@ -174,7 +188,9 @@
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
         settings = self._settings
-        self._listener = ingress.listen(settings.front)
+        if self._listener is None:
+            self._listener = listeners.open_listener(settings.front)
+        self._listener = ingress.adopt(self._listener)
         self._front_task = ingress.start_server(self._listener, self._front)
         for address, handler in self._list_servers().items():
             ingress.start_server(
@@ -197,8 +213,8 @@
         self._stopped.wait()
 
     def _open_front(self) -> None:
-        """Let requests through once the node can serve them."""
-        while not self._is_ready:
+        """Let requests through once the node can serve them, or can't."""
+        while not self._is_ready and self._configuration.is_store_there:
             eventlet.sleep(_START_POLL)
         self._forwarder.open()
 
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -80,6 +80,11 @@
         table = self._forwarder.table
         return table.version if table else 0
 
+    @property
+    def is_store_there(self) -> bool:
+        """Return whether the store answered the last call, or none yet."""
+        return self._reachable
+
     def run(self) -> None:
         """Follow the store, or whoever reads it, for ever."""
         while True:
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -18,8 +18,16 @@
 import urllib3
 
 from currantwall.state import routes
+from currantwall.transport import listeners
 
-__all__ = ["Ingress", "Inbound", "Reply", "start_server"]
+__all__ = [
+    "Ingress",
+    "Inbound",
+    "Reply",
+    "adopt",
+    "listen",
+    "start_server",
+]
 
 # Connections that are served at the same time; above, new ones wait.
 _POOL_SIZE = 900
@@ -350,12 +358,17 @@
 
 def listen(address: str) -> typing.Any:
     """Return a listening socket on an address."""
-    host, _, port = address.rpartition(":")
-    listener = eventlet.listen((host, int(port)), backlog=512)
+    return adopt(listeners.open_listener(address))
+
+
+def adopt(listener: socket.socket) -> typing.Any:
+    """Return a listening socket for the use of eventlet."""
     # Taken over by accepted connections: an event must not wait for the
     # acknowledgement of the one before.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return listener
+    if isinstance(listener, eventlet.greenio.GreenSocket):
+        return listener
+    return eventlet.greenio.GreenSocket(listener)
 
 
 def start_server(listener: typing.Any, ingress: Ingress) -> typing.Any:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,8 @@
 import pathlib
 import signal
 import socket
+import subprocess
+import sys
 import time
 import unittest
 
@@ -372,6 +374,32 @@
             answer = send_first()
         self.assertEqual(answer.status, 200)
 
+    def test_a_node_listens_before_it_has_loaded_anything(self):
+        """Each restart of all nodes refused callers until all was loaded.
+
+        The libraries cannot be loaded here; the settings can be read.
+        """
+        self.fleet.kill("g2")
+        path = self.fleet.path / "g2.json"
+        host, _, port = self.fleet.fronts["g2"].partition(":")
+        script = (
+            "import pathlib, runpy, sys\n"
+            "sys.modules['eventlet'] = None\n"
+            f"loaded = runpy.run_path({str(gateways.PROGRAM)!r})\n"
+            f"kept = loaded['_listen_early'](pathlib.Path({str(path)!r}))\n"
+            "print('listens', flush=True)\n"
+            "sys.stdin.read()\n"
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-c", script],
+            cwd=gateways.PROGRAM.parent.parent,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(process.communicate)
+        self.assertEqual(process.stdout.readline(), b"listens\n")
+        socket.create_connection((host, int(port)), 20).close()
+
     def test_a_node_that_knows_nothing_sends_no_caller_to_itself(self):
         """Callers were refused by a node that had just been added.
 
