--- a/currantwall/transport/listeners.py
+++ b/currantwall/transport/listeners.py
@@ -22,6 +22,9 @@
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if int(port):
+        # A process may start while its predecessor is about to end.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     listener.bind((host, int(port)))
     listener.listen(_BACKLOG)
     return listener
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -10,6 +10,7 @@
 
 from currantwall.state import routes
 from currantwall.transport import ingress
+from currantwall.transport import listeners
 from currantwall.transport import timers
 
 _REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -186,6 +187,18 @@
             return body, data
 
 
+class ListenerTest(unittest.TestCase):
+    def test_a_process_listens_while_its_predecessor_ends(self):
+        """A node that was started again could not listen, and ended."""
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        first = listeners.open_listener(f"127.0.0.1:{port}")
+        self.addCleanup(first.close)
+        second = listeners.open_listener(f"127.0.0.1:{port}")
+        second.close()
+
+
 class FuzzTest(unittest.TestCase):
     """What callers may send, well formed or not, against a plain reading."""
 
