Tell of replicas that a slow member slows down

The holder reads the pace from the reports that it asks for anyway when somebody doubts a leader, tells it each second until it is usual again, and all nodes pass the replica over, while half of the model's replicas are sound. Nothing is ended there, and no replica is taken apart.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -53,9 +53,11 @@
         self.serial = 0
         self.loads: dict[str, int] = {}
         self.lost: tuple[str, ...] = ()
+        self.slow: tuple[str, ...] = ()
         # When the store last answered it; None where it never asked.
         self.answered: float | None = None
         self.heard_lost: dict[str, float] = {}
+        self.heard_slow: dict[str, float] = {}
         self.remote: dict[str, int] = {}
         self.sent = 0
         self.received = 0
@@ -70,6 +72,7 @@
             ready=True,
             loads=self.loads,
             lost=self.lost,
+            slow=self.slow,
             store_age=self._get_store_age(now),
         )
         return self.relay.list_datagrams(own, now)
@@ -96,6 +99,8 @@
             return
         for name in message.lost:
             self.heard_lost.setdefault(name, now)
+        for name in message.slow:
+            self.heard_slow.setdefault(name, now)
         if isinstance(message, presence_module.Heartbeat):
             if self.presence.note_heartbeat(message, now):
                 self.relay.note_heartbeat(message, now)
--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -58,6 +58,7 @@
     loads: dict[str, int] = {}
     stalled: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
+    slow: tuple[str, ...] = ()
     leases: dict[str, presence_module.HeldLease] = {}
 
 
@@ -85,6 +86,7 @@
         self.loads: dict[str, int] = {}
         self.stalled: dict[str, None] = {}
         self.lost: dict[str, None] = {}
+        self.slow: dict[str, None] = {}
         self.leases: dict[str, presence_module.HeldLease] = {}
 
     def add_loads(self, loads: abc.Mapping[str, int]) -> None:
@@ -94,6 +96,7 @@
     def add_news(self, told: "presence_module.Heartbeat | Digest") -> None:
         self.stalled.update(dict.fromkeys(told.stalled))
         self.lost.update(dict.fromkeys(told.lost))
+        self.slow.update(dict.fromkeys(told.slow))
         for domain, lease in told.leases.items():
             held = self.leases.get(domain)
             if held is None or lease.revision > held.revision:
@@ -134,6 +137,7 @@
         told = before.heartbeat if before else None
         changed = told is not None and heartbeat.ready != told.ready
         self._note_lost(heartbeat.lost, told.lost if told else ())
+        self._note_lost(heartbeat.slow, told.slow if told else ())
         self._urgent = self._urgent or changed
 
     def note_digest(self, digest: Digest, now: float) -> bool:
@@ -162,6 +166,7 @@
             self._presence.note_relayed(nodes, now)
         if digest.is_part:
             self._note_lost(digest.lost, last.lost if last else ())
+            self._note_lost(digest.slow, last.slow if last else ())
         return True
 
     def _note_lost(
@@ -274,6 +279,7 @@
             loads=total.loads,
             stalled=tuple(total.stalled),
             lost=tuple(total.lost),
+            slow=tuple(total.slow),
             leases=total.leases,
         )
 
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -125,6 +125,7 @@
         stalled: Upstreams it saw fall silent of late.
         lost: Leaders, by their lives, whose replica it found to lack a
             member of late.
+        slow: Leaders, by their lives, whose replica a member slows down.
         instances: Revision of the list of instances, 0 for none.
         leases: The leases that it holds, by domain.
         store_age: Seconds since the store last answered this node; None
@@ -139,6 +140,7 @@
     loads: dict[str, int] = {}
     stalled: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
+    slow: tuple[str, ...] = ()
     instances: int = 0
     leases: dict[str, HeldLease] = {}
     store_age: float | None = None
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -37,6 +37,9 @@
 # Seconds without a choice after a replica was found to have lost a member.
 # It does not come back under the same epoch; the list shows it gone by then.
 _LOSS_EJECTION = 4.0
+# The same after a replica was said to be slow; it is said again each second
+# until it no longer is.
+_SLOW_EJECTION = 2.0
 # Weight of the newest outcome in the share of failures.
 _FAILURE_WEIGHT = 0.2
 # How much more costly an upstream looks that fails every request.
@@ -378,6 +381,29 @@
         if upstream.seat is None or upstream.seat.epoch <= epoch:
             self._eject_life(instance, epoch, now + _LOSS_EJECTION)
 
+    def note_slow(
+        self, instance: ids.InstanceId, epoch: int, now: float
+    ) -> None:
+        """Note that a member slows down a leader's replica.
+
+        It is passed over while half of the model's replicas are sound:
+        where most are slow, a slow answer is better than none.
+        """
+        upstream = self._fleet.get(instance)
+        if upstream is None or upstream.seat is None:
+            return
+        parsed = upstreams.parse_name(upstream.seat.replica)
+        if parsed is None or upstream.seat.epoch > epoch:
+            return
+        all_ = self._list_candidates(upstream.service, parsed[0])
+        sound = [
+            one
+            for one in all_
+            if one.id != instance and not self._is_ejected(one, now)
+        ]
+        if 2 * len(sound) >= len(all_):
+            self._eject_life(instance, epoch, now + _SLOW_EJECTION)
+
     def _eject(self, upstream: upstreams.Upstream, until: float) -> None:
         epoch = upstream.seat.epoch if upstream.seat else 0
         self._eject_life(upstream.id, epoch, until)
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -176,6 +176,7 @@
         self._sender.on_doubt = made.tell_doubt
         self._queue.on_pressure = made.tell_loads
         self._duties.on_loss = made.tell_loss
+        self._duties.on_slow = made.tell_slow
         self._configuration.on_change = made.tell_change
         self._fleet_feed.on_change = made.tell_list
         return made
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -60,6 +60,7 @@
         staged: Models whose weights are on its host.
         seat: Its place in a replica, None for none.
         busy: Whether it is carrying out an order, such as a load.
+        pace: Factor by which it is slower than usual, as its report says.
     """
 
     id: ids.InstanceId
@@ -74,6 +75,7 @@
     staged: tuple[str, ...] = ()
     seat: Seat | None = None
     busy: bool = False
+    pace: float = 1.0
 
     @property
     def life(self) -> str:
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -39,6 +39,11 @@
 _SILENT_INTERVAL = 0.5
 # The same where no order can be given: only losses are looked for.
 _PROBER_INTERVAL = 1.0
+# The same of an instance that is slow, until it no longer is.
+_SLOW_INTERVAL = 1.0
+# Factor by which an instance is slower than usual above which its replica
+# is better passed over.
+_SLOW_PACE = 3.0
 # Seconds between two probes of instances of replicas that are whole and
 # open: their loss shows in the store's list, and sooner in the requests.
 _STEADY_INTERVAL = 4.0
@@ -72,6 +77,8 @@
         self.loads = staging.LoadBucket()
         self.probed: dict[ids.InstanceId, float] = {}
         self.probing: set[ids.InstanceId] = set()
+        # Instances that were slow when last asked.
+        self.slow: set[ids.InstanceId] = set()
         # As last written to the log.
         self.state: dict[str, str] = {}
 
@@ -107,6 +114,8 @@
         self._stopping = False
         # Told of a leader whose replica has lost a member, by its life.
         self.on_loss: abc.Callable[[str], None] = _ignore
+        # Told of a leader whose replica a member slows down, by its life.
+        self.on_slow: abc.Callable[[str], None] = _ignore
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
 
     # -- The loop
@@ -153,6 +162,7 @@
         """Have the instances' state asked for anew."""
         one.planner = formation.Planner(one.name, one.planner.engine)
         one.probed.clear()
+        one.slow.clear()
 
     def stop(self) -> None:
         """Give all leases back, so that a successor need not wait."""
@@ -259,6 +269,8 @@
         interval = _PROBE_INTERVAL if one.lease.held else _PROBER_INTERVAL
         for name in one.planner.list_probes(now, _STEADY_INTERVAL):
             self._probe(one, name, now, interval)
+        for name in list(one.slow):
+            self._probe(one, name, now, _SLOW_INTERVAL)
 
     def _work(self, one: _Domain, now: float) -> None:
         """Probe the instances and give the orders that are due."""
@@ -324,7 +336,10 @@
     ) -> None:
         """Probe an instance, once an interval at most."""
         known = one.planner.knowledge.instances.get(name)
-        if known is None or name in one.probing:
+        if known is None:
+            one.slow.discard(name)
+            return
+        if name in one.probing:
             return
         if known.is_silent:
             interval = max(interval, _SILENT_INTERVAL)
@@ -361,15 +376,41 @@
                 self._tell_loss(one, upstream)
         else:
             one.planner.knowledge.note_report(found, now)
+            self._note_pace(one, found)
+
+    def _note_pace(self, one: _Domain, found: upstreams.Upstream) -> None:
+        """Tell of a replica that a slow member slows down.
+
+        The load pattern: an instance runs at a twelfth of its speed for
+        some seconds and its replica with it; each of a hundred nodes would
+        find that out by a request of its own.
+        """
+        if found.pace < _SLOW_PACE:
+            one.slow.discard(found.id)
+            return
+        one.slow.add(found.id)
+        leader = self._find_leader(one, found.id)
+        if leader is not None:
+            self.on_slow(leader.life)
 
     def _tell_loss(self, one: _Domain, lost: upstreams.Upstream) -> None:
         """Tell the leader of a replica that has lost a member."""
-        for name in one.planner.knowledge.list_companions(lost.id):
+        leader = self._find_leader(one, lost.id)
+        if leader is not None:
+            self.on_loss(leader.life)
+
+    @staticmethod
+    def _find_leader(
+        one: _Domain, instance: ids.InstanceId
+    ) -> upstreams.Upstream | None:
+        """Return the leader of an instance's replica, if it is open."""
+        for name in one.planner.knowledge.list_companions(instance):
             member = one.planner.knowledge.find(name)
             if member is not None and member.seat is not None:
                 leads = member.seat.rank == 0
                 if leads and member.seat.phase is upstreams.Phase.OPEN:
-                    self.on_loss(member.life)
+                    return member
+        return None
 
     def _give(self, one: _Domain, order: knowledge.Order) -> None:
         """Send an order while the lease certainly holds."""
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -24,6 +24,9 @@
 
 # Seconds for which urgent news goes into each heartbeat: two of them.
 _TOLD = 0.5
+# The same for a replica that is slow: longer than from one probe of its
+# slow member to the next.
+_SLOW_TOLD = 1.5
 # Seconds between heartbeats while replicas are nearly full.
 _PRESSED_INTERVAL = 0.12
 # Stands for all other nodes where a relay adds up their counts.
@@ -69,6 +72,7 @@
         # What the next heartbeats tell, and until when.
         self._stalled: dict[str, float] = {}
         self._lost: dict[str, float] = {}
+        self._slow: dict[str, float] = {}
         # Requests in work as last told.
         self._told_loads: dict[str, int] = {}
 
@@ -77,6 +81,7 @@
         now = self._now()
         self._stalled = _drop_past(self._stalled, now)
         self._lost = _drop_past(self._lost, now)
+        self._slow = _drop_past(self._slow, now)
         self._told_loads = self._balancer.list_loads(now)
         self._presence.ready = self.is_ready()
         self._balancer.are_counts_relayed = not self._presence.is_small
@@ -88,6 +93,7 @@
             loads=self._told_loads,
             stalled=tuple(self._stalled),
             lost=tuple(self._lost),
+            slow=tuple(self._slow),
             instances=self._fleets.changed,
             leases=self._leases.list_leases(now),
             store_age=self._fleets.get_store_age(now),
@@ -141,6 +147,8 @@
         self._suspect(told.stalled)
         for life in told.lost:
             self._take_loss(life, now)
+        for life in told.slow:
+            self._take_slow(life, now)
 
     def _suspect(self, stalled: abc.Iterable[str]) -> None:
         for name in stalled:
@@ -187,6 +195,19 @@
         self._take_loss(life, now)
         self._heartbeats.hurry()
 
+    def tell_slow(self, life: str) -> None:
+        """Spread that a member slows down a leader's replica."""
+        now = self._now()
+        if life not in self._slow:
+            self._heartbeats.hurry()
+        self._slow[life] = now + _SLOW_TOLD
+        self._take_slow(life, now)
+
+    def _take_slow(self, life: str, now: float) -> None:
+        parsed = upstreams.parse_life(life)
+        if parsed is not None:
+            self._balancer.note_slow(*parsed, now)
+
     def _take_loss(self, life: str, now: float) -> None:
         parsed = upstreams.parse_life(life)
         if parsed is not None:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -272,6 +272,13 @@
         self.assertIs(found, knowledge.Reach.SILENT)
         self.connections.give_back.assert_not_called()
 
+    def test_a_pace_that_cannot_be_read_loses_no_report(self):
+        """A sound server would look silent, and its replica broken."""
+        for told, pace in ((b"12.0", 12.0), (b'"x"', 1.0), (b"null", 1.0)):
+            answer = client.Answer(200, b'{"pace":' + told + b"}", 3.0)
+            found = self.report(False, return_value=answer)
+            self.assertEqual(found.pace, pace)
+
     def test_an_address_that_another_server_has_counts_as_gone(self):
         other = client.Answer(421, b"", 0.0)
         found = self.report(False, return_value=other)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -122,6 +122,15 @@
         ]
         self.assertGreaterEqual(len(told), 140)
 
+    def test_news_of_a_slow_replica_reaches_all_at_once(self):
+        """Each node would find it out by a request that stalls."""
+        self.net.nodes["a-30"].slow = ("i-9",)
+        self.net.send("a-30")
+        told = [
+            node for node in self.net.list_live() if "i-9" in node.heard_slow
+        ]
+        self.assertGreaterEqual(len(told), 140)
+
     def test_the_fleet_goes_on_when_all_relays_die_at_once(self):
         """Nodes would lose sight of each other for good.
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -5,6 +5,7 @@
 beside it runs at once.
 """
 
+import itertools
 import random
 import unittest
 from unittest import mock
@@ -191,12 +192,15 @@
     def __init__(self):
         self.sequence = None
         self.silent = False
+        self.pace = 1.0
         self.orders = []
 
     def report(self, upstream, fresh):
         if self.silent:
             return knowledge.Reach.SILENT
-        return msgspec.structs.replace(upstream, sequence=self.sequence)
+        return msgspec.structs.replace(
+            upstream, sequence=self.sequence, pace=self.pace
+        )
 
     def order(self, order):
         self.orders.append(order)
@@ -357,8 +361,8 @@
         self.assertEqual(engines.orders, [])
 
 
-class ProbeTest(LeaseCase):
-    """Losses while the store is away and nobody can hold the lease."""
+class ReplicaCase(LeaseCase):
+    """Three nodes and a replica of one instance."""
 
     def setUp(self):
         super().setUp()
@@ -375,6 +379,10 @@
             )
         self.world.run(5.0)
 
+
+class ProbeTest(ReplicaCase):
+    """Losses while the store is away and nobody can hold the lease."""
+
     def lose_store(self):
         for node in self.world.nodes.values():
             node.way = "down"
@@ -419,6 +427,46 @@
         self.assertEqual(self.told, [])
 
 
+class SlowTest(ReplicaCase):
+    """A member that is slow for a while."""
+
+    def set_pace(self, pace):
+        for node in self.world.nodes.values():
+            node.engines.pace = pace
+
+    def setUp(self):
+        super().setUp()
+        self.slow = []
+        for node in self.world.nodes.values():
+            node.duties.on_slow = lambda life, node=node: self.slow.append(
+                (self.world.now(), node.name)
+            )
+
+    def test_a_slow_member_is_told_until_it_no_longer_is(self):
+        """Each of a hundred nodes found out by a stream that stalled."""
+        (holder,) = self.world.list_holders()
+        self.set_pace(12.0)
+        self.world.nodes[holder].duties.suspect(ids.InstanceId("e1"))
+        began = self.world.now()
+        self.world.run(3.5)
+        self.assertEqual({name for _, name in self.slow}, {holder})
+        times = [began, *(at for at, _ in self.slow), self.world.now()]
+        gaps = [after - at for at, after in itertools.pairwise(times)]
+        self.assertLess(max(gaps), 1.2)
+        self.set_pace(1.0)
+        self.world.run(1.2)
+        self.slow.clear()
+        self.world.run(5.0)
+        self.assertEqual(self.slow, [])
+
+    def test_a_member_that_is_a_little_slow_is_not_told(self):
+        (holder,) = self.world.list_holders()
+        self.set_pace(1.5)
+        self.world.nodes[holder].duties.suspect(ids.InstanceId("e1"))
+        self.world.run(2.0)
+        self.assertEqual(self.slow, [])
+
+
 class StartTest(LeaseCase):
     def test_a_domain_is_not_dealt_out_by_half_a_list(self):
         """A third of a domain would be loaded with the wrong model.
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -223,6 +223,27 @@
         self.assertIsInstance(found, balancing.Unavailable)
         self.assertGreater(found.retry_after, 0)
 
+    def test_a_slow_replica_is_passed_over(self):
+        """Thirty requests a second stalled at replicas with a slow member."""
+        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.note_slow(ids.InstanceId("a0"), 1, 1.0)
+        self.assertEqual(self.choose(1.1).id, "b0")
+        self.assertEqual(self.choose(3.5).id, "a0")
+
+    def test_slow_replicas_serve_where_most_are_slow(self):
+        """Callers were refused although every replica answered, if late."""
+        for name in ("a0", "b0"):
+            self.balancer.note_slow(ids.InstanceId(name), 1, 1.0)
+        self.assertIsInstance(self.choose(1.1), upstreams.Upstream)
+
+    def test_a_mended_replica_is_not_slow_for_its_last_members(self):
+        self.fleet.replace(
+            [*make_replica("a", epoch=2), *make_replica("b")], 2, 1.0
+        )
+        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.note_slow(ids.InstanceId("a0"), 1, 1.0)
+        self.assertEqual(self.choose(1.1).id, "a0")
+
     def test_a_failing_upstream_gets_fewer_requests(self):
         """One server fails two of five requests though it looks well."""
         grey = self.fleet.get(ids.InstanceId("a0"))
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -102,6 +102,18 @@
         made._hear(beat)
         self.assertEqual(ended, [f"{_HEAD}@3"])
 
+    def test_a_slow_replica_is_told_to_all(self):
+        made = self.make(0.1)
+        self.balancer.note_slow = mock.Mock()
+        beat = self.beat(5, Asks.NOTHING, 0)
+        made._hear(msgspec.structs.replace(beat, slow=(f"{_HEAD}@3",)))
+        self.balancer.note_slow.assert_called_once_with(_HEAD, 3, 10.0)
+        made.tell_slow("i9@4")
+        made._relay = mock.Mock()
+        made._compose(1)
+        (own, _) = made._relay.list_datagrams.call_args.args
+        self.assertEqual(own.slow, ("i9@4",))
+
     def test_a_doubt_goes_straight_to_the_holder(self):
         """A stalled replica would be looked at half a second later."""
         made = self.make(0.1)
