Rooms of their own for other nodes' counts and for the supply

What other nodes tell is added up in requests/loads.py, the replicas that stand in replicas/supply.py. Log lines for an instance that is slow and for probes without a lease.

--- /dev/null
+++ b/currantwall/coordination/replicas/supply.py
@@ -0,0 +1,38 @@
+"""The whole replicas of each model, by the list of instances."""
+
+import collections
+
+from currantwall.state import ids
+from currantwall.state import upstreams
+
+__all__ = ["Supply"]
+
+
+class Supply:
+    """The whole replicas of each model, counted once for each list."""
+
+    def __init__(self, fleet: upstreams.Fleet) -> None:
+        self._fleet = fleet
+        self._generation = -1
+        self._counts: dict[
+            ids.ServiceName, collections.Counter[tuple[str, str]]
+        ] = {}
+
+    def count_elsewhere(
+        self, service: ids.ServiceName, domain: ids.DomainName
+    ) -> dict[str, int]:
+        """Return the whole replicas of each model outside a domain."""
+        if self._generation != self._fleet.generation:
+            self._generation = self._fleet.generation
+            self._counts.clear()
+        if service not in self._counts:
+            self._counts[service] = collections.Counter(
+                (replica.model, replica.members[0].domain)
+                for replica in self._fleet.list_replicas(service)
+                if replica.is_whole
+            )
+        found: dict[str, int] = {}
+        for (model, place), count in self._counts[service].items():
+            if place != domain:
+                found[model] = found.get(model, 0) + count
+        return found
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from currantwall.coordination.requests import loads as loads_module
 from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -71,8 +72,6 @@
 # Seconds after which the pauses of an upstream say nothing: it may have
 # recovered, which only new requests show.
 _PAUSE_AGE = 3.0
-# Seconds after which another node's count of requests says nothing.
-_LOAD_AGE = 2.0
 # Seconds until a caller may try again when no replica serves: what it
 # takes to notice a loss, join anew and open.
 _RETRY_RECOVERING = 1.0
@@ -128,10 +127,7 @@
         self._fleet = fleet
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
-        self._remote: dict[
-            ids.NodeId, tuple[float, abc.Mapping[str, int]]
-        ] = {}
-        self._remote_sums: dict[str, int] = {}
+        self._remote = loads_module.RemoteLoads()
         # Requests that wait at this node, by the name they are told under.
         self.waiting: abc.Mapping[str, int] = {}
         # Whether the counts of other nodes come through relays.
@@ -243,7 +239,7 @@
         """Return whether a plain service's upstream drops some answers."""
         return (
             one.seat is None
-            and self._remote_sums.get(_name_lost(one.id), 0) >= _LOST_FEW
+            and self._remote.get(_name_lost(one.id)) >= _LOST_FEW
         )
 
     def _list_candidates(
@@ -261,7 +257,7 @@
     def _cost(self, one: upstreams.Upstream, salt: str) -> tuple[float, int]:
         health = self._health.get(one.id)
         share = health.failure_share if health else 0.0
-        lost = self._remote_sums.get(_name_lost(one.id), 0)
+        lost = self._remote.get(_name_lost(one.id))
         cost = (1 + self.count_load(one.id)) * (1 + _FAILURE_COST * share)
         cost *= 1 + _LOST_COST * lost
         if one.datacentre != self._datacentre:
@@ -278,7 +274,7 @@
         """Return the known requests in work at an upstream."""
         health = self._health.get(instance)
         own = health.in_work if health else 0
-        return own + self._remote_sums.get(instance, 0)
+        return own + self._remote.get(instance)
 
     # -- What was seen
 
@@ -434,7 +430,7 @@
 
     def count_waiting(self, name: str) -> int:
         """Return the requests that wait at other nodes, by their name."""
-        return self._remote_sums.get(name, 0)
+        return self._remote.get(name)
 
     def count_all_waiting(self, name: str) -> int:
         """Return the requests that wait at all nodes, by their name."""
@@ -443,38 +439,13 @@
     def note_loads(
         self, node: ids.NodeId, loads: abc.Mapping[str, int], now: float
     ) -> None:
-        """Take note of another node's requests in work.
-
-        The sums follow each message by what it changes: a relay of a
-        large fleet takes many more than it chooses upstreams.
-        """
-        self._drop_loads(node)
-        self._remote[node] = (now, loads)
-        for name, count in loads.items():
-            self._remote_sums[name] = self._remote_sums.get(name, 0) + count
+        """Take note of another node's requests in work."""
+        self._remote.note(node, loads, now)
         self.has_seen_traffic = self.has_seen_traffic or bool(loads)
-        self._expire_loads(now)
-
-    def _drop_loads(self, node: ids.NodeId) -> None:
-        """Take a node's counts out of the sums."""
-        _, loads = self._remote.pop(node, (0.0, {}))
-        for name, count in loads.items():
-            rest = self._remote_sums.pop(name, 0) - count
-            if rest > 0:
-                self._remote_sums[name] = rest
-
-    def _expire_loads(self, now: float) -> None:
-        """Forget the counts of nodes that have fallen silent."""
-        # The oldest come first: each message moves its node to the end.
-        while self._remote:
-            node, (at, _) = next(iter(self._remote.items()))
-            if now - at <= _LOAD_AGE:
-                return
-            self._drop_loads(node)
 
     def expire(self, now: float) -> None:
         """Forget old counts and upstreams that are no longer listed."""
-        self._expire_loads(now)
+        self._remote.expire(now)
         for name, health in list(self._health.items()):
             if health.in_work <= 0 and self._fleet.get(name) is None:
                 del self._health[name]
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -14,6 +14,7 @@
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
 from currantwall.coordination.replicas import staging
+from currantwall.coordination.replicas import supply
 from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
 from currantwall.state import ids
@@ -108,7 +109,7 @@
         # The list and the services that the domains were last dealt out by.
         self._dealt: tuple[int, tuple[routes.Service, ...]] | None = None
         self._next_deal = 0.0
-        self._supply = _Supply(fleet)
+        self._supply = supply.Supply(fleet)
         self._largest = 0
         self._grown_at = self._clock.now()
         self._stopping = False
@@ -140,6 +141,12 @@
             is_prober = self._leases.is_prober(one.lease, now)
             if is_prober and not one.is_probed:
                 self._forget(one)
+            if is_prober != one.is_probed:
+                self._log.write(
+                    "probes_without_lease" if is_prober else "probes_ended",
+                    domain=one.name,
+                    holder=one.lease.holder,
+                )
             one.is_probed = is_prober
             if is_prober:
                 self._probe_members(one, now)
@@ -308,7 +315,7 @@
     def _find_demands(self, one: _Domain) -> dict[str, formation.Demand]:
         """Return need and supply of the models outside this domain."""
         busy = self._balancer.count_busy(one.service)
-        supply = self._supply.count_elsewhere(one.service, one.name)
+        elsewhere = self._supply.count_elsewhere(one.service, one.name)
         total = sum(busy.values())
         found = {}
         for service in self.services():
@@ -323,7 +330,7 @@
                 )
                 need = busy.get(model.name, 0) + waiting + expected
                 found[model.name] = formation.Demand(
-                    need, supply.get(model.name, 0)
+                    need, elsewhere.get(model.name, 0)
                 )
         return found
 
@@ -385,7 +392,16 @@
         some seconds and its replica with it; each of a hundred nodes would
         find that out by a request of its own.
         """
-        if found.pace < _SLOW_PACE:
+        is_slow = found.pace >= _SLOW_PACE
+        if is_slow != (found.id in one.slow):
+            self._log.write(
+                "instance_slow" if is_slow else "instance_no_longer_slow",
+                instance=found.id,
+                domain=one.name,
+                pace=found.pace,
+                seat=_describe(found),
+            )
+        if not is_slow:
             one.slow.discard(found.id)
             return
         one.slow.add(found.id)
@@ -434,36 +450,6 @@
         )
 
 
-class _Supply:
-    """The whole replicas of each model, counted once for each list."""
-
-    def __init__(self, fleet: upstreams.Fleet) -> None:
-        self._fleet = fleet
-        self._generation = -1
-        self._counts: dict[
-            ids.ServiceName, collections.Counter[tuple[str, str]]
-        ] = {}
-
-    def count_elsewhere(
-        self, service: ids.ServiceName, domain: ids.DomainName
-    ) -> dict[str, int]:
-        """Return the whole replicas of each model outside a domain."""
-        if self._generation != self._fleet.generation:
-            self._generation = self._fleet.generation
-            self._counts.clear()
-        if service not in self._counts:
-            self._counts[service] = collections.Counter(
-                (replica.model, replica.members[0].domain)
-                for replica in self._fleet.list_replicas(service)
-                if replica.is_whole
-            )
-        found: dict[str, int] = {}
-        for (model, place), count in self._counts[service].items():
-            if place != domain:
-                found[model] = found.get(model, 0) + count
-        return found
-
-
 _UNLIMITED = 1_000_000
 # Requests in work below which the expected shares of the models count.
 _EXPECTED_BUSY = 10.0
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -17,6 +17,7 @@
 from currantwall.coordination.replicas import leases
 from currantwall.coordination.replicas import staging
 from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import loads as loads_module
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import fleets
@@ -284,7 +285,7 @@
                 wanted = sum(
                     counts.get(name, 0)
                     for at, counts in held.values()
-                    if now - at <= balancing._LOAD_AGE
+                    if now - at <= loads_module._LOAD_AGE
                 )
                 self.assertEqual(balancer.count_load(name), wanted)
 
