A test of a slow member that can fail; mutants of the last changes

The test that a slow member is told until it no longer is passed without the guard: the replica in it was asked for other reasons all the while. Nothing else has it asked now, and the guard's absence is noticed. Five mutants run, five noticed: told once only, told when a little slow, passed over though most are slow, nodes that try an absent store as often as readers, one process at an address.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -43,6 +43,44 @@
 _FORMATION = "tests.test_formation.FormationTest"
 _PLACING = "tests.test_placing"
 MUTANTS = (
+    Mutant(
+        "an instance that is a little slow is told of",
+        "currantwall/transport/duties.py",
+        "        is_slow = found.pace >= _SLOW_PACE\n",
+        "        is_slow = found.pace > 1.0\n",
+        f"{_DUTIES}.SlowTest.test_a_member_that_is_a_little_slow_is_not_told",
+    ),
+    Mutant(
+        "a slow member is told of once",
+        "currantwall/transport/duties.py",
+        "        one.slow.add(found.id)\n",
+        "",
+        f"{_DUTIES}.SlowTest.test_a_slow_member_is_told_until_it_no_longer_is",
+    ),
+    Mutant(
+        "slow replicas are passed over though most are slow",
+        f"{_COORDINATION}/requests/balancing.py",
+        "        if 2 * len(sound) >= len(all_):\n",
+        "        if True:\n",
+        "tests.test_gateway_parts.BalancerTest"
+        ".test_slow_replicas_serve_where_most_are_slow",
+    ),
+    Mutant(
+        "other nodes try an absent store as often as readers",
+        "currantwall/transport/configurations.py",
+        "_PATIENCE_FIRST = 4.0\n",
+        "_PATIENCE_FIRST = 0.1\n",
+        f"{_FEEDS}.ConfigurationFeedTest"
+        ".test_an_outage_costs_others_than_readers_a_call_in_seconds",
+    ),
+    Mutant(
+        "one process at an address",
+        "currantwall/transport/listeners.py",
+        "    if int(port):\n",
+        "    if False:\n",
+        "tests.test_ingress.ListenerTest"
+        ".test_a_process_listens_while_its_predecessor_ends",
+    ),
     Mutant(
         "nobody tells of losses while nobody holds a lease",
         "currantwall/transport/domainleases.py",
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -14,6 +14,7 @@
 import result
 
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.replicas import formation
 from currantwall.coordination.replicas import knowledge
 from currantwall.state import ids
 from currantwall.state import routes
@@ -436,6 +437,14 @@
 
     def setUp(self):
         super().setUp()
+        # As of a replica that is whole and open: nothing else has it asked.
+        patch = mock.patch.object(
+            formation.Planner, "list_probes", return_value=[]
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        # A doubt right after a probe asks for no other one.
+        self.world.run(0.5)
         self.slow = []
         for node in self.world.nodes.values():
             node.duties.on_slow = lambda life, node=node: self.slow.append(
