Log and count the limits that upstreams name in their answers

Neither the nodes' output nor a metric showed whether an answer named a limit, so that the hypotheses on the incident could not be told apart. limit_changed logs each change of an upstream's limit, with the answer it came with; currantwall.answers.limited counts the answers. Decisions are unchanged.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -171,6 +171,22 @@
         url = f"http://{self.addresses[_STORE_NAME]}/control/objectapi"
         self.http.request("POST", url, body=msgspec.json.encode(faults))
 
+    def set_headers(self, name: str, **headers: str) -> None:
+        """Set the headers that a server adds to all of its answers.
+
+        Args:
+            name: The server.
+            headers: Their values; underscores in names become hyphens.
+        """
+        url = f"http://{self.addresses[name]}/control/headers"
+        body = {key.replace("_", "-"): text for key, text in headers.items()}
+        self.http.request("POST", url, body=msgspec.json.encode(body))
+
+    def list_arrivals(self, name: str) -> list[float]:
+        """Return the monotonic times at which requests reached a server."""
+        url = f"http://{self.addresses[name]}/control/arrivals"
+        return msgspec.json.decode(self.http.request("GET", url).data)
+
     def list_runs(self, *names: str) -> list[dict[str, typing.Any]]:
         """Return the requests that each of the servers ran, in order."""
         runs = []
--- a/currantwall/protocol/names.py
+++ b/currantwall/protocol/names.py
@@ -25,6 +25,7 @@
         load: Number of requests in progress at an upstream.
         faulty: Replica member that prevented a request from running.
         priority: Priority of a request at an upstream; 0 is the highest.
+        limit: Requests a second that an upstream takes from all nodes.
     """
 
     attempt: str
@@ -38,3 +39,4 @@
     load: str
     faulty: str
     priority: str
+    limit: str
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -16,6 +16,7 @@
 from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
+from currantwall.protocol import advisories
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -35,6 +36,7 @@
 ANSWERS = "currantwall.answers"
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
 _DURATION = "currantwall.answers.duration"
+_LIMITED = "currantwall.answers.limited"
 # Seconds between two attempts to choose an upstream for a broken stream.
 _CHOOSE_INTERVAL = 0.05
 # Seconds subtracted from the caller's remaining time before it is sent to
@@ -100,6 +102,8 @@
         self._exchange_numbers = itertools.count(1)
         # Monotonic time at which each upstream last sent anything here.
         self._last_message_times: dict[ids.InstanceId, float] = {}
+        # Requests a second that each upstream takes by its last answer.
+        self._limits: dict[ids.InstanceId, float] = {}
         # Inboxes of the attempts in progress, by `Upstream.epoch_id` and by
         # the number of the exchange.
         self._active: dict[str, dict[int, eventlet.queue.LightQueue]] = {}
@@ -116,9 +120,10 @@
 
     def forget(self, present: typing.Container[ids.InstanceId]) -> None:
         """Remove the state of upstreams that are no longer listed."""
-        for instance in list(self._last_message_times):
-            if instance not in present:
-                del self._last_message_times[instance]
+        for times in (self._last_message_times, self._limits):
+            for instance in list(times):
+                if instance not in present:
+                    del times[instance]
 
     def send(
         self, request: requests.Request, wait: float = 0.0
@@ -404,8 +409,40 @@
                 self._last_message_times[current.upstream.id] = (
                     current.last_message_at
                 )
+                if isinstance(message, exchanges.Head):
+                    self._note_advisories(request, current, message)
                 return message
 
+    def _note_advisories(
+        self,
+        request: requests.Request,
+        current: requests.Attempt,
+        head: exchanges.Head,
+    ) -> None:
+        """Record what the head of an answer asks of this node.
+
+        An answer from another server than the one meant says nothing of
+        it.
+        """
+        if head.status == _MISDIRECTED:
+            return
+        instance = current.upstream.id
+        limit = advisories.parse_limit(head.headers, self.names)
+        if limit is not None:
+            self._meter.add(_LIMITED, 1)
+        before = self._limits.pop(instance, None)
+        if limit is not None:
+            self._limits[instance] = limit
+        if limit != before:
+            self._log.write(
+                "limit_changed",
+                request=request.attempt_id,
+                upstream=instance,
+                limit=limit,
+                before=before,
+                list_age=round(self.fleet_age(self.now()), 3),
+            )
+
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
         route = request.route
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -16,7 +16,9 @@
 
 Only engines stream; only plain services answer as unframed, torn or error.
 
-``/control/runs`` returns the requests that it ran. If a record file is
+``/control/runs`` returns the requests that it ran, ``/control/arrivals`` the
+time of each request that reached it. ``/control/headers`` takes a JSON object
+of headers that it then adds to all of its answers. If a record file is
 given, runs and changes of the server's seat are appended to it too, and
 can be read when the process has died.
 """
@@ -84,6 +86,8 @@
         self._heartbeat_count = 0
         self._group: dict[str, typing.Any] | None = None
         self._runs: list[dict[str, typing.Any]] = []
+        self._arrivals: list[float] = []
+        self._extra_headers: list[tuple[str, str]] = []
         self.state = "ready"
         self._record_file = -1
         if record:
@@ -146,6 +150,12 @@
         path = inbound.path
         if path == "/control/runs":
             return _answer_json(200, self._runs)
+        if path == "/control/arrivals":
+            return _answer_json(200, self._arrivals)
+        if path == "/control/headers":
+            extra = msgspec.json.decode(inbound.body, type=dict[str, str])
+            self._extra_headers = list(extra.items())
+            return _answer_json(200, {})
         if path == "/control/drain":
             self.state = "draining"
             self._write_record("drain")
@@ -161,7 +171,10 @@
             return _answer_json(200, report)
         if path == "/currantwall/order":
             return self._handle_order(msgspec.json.decode(inbound.body))
-        return self._run_request(inbound)
+        self._arrivals.append(time.monotonic())
+        reply = self._run_request(inbound)
+        reply.headers += self._extra_headers
+        return reply
 
     def _run_request(self, inbound: ingress.Inbound) -> Reply:
         attempt = inbound.headers.get("X-Attempt-Id", "")
