Keep to the limits that upstreams set on the requests of all nodes

Callers saw nothing at first: the upstream in need got three times what it takes and would have failed next. Cause: what an upstream's answers ask of its callers was never read, and nothing in the design bounds the requests of all nodes together to one upstream; requests in flight are bounded for each replica, which says nothing of a rate.

A few nodes that rank first for the upstream (rendezvous hashing over the nodes that take requests) hold its limit in equal shares of three quarters; all others leave it alone. Each holder may send one request at once, so that in 4 s at most holders + 3 x limit are sent. What an answer says is reported to all nodes with its age, through relays too, and the newest answer counts; so a limit's end reaches the nodes that send nothing. If nothing is heard of a limit for 15 s further nodes try the upstream one by one. The choice of an upstream is the only place where requests are sent from, so retries, resumed streams and the queue keep to it, for plain servers and leaders of replicas; the record is by instance and outlives configurations and epochs. A request that nothing else can take is refused at once, or waits for its turn at a holder.

The test runner gives each class 200 ports instead of 220, as there are 93 classes.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -14,6 +14,7 @@
 from currantwall.coordination.peers import digests
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import ids
+from currantwall.state import limits
 
 __all__ = ["Network", "Node", "make_entry", "measure_digests"]
 
@@ -54,6 +55,8 @@
             before the first.
         heard_lost: By leader, when this node first heard that its replica
             lacks a member.
+        limits: Limits that it has observed, and when, by upstream.
+        heard_limits: The same as the other nodes report them.
         heard_slow: By leader, when this node first heard that its replica
             is slowed by a member.
         remote_loads: Requests in flight by upstream, from the newest total
@@ -72,6 +75,8 @@
         self.answered_at: float | None = None
         self.heard_lost: dict[str, float] = {}
         self.heard_slow: dict[str, float] = {}
+        self.limits: dict[str, tuple[float | None, float]] = {}
+        self.heard_limits: dict[str, tuple[float | None, float]] = {}
         self.remote_loads: dict[str, int] = {}
         self.sent = 0
         self.received = 0
@@ -87,6 +92,10 @@
             loads=self.loads,
             lost=self.lost,
             slow=self.slow,
+            limits={
+                name: limits.LimitReport(rate, now - at)
+                for name, (rate, at) in self.limits.items()
+            },
             store_age=self._get_store_age(now),
         )
         return self.relay.list_datagrams(own, now)
@@ -115,6 +124,8 @@
             self.heard_lost.setdefault(name, now)
         for name in message.slow:
             self.heard_slow.setdefault(name, now)
+        for name, limit in message.limits.items():
+            self.heard_limits[name] = limit.rate, now - limit.age
         if isinstance(message, presence_module.Heartbeat):
             if self.presence.note_heartbeat(message, now):
                 self.relay.note_heartbeat(message, now)
--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -18,6 +18,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import hashing
 from currantwall.state import ids
+from currantwall.state import limits as limits_module
 
 __all__ = ["Alarm", "Datagram", "Digest", "Relay"]
 
@@ -49,7 +50,7 @@
             if the relay does not read the store.
         loads: Requests in flight, by upstream, summed over the nodes.
         stalled: As in a heartbeat, of all the nodes; so are `lost`,
-            `slow` and `leases`.
+            `slow`, `limits` and `leases`.
     """
 
     node: presence_module.NodeEntry
@@ -64,6 +65,7 @@
     stalled: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
     slow: tuple[str, ...] = ()
+    limits: dict[str, limits_module.LimitReport] = {}
     leases: dict[str, presence_module.HeldLease] = {}
 
 
@@ -92,6 +94,7 @@
         self.stalled: dict[str, None] = {}
         self.lost: dict[str, None] = {}
         self.slow: dict[str, None] = {}
+        self.limits: dict[str, limits_module.LimitReport] = {}
         self.leases: dict[str, presence_module.HeldLease] = {}
 
     def add_loads(self, loads: abc.Mapping[str, int]) -> None:
@@ -99,9 +102,19 @@
             self.loads[name] = self.loads.get(name, 0) + count
 
     def add_reports(
-        self, message: "presence_module.Heartbeat | Digest"
+        self, message: "presence_module.Heartbeat | Digest", age: float = 0.0
     ) -> None:
-        """Add all but the loads and the nodes."""
+        """Add all but the loads and the nodes.
+
+        Args:
+            message: The message to add.
+            age: Seconds since it was received.
+        """
+        for upstream, limit in message.limits.items():
+            aged = limits_module.LimitReport(limit.rate, limit.age + age)
+            known_limit = self.limits.get(upstream)
+            if known_limit is None or aged.age < known_limit.age:
+                self.limits[upstream] = aged
         self.stalled.update(dict.fromkeys(message.stalled))
         self.lost.update(dict.fromkeys(message.lost))
         self.slow.update(dict.fromkeys(message.slow))
@@ -276,7 +289,7 @@
             aggregate.nodes[heartbeat.node.id] = heartbeat.ready
             if heartbeat.asks is RelayRequest.FULL:
                 aggregate.add_loads(heartbeat.loads)
-            aggregate.add_reports(heartbeat)
+            aggregate.add_reports(heartbeat, now - client.last_heard)
         return aggregate
 
     def _aggregate_all(
@@ -290,7 +303,7 @@
                 continue
             aggregate.nodes |= digest.nodes or {}
             aggregate.add_loads(digest.loads)
-            aggregate.add_reports(digest)
+            aggregate.add_reports(digest, now - at)
         return aggregate
 
     def _make_digest(
@@ -316,6 +329,7 @@
             stalled=tuple(aggregate.stalled),
             lost=tuple(aggregate.lost),
             slow=tuple(aggregate.slow),
+            limits=aggregate.limits,
             leases=aggregate.leases,
         )
 
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -20,6 +20,7 @@
 from currantwall.coordination.peers import outages
 from currantwall.coordination.peers import staleness
 from currantwall.state import ids
+from currantwall.state import limits as limits_module
 from currantwall.state import rendezvous
 
 __all__ = [
@@ -133,6 +134,8 @@
             found to lack a member.
         slow: Leaders, by `Upstream.epoch_id`, whose replica a member slows
             down.
+        limits: Limits that upstreams have named in answers to the node, or
+            no longer name, by upstream.
         instances: Revision of the list of instances, 0 for none.
         leases: The leases that the node holds, by domain.
         store_age: Seconds since the store last answered the node; None if
@@ -148,6 +151,7 @@
     stalled: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
     slow: tuple[str, ...] = ()
+    limits: dict[str, limits_module.LimitReport] = {}
     instances: int = 0
     leases: dict[str, HeldLease] = {}
     store_age: float | None = None
@@ -341,6 +345,11 @@
             if peer.ready and self._is_alive(peer, now)
         ]
 
+    def list_members(self, now: float) -> list[ids.NodeId]:
+        """Return the nodes that take requests, this one included."""
+        members = [node.id for node in self.list_ready(now)]
+        return [*members, self.me.id] if self.ready else members
+
     def rank(self, duty: str, now: float) -> list[ids.NodeId]:
         """Return the nodes that are ready, the preferred ones first.
 
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from currantwall.coordination.requests import loads as loads_module
+from currantwall.coordination.requests import ratelimits
 from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -126,12 +127,20 @@
 
 
 class Balancer:
-    """Chooses upstreams by what this node has observed of each."""
+    """Chooses upstreams by what this node has observed of each.
+
+    Attributes:
+        limits: Limits that upstreams set on the requests of all nodes.
+    """
 
     def __init__(
-        self, fleet: upstreams.Fleet, datacentre: ids.DatacentreName
+        self,
+        fleet: upstreams.Fleet,
+        datacentre: ids.DatacentreName,
+        node: ids.NodeId = ids.NodeId(""),
     ) -> None:
         self._fleet = fleet
+        self.limits = ratelimits.RateLimits(node)
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
@@ -169,28 +178,9 @@
             service_time: Seconds that an upstream works on a request; 0
                 where it isn't known.
         """
-        candidates = self._list_candidates(service, model)
-        if not candidates:
-            return Unavailable("no upstream serves", _RECOVERY_RETRY_AFTER)
-        untried = [
-            upstream
-            for upstream in candidates
-            if upstream.epoch_id not in excluded
-        ]
-        usable = [
-            upstream
-            for upstream in untried
-            if not self._is_ejected(upstream, now)
-        ]
-        if not usable:
-            if model is not None and not untried:
-                return Unavailable("all were tried", _RECOVERY_RETRY_AFTER)
-            if model is not None:
-                return Unavailable("all stall or fail", _RECOVERY_RETRY_AFTER)
-            # A plain service: an ejected upstream is better than none.
-            usable = untried
-            if not usable:
-                return Unavailable("all were tried", _SATURATION_RETRY_AFTER)
+        usable = self._list_usable(service, model, excluded, now)
+        if isinstance(usable, Unavailable):
+            return usable
         if get_limit is not None:
             usable = [
                 upstream
@@ -205,6 +195,61 @@
                 )
         return self._choose_usable(usable, salt, service_time)
 
+    def _list_usable(
+        self,
+        service: ids.ServiceName,
+        model: str | None,
+        excluded: abc.Container[str],
+        now: float,
+    ) -> list[upstreams.Upstream] | Unavailable:
+        """Return the upstreams that may take a request, full ones too."""
+        candidates = self._list_candidates(service, model)
+        if not candidates:
+            return Unavailable("no upstream serves", _RECOVERY_RETRY_AFTER)
+        untried = [
+            upstream
+            for upstream in candidates
+            if upstream.epoch_id not in excluded
+        ]
+        if not untried:
+            is_plain = model is None
+            return Unavailable(
+                "all were tried",
+                _SATURATION_RETRY_AFTER if is_plain else _RECOVERY_RETRY_AFTER,
+            )
+        permitted = [
+            upstream
+            for upstream in untried
+            if self.limits.permits(upstream.id, now)
+        ]
+        if not permitted:
+            return self._make_limited(untried, now)
+        usable = [
+            upstream
+            for upstream in permitted
+            if not self._is_ejected(upstream, now)
+        ]
+        if not usable and model is not None:
+            return Unavailable("all stall or fail", _RECOVERY_RETRY_AFTER)
+        # A plain service: an ejected upstream is better than none.
+        return usable or permitted
+
+    def _make_limited(
+        self, limited: list[upstreams.Upstream], now: float
+    ) -> Unavailable:
+        """Return the answer where all upstreams limit their requests.
+
+        A request may wait for its turn only at a node that holds a share of
+        one of the limits.
+        """
+        return Unavailable(
+            "all limit their requests",
+            _SATURATION_RETRY_AFTER,
+            is_full=any(
+                self.limits.is_holder(upstream.id, now) for upstream in limited
+            ),
+        )
+
     def count_free_slots(
         self,
         service: ids.ServiceName,
@@ -217,6 +262,7 @@
             max(0, get_limit(upstream) - self.count_load(upstream.id))
             for upstream in self._list_candidates(service, model)
             if not self._is_ejected(upstream, now)
+            and self.limits.permits(upstream.id, now)
         )
 
     def _choose_usable(
@@ -330,9 +376,10 @@
             health = self._health[instance] = _Health()
         return health
 
-    def begin(self, instance: ids.InstanceId) -> None:
+    def begin(self, instance: ids.InstanceId, now: float) -> None:
         """Note that a request is being sent to an upstream."""
         self._get_health(instance).in_flight += 1
+        self.limits.note_request(instance, now)
         self.has_seen_traffic = True
 
     def end(self, instance: ids.InstanceId) -> None:
@@ -523,10 +570,14 @@
     def expire(self, now: float) -> None:
         """Drop outdated counts, and upstreams that are no longer listed."""
         self._remote.expire(now)
+        self.limits.expire(self._is_listed, now)
         for name, health in list(self._health.items()):
             if health.in_flight <= 0 and self._fleet.get(name) is None:
                 del self._health[name]
 
+    def _is_listed(self, instance: ids.InstanceId) -> bool:
+        return self._fleet.get(instance) is not None
+
     def count_busy(self, service: ids.ServiceName) -> dict[str, int]:
         """Return the known requests in flight for each model."""
         busy: dict[str, int] = {}
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -212,7 +212,7 @@
     ) -> Placement:
         """Assign a slot and count it as taken."""
         late = self.backlog.is_late(ticket, now)
-        self._balancer.begin(upstream.id)
+        self._balancer.begin(upstream.id, now)
         self.backlog.note_start(ticket.kind, late, now)
         return Placement(ticket, upstream, not late)
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -88,7 +88,9 @@
         self._log = journal.Journal(settings.node, self._now)
         self._store = make_store(self._meter)
         self._fleet = upstreams.Fleet()
-        self._balancer = balancing.Balancer(self._fleet, settings.datacentre)
+        self._balancer = balancing.Balancer(
+            self._fleet, settings.datacentre, settings.node
+        )
         self._budget = budgets.RepeatBudget(
             settings.repeat_ratio,
             settings.repeat_slack,
@@ -178,6 +180,7 @@
         made.is_ready = lambda: self._is_ready
         made.abort_attempts = self._sender.abort_attempts
         self._sender.on_probe_requested = made.report_stall
+        self._sender.on_limit_changed = made.announce_limits
         self._queue.on_high_load = made.report_high_load
         self._duties.on_loss = made.announce_loss
         self._duties.on_slow = made.announce_slow
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -89,6 +89,7 @@
         self._slow = _drop_expired(self._slow, now)
         self._sent_loads = self._balancer.list_loads(now)
         self._presence.ready = self.is_ready()
+        self._balancer.limits.note_nodes(self._presence.list_members(now))
         self._balancer.are_counts_relayed = not self._presence.is_full_mesh
         own = presence_module.Heartbeat(
             node=self._presence.me,
@@ -99,6 +100,7 @@
             stalled=tuple(self._stalled),
             lost=tuple(self._lost),
             slow=tuple(self._slow),
+            limits=self._balancer.limits.list_reports(now),
             instances=self._fleet_feed.changed,
             leases=self._leases.list_leases(now),
             store_age=self._fleet_feed.get_store_age(now),
@@ -152,6 +154,7 @@
         )
         self._fleet_feed.note_peer_revision(report.instances)
         self._leases.note_leases(report.leases, now)
+        self._balancer.limits.note_reports(report.limits, now)
         self._suspect(report.stalled)
         for epoch_id in report.lost:
             self._note_loss(epoch_id, now)
@@ -189,6 +192,10 @@
         if self._presence.is_full_mesh:
             self._heartbeats.send_soon(_HIGH_LOAD_INTERVAL)
 
+    def announce_limits(self) -> None:
+        """Report the limits that upstreams have changed, without delay."""
+        self._heartbeats.send_soon()
+
     def announce_configuration(self) -> None:
         """Announce a newer configuration at once, so that others fetch it."""
         self._heartbeats.send_soon()
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -72,6 +72,7 @@
     Attributes:
         fleet_age: Returns the age of the list of upstreams, in seconds, at
             a monotonic time.
+        on_limit_changed: Called when an upstream has changed its limit.
         on_probe_requested: Called with an upstream that is silent or
             can't be reached.
     """
@@ -93,6 +94,7 @@
         self.on_probe_requested: typing.Callable[[ids.InstanceId], None] = (
             _ignore
         )
+        self.on_limit_changed: typing.Callable[[], None] = _ignore_change
         self._balancer = balancer
         self._budget = budget
         self._connections = connections
@@ -102,8 +104,6 @@
         self._exchange_numbers = itertools.count(1)
         # Monotonic time at which each upstream last sent anything here.
         self._last_message_times: dict[ids.InstanceId, float] = {}
-        # Requests a second that each upstream takes by its last answer.
-        self._limits: dict[ids.InstanceId, float] = {}
         # Inboxes of the attempts in progress, by `Upstream.epoch_id` and by
         # the number of the exchange.
         self._active: dict[str, dict[int, eventlet.queue.LightQueue]] = {}
@@ -120,10 +120,9 @@
 
     def forget(self, present: typing.Container[ids.InstanceId]) -> None:
         """Remove the state of upstreams that are no longer listed."""
-        for times in (self._last_message_times, self._limits):
-            for instance in list(times):
-                if instance not in present:
-                    del times[instance]
+        for instance in list(self._last_message_times):
+            if instance not in present:
+                del self._last_message_times[instance]
 
     def send(
         self, request: requests.Request, wait: float = 0.0
@@ -151,7 +150,7 @@
                 now,
             )
             if isinstance(chosen, upstreams.Upstream):
-                self._balancer.begin(chosen.id)
+                self._balancer.begin(chosen.id, now)
                 return self._start_attempt(request, chosen, now)
             if now + _CHOOSE_INTERVAL >= deadline or request.disconnected:
                 raise self.make_refusal(
@@ -430,18 +429,17 @@
         limit = advisories.parse_limit(head.headers, self.names)
         if limit is not None:
             self._meter.add(_LIMITED, 1)
-        before = self._limits.pop(instance, None)
-        if limit is not None:
-            self._limits[instance] = limit
-        if limit != before:
+        now = self.now()
+        if self._balancer.limits.note_answer(instance, limit, now):
             self._log.write(
                 "limit_changed",
                 request=request.attempt_id,
                 upstream=instance,
                 limit=limit,
-                before=before,
-                list_age=round(self.fleet_age(self.now()), 3),
+                is_holder=self._balancer.limits.is_holder(instance, now),
+                list_age=round(self.fleet_age(now), 3),
             )
+            self.on_limit_changed()
 
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
@@ -575,6 +573,10 @@
     return
 
 
+def _ignore_change() -> None:
+    return
+
+
 def _make_empty_body(inbound: ingress.Inbound) -> bytes | None:
     """Return an empty body if the caller sent one, else None."""
     has_body = "content-length" in inbound.headers
--- a/standins/surge.py
+++ b/standins/surge.py
@@ -211,7 +211,7 @@
                 SERVICE, MODEL.name, (), request, now
             )
             assert isinstance(found, upstreams.Upstream)
-            self._balancers[node].begin(found.id)
+            self._balancers[node].begin(found.id, now)
             self._send(now, node, placing.Placement(ticket, found, True))
             return
         placed = self._placers[node].try_place(ticket, now)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -25,7 +25,7 @@
 # Range of ports that is divided among the classes.
 _FIRST_PORT = 12_000
 _LAST_PORT = 32_000
-_PORTS_PER_CLASS = 220
+_PORTS_PER_CLASS = 200
 
 
 class Outcome:
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -83,7 +83,7 @@
         chosen = balancer.choose(
             _SERVICE, "m", (), request, now, service_time=self.service_time
         )
-        balancer.begin(chosen.id)
+        balancer.begin(chosen.id, now)
         if self.working[chosen.id] < self.slots:
             self.start(now, chosen.id, node, now)
         else:
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -60,6 +60,21 @@
         self.net.run(2.0)
         self.assertEqual(set(self.list_outages(since)), {None})
 
+    def test_every_node_learns_a_limit_and_the_age_of_its_answer(self):
+        """Guards against an old limit that replaces a newer answer.
+
+        Relays hold a report for a while before they pass it on.
+        """
+        observed_at = self.net.now - 1.0
+        self.net.nodes["a-30"].limits["i-9"] = (1.2, observed_at)
+        self.net.run(2.0)
+        for name, node in self.net.nodes.items():
+            if name == "a-30":
+                continue
+            rate, at = node.heard_limits["i-9"]
+            self.assertEqual(rate, 1.2)
+            self.assertAlmostEqual(at, observed_at, delta=0.1)
+
     def test_every_node_finds_an_outage_and_its_end(self):
         """Failure: some nodes dissolve every replica after an outage."""
         self.net.refused = set()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -145,7 +145,7 @@
         )
 
     def test_the_least_loaded_is_chosen(self):
-        self.balancer.begin(ids.InstanceId("a0"))
+        self.balancer.begin(ids.InstanceId("a0"), 1.0)
         self.assertEqual(self.choose().id, "b0")
         self.balancer.note_loads(ids.NodeId("n"), {"b0": 5}, 1.0)
         self.assertEqual(self.choose().id, "a0")
@@ -198,7 +198,7 @@
         idle.
         """
         gone = self.fleet.get(ids.InstanceId("a0"))
-        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.begin(ids.InstanceId("b0"), 1.0)
         self.balancer.note_misdirected(gone, 1.0)
         self.assertEqual(self.choose(4.0).id, "b0")
         self.fleet.replace(
@@ -230,7 +230,7 @@
 
         They affected thirty requests a second.
         """
-        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.begin(ids.InstanceId("b0"), 1.0)
         self.balancer.note_slow(ids.InstanceId("a0"), 1, 1.0)
         self.assertEqual(self.choose(1.1).id, "b0")
         self.assertEqual(self.choose(3.5).id, "a0")
@@ -245,7 +245,7 @@
         self.fleet.replace(
             [*make_replica("a", epoch=2), *make_replica("b")], 2, 1.0
         )
-        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.begin(ids.InstanceId("b0"), 1.0)
         self.balancer.note_slow(ids.InstanceId("a0"), 1, 1.0)
         self.assertEqual(self.choose(1.1).id, "a0")
 
@@ -256,7 +256,7 @@
         """
         failing = self.fleet.get(ids.InstanceId("a0"))
         self.balancer.note_failure(failing, 1.0, False)
-        self.balancer.begin(ids.InstanceId("b0"))
+        self.balancer.begin(ids.InstanceId("b0"), 1.0)
         self.assertEqual(self.choose().id, "b0")
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,8 +2,14 @@
 
 import bisect
 from concurrent import futures
+import heapq
+import random
 import time
+import unittest
 
+from currantwall.coordination.requests import ratelimits
+from currantwall.state import ids
+from currantwall.state import limits
 from tests import test_gateway
 
 # Callers that send at once, the seconds for which they send, and between
@@ -80,5 +86,221 @@
             self.assertLessEqual(most, count_allowed(1.2), name)
 
 
+_SERVER = ids.InstanceId("i1")
+_REPORT_INTERVAL = 0.4
+# Seconds until other nodes notice that one has gone, or has come.
+_NOTICE_GONE_SECONDS = 1.8
+_NOTICE_NEW_SECONDS = 0.4
+
+
+class Fleet:
+    """Nodes in virtual time that send one server all that they may.
+
+    Attributes:
+        rate: The limit that the server names now; None for none.
+        arrivals: Times at which requests of nodes that must know the limit
+            reached it.
+        sent: Times of all requests.
+    """
+
+    def __init__(self, count, demand, report_delay, seed):
+        self.random = random.Random(seed)
+        self.demand = demand
+        self.report_delay = report_delay
+        self.rate = None
+        self.now = 0.0
+        self.arrivals = []
+        self.sent = []
+        self.told_at = {}
+        self.nodes = {}
+        self.members = [ids.NodeId(f"n{n}") for n in range(count)]
+        self.events = []
+        self.serial = 0
+        for name in self.members:
+            self.start(name)
+
+    def start(self, name):
+        """Start a node, which knows no limit."""
+        node = ratelimits.RateLimits(name)
+        self.nodes[name] = node
+        self.told_at.pop(name, None)
+        node.note_nodes([*self.members, name])
+        self.schedule(self.random.uniform(0, 0.4), self.report, name, node)
+        self.schedule(
+            self.random.expovariate(self.demand), self.send, name, node
+        )
+
+    def restart(self, name):
+        """Kill a node and start it again two seconds later."""
+        del self.nodes[name]
+        self.members.remove(name)
+        self.schedule(_NOTICE_GONE_SECONDS, self.spread_members)
+        self.schedule(2.0, self.rejoin, name)
+
+    def rejoin(self, name):
+        self.start(name)
+        self.members.append(name)
+        self.schedule(_NOTICE_NEW_SECONDS, self.spread_members)
+
+    def spread_members(self):
+        for node in self.nodes.values():
+            node.note_nodes(self.members)
+
+    def schedule(self, delay, callback, *args):
+        self.serial += 1
+        event = (self.now + delay, self.serial, callback, args)
+        heapq.heappush(self.events, event)
+
+    def run(self, until):
+        while self.events[0][0] < until:
+            self.now, _, callback, args = heapq.heappop(self.events)
+            callback(*args)
+        self.now = until
+
+    def send(self, name, node):
+        if self.nodes.get(name) is not node:
+            return
+        self.schedule(
+            self.random.expovariate(self.demand), self.send, name, node
+        )
+        if not node.permits(_SERVER, self.now):
+            return
+        node.note_request(_SERVER, self.now)
+        self.sent.append(self.now)
+        told_at = self.told_at.get(name)
+        if told_at is not None and self.now >= told_at + _REACTION_SECONDS:
+            self.arrivals.append(self.now)
+        self.schedule(
+            self.random.uniform(0.05, 0.8), self.answer, name, node, self.rate
+        )
+
+    def answer(self, name, node, rate):
+        if self.nodes.get(name) is not node:
+            return
+        node.note_answer(_SERVER, rate, self.now)
+        if rate is not None:
+            self.told_at.setdefault(name, self.now)
+
+    def report(self, name, node):
+        if self.nodes.get(name) is not node:
+            return
+        self.schedule(_REPORT_INTERVAL, self.report, name, node)
+        reports = node.list_reports(self.now)
+        if reports:
+            self.schedule(self.report_delay, self.deliver, node, reports)
+
+    def deliver(self, sender, reports):
+        aged = {
+            name: limits.LimitReport(one.rate, one.age + self.report_delay)
+            for name, one in reports.items()
+        }
+        for node in self.nodes.values():
+            if node is not sender:
+                node.note_reports(aged, self.now)
+
+    def count_restrained(self):
+        """Return how many nodes leave the server alone for now."""
+        return sum(
+            not node.is_holder(_SERVER, self.now)
+            for node in self.nodes.values()
+        )
+
+
+class SharesTest(unittest.TestCase):
+    def check_limit(self, fleet, rate, since):
+        late = [at for at in fleet.arrivals if at >= since]
+        most = count_most_arrivals(late)
+        self.assertLessEqual(most, count_allowed(rate))
+
+    def test_all_nodes_together_keep_to_a_limit(self):
+        """Guards against a limit exceeded by the sum over the nodes.
+
+        Load: 3 to 350 nodes, each with more requests for the server than
+        it takes from all. Some nodes restart meanwhile.
+        """
+        for count, rate, seed in (
+            (3, 0.3, 1),
+            (21, 1.1, 2),
+            (21, 0.0, 3),
+            (21, 12.0, 4),
+            (100, 1.4, 5),
+            (350, 2.5, 6),
+            (350, 40.0, 7),
+        ):
+            with self.subTest(count=count, rate=rate, seed=seed):
+                fleet = Fleet(count, 2.0, 0.05 if count < 32 else 0.8, seed)
+                fleet.run(1.0)
+                fleet.rate = rate
+                fleet.run(8.0)
+                for step in range(8):
+                    fleet.restart(fleet.random.choice(fleet.members))
+                    fleet.run(9.0 + step)
+                fleet.run(30.0)
+                self.check_limit(fleet, rate, 4.0)
+                used = sum(at >= 4.0 for at in fleet.sent)
+                self.assertGreater(used, 0.5 * rate * 26.0)
+
+    def test_a_limit_that_changes_is_followed(self):
+        fleet = Fleet(21, 3.0, 0.05, 1)
+        fleet.rate = 20.0
+        fleet.run(10.0)
+        fleet.rate = 1.0
+        fleet.run(30.0)
+        self.check_limit(fleet, 1.0, 14.0)
+
+    def test_all_nodes_learn_that_a_limit_has_ended(self):
+        """Guards against a server that is left alone long after its limit.
+
+        Most nodes send it nothing, so they learn it from the holders.
+        """
+        for count, delay in ((21, 0.05), (350, 0.8)):
+            fleet = Fleet(count, 2.0, delay, 1)
+            fleet.rate = 1.2
+            fleet.run(20.0)
+            self.assertGreater(fleet.count_restrained(), count / 2)
+            fleet.rate = None
+            fleet.run(26.0)
+            self.assertEqual(fleet.count_restrained(), 0)
+
+    def test_a_limit_is_kept_while_its_holders_send_nothing(self):
+        """Guards against nodes that all try an idle server at once.
+
+        The holders have no requests for it, so that no answer confirms or
+        ends the limit. The other nodes try it one by one.
+        """
+        fleet = Fleet(21, 2.0, 0.05, 1)
+        fleet.rate = 1.0
+        fleet.run(10.0)
+        for name, node in list(fleet.nodes.items()):
+            if node.is_holder(_SERVER, fleet.now):
+                del fleet.nodes[name]
+        fleet.run(60.0)
+        self.check_limit(fleet, 1.0, 4.0)
+        self.assertTrue(any(at > 30.0 for at in fleet.sent))
+        fleet.rate = None
+        fleet.run(90.0)
+        self.assertEqual(fleet.count_restrained(), 0)
+
+    def test_an_old_report_does_not_bring_a_limit_back(self):
+        """Guards against a limit that two nodes report forever in turn."""
+        node = ratelimits.RateLimits(ids.NodeId("n0"))
+        node.note_nodes([ids.NodeId("n1")])
+        node.note_answer(_SERVER, 1.0, 10.0)
+        node.note_answer(_SERVER, None, 12.0)
+        old = {_SERVER: limits.LimitReport(1.0, 1.0)}
+        node.note_reports(old, 12.5)
+        self.assertTrue(node.permits(_SERVER, 12.6))
+        new = {_SERVER: limits.LimitReport(1.0, 0.1)}
+        node.note_reports(new, 12.5)
+        self.assertFalse(node.permits(_SERVER, 12.6))
+
+    def test_a_node_that_stops_holds_no_limit(self):
+        node = ratelimits.RateLimits(ids.NodeId("n0"))
+        node.note_answer(_SERVER, 5.0, 10.0)
+        self.assertTrue(node.permits(_SERVER, 10.1))
+        node.note_nodes([ids.NodeId("n1")])
+        self.assertFalse(node.permits(_SERVER, 10.2))
+
+
 if __name__ == "__main__":
-    test_gateway.unittest.main()
+    unittest.main()
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -14,6 +14,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.state import ids
+from currantwall.state import limits
 from currantwall.state import upstreams
 from currantwall.transport import news
 
@@ -79,7 +80,7 @@
     def test_a_member_takes_its_own_requests_out_of_the_sum(self):
         """Guards against replicas that look busiest to nodes that use them."""
         exchange = self.make(0.1)
-        self.balancer.begin(_LEADER)
+        self.balancer.begin(_LEADER, 1.0)
         exchange._compose(1)
         exchange._receive(self.make_digest(0, False, 7))
         exchange._receive(self.make_digest(1, False, 7))
@@ -131,6 +132,20 @@
         (sent_heartbeat, _) = exchange._relay.list_datagrams.call_args.args
         self.assertEqual(sent_heartbeat.slow, ("i9@4",))
 
+    def test_a_limit_is_reported_and_heeded(self):
+        exchange = self.make(0.1)
+        exchange._relay = mock.Mock()
+        exchange._relay.take_urgent.return_value = False
+        self.balancer.limits.note_answer(ids.InstanceId("i9"), 3.0, 10.0)
+        exchange._compose(1)
+        (sent, _) = exchange._relay.list_datagrams.call_args.args
+        self.assertEqual(sent.limits, {"i9": limits.LimitReport(3.0, 0.0)})
+        heartbeat = self.make_heartbeat(5, RelayRequest.NONE, 0)
+        named = {_LEADER: limits.LimitReport(0.0, 0.5)}
+        exchange._receive(msgspec.structs.replace(heartbeat, limits=named))
+        self.balancer.limits.note_request(_LEADER, 10.0)
+        self.assertFalse(self.balancer.limits.permits(_LEADER, 10.0))
+
     def test_a_stall_is_reported_directly_to_the_prober(self):
         """Guards against probing a stalled replica half a second late."""
         exchange = self.make(0.1)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -159,7 +159,7 @@
     def test_a_late_request_leaves_slots_for_those_in_time(self):
         late = make_ticket("late", 0.0)
         for _ in range(11):
-            self.balancer.begin(ids.InstanceId("i0"))
+            self.balancer.begin(ids.InstanceId("i0"), 1.0)
         found = self.placer.try_place(late, 1.0)
         self.assertTrue(found.is_full)
         found = self.placer.try_place(make_ticket("new", 1.0), 1.0)
