--- a/currantwall/protocol/advisories.py
+++ b/currantwall/protocol/advisories.py
@@ -11,7 +11,12 @@
 
 from currantwall.protocol import names as names_module
 
-__all__ = ["parse_limit"]
+__all__ = ["is_leaving", "parse_limit", "parse_retry_after"]
+
+# Statuses of answers that turn a request away for the moment.
+_REFUSALS = (429, 503)
+_RETRY_AFTER = "Retry-After"
+_LEAVING = "1"
 
 _DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 
@@ -26,6 +31,30 @@
     return _parse_decimal(headers.get(names.limit))
 
 
+def parse_retry_after(
+    status: int, headers: urllib3.HTTPHeaderDict
+) -> float | None:
+    """Return the seconds for which an upstream wants no request of a node.
+
+    None if its answer asks for no pause. `Retry-After` may have a fraction
+    here; a date, which HTTP allows too, is no request of an upstream's.
+
+    Args:
+        status: Status of the answer.
+        headers: Its headers.
+    """
+    if status not in _REFUSALS:
+        return None
+    return _parse_decimal(headers.get(_RETRY_AFTER))
+
+
+def is_leaving(
+    headers: urllib3.HTTPHeaderDict, names: names_module.HeaderNames
+) -> bool:
+    """Return whether an upstream says that it is going to exit."""
+    return headers.get(names.leaving, "").strip() == _LEAVING
+
+
 def _parse_decimal(text: str | None) -> float | None:
     """Return a finite decimal number without a sign, None for others."""
     if text is None or not _DECIMAL.fullmatch(text.strip()):
--- a/currantwall/protocol/names.py
+++ b/currantwall/protocol/names.py
@@ -26,6 +26,7 @@
         faulty: Replica member that prevented a request from running.
         priority: Priority of a request at an upstream; 0 is the highest.
         limit: Requests a second that an upstream takes from all nodes.
+        leaving: Set by an upstream that is going to exit.
     """
 
     attempt: str
@@ -40,3 +41,4 @@
     faulty: str
     priority: str
     limit: str
+    leaving: str
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -37,6 +37,8 @@
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
 _DURATION = "currantwall.answers.duration"
 _LIMITED = "currantwall.answers.limited"
+_PAUSED = "currantwall.answers.paused"
+_LEAVING = "currantwall.answers.leaving"
 # Seconds between two attempts to choose an upstream for a broken stream.
 _CHOOSE_INTERVAL = 0.05
 # Seconds subtracted from the caller's remaining time before it is sent to
@@ -426,6 +428,39 @@
         if head.status == _MISDIRECTED:
             return
         instance = current.upstream.id
+        self._note_limit(request, instance, head)
+        self._note_withdrawal(request, instance, head)
+
+    def _note_withdrawal(
+        self,
+        request: requests.Request,
+        instance: ids.InstanceId,
+        head: exchanges.Head,
+    ) -> None:
+        """Record that an upstream wants no requests, for a time or at all."""
+        pause = advisories.parse_retry_after(head.status, head.headers)
+        is_leaving = advisories.is_leaving(head.headers, self.names)
+        if pause is not None:
+            self._meter.add(_PAUSED, 1)
+        if is_leaving:
+            self._meter.add(_LEAVING, 1)
+        if pause is not None or is_leaving:
+            self._log.write(
+                "upstream_withdrawn",
+                request=request.attempt_id,
+                upstream=instance,
+                pause=pause,
+                leaving=is_leaving,
+                list_age=round(self.fleet_age(self.now()), 3),
+            )
+
+    def _note_limit(
+        self,
+        request: requests.Request,
+        instance: ids.InstanceId,
+        head: exchanges.Head,
+    ) -> None:
+        """Record the limit that an upstream names, or no longer names."""
         limit = advisories.parse_limit(head.headers, self.names)
         if limit is not None:
             self._meter.add(_LIMITED, 1)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -10,7 +10,7 @@
     /slow/             half a second between the events of a stream
     /unframed/         an answer without a length, ended by the close
     /torn/             as unframed, reset in the middle
-    /busy/             refused before it runs
+    /busy/, /busy-ID/  refused before it runs; only by the server ID
     /error/            status 500
     /mute/             an answer without the server's signature
 
@@ -179,7 +179,9 @@
     def _run_request(self, inbound: ingress.Inbound) -> Reply:
         attempt = inbound.headers.get("X-Attempt-Id", "")
         is_open = self._group is not None and self._group["state"] == "open"
-        if "/busy/" in inbound.path or (self._domain and not is_open):
+        is_busy = "/busy/" in inbound.path
+        is_busy = is_busy or f"/busy-{self._id}/" in inbound.path
+        if is_busy or (self._domain and not is_open):
             headers = [("X-Not-Executed", "1"), ("X-Attempt-Id", attempt)]
             return Reply(status=503, headers=headers, body=b"")
         run = {
--- a/tests/layers.py
+++ b/tests/layers.py
@@ -16,6 +16,7 @@
 # handles one of them outside the adapter is found.
 _WIRE_NAMES = (
     "CURRANTWALL_SETTINGS",
+    "Server-Leaving",
     "Server-Limit",
     "X-Attempt-Id",
     "X-Deadline-Ms",
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -7,7 +7,7 @@
 
 from currantwall.protocol import advisories
 
-_NAMES = types.SimpleNamespace(limit="Server-Limit")
+_NAMES = types.SimpleNamespace(limit="Server-Limit", leaving="Server-Leaving")
 
 
 def make_headers(**values):
@@ -34,5 +34,27 @@
             self.assertIsNone(self.parse(text), text)
 
 
+class WithdrawalTest(unittest.TestCase):
+    def parse(self, status, **values):
+        found = make_headers(**values)
+        return advisories.parse_retry_after(status, found)
+
+    def test_only_a_refusal_asks_for_a_pause(self):
+        self.assertEqual(self.parse(503, Retry_After="3"), 3.0)
+        self.assertEqual(self.parse(429, Retry_After="0.25"), 0.25)
+        self.assertIsNone(self.parse(503))
+        self.assertIsNone(self.parse(500, Retry_After="3"))
+
+    def test_an_unreadable_pause_is_none(self):
+        """Guards against a faulty server that is left alone for ever."""
+        for text in ("", "-3", "inf", "Fri, 04 Dec 2026 10:00:00 GMT"):
+            self.assertIsNone(self.parse(503, Retry_After=text), text)
+
+    def test_an_upstream_that_leaves_says_one(self):
+        for text, expected in (("1", True), ("0", False), ("", False)):
+            found = make_headers(Server_Leaving=text)
+            self.assertIs(advisories.is_leaving(found, _NAMES), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
