Leave upstreams alone for as long as their refusals ask

Callers saw refusals and late answers: replicas that refused every request and asked for three seconds of rest got three times their usual share instead, since they looked idle. A refusal kept an upstream out for 0.2 s, whatever it asked for.

A Retry-After on a 503 or 429 now starts a pause of that instance at this node. Unlike an ejection it is kept where nothing else is left, and it outlasts the epoch of a replica. It is checked where an upstream is chosen, which all requests, retries, resumptions and queued requests go through. Where all upstreams pause, requests for replicas wait for the first to end its pause if that is soon enough, all others are refused at once with the time that remains.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -24,6 +24,7 @@
 
 from currantwall.coordination.requests import loads as loads_module
 from currantwall.coordination.requests import ratelimits
+from currantwall.coordination.requests import withdrawals
 from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -93,11 +94,13 @@
         reason: Message for the log and the caller.
         retry_after: Seconds after which the caller should try again.
         is_full: Whether there are usable upstreams, all of them full.
+        earliest: Seconds before which certainly none can take it.
     """
 
     reason: str
     retry_after: float
     is_full: bool = False
+    earliest: float = 0.0
 
 
 # A function that returns how many requests an upstream may have in flight.
@@ -131,6 +134,7 @@
 
     Attributes:
         limits: Limits that upstreams set on the requests of all nodes.
+        withdrawals: Upstreams that have asked for no more requests.
     """
 
     def __init__(
@@ -141,6 +145,7 @@
     ) -> None:
         self._fleet = fleet
         self.limits = ratelimits.RateLimits(node)
+        self.withdrawals = withdrawals.Withdrawals()
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
@@ -217,13 +222,20 @@
                 "all were tried",
                 _SATURATION_RETRY_AFTER if is_plain else _RECOVERY_RETRY_AFTER,
             )
-        permitted = [
+        willing = [
             upstream
             for upstream in untried
+            if not self.withdrawals.get_remaining(upstream.id, now)
+        ]
+        if not willing:
+            return self._make_paused(untried, now)
+        permitted = [
+            upstream
+            for upstream in willing
             if self.limits.permits(upstream.id, now)
         ]
         if not permitted:
-            return self._make_limited(untried, now)
+            return self._make_limited(willing, now)
         usable = [
             upstream
             for upstream in permitted
@@ -234,6 +246,21 @@
         # A plain service: an ejected upstream is better than none.
         return usable or permitted
 
+    def _make_paused(
+        self, paused: list[upstreams.Upstream], now: float
+    ) -> Unavailable:
+        """Return the answer where all upstreams have asked for a pause.
+
+        A request may wait for the end of the first pause.
+        """
+        earliest = min(
+            self.withdrawals.get_remaining(upstream.id, now)
+            for upstream in paused
+        )
+        return Unavailable(
+            "all have asked for a pause", earliest, True, earliest
+        )
+
     def _make_limited(
         self, limited: list[upstreams.Upstream], now: float
     ) -> Unavailable:
@@ -262,6 +289,7 @@
             max(0, get_limit(upstream) - self.count_load(upstream.id))
             for upstream in self._list_candidates(service, model)
             if not self._is_ejected(upstream, now)
+            and not self.withdrawals.get_remaining(upstream.id, now)
             and self.limits.permits(upstream.id, now)
         )
 
@@ -571,6 +599,7 @@
         """Drop outdated counts, and upstreams that are no longer listed."""
         self._remote.expire(now)
         self.limits.expire(self._is_listed, now)
+        self.withdrawals.expire(now)
         for name, health in list(self._health.items()):
             if health.in_flight <= 0 and self._fleet.get(name) is None:
                 del self._health[name]
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -76,7 +76,8 @@
             if self._placer.is_nearly_full(found.upstream):
                 self.on_high_load()
             return found.upstream
-        if not found.is_full:
+        starts_late = self._now() + found.earliest > ticket.start_deadline
+        if not found.is_full or starts_late:
             return found
         self.on_high_load()
         return self._wait(request, ticket)
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -442,6 +442,7 @@
         is_leaving = advisories.is_leaving(head.headers, self.names)
         if pause is not None:
             self._meter.add(_PAUSED, 1)
+            self._balancer.withdrawals.note_pause(instance, pause, self.now())
         if is_leaving:
             self._meter.add(_LEAVING, 1)
         if pause is not None or is_leaving:
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -4,7 +4,11 @@
 import time
 import unittest
 
+from currantwall.coordination.requests import balancing
+from currantwall.state import ids
+from currantwall.state import upstreams
 from tests import test_gateway
+from tests import test_gateway_parts
 
 # Seconds of the pause that servers ask for, and of reaction to that.
 _PAUSE_SECONDS = 3.0
@@ -78,6 +82,72 @@
             self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
 
+class PauseTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = upstreams.Fleet()
+        self.balancer = balancing.Balancer(
+            self.fleet, ids.DatacentreName("here")
+        )
+        self.list_replicas(epoch=1, revision=1)
+
+    def list_replicas(self, epoch, revision):
+        made = test_gateway_parts.make_replica
+        listed = [*made("a", epoch=epoch), *made("b")]
+        self.fleet.replace(listed, revision, float(revision))
+
+    def choose(self, now, model="m"):
+        service = ids.ServiceName("pool")
+        return self.balancer.choose(service, model, (), "salt", now)
+
+    def pause(self, name, seconds, now):
+        instance = ids.InstanceId(name)
+        self.balancer.withdrawals.note_pause(instance, seconds, now)
+
+    def test_a_pause_outlasts_the_epoch_of_a_replica(self):
+        """Guards against requests to the leader of a repaired replica.
+
+        Its server asked for the pause, whatever replica it leads.
+        """
+        self.pause("a0", 3.0, 1.0)
+        self.list_replicas(epoch=2, revision=2)
+        self.balancer.begin(ids.InstanceId("b0"), 2.0)
+        self.assertEqual(self.choose(2.0).id, "b0")
+        self.assertEqual(self.choose(4.1).id, "a0")
+
+    def test_a_shorter_pause_does_not_end_a_longer_one(self):
+        self.pause("a0", 3.0, 1.0)
+        self.pause("a0", 0.5, 1.1)
+        self.pause("b0", 1.0, 1.1)
+        found = self.choose(1.5)
+        self.assertAlmostEqual(found.earliest, 0.6)
+        self.assertTrue(found.is_full)
+        self.assertEqual(self.choose(2.5).id, "b0")
+        self.balancer.expire(2.5)
+        self.assertEqual(self.choose(2.5).id, "b0")
+
+    def test_paused_replicas_have_no_free_slots(self):
+        self.pause("a0", 3.0, 1.0)
+        free = self.balancer.count_free_slots(
+            ids.ServiceName("pool"), "m", lambda upstream: 4, 2.0
+        )
+        self.assertEqual(free, 4)
+
+    def test_a_plain_server_is_not_sent_requests_for_want_of_another(self):
+        """Guards against a pause that is treated as an ejection.
+
+        An ejected plain server is used where there is no other one.
+        """
+        made = test_gateway_parts.make_upstream
+        self.fleet.replace([made("p1")], 2, 2.0)
+        upstream = self.fleet.get(ids.InstanceId("p1"))
+        self.balancer.note_failure(upstream, 2.0, True)
+        self.assertEqual(self.choose(2.1, model=None).id, "p1")
+        self.pause("p1", 1.0, 2.0)
+        found = self.choose(2.1, model=None)
+        self.assertIsInstance(found, balancing.Unavailable)
+        self.assertAlmostEqual(found.retry_after, 0.9)
+
+
 class LeavingServerTest(test_gateway.GatewayCase):
     def check_left_alone(self, leaving, method, target):
         """Check that servers get nothing once they have said they leave."""
