Send nothing to upstreams that say in their answers that they leave

Callers whose requests reach a server at its exit lose them. Cause: only the store's list told a node which servers leave; it may be seconds old, or out of reach, while each answer of the server says so.

An answer with the header marks the process as leaving at this node, until the list shows a later start under the same id. It is applied where the list's own state is, so that leaders that leave have no free slots either.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -354,15 +354,25 @@
     def _list_candidates(
         self, service: ids.ServiceName, model: str | None
     ) -> list[upstreams.Upstream]:
-        """Return a plain service's upstreams or a model's leaders."""
+        """Return a plain service's upstreams or a model's leaders.
+
+        Upstreams that are leaving are left out, whether the list says so
+        or only their answers do.
+        """
         if model is None:
             return [
                 upstream
                 for upstream in self._fleet.list_service(service)
                 if not upstream.leaving
+                and not self.withdrawals.is_leaving(upstream)
             ]
         replicas = self._fleet.list_serving(service, model)
-        return [replica.members[0] for replica in replicas]
+        leaders = (replica.members[0] for replica in replicas)
+        return [
+            leader
+            for leader in leaders
+            if not self.withdrawals.is_leaving(leader)
+        ]
 
     def _compute_cost(
         self, upstream: upstreams.Upstream, salt: str
@@ -599,7 +609,7 @@
         """Drop outdated counts, and upstreams that are no longer listed."""
         self._remote.expire(now)
         self.limits.expire(self._is_listed, now)
-        self.withdrawals.expire(now)
+        self.withdrawals.expire(self._is_listed, now)
         for name, health in list(self._health.items()):
             if health.in_flight <= 0 and self._fleet.get(name) is None:
                 del self._health[name]
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -429,30 +429,32 @@
             return
         instance = current.upstream.id
         self._note_limit(request, instance, head)
-        self._note_withdrawal(request, instance, head)
+        self._note_withdrawal(request, current.upstream, head)
 
     def _note_withdrawal(
         self,
         request: requests.Request,
-        instance: ids.InstanceId,
+        upstream: upstreams.Upstream,
         head: exchanges.Head,
     ) -> None:
         """Record that an upstream wants no requests, for a time or at all."""
+        now = self.now()
         pause = advisories.parse_retry_after(head.status, head.headers)
         is_leaving = advisories.is_leaving(head.headers, self.names)
         if pause is not None:
             self._meter.add(_PAUSED, 1)
-            self._balancer.withdrawals.note_pause(instance, pause, self.now())
+            self._balancer.withdrawals.note_pause(upstream.id, pause, now)
         if is_leaving:
             self._meter.add(_LEAVING, 1)
+            self._balancer.withdrawals.note_leaving(upstream, now)
         if pause is not None or is_leaving:
             self._log.write(
                 "upstream_withdrawn",
                 request=request.attempt_id,
-                upstream=instance,
+                upstream=upstream.id,
                 pause=pause,
                 leaving=is_leaving,
-                list_age=round(self.fleet_age(self.now()), 3),
+                list_age=round(self.fleet_age(now), 3),
             )
 
     def _note_limit(
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -148,6 +148,54 @@
         self.assertAlmostEqual(found.retry_after, 0.9)
 
 
+class LeavingTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = upstreams.Fleet()
+        self.balancer = balancing.Balancer(
+            self.fleet, ids.DatacentreName("here")
+        )
+        self.revision = 0
+
+    def list_server(self, **fields):
+        self.revision += 1
+        made = [test_gateway_parts.make_upstream("p1", **fields)]
+        self.fleet.replace(made, self.revision, float(self.revision))
+        return made[0]
+
+    def choose(self):
+        service = ids.ServiceName("pool")
+        return self.balancer.choose(service, None, (), "salt", 9.0)
+
+    def test_a_server_that_leaves_is_not_used_for_want_of_another(self):
+        leaving = self.list_server(born=5)
+        self.balancer.withdrawals.note_leaving(leaving, 1.0)
+        self.assertIsInstance(self.choose(), balancing.Unavailable)
+
+    def test_a_server_started_again_under_its_id_is_used(self):
+        """Guards against a server that is left alone for its predecessor."""
+        leaving = self.list_server(born=5)
+        self.balancer.withdrawals.note_leaving(leaving, 1.0)
+        self.list_server(born=6)
+        self.assertEqual(self.choose().id, "p1")
+
+    def test_a_leaving_server_whose_entry_lapses_is_remembered(self):
+        """Guards against requests to it when its old entry returns."""
+        leaving = self.list_server(born=5)
+        self.balancer.withdrawals.note_leaving(leaving, 1.0)
+        self.fleet.replace([], 2, 2.0)
+        self.revision = 2
+        self.balancer.expire(10.0)
+        self.list_server(born=5)
+        self.assertIsInstance(self.choose(), balancing.Unavailable)
+        self.balancer.expire(200.0)
+        self.assertIsInstance(self.choose(), balancing.Unavailable)
+        self.fleet.replace([], 4, 201.0)
+        self.balancer.expire(202.0)
+        self.revision = 4
+        self.list_server(born=5)
+        self.assertEqual(self.choose().id, "p1")
+
+
 class LeavingServerTest(test_gateway.GatewayCase):
     def check_left_alone(self, leaving, method, target):
         """Check that servers get nothing once they have said they leave."""
