Test that own entries leave paused upstreams alone; it fails

The stand-in engine and service can ask for a pause with their refusals and count what they refused.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -34,11 +34,13 @@
         cut_after: Tokens after which streams are cut, -1 for never.
         stall: Delay before each answer begins, in seconds.
         refuse: Whether new requests are refused as if overloaded.
+        retry_after: Seconds that refusals ask to wait; 0 for none.
     """
 
     cut_after: int = -1
     stall: float = 0.0
     refuse: bool = False
+    retry_after: float = 0.0
 
 
 class _Chat(msgspec.Struct):
@@ -70,6 +72,7 @@
         )
         self._token_interval = token_interval
         self._faults = Faults()
+        self._refused = 0
 
     # -- Reports and orders
 
@@ -92,7 +95,12 @@
     @server.route("POST", r"/v1/chat/completions")
     def complete(self, request: server.Request) -> Response:
         """Answer a chat completion."""
-        if self._faults.refuse or not self._model.leads(time.monotonic()):
+        if self._faults.refuse:
+            self._refused += 1
+            return process.make_refusal(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, self._faults.retry_after
+            )
+        if not self._model.leads(time.monotonic()):
             return Response(http.HTTPStatus.SERVICE_UNAVAILABLE, ())
         chat = msgspec.json.decode(request.body, type=_Chat)
         if self._faults.stall:
@@ -132,6 +140,11 @@
 
     # -- Control
 
+    @server.route("GET", r"/control/refused")
+    def count_refused(self, request: server.Request) -> Response:
+        """Return how many requests the fault `refuse` has refused."""
+        return http_protocol.make_json(self._refused)
+
     @server.route("POST", r"/control/faults")
     def set_faults(self, request: server.Request) -> Response:
         """Set the faults to inject."""
--- a/standins/process.py
+++ b/standins/process.py
@@ -1,18 +1,33 @@
-"""Starts and stops the server of a stand-in process."""
+"""What the stand-in processes have in common: server and refusals."""
 
+import http
 import signal
 import typing
 
 import eventlet
 
+from currantwall.protocol import http as http_protocol
 from currantwall.state import settings
 from currantwall.transport import server
 
-__all__ = ["serve"]
+__all__ = ["make_refusal", "serve"]
 
 _BODY_LIMIT = 16_777_216  # bytes
 
 
+def make_refusal(
+    status: http.HTTPStatus, retry_after: float
+) -> http_protocol.Response:
+    """Return a refusal.
+
+    Args:
+        status: Its status.
+        retry_after: Seconds that it asks to wait; 0 for no such request.
+    """
+    headers = (("Retry-After", f"{retry_after:g}"),) if retry_after else ()
+    return http_protocol.Response(status, headers)
+
+
 def serve(address: str, *handlers: server.Handlers) -> None:
     """Serve handlers on ``host:port`` until SIGTERM or SIGINT."""
     parsed = settings.split_address(address)
--- a/standins/service.py
+++ b/standins/service.py
@@ -27,10 +27,12 @@
     Attributes:
         work_time: Seconds that each call takes.
         refuse: Whether calls are refused with a 429 and not run.
+        retry_after: Seconds that refusals ask to wait; 0 for none.
     """
 
     work_time: float = 0.0
     refuse: bool = False
+    retry_after: float = 0.0
 
 
 class ServiceHandlers(server.Handlers):
@@ -42,6 +44,7 @@
         self._runs: collections.Counter[str] = collections.Counter()
         self._running = 0
         self._faults = Faults()
+        self._refused = 0
 
     @server.route("GET", upstream.REPORT_PATH)
     def report(self, request: server.Request) -> Response:
@@ -60,6 +63,11 @@
         """Return how often a call with each body was run."""
         return http_protocol.make_json(dict(self._runs))
 
+    @server.route("GET", r"/control/refused")
+    def count_refused(self, request: server.Request) -> Response:
+        """Return how many calls the fault `refuse` has refused."""
+        return http_protocol.make_json(self._refused)
+
     @server.route("POST", r"/control/faults")
     def set_faults(self, request: server.Request) -> Response:
         """Set the faults to inject."""
@@ -70,7 +78,10 @@
     def run(self, request: server.Request) -> Response:
         """Run a call and return how often its body has been run."""
         if self._faults.refuse:
-            return Response(http.HTTPStatus.TOO_MANY_REQUESTS, ())
+            self._refused += 1
+            return process.make_refusal(
+                http.HTTPStatus.TOO_MANY_REQUESTS, self._faults.retry_after
+            )
         text = request.body.decode("utf-8", "replace")
         self._runs[text] += 1
         self._running += 1
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -162,6 +162,34 @@
         self.assertIn("Retry-After", response.headers)
         self.assertEqual("not-run", response.headers["Currantwall-Outcome"])
 
+    def count_refused(self, name: str) -> int:
+        answer = self.fleet.request("GET", name, "/control/refused")
+        return msgspec.json.decode(answer.data)
+
+    def test_upstreams_that_ask_for_a_pause_are_left_alone(self) -> None:
+        """Guards against requests to upstreams that asked for a pause."""
+        names = ("engine-1", "engine-2", "sizing-1")
+        for name in names:
+            self.set_faults(name, {"refuse": True, "retry_after": 5.0})
+            self.addCleanup(self.set_faults, name, {})
+        before = {name: self.count_refused(name) for name in names}
+        for _ in range(8):
+            for response in (
+                self.chat(),
+                self.post("/v1/services/sizing/size", b"x"),
+            ):
+                self.assertEqual(503, response.status)
+                self.assertIn("Retry-After", response.headers)
+        for name in names:
+            refused = self.count_refused(name) - before[name]
+            self.assertIn(refused, (0, 1), name)
+        # The pause ends with the time that was asked for.
+        for name in names:
+            self.set_faults(name, {})
+        fleet_module.wait_until(
+            lambda: self.chat().status == 200, _WAIT, "chats are answered"
+        )
+
     def test_stalled_engine_gives_an_error_in_time(self) -> None:
         # Both engines accept the request and never answer. They may have
         # run it, so the outcome must not be "not-run".
