Own entries leave upstreams alone for as long as their refusals ask

The end of an attempt now carries the pause; the router leaves the instance out until it has passed, and refuses at once, with the time that remains, where nothing else serves.

Evidence: tests.test_sockets failed before (2 requests at an engine in its pause) and passes now, as do tests.test_requests and test_replicas.

--- a/currantwall/coordination/requests/routing.py
+++ b/currantwall/coordination/requests/routing.py
@@ -19,6 +19,7 @@
 from currantwall.coordination.replicas import evidence
 from currantwall.coordination.requests import breakers
 from currantwall.coordination.requests import latency
+from currantwall.coordination.requests import withdrawals
 from currantwall.state import domain
 from currantwall.state import ids
 from currantwall.state import instances
@@ -129,10 +130,15 @@
 
 
 class AttemptEnded(part.Message, frozen=True):
-    """An attempt has ended."""
+    """An attempt has ended.
+
+    Attributes:
+        pause: Seconds for which its upstream wants no more requests.
+    """
 
     attempt: ids.AttemptId
     kind: EndKind = EndKind.ANSWERED
+    pause: float = 0.0
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -154,6 +160,7 @@
     """An attempt in progress."""
 
     subject: str
+    instance: ids.InstanceId
     target: str
     organisation: ids.OrganisationName
     started: float
@@ -209,6 +216,7 @@
         self._open: dict[ids.AttemptId, _OpenAttempt] = {}
         self._local_loads: dict[str, _LocalLoad] = {}
         self._breakers = breakers.Breakers()
+        self._withdrawals = withdrawals.Withdrawals()
         self._latencies = latency.Latencies()
         # Upstream that last got a prefix, with its cache version then.
         self._cached_prefixes: collections.OrderedDict[
@@ -227,7 +235,11 @@
         """Record that an attempt is sent."""
         subject = route.subject
         self._open[route.attempt] = _OpenAttempt(
-            subject, request.target, request.organisation, now
+            subject,
+            route.instance,
+            request.target,
+            request.organisation,
+            now,
         )
         self._local_loads.setdefault(subject, _LocalLoad()).record_change(
             1, now
@@ -249,6 +261,9 @@
         subject = attempt.subject
         local = self._local_loads[subject]
         local.record_change(-1, now)
+        if ended.pause > 0:
+            self._withdrawals.expire(self._is_present, now)
+            self._withdrawals.note_pause(attempt.instance, ended.pause, now)
         if ended.kind is EndKind.ANSWERED:
             self._breakers.record_success(subject)
             self._latencies.record_duration(subject, now - attempt.started)
@@ -272,10 +287,7 @@
         candidates = self.list_candidates(request, now)
         name = request.profile or request.service
         if not candidates:
-            return Refusal(
-                RefusalReason.NO_REPLICA,
-                f"nothing serves {name} now",
-            )
+            return self._refuse_target(request, now)
         self._update_median(request.target, candidates)
         free = self._select_free(candidates)
         if not free:
@@ -290,6 +302,22 @@
             chosen.address,
         )
 
+    def _refuse_target(self, request: RouteRequested, now: float) -> Refusal:
+        """Return the refusal where no upstream may be used now."""
+        name = request.profile or request.service
+        reason = RefusalReason.NO_REPLICA
+        pauses = [
+            self._withdrawals.get_remaining(candidate.instance, now)
+            for candidate in self._list_present(request, now)
+        ]
+        if not any(pauses):
+            return Refusal(reason, f"nothing serves {name} now")
+        return Refusal(
+            reason,
+            f"upstreams of {name} have asked for a pause",
+            min(pause for pause in pauses if pause),
+        )
+
     def check_target(self, request: RouteRequested) -> Refusal | None:
         """Return the refusal if the profile or service does not exist."""
         reason = RefusalReason.UNKNOWN_TARGET
@@ -337,16 +365,13 @@
 
         Stragglers are left out while there are others.
         """
-        if request.service:
-            candidates = self._list_service_instances(request.service, now)
-        else:
-            candidates = self._list_replicas(request.profile, now)
         target = request.target
         usable = [
             candidate
-            for candidate in candidates
+            for candidate in self._list_present(request, now)
             if candidate.subject not in request.excluded
             and self._breakers.allows(candidate.subject, now)
+            and not self._withdrawals.get_remaining(candidate.instance, now)
         ]
         fast = [
             candidate
@@ -355,6 +380,14 @@
         ]
         return fast or usable
 
+    def _list_present(
+        self, request: RouteRequested, now: float
+    ) -> list[Candidate]:
+        """Return the upstreams that serve, whether they may be used or not."""
+        if request.service:
+            return self._list_service_instances(request.service, now)
+        return self._list_replicas(request.profile, now)
+
     def count_slots(self, request: RouteRequested, now: float) -> int:
         """Return the sum of the limits of all usable upstreams."""
         return sum(
@@ -450,6 +483,9 @@
         score = rendezvous.score(f"{me.id}.{me.incarnation}", str(self._draws))
         return free[score % len(free)]
 
+    def _is_present(self, instance: ids.InstanceId) -> bool:
+        return instance in self._view.instances
+
     def _exists(self, subject: str) -> bool:
         if subject in self._view.instances:
             return True
--- a/currantwall/transport/callers.py
+++ b/currantwall/transport/callers.py
@@ -183,12 +183,20 @@
         )
 
     def end_attempt(
-        self, route: routing.Route, error: errors.CallError | None
+        self,
+        route: routing.Route,
+        error: errors.CallError | None,
+        pause: float | None = None,
     ) -> None:
         """Report the end of an attempt to the node.
 
         A failure in which the request certainly did not run is reported as
         evidence against the upstream too.
+
+        Args:
+            route: The route of the attempt.
+            error: How it failed; None if it was answered.
+            pause: Seconds for which the upstream wants no more requests.
         """
         kinds = routing.EndKind
         if error is None:
@@ -197,14 +205,20 @@
             kind = kinds.ABANDONED
         else:
             kind = kinds.FAILED
-        self.report_end(route, kind)
+        self.report_end(route, kind, pause)
         if error is not None and not error.may_have_run:
             failed = evidence.UpstreamFailed(route.subject, route.generation)
             self._core.tell(failed)
 
-    def report_end(self, route: routing.Route, kind: routing.EndKind) -> None:
+    def report_end(
+        self,
+        route: routing.Route,
+        kind: routing.EndKind,
+        pause: float | None = None,
+    ) -> None:
         """Report to the node how an attempt ended."""
-        self._core.tell(routing.AttemptEnded(route.attempt, kind))
+        ended = routing.AttemptEnded(route.attempt, kind, pause or 0.0)
+        self._core.tell(ended)
 
     def next_attempt(self) -> ids.AttemptId:
         """Return an attempt id that was not used before."""
--- a/currantwall/transport/chats.py
+++ b/currantwall/transport/chats.py
@@ -7,11 +7,13 @@
 
 import msgspec
 import result
+import urllib3
 import xxhash
 
 from currantwall.coordination.requests import homes
 from currantwall.coordination.requests import retries
 from currantwall.coordination.requests import routing
+from currantwall.protocol import advisories
 from currantwall.protocol import errors
 from currantwall.protocol import http as http_protocol
 from currantwall.state import ids
@@ -170,7 +172,11 @@
         stream = opened.outcome.ok_value
         if stream.status in _BUSY_STATUSES:
             stream.close()
-            self._callers.report_end(opened.route, routing.EndKind.BUSY)
+            pause = advisories.parse_retry_after(
+                stream.status, urllib3.HTTPHeaderDict(stream.headers)
+            )
+            busy = routing.EndKind.BUSY
+            self._callers.report_end(opened.route, busy, pause)
             return callers.make_refused_error(
                 opened.route.address, stream.status
             )
--- a/currantwall/transport/services.py
+++ b/currantwall/transport/services.py
@@ -5,11 +5,13 @@
 
 import msgspec
 import result
+import urllib3
 import xxhash
 
 from currantwall.coordination.requests import homes
 from currantwall.coordination.requests import retries
 from currantwall.coordination.requests import routing
+from currantwall.protocol import advisories
 from currantwall.protocol import errors
 from currantwall.protocol import http as http_protocol
 from currantwall.state import ids
@@ -194,11 +196,13 @@
             new_connection=not service.idempotent,
         )
         fetched = self._calls.fetch(call)
-        error = fetched.err_value if isinstance(fetched, result.Err) else None
-        self._callers.end_attempt(route, error)
         if isinstance(fetched, result.Err):
+            self._callers.end_attempt(route, fetched.err_value)
             return fetched
         status = fetched.ok_value.status
+        headers = urllib3.HTTPHeaderDict(fetched.ok_value.headers)
+        pause = advisories.parse_retry_after(status, headers)
+        self._callers.end_attempt(route, None, pause)
         if status not in service.refusals:
             return fetched
         return result.Err(callers.make_refused_error(route.address, status))
