Split what upstreams ask of the node off the sender

transport/sending had grown by three decisions' worth of logging that has nothing to do with sending.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -25,6 +25,7 @@
 from currantwall.state import gateway
 from currantwall.state import routes
 from currantwall.state import upstreams
+from currantwall.transport import advisories
 from currantwall.transport import configurations
 from currantwall.transport import domainleases
 from currantwall.transport import duties
@@ -100,11 +101,20 @@
         self._queue = queues.Queue(
             self._balancer, self._meter, self._log, self._now
         )
+        self._advisories = advisories.Advisories(
+            self._balancer,
+            self._fleet,
+            names,
+            self._meter,
+            self._log,
+            self._now,
+        )
         self._sender = sending.Sender(
             self._balancer,
             self._budget,
             self._connections,
             self._queue,
+            self._advisories,
             names,
             self._meter,
             self._log,
@@ -180,7 +190,7 @@
         made.is_ready = lambda: self._is_ready
         made.abort_attempts = self._sender.abort_attempts
         self._sender.on_probe_requested = made.report_stall
-        self._sender.on_limit_changed = made.announce_limits
+        self._advisories.on_limit_changed = made.announce_limits
         self._queue.on_high_load = made.report_high_load
         self._duties.on_loss = made.announce_loss
         self._duties.on_slow = made.announce_slow
--- /dev/null
+++ b/currantwall/transport/advisories.py
@@ -0,0 +1,124 @@
+"""Handles what the answers of upstreams ask of this node.
+
+An upstream names its limit in every answer while it has one, asks for a
+pause in a refusal, and says that it is leaving. `coordination` decides
+what follows (`ratelimits`, `withdrawals`); this module tells it, and logs
+and counts what was asked.
+"""
+
+import typing
+
+from currantwall.coordination.requests import balancing
+from currantwall.protocol import advisories as advisories_protocol
+from currantwall.protocol import names as names_module
+from currantwall.state import upstreams
+from currantwall.transport import exchanges
+from currantwall.transport import journal
+from currantwall.transport import metrics as metrics_module
+from currantwall.transport import requests
+
+__all__ = ["Advisories"]
+
+_LIMITED = "currantwall.answers.limited"
+_PAUSED = "currantwall.answers.paused"
+_LEAVING = "currantwall.answers.leaving"
+
+
+class Advisories:
+    """Passes on what upstreams ask of this node.
+
+    Attributes:
+        on_limit_changed: Called when an upstream has changed its limit.
+    """
+
+    def __init__(
+        self,
+        balancer: balancing.Balancer,
+        fleet: upstreams.Fleet,
+        names: names_module.HeaderNames,
+        meter: metrics_module.Metrics,
+        log: journal.Journal,
+        now: typing.Callable[[], float],
+    ) -> None:
+        self.on_limit_changed: typing.Callable[[], None] = _ignore
+        self._balancer = balancer
+        self._fleet = fleet
+        self._names = names
+        self._meter = meter
+        self._log = log
+        self._now = now
+
+    def note_head(
+        self,
+        request: requests.Request,
+        upstream: upstreams.Upstream,
+        head: exchanges.Head,
+    ) -> None:
+        """Record what the head of an answer asks.
+
+        An answer from another server than the one meant says nothing of
+        it.
+        """
+        if head.status == exchanges.MISDIRECTED:
+            return
+        now = self._now()
+        self._note_limit(request, upstream, head, now)
+        self._note_withdrawal(request, upstream, head, now)
+
+    def _note_limit(
+        self,
+        request: requests.Request,
+        upstream: upstreams.Upstream,
+        head: exchanges.Head,
+        now: float,
+    ) -> None:
+        """Record the limit that an upstream names, or no longer names."""
+        limit = advisories_protocol.parse_limit(head.headers, self._names)
+        if limit is not None:
+            self._meter.add(_LIMITED, 1)
+        limits = self._balancer.limits
+        if not limits.note_answer(upstream.id, limit, now):
+            return
+        self._log.write(
+            "limit_changed",
+            request=request.attempt_id,
+            upstream=upstream.id,
+            limit=limit,
+            is_holder=limits.is_holder(upstream.id, now),
+            list_age=round(now - self._fleet.updated, 3),
+        )
+        self.on_limit_changed()
+
+    def _note_withdrawal(
+        self,
+        request: requests.Request,
+        upstream: upstreams.Upstream,
+        head: exchanges.Head,
+        now: float,
+    ) -> None:
+        """Record that an upstream wants no requests, for a time or at all."""
+        pause = advisories_protocol.parse_retry_after(
+            head.status, head.headers
+        )
+        is_leaving = advisories_protocol.is_leaving(head.headers, self._names)
+        if pause is None and not is_leaving:
+            return
+        withdrawals = self._balancer.withdrawals
+        if pause is not None:
+            self._meter.add(_PAUSED, 1)
+            withdrawals.note_pause(upstream.id, pause, now)
+        if is_leaving:
+            self._meter.add(_LEAVING, 1)
+            withdrawals.note_leaving(upstream, now)
+        self._log.write(
+            "upstream_withdrawn",
+            request=request.attempt_id,
+            upstream=upstream.id,
+            pause=pause,
+            leaving=is_leaving,
+            list_age=round(now - self._fleet.updated, 3),
+        )
+
+
+def _ignore() -> None:
+    return
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -27,12 +27,15 @@
     "Exchange",
     "Failed",
     "Head",
+    "MISDIRECTED",
     "Outbound",
     "is_quiet",
     "open_connection",
     "read_keep_alive",
 ]
 
+# Status of an answer from a server that the request was not meant for.
+MISDIRECTED = 421
 _select = eventlet.patcher.original("select").select
 
 # Timeout of a new connection in seconds. The round trip between data
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -16,10 +16,10 @@
 from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
-from currantwall.protocol import advisories
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
 from currantwall.state import upstreams
+from currantwall.transport import advisories as advisories_module
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
 from currantwall.transport import journal
@@ -36,9 +36,6 @@
 ANSWERS = "currantwall.answers"
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
 _DURATION = "currantwall.answers.duration"
-_LIMITED = "currantwall.answers.limited"
-_PAUSED = "currantwall.answers.paused"
-_LEAVING = "currantwall.answers.leaving"
 # Seconds between two attempts to choose an upstream for a broken stream.
 _CHOOSE_INTERVAL = 0.05
 # Seconds subtracted from the caller's remaining time before it is sent to
@@ -48,8 +45,6 @@
 _RANK_RESUMED = 1
 _RANK_IN_TIME = 4
 _RANK_LATE = 7
-# Status of an answer from a server that the request was not meant for.
-_MISDIRECTED = 421
 # Headers that apply to a single connection and are not forwarded.
 _HOP_HEADERS = frozenset(
     (
@@ -74,7 +69,6 @@
     Attributes:
         fleet_age: Returns the age of the list of upstreams, in seconds, at
             a monotonic time.
-        on_limit_changed: Called when an upstream has changed its limit.
         on_probe_requested: Called with an upstream that is silent or
             can't be reached.
     """
@@ -85,6 +79,7 @@
         budget: budgets.RepeatBudget,
         connections: exchanges.Connections,
         queue: queues.Queue,
+        advisories: advisories_module.Advisories,
         names: names_module.HeaderNames,
         meter: metrics_module.Metrics,
         log: journal.Journal,
@@ -96,11 +91,11 @@
         self.on_probe_requested: typing.Callable[[ids.InstanceId], None] = (
             _ignore
         )
-        self.on_limit_changed: typing.Callable[[], None] = _ignore_change
         self._balancer = balancer
         self._budget = budget
         self._connections = connections
         self._queue = queue
+        self._advisories = advisories
         self._meter = meter
         self._log = log
         self._exchange_numbers = itertools.count(1)
@@ -411,74 +406,11 @@
                     current.last_message_at
                 )
                 if isinstance(message, exchanges.Head):
-                    self._note_advisories(request, current, message)
+                    self._advisories.note_head(
+                        request, current.upstream, message
+                    )
                 return message
 
-    def _note_advisories(
-        self,
-        request: requests.Request,
-        current: requests.Attempt,
-        head: exchanges.Head,
-    ) -> None:
-        """Record what the head of an answer asks of this node.
-
-        An answer from another server than the one meant says nothing of
-        it.
-        """
-        if head.status == _MISDIRECTED:
-            return
-        instance = current.upstream.id
-        self._note_limit(request, instance, head)
-        self._note_withdrawal(request, current.upstream, head)
-
-    def _note_withdrawal(
-        self,
-        request: requests.Request,
-        upstream: upstreams.Upstream,
-        head: exchanges.Head,
-    ) -> None:
-        """Record that an upstream wants no requests, for a time or at all."""
-        now = self.now()
-        pause = advisories.parse_retry_after(head.status, head.headers)
-        is_leaving = advisories.is_leaving(head.headers, self.names)
-        if pause is not None:
-            self._meter.add(_PAUSED, 1)
-            self._balancer.withdrawals.note_pause(upstream.id, pause, now)
-        if is_leaving:
-            self._meter.add(_LEAVING, 1)
-            self._balancer.withdrawals.note_leaving(upstream, now)
-        if pause is not None or is_leaving:
-            self._log.write(
-                "upstream_withdrawn",
-                request=request.attempt_id,
-                upstream=upstream.id,
-                pause=pause,
-                leaving=is_leaving,
-                list_age=round(self.fleet_age(now), 3),
-            )
-
-    def _note_limit(
-        self,
-        request: requests.Request,
-        instance: ids.InstanceId,
-        head: exchanges.Head,
-    ) -> None:
-        """Record the limit that an upstream names, or no longer names."""
-        limit = advisories.parse_limit(head.headers, self.names)
-        if limit is not None:
-            self._meter.add(_LIMITED, 1)
-        now = self.now()
-        if self._balancer.limits.note_answer(instance, limit, now):
-            self._log.write(
-                "limit_changed",
-                request=request.attempt_id,
-                upstream=instance,
-                limit=limit,
-                is_holder=self._balancer.limits.is_holder(instance, now),
-                list_age=round(self.fleet_age(now), 3),
-            )
-            self.on_limit_changed()
-
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
         route = request.route
@@ -523,7 +455,7 @@
     ) -> Failure | None:
         """Return the failure that an answer's head shows, None if none."""
         names = self.names
-        if head.status == _MISDIRECTED:
+        if head.status == exchanges.MISDIRECTED:
             return Failure.MISDIRECTED
         if head.headers.get(names.not_run) is not None:
             return Failure.NOT_RUN
@@ -611,10 +543,6 @@
     return
 
 
-def _ignore_change() -> None:
-    return
-
-
 def _make_empty_body(inbound: ingress.Inbound) -> bytes | None:
     """Return an empty body if the caller sent one, else None."""
     has_body = "content-length" in inbound.headers
