Mutants of limits, pauses and answers of leaving upstreams

Fourteen guards, each removed once, and the test seen to fail. One was not noticed at first, a limit that all nodes try at once when nobody confirms it: the test counted only nodes that an answer had told. It now counts all of them, which is stricter, and notices it.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -50,7 +50,117 @@
 _FEEDS = "tests.test_feeds"
 _FORMATION = "tests.test_formation.FormationTest"
 _PLACING = "tests.test_placing"
+_SHARES = "tests.test_limits.SharesTest"
+_WITHDRAWALS = "tests.test_withdrawals"
 MUTANTS = (
+    Mutant(
+        "every node holds a share of every limit",
+        f"{_COORDINATION}/requests/ratelimits.py",
+        "        wanted = _MIN_HOLDERS"
+        " + int(_HOLDERS_PER_RATE * limit.applied_rate)\n",
+        "        wanted = len(self._nodes)\n",
+        f"{_SHARES}.test_all_nodes_together_keep_to_a_limit",
+    ),
+    Mutant(
+        "a holder of a limit sends as much as it likes",
+        f"{_COORDINATION}/requests/ratelimits.py",
+        "            limit.tokens -= 1.0\n",
+        "            pass\n",
+        f"{_SHARES}.test_all_nodes_together_keep_to_a_limit",
+    ),
+    Mutant(
+        "an older report of a limit replaces a newer answer",
+        f"{_COORDINATION}/requests/ratelimits.py",
+        "            if known is None or observed_at > known.observed_at:\n",
+        "            if True:\n",
+        f"{_SHARES}.test_an_old_report_does_not_bring_a_limit_back",
+    ),
+    Mutant(
+        "nobody succeeds the silent holders of a limit",
+        f"{_COORDINATION}/requests/ratelimits.py",
+        "        successors = int(max(silent, 0.0) * limit.applied_rate)\n",
+        "        successors = 0\n",
+        f"{_SHARES}.test_a_limit_is_kept_while_its_holders_send_nothing",
+    ),
+    Mutant(
+        "all nodes try an upstream whose limit nobody confirms",
+        f"{_COORDINATION}/requests/ratelimits.py",
+        "        successors = int(max(silent, 0.0) * limit.applied_rate)\n",
+        "        successors = len(self._nodes) if silent > 0 else 0\n",
+        f"{_SHARES}.test_a_limit_is_kept_while_its_holders_send_nothing",
+    ),
+    Mutant(
+        "the end of a limit is not reported",
+        f"{_COORDINATION}/requests/ratelimits.py",
+        "            if now < limit.reported_until\n",
+        "            if now < limit.reported_until and limit.rate\n",
+        f"{_SHARES}.test_all_nodes_learn_that_a_limit_has_ended",
+    ),
+    Mutant(
+        "relays pass limits on without the time they held them",
+        f"{_COORDINATION}/peers/digests.py",
+        "limits_module.LimitReport(limit.rate, limit.age + age)",
+        "limits_module.LimitReport(limit.rate, limit.age)",
+        f"{_DIGESTS}.LargeFleetTest"
+        ".test_every_node_learns_a_limit_and_the_age_of_its_answer",
+    ),
+    Mutant(
+        "upstreams that limit their requests are chosen like others",
+        f"{_COORDINATION}/requests/balancing.py",
+        "            if self.limits.permits(upstream.id, now)\n",
+        "            if True\n",
+        "tests.test_limits.LimitedServerTest"
+        ".test_nodes_together_keep_to_the_limit_of_a_plain_server",
+    ),
+    Mutant(
+        "upstreams that asked for a pause are chosen like others",
+        f"{_COORDINATION}/requests/balancing.py",
+        "            if not self.withdrawals"
+        ".get_remaining(upstream.id, now)\n",
+        "            if True\n",
+        f"{_WITHDRAWALS}.WithdrawnServerTest"
+        ".test_a_plain_server_is_left_alone_for_its_pause",
+    ),
+    Mutant(
+        "a shorter pause ends a longer one",
+        f"{_COORDINATION}/requests/withdrawals.py",
+        "max(end, self._pauses.get(instance, end))",
+        "end",
+        f"{_WITHDRAWALS}.PauseTest"
+        ".test_a_shorter_pause_does_not_end_a_longer_one",
+    ),
+    Mutant(
+        "own entries forget the pauses of upstreams",
+        f"{_COORDINATION}/requests/routing.py",
+        "        if ended.pause > 0:\n",
+        "        if False:\n",
+        "tests.test_sockets.UpstreamTest"
+        ".test_upstreams_that_ask_for_a_pause_are_left_alone",
+    ),
+    Mutant(
+        "a plain server's answer that it leaves is not heeded",
+        f"{_COORDINATION}/requests/balancing.py",
+        "                and not self.withdrawals.is_leaving(upstream)\n",
+        "",
+        f"{_WITHDRAWALS}.LeavingServerTest"
+        ".test_a_plain_server_that_leaves_gets_no_more_requests",
+    ),
+    Mutant(
+        "a leader's answer that it leaves is not heeded",
+        f"{_COORDINATION}/requests/balancing.py",
+        "            if not self.withdrawals.is_leaving(leader)\n",
+        "            if True\n",
+        f"{_WITHDRAWALS}.LeavingServerTest"
+        ".test_a_leader_that_leaves_gets_no_more_requests",
+    ),
+    Mutant(
+        "a server is left alone because its predecessor left",
+        f"{_COORDINATION}/requests/withdrawals.py",
+        "        return 0 in births or departure.born == upstream.born\n",
+        "        return True\n",
+        f"{_WITHDRAWALS}.LeavingTest"
+        ".test_a_server_started_again_under_its_id_is_used",
+    ),
     Mutant(
         "a slightly slow instance is reported as slow",
         "currantwall/transport/duties.py",
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -275,8 +275,10 @@
             if node.is_holder(_SERVER, fleet.now):
                 del fleet.nodes[name]
         fleet.run(60.0)
-        self.check_limit(fleet, 1.0, 4.0)
-        self.assertTrue(any(at > 30.0 for at in fleet.sent))
+        # Also the nodes that only know the limit by reports keep to it.
+        late = [at for at in fleet.sent if at >= 4.0]
+        self.assertLessEqual(count_most_arrivals(late), count_allowed(1.0))
+        self.assertTrue(any(at > 30.0 for at in late))
         fleet.rate = None
         fleet.run(90.0)
         self.assertEqual(fleet.count_restrained(), 0)
