Soak: servers name limits, ask for pauses and say that they leave

The plan draws these three from random numbers of their own, so that the other disturbances of each seed stay as they were; the checks count per gateway process what reached the server after it had been told, over restarts, configurations, cuts and pauses. Each check has its test on made-up records.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -182,6 +182,16 @@
         body = {key.replace("_", "-"): text for key, text in headers.items()}
         self.http.request("POST", url, body=msgspec.json.encode(body))
 
+    def set_pause(self, name: str, seconds: float) -> None:
+        """Have a server refuse all requests and ask for a pause.
+
+        Args:
+            name: The server.
+            seconds: The pause; 0 to have it take requests again.
+        """
+        url = f"http://{self.addresses[name]}/control/pause"
+        self.http.request("POST", url, body=msgspec.json.encode(seconds))
+
     def list_arrivals(self, name: str) -> list[float]:
         """Return the monotonic times at which requests reached a server."""
         url = f"http://{self.addresses[name]}/control/arrivals"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -31,6 +31,10 @@
     CUT_UPSTREAM = "cut_upstream"
     CUT_ENTRY = "cut_entry"
     CONFIGURE = "configure"
+    # What a server says in its answers: a limit, a pause, that it leaves.
+    LIMIT_UPSTREAM = "limit_upstream"
+    REFUSE_UPSTREAM = "refuse_upstream"
+    LEAVE_UPSTREAM = "leave_upstream"
 
 
 # Relative frequency of each kind.
@@ -68,6 +72,13 @@
     Kind.CUT_UPSTREAM,
     Kind.CUT_ENTRY,
 )
+_ADVISORY_KINDS = (
+    Kind.LIMIT_UPSTREAM,
+    Kind.REFUSE_UPSTREAM,
+    Kind.LEAVE_UPSTREAM,
+)
+# Most seconds between two servers that ask something in their answers.
+_MAX_ADVISORY_PAUSE = 4.0
 # How a link may fail: the values of `proxy.Mode` but for passing.
 _LINK_MODES = ("delayed", "silent", "one_way", "resetting")
 # Seconds before the first disturbance, and at most between the starts of
@@ -134,4 +145,25 @@
         disturbances.append(Disturbance(at, kind, lasts, target, way))
         in_series = rng.random() < _SERIES_SHARE
         at += rng.uniform(0.0, _MAX_SERIES_PAUSE if in_series else _MAX_PAUSE)
+    disturbances += _plan_advisories(seed, seconds, upstreams)
+    return sorted(disturbances, key=lambda disturbance: disturbance.at)
+
+
+def _plan_advisories(
+    seed: int, seconds: float, upstreams: abc.Sequence[str]
+) -> list[Disturbance]:
+    """Return when servers ask something of the gateways.
+
+    It has random numbers of its own, so that the other disturbances of a
+    seed stay what they were without it.
+    """
+    rng = random.Random(f"{seed}/advisories")
+    disturbances = []
+    at = _START_DELAY
+    while at < seconds:
+        kind = rng.choice(_ADVISORY_KINDS)
+        lasts = rng.uniform(_MIN_DURATION, _MAX_DURATION)
+        target = rng.choice(upstreams)
+        disturbances.append(Disturbance(at, kind, lasts, target))
+        at += rng.uniform(0.0, _MAX_ADVISORY_PAUSE)
     return disturbances
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from soak import advisories
 from soak import callers as callers_module
 from soak import plan as plan_module
 from soak import promises
@@ -67,6 +68,7 @@
             time.monotonic(),
         )
         violations += promises.check_all(observed)
+        violations += advisories.check_all(observed)
         violations += _find_failures(site)
         if violations and keep is not None:
             shutil.copytree(site.path, keep / f"seed-{seed}")
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,5 +1,6 @@
 """The processes of a soak, and the disturbances that act on them."""
 
+import contextlib
 import pathlib
 import signal
 import sys
@@ -8,13 +9,14 @@
 
 import eventlet
 import msgspec
+import urllib3
 
 from bench import fleet as fleet_module
 from bench import gateways as gateways_module
 from soak import plan as plan_module
 from soak import proxy as proxy_module
 
-__all__ = ["Site"]
+__all__ = ["LIMIT", "Site"]
 
 Kind = plan_module.Kind
 Mode = proxy_module.Mode
@@ -30,6 +32,11 @@
 _READY_TIMEOUT = 60.0
 # Number of newest versions whose own routes are in the configuration.
 _KEPT_VERSIONS = 3
+# Requests a second that a limited server takes, seconds beyond a
+# disturbance's own for which it says so, and the pause of refusals.
+LIMIT = 2.0
+_LIMIT_TIME = 8.0
+_PAUSE_SECONDS = 2.0
 _CLOCK_SKEW = -60.0  # seconds
 # Seconds until the operator repeats a write that failed.
 _RETRY_INTERVAL = 0.2
@@ -269,6 +276,30 @@
         self._kill_process(disturbance.target, "drained")
         self.launch_upstream(disturbance.target)
 
+    def _limit_upstream(self, disturbance: plan_module.Disturbance) -> None:
+        self._say(disturbance.target, Server_Limit=f"{LIMIT:g}")
+        eventlet.sleep(_LIMIT_TIME + disturbance.lasts)
+        self._say(disturbance.target)
+
+    def _refuse_upstream(self, disturbance: plan_module.Disturbance) -> None:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            self.set_pause(disturbance.target, _PAUSE_SECONDS)
+            eventlet.sleep(disturbance.lasts)
+            self.set_pause(disturbance.target, 0.0)
+
+    def _leave_upstream(self, disturbance: plan_module.Disturbance) -> None:
+        """Have a server say that it leaves, which its entry does not."""
+        self._down.add(disturbance.target)
+        self._say(disturbance.target, Server_Leaving="1")
+        eventlet.sleep(_DRAIN_TIME + disturbance.lasts)
+        self._kill_process(disturbance.target, "drained")
+        self.launch_upstream(disturbance.target)
+
+    def _say(self, name: str, **headers: str) -> None:
+        """Set the headers of a server's answers, unless it is down."""
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            self.set_headers(name, **headers)
+
     # -- Queries
 
     def find_gateway(self, front: str) -> str:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -18,9 +18,12 @@
 
 ``/control/runs`` returns the requests that it ran, ``/control/arrivals`` the
 time of each request that reached it. ``/control/headers`` takes a JSON object
-of headers that it then adds to all of its answers. If a record file is
-given, runs and changes of the server's seat are appended to it too, and
-can be read when the process has died.
+of headers that it then adds to all of its answers, ``/control/pause`` a number
+of seconds: while it is not 0, each request is refused and asked to wait so
+long.
+
+If a record file is given, arrivals, runs and changes of the server's seat and
+headers are appended to it, and can be read when the process has died.
 """
 
 from collections import abc
@@ -88,6 +91,7 @@
         self._runs: list[dict[str, typing.Any]] = []
         self._arrivals: list[float] = []
         self._extra_headers: list[tuple[str, str]] = []
+        self._pause_seconds = 0.0
         self.state = "ready"
         self._record_file = -1
         if record:
@@ -155,6 +159,10 @@
         if path == "/control/headers":
             extra = msgspec.json.decode(inbound.body, type=dict[str, str])
             self._extra_headers = list(extra.items())
+            self._write_record("headers", headers=extra)
+            return _answer_json(200, {})
+        if path == "/control/pause":
+            self._pause_seconds = msgspec.json.decode(inbound.body, type=float)
             return _answer_json(200, {})
         if path == "/control/drain":
             self.state = "draining"
@@ -172,6 +180,12 @@
         if path == "/currantwall/order":
             return self._handle_order(msgspec.json.decode(inbound.body))
         self._arrivals.append(time.monotonic())
+        attempt = inbound.headers.get("X-Attempt-Id", "")
+        self._write_record(
+            "arrival", attempt=attempt, pause=self._pause_seconds
+        )
+        if self._pause_seconds:
+            return _refuse(attempt, self._pause_seconds)
         reply = self._run_request(inbound)
         reply.headers += self._extra_headers
         return reply
@@ -321,6 +335,16 @@
     raise ConnectionAbortedError("connection reset by the stand-in")
 
 
+def _refuse(attempt: str, pause: float) -> Reply:
+    """Return a refusal that asks for a pause, in seconds."""
+    headers = [
+        ("X-Not-Executed", "1"),
+        ("X-Attempt-Id", attempt),
+        ("Retry-After", f"{pause:g}"),
+    ]
+    return Reply(status=503, headers=headers, body=b"")
+
+
 def _answer_json(status: int, body: typing.Any) -> Reply:
     headers = [("Content-Type", "application/json")]
     return Reply(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import sys
 import unittest
 
+from soak import advisories
 from soak import callers
 from soak import plan
 from soak import promises
@@ -226,5 +227,90 @@
         self.assert_broken("final_answers")
 
 
+class AdvisoriesTest(unittest.TestCase):
+    """Guards against checks that miss requests which servers did not want.
+
+    Each test has a server ask something at 10 s, and requests at intervals
+    after that.
+    """
+
+    def setUp(self):
+        self.lines = [{"at": 1.0, "what": "start"}]
+        self.attempts = []
+        self.history = [(1.0, "started", "a1"), (1.0, "started", "g1")]
+
+    def say(self, at, **headers):
+        named = {key.replace("_", "-"): text for key, text in headers.items()}
+        self.lines.append({"at": at, "what": "headers", "headers": named})
+
+    def send(self, first, interval, count, pause=0.0, process="g1#1"):
+        """Add requests that reach the server and are answered."""
+        for number in range(count):
+            at = first + interval * number
+            name = f"r{len(self.attempts)}"
+            self.attempts.append(
+                callers.Attempt(
+                    id=name,
+                    method="GET",
+                    target="/safe/x",
+                    body=b"",
+                    gateway=process.partition("#")[0],
+                    process=process,
+                    began=at,
+                    ended=at + 0.05,
+                    status=503 if pause else 200,
+                    seal="" if pause else "seal.a1",
+                )
+            )
+            self.lines.append(
+                {"at": at, "what": "arrival", "attempt": name, "pause": pause}
+            )
+
+    def check(self):
+        found = advisories.check_all(
+            promises.Observed(
+                self.attempts, {"a1": self.lines}, self.history, {}, 60.0
+            )
+        )
+        return {line.partition(":")[0] for line in found}
+
+    def test_a_limit_that_is_exceeded(self):
+        self.say(10.0, Server_Limit="2")
+        self.send(10.1, 0.2, 100)
+        self.assertEqual(self.check(), {"limit"})
+
+    def test_a_limit_exceeded_by_the_sum_of_two_gateways(self):
+        self.history.append((1.0, "started", "g2"))
+        self.say(10.0, Server_Limit="2")
+        self.send(10.1, 0.4, 50)
+        self.assertEqual(self.check(), set())
+        self.send(10.2, 0.4, 50, process="g2#2")
+        self.assertEqual(self.check(), {"limit"})
+
+    def test_a_limit_that_has_ended_or_is_not_known(self):
+        self.say(10.0, Server_Limit="2")
+        self.say(14.0)
+        self.send(10.1, 0.2, 100)
+        self.assertEqual(self.check(), set())
+
+    def test_a_pause_that_is_not_kept(self):
+        self.send(10.0, 1.0, 1, pause=3.0)
+        self.send(11.1, 0.5, 2, pause=3.0)
+        self.assertEqual(self.check(), set())
+        self.send(12.8, 0.1, 1, pause=3.0)
+        self.assertEqual(self.check(), {"pause"})
+        self.history.append((11.0, "resumed", "g1"))
+        self.assertEqual(self.check(), set())
+
+    def test_a_leaving_server_that_gets_requests(self):
+        self.say(10.0, Server_Leaving="1")
+        self.send(10.1, 0.5, 3)
+        self.assertEqual(self.check(), set())
+        self.send(13.0, 1.0, 1)
+        self.assertEqual(self.check(), {"leaving"})
+        self.lines.insert(5, {"at": 12.5, "what": "start"})
+        self.assertEqual(self.check(), set())
+
+
 if __name__ == "__main__":
     unittest.main()
