--- a/soak/advisories.py
+++ b/soak/advisories.py
@@ -1,7 +1,8 @@
 """Checks that gateways heed what servers ask in their answers.
 
-They are checked for gateways that were neither stopped, killed, paused
-nor cut off, and for servers that could be reached.
+They are checked for gateways that were neither paused nor cut off, and
+for servers that ran and could be reached. A gateway that starts again is
+another process, which knows nothing until it is told.
 """
 
 import bisect
@@ -12,13 +13,12 @@
 import msgspec
 
 from soak import promises
-from soak import site
 
 __all__ = ["check_all"]
 
 # Seconds after an answer from which it must be heeded, and a tolerance for
 # a busy machine.
-_REACTION_TIME = 0.5 + 0.5
+_REACTION_TIME = 0.5 + 0.25
 # Seconds after a limit was first named from which it holds.
 _SETTLE_TIME = 3.0
 # What a limit allows in a window of some seconds: a multiple of it, and
@@ -30,8 +30,11 @@
 _MAX_IN_PAUSE = 2
 # Seconds after an answer by which a leaving server gets no new requests.
 _LEAVING_TIME = 2.0
-# Seconds around a disturbance in which a gateway is excused.
-_CALM_TIME = 6.0
+# Seconds after a disturbance in which a gateway or server is excused, and
+# the events that begin and end one.
+_CALM_TIME = 3.0
+_BEGINNINGS = ("paused", "cut_gateway", "cut_upstream", "cut_entry")
+_ENDS = ("resumed", "mended")
 _LIMIT_HEADER = "Server-Limit"
 _LEAVING_HEADER = "Server-Leaving"
 
@@ -106,16 +109,17 @@
     cut off, arrives late.
     """
     names = (arrival.attempt.gateway, server)
-    state: dict[str, str] = {}
+    disturbed: set[str] = set()
     for at, what, name in observed.history:
-        if name not in names or what in ("reloaded", "draining", "drained"):
+        if name not in names or what not in (*_BEGINNINGS, *_ENDS):
             continue
         if arrival.at - _CALM_TIME <= at <= arrival.at:
             return False
-        if at <= arrival.at:
-            state[name] = what
-    ended = ("started", "resumed", "mended")
-    return all(what in ended for what in state.values())
+        if at <= arrival.at and what in _BEGINNINGS:
+            disturbed.add(name)
+        elif at <= arrival.at:
+            disturbed.discard(name)
+    return not disturbed
 
 
 def _list_told(
@@ -142,10 +146,11 @@
     calm: abc.Collection[_Arrival],
 ) -> abc.Iterator[str]:
     """Yield windows in which a server got more than its limit allows."""
-    allowed = _FACTOR * site.LIMIT * _WINDOW + _SLACK
     for span in spans:
         if _LIMIT_HEADER not in span.headers:
             continue
+        limit = float(span.headers[_LIMIT_HEADER])
+        allowed = _FACTOR * limit * _WINDOW + _SLACK
         told = _list_told(name, span, arrivals)
         counted = sorted(
             arrival.at
--- a/soak/site.py
+++ b/soak/site.py
@@ -16,7 +16,7 @@
 from soak import plan as plan_module
 from soak import proxy as proxy_module
 
-__all__ = ["LIMIT", "Site"]
+__all__ = ["Site"]
 
 Kind = plan_module.Kind
 Mode = proxy_module.Mode
@@ -34,9 +34,9 @@
 _KEPT_VERSIONS = 3
 # Requests a second that a limited server takes, seconds beyond a
 # disturbance's own for which it says so, and the pause of refusals.
-LIMIT = 2.0
+_LIMIT = 0.5
 _LIMIT_TIME = 8.0
-_PAUSE_SECONDS = 2.0
+_PAUSE_SECONDS = 4.0
 _CLOCK_SKEW = -60.0  # seconds
 # Seconds until the operator repeats a write that failed.
 _RETRY_INTERVAL = 0.2
@@ -277,7 +277,7 @@
         self.launch_upstream(disturbance.target)
 
     def _limit_upstream(self, disturbance: plan_module.Disturbance) -> None:
-        self._say(disturbance.target, Server_Limit=f"{LIMIT:g}")
+        self._say(disturbance.target, Server_Limit=f"{_LIMIT:g}")
         eventlet.sleep(_LIMIT_TIME + disturbance.lasts)
         self._say(disturbance.target)
 
