Serve organisations by attained service while capacity is short

Cause: the queue knew no organisations, so that one with ten times its share made the requests of all others late, and over a hundred gateways overran the replicas: by counts as old as a request lasts each found a free slot for every new request.

Change: attained service by organisation in a sketch of fixed size that relays add up; requests of organisations over their share start later and leave a part of each replica. Where counts come through relays, gateways start only as many new requests as slots become free, and choose among replicas by free slots while some are full; late requests fill 0.65 of a replica instead of 0.85.

--- a/currantwall/coordination/requests/backlog.py
+++ b/currantwall/coordination/requests/backlog.py
@@ -7,8 +7,9 @@
 for as long as the load lasts and for some seconds after it.
 
 Requests therefore wait here. Those that can still be in time go first,
-the newest before the others: more arrive than can be served, and a
-request that starts at the last moment is late as often as not. The late
+those of organisations that have attained the least service before the
+others (`attained`), and the newest first: more arrive than can be served,
+and a request that starts at the last moment is late as often as not. The late
 ones get the slots that are left. A request that cannot start before its
 caller gives up is rejected at once, with the time after which the backlog
 will have been worked off.
@@ -56,6 +57,8 @@
             caller gives up before the first event.
         rank: Rank among requests that can be in time; 0 goes first.
         excluded: Replicas that it has tried, by `Upstream.epoch_id`.
+        organisation: Organisation of the caller; empty if it has none.
+        cost: Replica time that the request takes, in seconds.
     """
 
     request: str
@@ -67,6 +70,8 @@
     start_deadline: float
     rank: int = 0
     excluded: abc.Container[str] = ()
+    organisation: ids.OrganisationName = ids.OrganisationName("")
+    cost: float = 0.0
 
 
 class _FirstEventEstimate:
@@ -100,8 +105,17 @@
 class Backlog:
     """The queues of one gateway, one for each kind of request."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, find_level: abc.Callable[[Ticket, float], int] | None = None
+    ) -> None:
+        """Create empty queues.
+
+        Args:
+            find_level: Returns how far the organisation of a request is
+                over its share at a time; 0 if it isn't.
+        """
         self._queues: dict[Kind, _Queue] = {}
+        self._find_level = find_level or _get_no_level
 
     def _get(self, kind: Kind) -> _Queue:
         queue = self._queues.get(kind)
@@ -149,12 +163,13 @@
 
     def _make_sort_key(
         self, ticket: Ticket, queue: _Queue, now: float
-    ) -> tuple[bool, int, float]:
+    ) -> tuple[bool, int, int, float]:
         """Return the key that sorts requests by the order they start in."""
+        level = self._find_level(ticket, now)
         if self.is_late(ticket, now):
             # The request whose caller gives up first goes first.
-            return True, 0, ticket.start_deadline
-        return False, ticket.rank, -ticket.objective
+            return True, 0, level, ticket.start_deadline
+        return False, ticket.rank, level, -ticket.objective
 
     # -- Estimates
 
@@ -251,6 +266,10 @@
         }
 
 
+def _get_no_level(ticket: Ticket, now: float) -> int:
+    return 0
+
+
 def divide_slots(free: float, own: int, others: int) -> float:
     """Return the share of the free slots that one gateway may fill.
 
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -22,7 +22,9 @@
 
 import msgspec
 
+from currantwall.coordination.requests import attained
 from currantwall.coordination.requests import loads as loads_module
+from currantwall.coordination.requests import pacing
 from currantwall.coordination.requests import ratelimits
 from currantwall.coordination.requests import withdrawals
 from currantwall.state import hashing
@@ -103,6 +105,8 @@
     earliest: float = 0.0
 
 
+_ALL_FULL = Unavailable("all are full", _SATURATION_RETRY_AFTER, is_full=True)
+
 # A function that returns how many requests an upstream may have in flight.
 LimitFunction = abc.Callable[[upstreams.Upstream], int]
 
@@ -135,6 +139,8 @@
     Attributes:
         limits: Limits that upstreams set on the requests of all nodes.
         withdrawals: Upstreams that have asked for no more requests.
+        attained: Service that organisations have attained at all nodes.
+        arrivals: Arrival rates of new requests at all nodes.
     """
 
     def __init__(
@@ -156,8 +162,10 @@
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
+        self.attained = attained.AttainedService(self._remote.get)
+        self.arrivals = pacing.ArrivalRates(self._remote.get)
         # Requests that wait at this node, by the key they are reported as.
-        self.waiting: abc.Mapping[str, int] = {}
+        self.waiting: dict[str, int] = {}
         # Whether the counts of other nodes are passed on by relays.
         self.are_counts_relayed = False
         # Whether any node has sent a request to an upstream yet.
@@ -190,23 +198,58 @@
             service_time: Seconds that an upstream works on a request; 0
                 where it isn't known.
         """
-        usable = self._list_usable(service, model, excluded, now)
-        if isinstance(usable, Unavailable):
-            return usable
+        candidates = self._list_usable(service, model, excluded, now)
+        if isinstance(candidates, Unavailable):
+            return candidates
+        usable = candidates
         if get_limit is not None:
             usable = [
                 upstream
-                for upstream in usable
+                for upstream in candidates
                 if self.count_load(upstream.id) < get_limit(upstream)
             ]
-            if not usable:
-                return Unavailable(
-                    "all are full",
-                    _SATURATION_RETRY_AFTER,
-                    is_full=True,
+            is_any_full = len(usable) < len(candidates)
+            if is_any_full and self.are_counts_relayed and service_time > 0:
+                return self._choose_by_free_slots(
+                    candidates, salt, get_limit, service_time
                 )
+            if not usable:
+                return _ALL_FULL
         return self._choose_usable(usable, salt, service_time)
 
+    def _choose_by_free_slots(
+        self,
+        candidates: list[upstreams.Upstream],
+        salt: str,
+        get_limit: LimitFunction,
+        service_time: float,
+    ) -> upstreams.Upstream | Unavailable:
+        """Return an upstream, with a probability by its free slots.
+
+        Failure: while most replicas of a large fleet are full, all nodes
+        choose the few that their counts show to be free, and overrun them
+        for as long as the counts are old. The others become idle
+        meanwhile, and the next counts make all nodes choose those.
+        """
+        free = [
+            pacing.estimate_free_slots(
+                get_limit(upstream),
+                self.count_load(upstream.id),
+                service_time,
+                _RELAY_DELAY,
+            )
+            for upstream in candidates
+        ]
+        total = sum(free)
+        if total <= 0:
+            return _ALL_FULL
+        point = hashing.hash_text(f"{salt}/free") / _HASH_COUNT * total
+        for upstream, slots in zip(candidates, free, strict=True):
+            point -= slots
+            if point < 0:
+                return upstream
+        return candidates[-1]
+
     def _list_usable(
         self,
         service: ids.ServiceName,
@@ -284,6 +327,49 @@
             ),
         )
 
+    def compute_started_part(
+        self,
+        service: ids.ServiceName,
+        model: str,
+        kind: str,
+        get_limit: LimitFunction,
+        service_time: float,
+        now: float,
+    ) -> float:
+        """Return the part of a model's new requests that may be started.
+
+        Args:
+            service: Service of the replicas.
+            model: Their model.
+            kind: The key of arrival rates.
+            get_limit: Returns the requests that a replica can run at once.
+            service_time: Seconds that a request takes.
+            now: Monotonic time.
+        """
+        free = sum(
+            pacing.estimate_free_slots(
+                get_limit(upstream),
+                self.count_load(upstream.id),
+                service_time,
+                _RELAY_DELAY,
+            )
+            for upstream in self._list_open(service, model, now)
+        )
+        arrivals = self.arrivals.sum_rates(kind, now) * _RELAY_DELAY
+        return min(free / arrivals, 1.0) if arrivals > 0 else 1.0
+
+    def _list_open(
+        self, service: ids.ServiceName, model: str, now: float
+    ) -> list[upstreams.Upstream]:
+        """Return the leaders that may take requests, full ones too."""
+        return [
+            upstream
+            for upstream in self._list_candidates(service, model)
+            if not self._is_ejected(upstream, now)
+            and not self.withdrawals.get_remaining(upstream.id, now)
+            and self.limits.permits(upstream.id, now)
+        ]
+
     def count_free_slots(
         self,
         service: ids.ServiceName,
@@ -294,10 +380,7 @@
         """Return how many more requests a model's replicas can take."""
         return sum(
             max(0, get_limit(upstream) - self.count_load(upstream.id))
-            for upstream in self._list_candidates(service, model)
-            if not self._is_ejected(upstream, now)
-            and not self.withdrawals.get_remaining(upstream.id, now)
-            and self.limits.permits(upstream.id, now)
+            for upstream in self._list_open(service, model, now)
         )
 
     def _choose_usable(
@@ -595,7 +678,9 @@
             lost = sum(now - at <= _LOST_SECONDS for at in health.lost_at)
             if lost:
                 counts[_format_lost_key(name)] = lost
-        return counts | dict(self.waiting)
+        counts |= self.waiting
+        counts |= self.attained.list_counts(now)
+        return counts | self.arrivals.list_counts(now)
 
     def count_remote_waiting(self, key: str) -> int:
         """Return the requests that wait at other nodes under a key."""
--- a/currantwall/coordination/requests/capacity.py
+++ b/currantwall/coordination/requests/capacity.py
@@ -13,6 +13,7 @@
     "compute_limit",
     "adjust_limit",
     "estimate_answer_time",
+    "estimate_cost",
     "estimate_first_event_time",
     "estimate_pass_time",
 ]
@@ -25,6 +26,13 @@
 # requests take every slot: the counts of many gateways differ a little,
 # and one of them always sees a free slot.
 _LATE_SHARE = 0.85
+# The same where counts come through relays. They are nearly as old as a
+# request lasts, and a replica receives some requests more or fewer in that
+# time than on average: twice the square root of nine is about a third of
+# 17 slots. With a smaller reserve, late requests and those in time together
+# overran the replicas, and both waited in the engines' queues for as long
+# as the load of late requests lasted.
+_RELAYED_LATE_SHARE = 0.65
 
 
 def estimate_pass_time(
@@ -73,15 +81,45 @@
     return passes * estimate_pass_time(timing, pace, requests)
 
 
-def adjust_limit(limit: int, late: bool) -> int:
+def estimate_cost(
+    timing: routes.Timing, pace: float, slots: int, prompt: int, answer: int
+) -> float:
+    """Return the replica time that one request takes, in seconds.
+
+    A decoding step is shared by the requests of a full batch.
+
+    Args:
+        timing: Timing of the engine.
+        pace: Factor on all times of the replica.
+        slots: Requests of a full batch.
+        prompt: Tokens of the prompt.
+        answer: Tokens of the answer.
+    """
+    context = prompt + answer / 2
+    step = timing.step / slots + timing.per_request
+    step += timing.per_token * context
+    return (prompt * timing.read_token + answer * step) * pace
+
+
+def adjust_limit(
+    limit: int,
+    late: bool,
+    is_over_share: bool = False,
+    are_counts_relayed: bool = False,
+) -> int:
     """Return the requests in flight below which one more may be sent.
 
     Args:
         limit: Requests that the replica can serve at once.
         late: Whether the request to be sent is late in any case.
+        is_over_share: Whether its organisation has attained more than its
+            share while capacity is short.
+        are_counts_relayed: Whether the counts of other gateways are passed
+            on by relays.
     """
-    if late:
-        return max(1, int(limit * _LATE_SHARE))
+    if late or is_over_share:
+        share = _RELAYED_LATE_SHARE if are_counts_relayed else _LATE_SHARE
+        return max(1, int(limit * share))
     return limit + _PREFETCHED_REQUESTS
 
 
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -17,6 +17,7 @@
 from currantwall.coordination.requests import backlog as backlog_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import capacity
+from currantwall.coordination.requests import pacing
 from currantwall.state import upstreams
 
 __all__ = ["Placement", "Placer", "Refusal"]
@@ -39,6 +40,14 @@
 _USUAL_PAUSE_FACTOR = 1.5
 
 
+# The result for a new request that must wait although a slot seems free.
+_WAITS_FOR_OTHERS = balancing.Unavailable(
+    "requests at other gateways take the free slots",
+    _DEFAULT_SERVICE_TIME,
+    is_full=True,
+)
+
+
 def _estimate_usual_pause(ticket: Ticket) -> float:
     """Return the mean pause above which a replica is slow, in seconds."""
     timing = ticket.engine.timing
@@ -90,7 +99,8 @@
 
     def __init__(self, balancer: balancing.Balancer) -> None:
         self._balancer = balancer
-        self.backlog = backlog_module.Backlog()
+        self._attained = balancer.attained
+        self.backlog = backlog_module.Backlog(self._find_level)
         # Slots, in fractions, that this gateway may still fill, by kind.
         self._credit: dict[Kind, float] = {}
 
@@ -105,11 +115,41 @@
         found no free slot a moment ago.
         """
         self._set_initial_estimate(ticket)
+        self._note_remote_waiting(ticket.kind, now)
+        if self._balancer.are_counts_relayed:
+            key = backlog_module.format_count_key(ticket.kind)
+            self._balancer.arrivals.note_arrival(key, now)
         found = self._choose(ticket, now)
         if isinstance(found, balancing.Unavailable):
             return found
+        if not self._may_start(ticket, now):
+            return _WAITS_FOR_OTHERS
         return self._assign(ticket, found, now)
 
+    def _may_start(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a new request may take a slot that seems free."""
+        if not self._balancer.are_counts_relayed:
+            return True
+        key = backlog_module.format_count_key(ticket.kind)
+        part = self._balancer.compute_started_part(
+            ticket.kind.service,
+            ticket.kind.model,
+            key,
+            self._make_limit_function(ticket, now),
+            _estimate_service_time(ticket),
+            now,
+        )
+        return pacing.is_started(part, ticket.request)
+
+    def _count_free_slots(self, ticket: Ticket, now: float) -> int:
+        """Return the slots of all replicas that a request may take."""
+        return self._balancer.count_free_slots(
+            ticket.kind.service,
+            ticket.kind.model,
+            self._make_limit_function(ticket, now),
+            now,
+        )
+
     def add(self, ticket: Ticket) -> None:
         """Add a request to the backlog."""
         self.backlog.add(ticket)
@@ -152,6 +192,7 @@
 
         To be called every `TICK` seconds.
         """
+        self._note_remote_waiting(kind, now)
         tickets = self.backlog.list_tickets(kind, now)
         credit = self._compute_credit(kind, tickets, now)
         placements = []
@@ -173,12 +214,7 @@
         """Return the slots that this gateway may fill now, in fractions."""
         if not tickets:
             return 0.0
-        free = self._balancer.count_free_slots(
-            kind.service,
-            kind.model,
-            self._make_limit_function(tickets[0], now),
-            now,
-        )
+        free = self._count_free_slots(tickets[0], now)
         others = self._balancer.count_remote_waiting(
             backlog_module.format_count_key(kind)
         )
@@ -213,9 +249,29 @@
         """Assign a slot and count it as taken."""
         late = self.backlog.is_late(ticket, now)
         self._balancer.begin(upstream.id, now)
+        if ticket.organisation:
+            self._attained.note_start(
+                backlog_module.format_count_key(ticket.kind),
+                ticket.organisation,
+                ticket.cost,
+                now,
+            )
         self.backlog.note_start(ticket.kind, late, now)
         return Placement(ticket, upstream, not late)
 
+    def _note_remote_waiting(self, kind: Kind, now: float) -> None:
+        """Note that capacity is short if requests wait at any node."""
+        key = backlog_module.format_count_key(kind)
+        if self._balancer.count_all_waiting(key):
+            self._attained.note_waiting(key, now)
+
+    def _find_level(self, ticket: Ticket, now: float) -> int:
+        """Return how far a request's organisation is over its share."""
+        if not ticket.organisation:
+            return 0
+        key = backlog_module.format_count_key(ticket.kind)
+        return self._attained.find_level(key, ticket.organisation, now)
+
     def _publish_counts(self) -> None:
         """Update the counts of waiting requests that the balancer reports."""
         counts = self.backlog.list_counts()
@@ -241,13 +297,16 @@
     ) -> balancing.LimitFunction:
         """Return a function that gives each replica's limit for a request."""
         late = self.backlog.is_late(ticket, now)
+        is_over_share = not late and self._find_level(ticket, now) > 0
         usual = _estimate_usual_pause(ticket)
 
         def compute_limit(slowness: float) -> int:
             limit = capacity.compute_limit(
                 ticket.engine, ticket.kind.model, ticket.gap, slowness
             )
-            return capacity.adjust_limit(limit, late)
+            return capacity.adjust_limit(
+                limit, late, is_over_share, self._balancer.are_counts_relayed
+            )
 
         # Computed once for all replicas that are not slow.
         usual_limit = compute_limit(1.0)
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -99,7 +99,7 @@
         )
         self._connections = exchanges.Connections(self._now)
         self._queue = queues.Queue(
-            self._balancer, self._meter, self._log, self._now
+            self._balancer, names, self._meter, self._log, self._now
         )
         self._advisories = advisories.Advisories(
             self._balancer,
--- a/currantwall/protocol/names.py
+++ b/currantwall/protocol/names.py
@@ -21,6 +21,7 @@
         not_run: Set by an upstream that did not run the request.
         seal: Upstream's signature of its answer.
         model: Model that a request asks for.
+        tokens: Tokens of a request's prompt and, at most, of its answer.
         last_event: Id of the last event that a caller got of a stream.
         load: Number of requests in progress at an upstream.
         faulty: Replica member that prevented a request from running.
@@ -36,6 +37,7 @@
     not_run: str
     seal: str
     model: str
+    tokens: str
     last_event: str
     load: str
     faulty: str
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -14,7 +14,10 @@
 from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import capacity
 from currantwall.coordination.requests import placing
+from currantwall.protocol import names as names_module
+from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
@@ -41,6 +44,7 @@
     def __init__(
         self,
         balancer: balancing.Balancer,
+        names: names_module.HeaderNames,
         meter: metrics_module.Metrics,
         log: journal.Journal,
         now: abc.Callable[[], float],
@@ -49,6 +53,7 @@
         # that the other gateways learn of this one's load.
         self.on_high_load: abc.Callable[[], None] = _ignore
         self._balancer = balancer
+        self._names = names
         self._placer = placing.Placer(balancer)
         self._meter = meter
         self._log = log
@@ -155,6 +160,28 @@
             start_deadline=min(patience_end, request.deadline) - first_event,
             rank=_get_rank(request),
             excluded=request.tried,
+            organisation=_get_organisation(request),
+            cost=self._estimate_cost(request),
+        )
+
+    def _estimate_cost(self, request: requests.Request) -> float:
+        """Return the replica time that a request takes, in seconds.
+
+        The operator's mean is used for a request that doesn't give the
+        numbers of its tokens.
+        """
+        engine = request.service.engine
+        assert engine is not None
+        timing = engine.timing
+        model = engine.find(request.model or "")
+        if timing is None or model is None:
+            return 1.0
+        tokens = requests.parse_token_usage(
+            request.inbound.headers.get(self._names.tokens, "")
+        )
+        prompt, answer = tokens or (int(timing.prompt), int(timing.answer))
+        return capacity.estimate_cost(
+            timing, model.pace, engine.slots, prompt, answer
         )
 
     def _estimate_earlier_wait(self, request: requests.Request) -> float:
@@ -239,6 +266,12 @@
     return backlog.Kind(request.service.name, request.model or "")
 
 
+def _get_organisation(request: requests.Request) -> ids.OrganisationName:
+    """Return the organisation of a request, empty if it has none."""
+    organisation = request.organisation
+    return organisation.name if organisation else ids.OrganisationName("")
+
+
 def _get_rank(request: requests.Request) -> int:
     """Return the organisation's priority, or the route's if it has none."""
     organisation = request.organisation
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -20,8 +20,12 @@
     "Rejected",
     "Request",
     "StreamAborted",
+    "parse_token_usage",
 ]
 
+# Digits of a number of tokens that are read.
+_MAX_DIGITS = 9
+
 
 class Disconnected(msgspec.Struct, frozen=True):
     """Message: the caller has closed its connection."""
@@ -118,6 +122,21 @@
         self.last_event_at = now
 
 
+def parse_token_usage(value: str) -> tuple[int, int] | None:
+    """Return the tokens of a prompt and, at most, of its answer.
+
+    Args:
+        value: Both numbers, separated by a comma.
+
+    Returns:
+        The numbers; None if the value is of another form.
+    """
+    prompt, comma, answer = value.partition(",")
+    if not (comma and prompt.isdecimal() and answer.isdecimal()):
+        return None
+    return int(prompt[:_MAX_DIGITS]), int(answer[:_MAX_DIGITS])
+
+
 class Attempt(msgspec.Struct, kw_only=True):
     """One attempt at one upstream.
 
--- a/standins/surge.py
+++ b/standins/surge.py
@@ -54,10 +54,14 @@
 # full.
 _HEARTBEAT_INTERVAL = 0.4
 _HIGH_LOAD_INTERVAL = 0.12
+# Seconds by which counts are late that relays pass on.
+_RELAY_DELAY = 0.5
 # Seconds from the start of a run to its first event, and to its end on
 # average.
 _FIRST_EVENT_TIME = 0.12
 _MEAN_RUN_TIME = 1.2
+# Times that some callers repeat a request at once.
+_REPEATS = 3
 # Share of its slots above which a replica counts as nearly full.
 _HIGH_LOAD_SHARE = 0.75
 
@@ -106,6 +110,21 @@
     ALL_KNOWN = "all_known"
 
 
+class Sender(msgspec.Struct, frozen=True, kw_only=True):
+    """The callers of one organisation.
+
+    Attributes:
+        rate: Requests a second outside the surge.
+        factor: Factor of the rate during the surge.
+        repeats: Whether its callers repeat at once after a refusal, three
+            times.
+    """
+
+    rate: float
+    factor: float = 1.0
+    repeats: bool = False
+
+
 class Surge(msgspec.Struct, frozen=True, kw_only=True):
     """A load that is higher for a while; times in seconds.
 
@@ -133,9 +152,20 @@
         gateways: int = 15,
         replicas: int = 6,
         seed: int = 1,
+        are_counts_relayed: bool = False,
     ) -> None:
+        """Create gateways and replicas without load.
+
+        Args:
+            policy: How gateways treat an arriving request.
+            gateways: Number of gateways.
+            replicas: Number of replicas.
+            seed: Seed of all random choices.
+            are_counts_relayed: Whether counts come through relays, late.
+        """
         if policy is Policy.ALL_KNOWN:
             gateways = 1
+        self._are_counts_relayed = are_counts_relayed
         self._is_queueing = policy is not Policy.AT_ONCE
         self._random = random.Random(seed)
         fleet = upstreams.Fleet()
@@ -144,6 +174,8 @@
         self._balancers = [
             balancing.Balancer(fleet, datacentre) for _ in range(gateways)
         ]
+        for balancer in self._balancers:
+            balancer.are_counts_relayed = are_counts_relayed
         self._placers = [placing.Placer(one) for one in self._balancers]
         self._running = {f"i{n}": 0 for n in range(replicas)}
         self._queues: dict[str, list[_QueuedRequest]] = {
@@ -157,19 +189,24 @@
         self.arrivals: list[float] = []
         self.firsts: list[tuple[float, float]] = []
         self.refused: list[placing.Refusal] = []
+        # The same by organisation, and requests that arrive once more.
+        self.arrivals_of: dict[str, list[float]] = {}
+        self.firsts_of: dict[str, list[tuple[float, float]]] = {}
+        self._repeats: dict[str, int] = {}
+        self.repeat_count = 0
 
     def run(self, surge: Surge) -> None:
         """Simulate a load to its end."""
+        everyone = Sender(rate=surge.rate, factor=surge.factor)
+        self.run_senders(surge, {"": everyone})
+
+    def run_senders(
+        self, surge: Surge, senders: abc.Mapping[str, Sender]
+    ) -> None:
+        """Simulate the load of several organisations to its end."""
         self._last_departure = surge.seconds + _CALLER_TIMEOUT
-        at = 0.0
-        while at < surge.seconds:
-            high = surge.begin <= at < surge.end
-            rate = surge.rate * surge.factor if high else surge.rate
-            at += self._random.expovariate(rate)
-            node = self._random.randrange(len(self._placers))
-            self._schedule(
-                at, self._handle_arrival, node, f"r{self._event_count}"
-            )
+        for name, sender in senders.items():
+            self._schedule_arrivals(surge, name, sender)
         for node in range(len(self._placers)):
             self._schedule(
                 self._random.uniform(0, _HEARTBEAT_INTERVAL),
@@ -182,6 +219,42 @@
             now, _, callback, arguments = heapq.heappop(self._events)
             callback(now, *arguments)
 
+    def _schedule_arrivals(
+        self, surge: Surge, organisation: str, sender: Sender
+    ) -> None:
+        at = 0.0
+        while at < surge.seconds:
+            high = surge.begin <= at < surge.end
+            rate = sender.rate * (sender.factor if high else 1.0)
+            at += self._random.expovariate(rate)
+            node = self._random.randrange(len(self._placers))
+            name = f"r{self._event_count}"
+            if sender.repeats:
+                self._repeats[name] = _REPEATS
+            self._schedule(
+                at, self._handle_arrival, node, name, organisation, at
+            )
+
+    def compute_share_of(
+        self, organisation: str, begin: float, end: float
+    ) -> float:
+        """Return the share of an organisation's requests in time."""
+        arrived_count = sum(
+            begin <= at < end for at in self.arrivals_of[organisation]
+        )
+        in_time_count = self.count_in_time(organisation, begin, end)
+        return in_time_count / max(arrived_count, 1)
+
+    def count_in_time(
+        self, organisation: str, begin: float, end: float
+    ) -> int:
+        """Return the number of an organisation's requests in time."""
+        return sum(
+            first <= TARGET
+            for at, first in self.firsts_of.get(organisation, ())
+            if begin <= at < end
+        )
+
     def compute_share_in_time(self, begin: float, end: float) -> float:
         """Return the share of a period's requests that were in time."""
         arrived_count = sum(begin <= at < end for at in self.arrivals)
@@ -203,9 +276,25 @@
 
     # -- Gateways
 
-    def _handle_arrival(self, now: float, node: int, request: str) -> None:
-        self.arrivals.append(now)
-        ticket = make_ticket(request, now)
+    def _handle_arrival(
+        self,
+        now: float,
+        node: int,
+        request: str,
+        organisation: str,
+        first_sent: float,
+    ) -> None:
+        if first_sent == now:
+            self.arrivals.append(now)
+            self.arrivals_of.setdefault(organisation, []).append(now)
+        ticket = make_ticket(
+            request,
+            now,
+            objective=first_sent + TARGET,
+            start_deadline=first_sent + _CALLER_TIMEOUT,
+            organisation=ids.OrganisationName(organisation),
+            cost=_MEAN_RUN_TIME / ENGINE.slots,
+        )
         if not self._is_queueing:
             found = self._balancers[node].choose(
                 SERVICE, MODEL.name, (), request, now
@@ -223,26 +312,57 @@
     def _tick(self, now: float, node: int) -> None:
         placer = self._placers[node]
         for kind in placer.backlog.list_kinds():
-            self.refused += placer.turn_away(kind, now)
+            for refusal in placer.turn_away(kind, now):
+                self._refuse(now, refusal)
             for placement in placer.fill(kind, now):
                 self._send(now, node, placement)
         if now < self._last_departure:
             self._schedule(now + placing.TICK, self._tick, node)
 
+    def _refuse(self, now: float, refusal: placing.Refusal) -> None:
+        """Record a refusal; some callers repeat at once, at another node."""
+        self.refused.append(refusal)
+        ticket = refusal.ticket
+        left = self._repeats.pop(ticket.request, 0)
+        if left:
+            name = f"{ticket.request}+"
+            self._repeats[name] = left - 1
+            self.repeat_count += 1
+            self._schedule(
+                now + 0.001,
+                self._handle_arrival,
+                self._random.randrange(len(self._placers)),
+                name,
+                ticket.organisation,
+                ticket.objective - TARGET,
+            )
+
     def _send_loads(self, now: float, node: int) -> None:
         loads = self._balancers[node].list_loads(now)
-        for number, balancer in enumerate(self._balancers):
-            if number != node:
-                balancer.note_loads(ids.NodeId(f"n{node}"), loads, now)
+        if self._are_counts_relayed:
+            self._schedule(
+                now + _RELAY_DELAY, self._receive_loads, node, loads
+            )
+        else:
+            self._receive_loads(now, node, loads)
         is_high = max(self._running.values()) > _HIGH_LOAD_SHARE * ENGINE.slots
         wait = (
             _HIGH_LOAD_INTERVAL
             if self._is_queueing and is_high
             else _HEARTBEAT_INTERVAL
         )
+        if self._are_counts_relayed:
+            wait = _HEARTBEAT_INTERVAL
         if now < self._last_departure:
             self._schedule(now + wait, self._send_loads, node)
 
+    def _receive_loads(
+        self, now: float, node: int, loads: abc.Mapping[str, int]
+    ) -> None:
+        for number, balancer in enumerate(self._balancers):
+            if number != node:
+                balancer.note_loads(ids.NodeId(f"n{node}"), loads, now)
+
     # -- Replicas
 
     def _send(
@@ -251,7 +371,14 @@
         replica = placement.upstream.id
         ticket = placement.ticket
         rank = 0 if placement.in_time else 1
-        entry = _QueuedRequest(rank, now, ticket.request, node, ticket.arrived)
+        entry = _QueuedRequest(
+            rank,
+            now,
+            ticket.request,
+            node,
+            ticket.objective - TARGET,
+            ticket.organisation,
+        )
         heapq.heappush(self._queues[replica], entry)
         self._start_runs(now, replica)
 
@@ -265,7 +392,9 @@
                 continue
             self._running[replica] += 1
             first_at = now + _FIRST_EVENT_TIME
-            self.firsts.append((queued.arrived, first_at - queued.arrived))
+            first = (queued.arrived, first_at - queued.arrived)
+            self.firsts.append(first)
+            self.firsts_of.setdefault(queued.organisation, []).append(first)
             backlog_ = self._placers[queued.node].backlog
             backlog_.note_first(KIND, first_at - queued.at)
             run_time = self._random.uniform(0.5, 1.5) * _MEAN_RUN_TIME
@@ -289,7 +418,7 @@
         rank: 0 for a request that can be in time, 1 for a late one.
         at: When the gateway sent it.
         node: Number of the gateway.
-        arrived: When it arrived at the gateway.
+        arrived: When its caller first sent it.
     """
 
     rank: int
@@ -297,3 +426,4 @@
     request: str
     node: int
     arrived: float
+    organisation: str
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -243,7 +243,7 @@
         fleet = upstreams.Fleet()
         balancer = balancing.Balancer(fleet, ids.DatacentreName("a"))
         queue = queues.Queue(
-            balancer, mock.Mock(), mock.Mock(), time.monotonic
+            balancer, mock.Mock(), mock.Mock(), mock.Mock(), time.monotonic
         )
         task = eventlet.spawn(queue.run)
         self.addCleanup(task.kill)
