Divide the started part of new requests among organisations

Small organisations were held back like large.

Change: only new requests take slots that are about to become free. The part of new requests that may start is divided by max-min fairness over arrivals.

--- a/currantwall/coordination/requests/attained.py
+++ b/currantwall/coordination/requests/attained.py
@@ -5,11 +5,14 @@
 a second. In the order of arrival it takes most slots, and the requests of
 all other organisations become late behind its own.
 
-Each node counts the cost of the requests that it starts, by organisation,
-and reports the counts to the other nodes while requests wait. A request of
-an organisation that has attained more than an equal part of the service
-starts after the requests of those that have attained less, and leaves a
-part of each replica to them. What the others don't use it still gets.
+Each node counts the cost of the requests that arrive and of those that it
+starts, by organisation, and reports the counts to the other nodes while
+requests wait. A request of an organisation that has attained more than an
+equal part of the service starts after the requests of those that have
+attained less, and leaves a part of each replica to them. What the others
+don't use it still gets. Where only a part of all new requests may be
+started (`pacing`), that part is divided among the organisations by max-min
+fairness: those that ask for less than an equal part are not reduced.
 
 The counts of one kind of request are kept in a sketch of fixed size, so
 that neither the state of a node nor its reports grow with the number of
@@ -20,6 +23,7 @@
 from collections import abc
 import math
 
+from currantwall.coordination.requests import fairness
 from currantwall.state import hashing
 from currantwall.state import ids
 
@@ -27,12 +31,17 @@
 
 # Hash values by which reports name kinds; few kinds exist.
 _KIND_HASHES = 4096
+# Names of the sketches in the keys of reports.
+_ATTAINED_NAME = "s"
+_ARRIVED_NAME = "a"
 _ROWS = 2
 _COUNTERS_PER_ROW = 64
 # Time constant, in seconds, with which attained service is forgotten:
 # several times the age of the other nodes' counts, which must still hold
 # when they arrive.
-_DECAY_SECONDS = 4.0
+_ATTAINED_SECONDS = 4.0
+# The same for arrivals, which change at once when a burst begins or ends.
+_ARRIVED_SECONDS = 1.5
 # Factor between two levels of attained service. Organisations of equal
 # demand differ by less.
 _LEVEL_FACTOR = 1.25
@@ -47,47 +56,123 @@
 # Seconds for which the sums over all nodes are kept: much less than the age
 # of the counts.
 _CACHE_SECONDS = 0.05
+# Decays after which the weights of new counts are reset.
+_MAX_EXPONENT = 10.0
 # Most names of organisations whose counters are remembered.
 _MAX_NAMES = 4096
 
 
-class _Sketch:
-    """Counters of one kind of request, and until when it is short.
+class _Counters:
+    """Own counters of one kind of request, which decay exponentially.
 
-    Counts are stored relative to `started`: a count grows in weight
+    Counts are stored relative to `started`: a new count grows in weight
     instead of all others being reduced, so that an update costs the same
     whatever the number of counters.
     """
 
-    def __init__(self, now: float) -> None:
-        self.counts: dict[int, float] = {}
-        self.started = now
-        self.short_until = -math.inf
+    def __init__(self, decay: float, now: float) -> None:
+        self._decay = decay
+        self._counts: dict[int, float] = {}
+        self._started = now
 
     def add(self, index: int, seconds: float, now: float) -> None:
-        weight = math.exp((now - self.started) / _DECAY_SECONDS)
-        self.counts[index] = self.counts.get(index, 0.0) + seconds * weight
+        elapsed = now - self._started
+        if elapsed > _MAX_EXPONENT * self._decay:
+            self.list_units(now)
+            elapsed = 0.0
+        weight = math.exp(elapsed / self._decay)
+        self._counts[index] = self._counts.get(index, 0.0) + seconds * weight
 
     def list_units(self, now: float) -> dict[int, int]:
         """Return the counts in whole units; drop those that are 0."""
-        factor = math.exp((self.started - now) / _DECAY_SECONDS)
-        units = {
-            index: int(count * factor / _UNIT_SECONDS)
-            for index, count in self.counts.items()
+        factor = math.exp((self._started - now) / self._decay)
+        reduced = {
+            index: count * factor for index, count in self._counts.items()
+        }
+        self._started = now
+        self._counts = {
+            index: count
+            for index, count in reduced.items()
+            if count >= _UNIT_SECONDS
         }
-        self.counts = {
-            index: self.counts[index] * factor
-            for index, count in units.items()
-            if count
+        return {
+            index: int(count / _UNIT_SECONDS)
+            for index, count in self._counts.items()
         }
-        self.started = now
-        return {index: count for index, count in units.items() if count}
+
+
+class _Sketch:
+    """Counters of all kinds and nodes, as one node knows them."""
+
+    def __init__(
+        self, name: str, decay: float, get_remote: abc.Callable[[str], int]
+    ) -> None:
+        self._name = name
+        self._decay = decay
+        self._get_remote = get_remote
+        self._counters: dict[str, _Counters] = {}
+        # The keys of each kind's counters, and the sums over all nodes as of
+        # a time; both are caches.
+        self._keys: dict[str, list[str]] = {}
+        self._sums: dict[str, tuple[float, list[int]]] = {}
+
+    def _get_counters(self, kind: str, now: float) -> _Counters:
+        counters = self._counters.get(kind)
+        if counters is None:
+            counters = self._counters[kind] = _Counters(self._decay, now)
+        return counters
+
+    def add(
+        self, kind: str, indexes: tuple[int, ...], seconds: float, now: float
+    ) -> None:
+        """Add a cost to an organisation's counters."""
+        counters = self._get_counters(kind, now)
+        for index in indexes:
+            counters.add(index, seconds, now)
+
+    def sum_rows(self, kind: str, now: float) -> list[list[int]]:
+        """Return the counts of all nodes, by row."""
+        cached = self._sums.get(kind)
+        if cached is None or now - cached[0] >= _CACHE_SECONDS:
+            own = self._get_counters(kind, now).list_units(now)
+            sums = [
+                own.get(index, 0) + self._get_remote(key)
+                for index, key in enumerate(self._list_keys(kind))
+            ]
+            cached = self._sums[kind] = now, sums
+        sums = cached[1]
+        return [
+            sums[start : start + _COUNTERS_PER_ROW]
+            for start in range(0, len(sums), _COUNTERS_PER_ROW)
+        ]
+
+    def list_counts(self, kind: str, now: float) -> dict[str, int]:
+        """Return the counts of a kind to report to the other nodes."""
+        keys = self._list_keys(kind)
+        units = self._get_counters(kind, now).list_units(now)
+        return {keys[index]: count for index, count in units.items()}
+
+    def _list_keys(self, kind: str) -> list[str]:
+        """Return the keys under which a kind's counts are reported.
+
+        They are sent in one mapping with the counts by upstream. The
+        leading slash keeps them apart: no upstream's id begins with one.
+        """
+        keys = self._keys.get(kind)
+        if keys is None:
+            prefix = f"/{hashing.hash_text(kind) % _KIND_HASHES:x}"
+            keys = self._keys[kind] = [
+                f"{prefix}/{self._name}{index}"
+                for index in range(_ROWS * _COUNTERS_PER_ROW)
+            ]
+        return keys
 
 
 class AttainedService:
-    """The attained service at all nodes, as one node knows it.
+    """Arrivals and attained service at all nodes, as one node knows them.
 
-    All times are monotonic, in seconds.
+    All times are monotonic, in seconds. A kind is the service and model of
+    requests; costs are in seconds of a replica's time.
     """
 
     def __init__(self, get_remote: abc.Callable[[str], int]) -> None:
@@ -97,47 +182,39 @@
             get_remote: Returns the sum of the other nodes' counts under
                 a key.
         """
-        self._get_remote = get_remote
-        self._sketches: dict[str, _Sketch] = {}
+        self._attained = _Sketch(_ATTAINED_NAME, _ATTAINED_SECONDS, get_remote)
+        self._arrived = _Sketch(_ARRIVED_NAME, _ARRIVED_SECONDS, get_remote)
+        # Until when requests of each kind count as short of capacity.
+        self._short_until: dict[str, float] = {}
         self._indexes: dict[ids.OrganisationName, tuple[int, ...]] = {}
-        # The keys of each kind's counters, and the sums over all nodes as of
-        # a time; both are caches.
-        self._keys: dict[str, list[str]] = {}
-        self._sums: dict[str, tuple[float, list[int]]] = {}
 
     # -- Input
 
-    def note_start(
+    def note_arrival(
         self,
         kind: str,
         organisation: ids.OrganisationName,
         seconds: float,
         now: float,
     ) -> None:
-        """Record that a request of an organisation was given a slot.
+        """Record the cost of a request that has arrived."""
+        indexes = self._find_indexes(organisation)
+        self._arrived.add(kind, indexes, seconds, now)
 
-        Args:
-            kind: Service and model of the request.
-            organisation: The organisation.
-            seconds: Replica time that it takes.
-            now: Monotonic time.
-        """
-        sketch = self._get_sketch(kind, now)
-        for index in self._find_indexes(organisation):
-            sketch.add(index, seconds, now)
+    def note_start(
+        self,
+        kind: str,
+        organisation: ids.OrganisationName,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Record the cost of a request that was given a slot."""
+        indexes = self._find_indexes(organisation)
+        self._attained.add(kind, indexes, seconds, now)
 
     def note_waiting(self, kind: str, now: float) -> None:
         """Record that requests of a kind wait, here or at another node."""
-        self._get_sketch(kind, now).short_until = now + _SHORTAGE_SECONDS
-
-    def _get_sketch(self, kind: str, now: float) -> _Sketch:
-        sketch = self._sketches.get(kind)
-        if sketch is None:
-            sketch = self._sketches[kind] = _Sketch(now)
-        elif now - sketch.started > 10 * _DECAY_SECONDS:
-            # The weights of new counts would grow without bound.
-            sketch.list_units(now)
-        return sketch
+        self._short_until[kind] = now + _SHORTAGE_SECONDS
 
     def _find_indexes(
         self, organisation: ids.OrganisationName
@@ -160,8 +237,7 @@
 
     def is_short(self, kind: str, now: float) -> bool:
         """Return whether requests of a kind have waited a moment ago."""
-        sketch = self._sketches.get(kind)
-        return sketch is not None and now < sketch.short_until
+        return now < self._short_until.get(kind, -math.inf)
 
     def find_level(
         self, kind: str, organisation: ids.OrganisationName, now: float
@@ -175,56 +251,60 @@
         """
         if not self.is_short(kind, now):
             return 0
-        sums = self._sum_counts(kind, now)
         ratio = math.inf
-        for index in self._find_indexes(organisation):
-            start = index - index % _COUNTERS_PER_ROW
-            row = sums[start : start + _COUNTERS_PER_ROW]
+        rows = self._attained.sum_rows(kind, now)
+        indexes = self._find_indexes(organisation)
+        for row, index in zip(rows, indexes, strict=True):
             largest = max(row)
             if not largest:
                 return 0
             parts = sum(count > _MIN_PART * largest for count in row)
-            ratio = min(ratio, sums[index] * parts / sum(row))
+            own = row[index % _COUNTERS_PER_ROW]
+            ratio = min(ratio, own * parts / sum(row))
         if ratio <= _LEVEL_FACTOR:
             return 0
         return int(math.log(ratio) / math.log(_LEVEL_FACTOR))
 
-    def _sum_counts(self, kind: str, now: float) -> list[int]:
-        """Return the counts of all nodes."""
-        cached = self._sums.get(kind)
-        if cached is not None and now - cached[0] < _CACHE_SECONDS:
-            return cached[1]
-        own = self._get_sketch(kind, now).list_units(now)
-        sums = [
-            own.get(index, 0) + self._get_remote(key)
-            for index, key in enumerate(self._list_keys(kind))
-        ]
-        self._sums[kind] = now, sums
-        return sums
+    def divide_part(
+        self,
+        kind: str,
+        organisation: ids.OrganisationName,
+        part: float,
+        now: float,
+    ) -> float:
+        """Return the part of an organisation's new requests to start.
+
+        Args:
+            kind: Kind of the requests.
+            organisation: The organisation.
+            part: Part of the requests of all organisations that may be
+                started, from 0 to 1.
+            now: Monotonic time.
+        """
+        if part >= 1.0 or not self.is_short(kind, now):
+            return part
+        largest = 0.0
+        rows = self._arrived.sum_rows(kind, now)
+        indexes = self._find_indexes(organisation)
+        for row, index in zip(rows, indexes, strict=True):
+            own = row[index % _COUNTERS_PER_ROW]
+            level = _find_fair_level(row, part)
+            largest = max(largest, min(level / own, 1.0) if own else 1.0)
+        return largest
 
     # -- Counts reported to other nodes
 
     def list_counts(self, now: float) -> dict[str, int]:
         """Return the counts to report, of kinds that are short only."""
         counts = {}
-        for kind, sketch in self._sketches.items():
-            if now < sketch.short_until:
-                keys = self._list_keys(kind)
-                for index, count in sketch.list_units(now).items():
-                    counts[keys[index]] = count
+        for kind, until in self._short_until.items():
+            if now < until:
+                counts.update(self._attained.list_counts(kind, now))
+                counts.update(self._arrived.list_counts(kind, now))
         return counts
 
-    def _list_keys(self, kind: str) -> list[str]:
-        """Return the keys under which a kind's counts are reported.
 
-        They are sent in one mapping with the counts by upstream. The
-        leading slash keeps them apart: no upstream's id begins with one.
-        """
-        keys = self._keys.get(kind)
-        if keys is None:
-            prefix = f"{hashing.hash_text(kind) % _KIND_HASHES:x}"
-            keys = self._keys[kind] = [
-                f"/{prefix}/{index}"
-                for index in range(_ROWS * _COUNTERS_PER_ROW)
-            ]
-        return keys
+def _find_fair_level(demands: list[int], part: float) -> float:
+    """Return the most that each gets if a part of all demands is met."""
+    shares = fairness.divide(part * sum(demands), dict(enumerate(demands)), {})
+    return max(shares.values())
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -182,6 +182,7 @@
         now: float,
         get_limit: LimitFunction | None = None,
         service_time: float = 0.0,
+        is_new: bool = True,
     ) -> upstreams.Upstream | Unavailable:
         """Return the upstream for a request.
 
@@ -197,6 +198,9 @@
                 flight; None for no limit.
             service_time: Seconds that an upstream works on a request; 0
                 where it isn't known.
+            is_new: Whether the request has just arrived. Slots that become
+                free while the counts are on their way are left to new
+                requests, or each would be filled twice.
         """
         candidates = self._list_usable(service, model, excluded, now)
         if isinstance(candidates, Unavailable):
@@ -210,8 +214,9 @@
             ]
             is_any_full = len(usable) < len(candidates)
             if is_any_full and self.are_counts_relayed and service_time > 0:
+                age = _RELAY_DELAY if is_new else 0.0
                 return self._choose_by_free_slots(
-                    candidates, salt, get_limit, service_time
+                    candidates, salt, get_limit, service_time, age
                 )
             if not usable:
                 return _ALL_FULL
@@ -223,6 +228,7 @@
         salt: str,
         get_limit: LimitFunction,
         service_time: float,
+        age: float,
     ) -> upstreams.Upstream | Unavailable:
         """Return an upstream, with a probability by its free slots.
 
@@ -236,7 +242,7 @@
                 get_limit(upstream),
                 self.count_load(upstream.id),
                 service_time,
-                _RELAY_DELAY,
+                age,
             )
             for upstream in candidates
         ]
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -116,16 +116,25 @@
         """
         self._set_initial_estimate(ticket)
         self._note_remote_waiting(ticket.kind, now)
-        if self._balancer.are_counts_relayed:
-            key = backlog_module.format_count_key(ticket.kind)
-            self._balancer.arrivals.note_arrival(key, now)
-        found = self._choose(ticket, now)
+        self._note_arrival(ticket, now)
+        found = self._choose(ticket, now, is_new=True)
         if isinstance(found, balancing.Unavailable):
             return found
         if not self._may_start(ticket, now):
             return _WAITS_FOR_OTHERS
         return self._assign(ticket, found, now)
 
+    def _note_arrival(self, ticket: Ticket, now: float) -> None:
+        """Count a new request where its gateway may have to hold it back."""
+        if not self._balancer.are_counts_relayed:
+            return
+        key = backlog_module.format_count_key(ticket.kind)
+        self._balancer.arrivals.note_arrival(key, now)
+        if ticket.organisation:
+            self._attained.note_arrival(
+                key, ticket.organisation, ticket.cost, now
+            )
+
     def _may_start(self, ticket: Ticket, now: float) -> bool:
         """Return whether a new request may take a slot that seems free."""
         if not self._balancer.are_counts_relayed:
@@ -139,6 +148,10 @@
             _estimate_service_time(ticket),
             now,
         )
+        if ticket.organisation:
+            part = self._attained.divide_part(
+                key, ticket.organisation, part, now
+            )
         return pacing.is_started(part, ticket.request)
 
     def _count_free_slots(self, ticket: Ticket, now: float) -> int:
@@ -280,7 +293,7 @@
     # -- Slots of a replica
 
     def _choose(
-        self, ticket: Ticket, now: float
+        self, ticket: Ticket, now: float, is_new: bool = False
     ) -> upstreams.Upstream | balancing.Unavailable:
         return self._balancer.choose(
             ticket.kind.service,
@@ -290,6 +303,7 @@
             now,
             self._make_limit_function(ticket, now),
             _estimate_service_time(ticket),
+            is_new,
         )
 
     def _make_limit_function(
