Let late requests of relayed fleets start by the shared free slots only

Cause: late requests that came back after a refusal took a slot wherever the counts showed one, at all gateways at once, and each ended request was followed by a waiting one although new requests count on the same slots. In the surge simulation with relayed counts (three organisations at three to twenty times their rate) 500 requests waited in the engines' queues throughout the burst.

Change: where counts are relayed, waiting requests start by the gateway's part of the free slots only, over the age of these counts; the new requests that are counted as arrivals are those that can be in time.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -31,7 +31,7 @@
 from currantwall.state import ids
 from currantwall.state import upstreams
 
-__all__ = ["Balancer", "Unavailable"]
+__all__ = ["RELAY_DELAY", "Balancer", "Unavailable"]
 
 # Seconds for which an upstream is not chosen after a failure, doubled with
 # each consecutive failure. The first is as long as the repair of a replica
@@ -65,9 +65,9 @@
 # one way and priced traffic, against about 5 ms for each further request.
 _OTHER_DATACENTRE_COST = 0.5
 # Seconds by which counts that come through relays are late.
-_RELAY_DELAY = 0.7
+RELAY_DELAY = 0.7
 # The difference of two costs at which the choice becomes clear, as a part
-# of the requests that a replica receives in `_RELAY_DELAY`, and its
+# of the requests that a replica receives in `RELAY_DELAY`, and its
 # minimum.
 _COST_SCALE_FACTOR = 0.5
 _MIN_COST_SCALE = 0.1
@@ -214,7 +214,7 @@
             ]
             is_any_full = len(usable) < len(candidates)
             if is_any_full and self.are_counts_relayed and service_time > 0:
-                age = _RELAY_DELAY if is_new else 0.0
+                age = RELAY_DELAY if is_new else 0.0
                 return self._choose_by_free_slots(
                     candidates, salt, get_limit, service_time, age
                 )
@@ -357,11 +357,11 @@
                 get_limit(upstream),
                 self.count_load(upstream.id),
                 service_time,
-                _RELAY_DELAY,
+                RELAY_DELAY,
             )
             for upstream in self._list_open(service, model, now)
         )
-        arrivals = self.arrivals.sum_rates(kind, now) * _RELAY_DELAY
+        arrivals = self.arrivals.sum_rates(kind, now) * RELAY_DELAY
         return min(free / arrivals, 1.0) if arrivals > 0 else 1.0
 
     def _list_open(
@@ -427,7 +427,7 @@
         mean = sum(self.count_load(upstream.id) for upstream in usable) / len(
             usable
         )
-        unseen = mean * min(_RELAY_DELAY / service_time, 1.0)
+        unseen = mean * min(RELAY_DELAY / service_time, 1.0)
         first, second = (
             self._compute_cost(upstream, salt)[0] for upstream in sampled
         )
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -117,7 +117,8 @@
         self._set_initial_estimate(ticket)
         self._note_remote_waiting(ticket.kind, now)
         self._note_arrival(ticket, now)
-        found = self._choose(ticket, now, is_new=True)
+        is_new = not self.is_late(ticket, now)
+        found = self._choose(ticket, now, is_new)
         if isinstance(found, balancing.Unavailable):
             return found
         if not self._may_start(ticket, now):
@@ -126,7 +127,7 @@
 
     def _note_arrival(self, ticket: Ticket, now: float) -> None:
         """Count a new request where its gateway may have to hold it back."""
-        if not self._balancer.are_counts_relayed:
+        if not self._balancer.are_counts_relayed or self.is_late(ticket, now):
             return
         key = backlog_module.format_count_key(ticket.kind)
         self._balancer.arrivals.note_arrival(key, now)
@@ -140,6 +141,8 @@
         if not self._balancer.are_counts_relayed:
             return True
         key = backlog_module.format_count_key(ticket.kind)
+        if self.is_late(ticket, now):
+            return not self._attained.is_short(key, now)
         part = self._balancer.compute_started_part(
             ticket.kind.service,
             ticket.kind.model,
@@ -191,6 +194,9 @@
 
     def replace_ended(self, now: float) -> list[Placement]:
         """Assign the slot of an ended request to a waiting one, if any."""
+        if self._balancer.are_counts_relayed:
+            # The slot is counted among those that new requests take.
+            return []
         for kind in self.backlog.list_kinds():
             for ticket in self.backlog.list_tickets(kind, now):
                 found = self._choose(ticket, now)
@@ -232,7 +238,9 @@
             backlog_module.format_count_key(kind)
         )
         share = backlog_module.divide_slots(free, len(tickets), others)
-        credit = self._credit.get(kind, 0.0) + share * TICK / _COUNT_AGE
+        relayed = self._balancer.are_counts_relayed
+        age = balancing.RELAY_DELAY if relayed else _COUNT_AGE
+        credit = self._credit.get(kind, 0.0) + share * TICK / age
         return min(credit, float(len(tickets)))
 
     def turn_away(self, kind: Kind, now: float) -> list[Refusal]:
@@ -311,16 +319,16 @@
     ) -> balancing.LimitFunction:
         """Return a function that gives each replica's limit for a request."""
         late = self.backlog.is_late(ticket, now)
-        is_over_share = not late and self._find_level(ticket, now) > 0
+        relayed = self._balancer.are_counts_relayed
+        # Where counts are relayed, `_may_start` divides the slots.
+        is_over_share = not relayed and self._find_level(ticket, now) > 0
         usual = _estimate_usual_pause(ticket)
 
         def compute_limit(slowness: float) -> int:
             limit = capacity.compute_limit(
                 ticket.engine, ticket.kind.model, ticket.gap, slowness
             )
-            return capacity.adjust_limit(
-                limit, late, is_over_share, self._balancer.are_counts_relayed
-            )
+            return capacity.adjust_limit(limit, late, is_over_share, relayed)
 
         # Computed once for all replicas that are not slow.
         usual_limit = compute_limit(1.0)
