Settings and reports: evacuations of data centres

Nodes have to tell each other which data centres are evacuated, with the revision of the store at which they learnt it. Heartbeats and digests get the optional field evacuations, the settings get bounds.evacuateMs (none where absent), and the adapter names the kind of the objects.

tests.test_digests, test_news, test_adapter: pass.

--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.state import evacuations as evacuations_module
 from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
@@ -51,6 +52,7 @@
         loads: Requests in flight, by upstream, summed over the nodes.
         stalled: As in a heartbeat, of all the nodes; so are `lost`,
             `slow`, `limits` and `leases`.
+        evacuations: As in a heartbeat of the relay.
     """
 
     node: presence_module.NodeEntry
@@ -67,6 +69,7 @@
     slow: tuple[str, ...] = ()
     limits: dict[str, limits_module.LimitReport] = {}
     leases: dict[str, presence_module.HeldLease] = {}
+    evacuations: evacuations_module.EvacuationReport | None = None
 
 
 class Alarm(msgspec.Struct, frozen=True, tag="alarm"):
@@ -331,6 +334,7 @@
             slow=tuple(aggregate.slow),
             limits=aggregate.limits,
             leases=aggregate.leases,
+            evacuations=own.evacuations,
         )
 
     def _omit_sent_nodes(self, digest: Digest) -> Digest:
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -19,6 +19,7 @@
 
 from currantwall.coordination.peers import outages
 from currantwall.coordination.peers import staleness
+from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
 from currantwall.state import rendezvous
@@ -140,6 +141,8 @@
         leases: The leases that the node holds, by domain.
         store_age: Seconds since the store last answered the node; None if
             the node does not read the store.
+        evacuations: The evacuated data centres that the node knows; None
+            if there are none and none was withdrawn lately.
     """
 
     node: NodeEntry
@@ -155,6 +158,7 @@
     instances: int = 0
     leases: dict[str, HeldLease] = {}
     store_age: float | None = None
+    evacuations: evacuations_module.EvacuationReport | None = None
 
 
 class _Peer:
--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -27,6 +27,9 @@
         drain: Seconds for which requests still arrive after a stop began.
         capacity: Relative capacity of the node; 1 is a whole core on a
             link of 100 Mbit/s, and the scarcer of the two counts.
+        evacuation_bound: Seconds from the request to evacuate a data centre
+            until no more requests may reach it; None where there are no
+            evacuations.
     """
 
     node: ids.NodeId
@@ -44,3 +47,4 @@
     grace: float = 8.0
     drain: float = 3.0
     capacity: float = 1.0
+    evacuation_bound: float | None = None
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -147,6 +147,7 @@
     configuration_kind: str
     configuration_name: str
     upstreams_kind: str
+    evacuations_kind: str
 
     def decode_configuration(
         self, value: bytes
