Balancer: exclude upstreams of evacuated data centres

coordination/requests/evacuations.py decides which data centres are evacuated: the report with the highest revision wins, an outdated report has the state announced again, and until something is learnt every data centre counts as evacuated. The balancer excludes their upstreams for new requests, retries, resumed streams and the queue. Where all upstreams of a service are evacuated, requests are rejected at once, queued ones included; where other data centres can form replicas, requests for a model wait.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from currantwall.coordination.requests import evacuations
 from currantwall.coordination.requests import loads as loads_module
 from currantwall.coordination.requests import ratelimits
 from currantwall.coordination.requests import withdrawals
@@ -85,6 +86,8 @@
 # Seconds until a caller may try again when everything is full: the time in
 # which a full replica completes about one answer.
 _SATURATION_RETRY_AFTER = 0.5
+# The same while all data centres are evacuated: an operator has to act.
+_EVACUATION_RETRY_AFTER = 2.0
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -135,6 +138,7 @@
     Attributes:
         limits: Limits that upstreams set on the requests of all nodes.
         withdrawals: Upstreams that have asked for no more requests.
+        evacuations: Data centres that get no more requests.
     """
 
     def __init__(
@@ -153,6 +157,7 @@
         self._fleet = fleet
         self.limits = ratelimits.RateLimits(node)
         self.withdrawals = withdrawals.Withdrawals()
+        self.evacuations = evacuations.Evacuations()
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
@@ -217,7 +222,7 @@
         """Return the upstreams that may take a request, full ones too."""
         candidates = self._list_candidates(service, model)
         if not candidates:
-            return Unavailable("no upstream serves", _RECOVERY_RETRY_AFTER)
+            return self._make_unserved(service, model)
         untried = [
             upstream
             for upstream in candidates
@@ -253,6 +258,36 @@
         # A plain service: an ejected upstream is better than none.
         return usable or permitted
 
+    def _make_unserved(
+        self, service: ids.ServiceName, model: str | None
+    ) -> Unavailable:
+        """Return the answer where no upstream serves.
+
+        A request for a model may wait while the replicas that serve it are
+        evacuated and other data centres can form more.
+        """
+        if self.is_wholly_evacuated(service):
+            return Unavailable(
+                "all data centres are evacuated", _EVACUATION_RETRY_AFTER
+            )
+        is_evacuated = model is not None and any(
+            self.evacuations.is_evacuated(replica.members[0].datacentre)
+            for replica in self._fleet.list_serving(service, model)
+        )
+        return Unavailable(
+            "no upstream serves", _RECOVERY_RETRY_AFTER, is_evacuated
+        )
+
+    def is_wholly_evacuated(self, service: ids.ServiceName) -> bool:
+        """Return whether all upstreams of a service are evacuated."""
+        if not self.evacuations.is_active:
+            return False
+        listed = self._fleet.list_service(service)
+        return bool(listed) and all(
+            self.evacuations.is_evacuated(upstream.datacentre)
+            for upstream in listed
+        )
+
     def _make_paused(
         self, paused: list[upstreams.Upstream], now: float
     ) -> Unavailable:
@@ -364,14 +399,17 @@
         """Return a plain service's upstreams or a model's leaders.
 
         Upstreams that are leaving are left out, whether the list says so
-        or only their answers do.
+        or only their answers do, and so are those of evacuated data
+        centres.
         """
+        is_evacuated = self.evacuations.is_evacuated
         if model is None:
             return [
                 upstream
                 for upstream in self._fleet.list_service(service)
                 if not upstream.leaving
                 and not self.withdrawals.is_leaving(upstream)
+                and not is_evacuated(upstream.datacentre)
             ]
         replicas = self._fleet.list_serving(service, model)
         leaders = (replica.members[0] for replica in replicas)
@@ -379,6 +417,7 @@
             leader
             for leader in leaders
             if not self.withdrawals.is_leaving(leader)
+            and not is_evacuated(leader.datacentre)
         ]
 
     def _compute_cost(
--- /dev/null
+++ b/currantwall/coordination/requests/evacuations.py
@@ -0,0 +1,177 @@
+"""Data centres that an operator has evacuated.
+
+From the bound after the request to evacuate a data centre until the
+request is withdrawn, no node sends a request to an upstream there. The
+requests are objects in the store. A few nodes watch them and report them
+to the others; of two reports the one with the higher revision wins.
+
+The load pattern: any number of nodes under full load, some of which are
+refused by the store, cut off from others or have just started. A node that
+has not learnt the evacuations treats every data centre as evacuated.
+Otherwise it would send requests to evacuated upstreams until it hears of
+them.
+"""
+
+from collections import abc
+
+import msgspec
+
+from currantwall.state import evacuations as evacuations_module
+from currantwall.state import ids
+
+__all__ = ["Change", "Evacuations"]
+
+# Seconds for which a change is reported if no data centre is evacuated
+# any more: 25 rounds of heartbeats, most of which may be lost.
+_REPORT_SECONDS = 10.0
+# Most data centres in a report, so that heartbeats stay small whatever the
+# store contains.
+_MAX_DATACENTRES = 64
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Difference that a report made.
+
+    Attributes:
+        begun: Data centres that have been evacuated.
+        withdrawn: Data centres whose evacuation has been withdrawn.
+    """
+
+    begun: tuple[ids.DatacentreName, ...] = ()
+    withdrawn: tuple[ids.DatacentreName, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.begun or self.withdrawn)
+
+
+class Evacuations:
+    """The evacuated data centres as this node knows them.
+
+    All times are monotonic, in seconds.
+
+    Attributes:
+        is_known: Whether this node may send requests: it has learnt the
+            evacuations, or nothing could inform it.
+        revision: Revision of the store that was learnt; 0 for none.
+        generation: Counts the changes of what `is_evacuated` returns.
+        on_withdrawn: Called with a data centre and the time when its
+            evacuation has been withdrawn.
+    """
+
+    def __init__(self, bound: float | None = None, now: float = 0.0) -> None:
+        """Create the state of a node that has learnt nothing yet.
+
+        Args:
+            bound: Seconds from the request for an evacuation until no more
+                requests may be sent; None if there are no evacuations.
+            now: The present time.
+        """
+        self._bound = bound
+        self._datacentres: frozenset[ids.DatacentreName] = frozenset()
+        self._heard_at = now
+        self._reported_until = now
+        self.is_known = bound is None
+        self.revision = 0
+        self.generation = 0
+        self.on_withdrawn: abc.Callable[[ids.DatacentreName, float], None] = (
+            _ignore
+        )
+
+    # -- Input from the store and from other nodes
+
+    def note(
+        self,
+        revision: int,
+        datacentres: abc.Iterable[ids.DatacentreName],
+        now: float,
+    ) -> Change:
+        """Record the evacuations as of a revision of the store.
+
+        Args:
+            revision: The revision; a lower one than before is ignored.
+            datacentres: All evacuated data centres.
+            now: Time of the report.
+
+        Returns:
+            What has changed.
+        """
+        if self._bound is None:
+            return Change()
+        self._heard_at = now
+        listed = frozenset(sorted(datacentres)[:_MAX_DATACENTRES])
+        if revision <= self.revision:
+            if revision < self.revision and listed != self._datacentres:
+                # The sender was cut off. It hears of a withdrawal only if
+                # that is still reported.
+                self._reported_until = now + _REPORT_SECONDS
+            return Change()
+        change = Change(
+            tuple(sorted(listed - self._datacentres)),
+            tuple(sorted(self._datacentres - listed)),
+        )
+        if change or not self.is_known:
+            self.generation += 1
+        if change:
+            self._reported_until = now + _REPORT_SECONDS
+        self.revision = revision
+        self._datacentres = listed
+        self.is_known = True
+        for datacentre in change.withdrawn:
+            self.on_withdrawn(datacentre, now)
+        return change
+
+    def note_contact(self, now: float) -> None:
+        """Record that the store or another node could inform this one."""
+        self._heard_at = now
+
+    def expire(self, now: float) -> bool:
+        """End the wait for the evacuations if nothing can tell them.
+
+        Failure: a node that is cut off from the store and from all nodes
+        would refuse requests for as long, although it can serve them.
+
+        Returns:
+            Whether the wait has ended just now.
+        """
+        if self.is_known or self._bound is None:
+            return False
+        if now - self._heard_at <= self._bound:
+            return False
+        self.is_known = True
+        self.generation += 1
+        return True
+
+    # -- Queries
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether any data centre counts as evacuated."""
+        return not self.is_known or bool(self._datacentres)
+
+    def is_evacuated(self, datacentre: ids.DatacentreName) -> bool:
+        """Return whether a data centre may get no requests."""
+        return not self.is_known or datacentre in self._datacentres
+
+    def list_datacentres(self) -> list[ids.DatacentreName]:
+        """Return the evacuated data centres that are known, sorted."""
+        return sorted(self._datacentres)
+
+    def list_reports(
+        self, now: float
+    ) -> evacuations_module.EvacuationReport | None:
+        """Return the report for the other nodes; None if none is due."""
+        if not self._datacentres and now >= self._reported_until:
+            return None
+        return self.make_report()
+
+    def make_report(self) -> evacuations_module.EvacuationReport | None:
+        """Return what this node has learnt; None if nothing."""
+        if not self.revision:
+            return None
+        return evacuations_module.EvacuationReport(
+            self.revision, tuple(self.list_datacentres())
+        )
+
+
+def _ignore(datacentre: ids.DatacentreName, now: float) -> None:
+    return
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -189,9 +189,13 @@
     def turn_away(self, kind: Kind, now: float) -> list[Refusal]:
         """Remove and return the requests that cannot start soon enough.
 
-        These are the ones whose callers give up before a slot is free.
+        These are the ones whose callers give up before a slot is free, and
+        all while every data centre is evacuated.
         """
-        unservable = self.backlog.list_unservable(kind, now)
+        if self._balancer.is_wholly_evacuated(kind.service):
+            unservable = self.backlog.list_tickets(kind, now)
+        else:
+            unservable = self.backlog.list_unservable(kind, now)
         refusals = [
             Refusal(ticket, self.estimate_retry_after(ticket, now))
             for ticket in unservable
