Planner: form no replicas in evacuated data centres

Replicas in an evacuated data centre get no requests, so they are no supply: the coverage of each model is computed without them, and other data centres load and form more. Instances there get no join, open or load order and are probed at the steady interval.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -17,6 +17,11 @@
   order that arrives late finds another number and has no effect.
 * Each join has a higher epoch than the one before, so that an old join
   can't succeed.
+
+Instances in an evacuated data centre get no orders to join, open or load,
+and their replicas are no supply. Open replicas there stay as they are:
+they finish their requests, and serve again once the evacuation is
+withdrawn.
 """
 
 from collections import abc
@@ -67,7 +72,11 @@
 
 
 class Planner:
-    """Decides the replicas of one domain."""
+    """Decides the replicas of one domain.
+
+    Attributes:
+        is_evacuated: Returns whether a data centre is evacuated.
+    """
 
     def __init__(self, name: ids.DomainName, engine: routes.Engine) -> None:
         self._name = name
@@ -83,6 +92,7 @@
         self._epoch = 0
         self._layout = layout_module.Layout("")
         self._has_traffic = True
+        self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
 
     @property
     def engine(self) -> routes.Engine:
@@ -120,7 +130,9 @@
         """Return how many replicas of each model serve or soon will."""
         found: dict[str, int] = {}
         for replica in self._list_replicas():
-            if self._is_intact(replica) and not self._is_spare(replica):
+            if not self._is_intact(replica) or self._is_spare(replica):
+                continue
+            if not self._has_evacuated(replica):
                 found[replica.model] = found.get(replica.model, 0) + 1
         return found
 
@@ -178,10 +190,20 @@
                     if member.seat and member.seat.phase is Phase.READY
                 )
         for name, record in self._records.items():
-            if record.staging_model:
+            if record.staging_model or not self._may_form(record):
                 found.add(name)
         return found
 
+    def _may_form(self, record: knowledge.InstanceRecord) -> bool:
+        """Return whether an instance may be part of a new replica."""
+        return not self.is_evacuated(record.upstream.datacentre)
+
+    def _has_evacuated(self, replica: upstreams.Replica) -> bool:
+        """Return whether a member is in an evacuated data centre."""
+        return any(
+            self.is_evacuated(member.datacentre) for member in replica.members
+        )
+
     # -- Planning
 
     def plan(
@@ -236,6 +258,7 @@
             for name, record in self._records.items()
             if name not in assigned
             and record.is_usable
+            and self._may_form(record)
             and record.upstream.sequence is not None
             and record.pending_until <= now
         ]
@@ -320,7 +343,7 @@
         ):
             return []
         leader = replica.members[0]
-        if not self._can_order(leader, now):
+        if self._has_evacuated(replica) or not self._can_order(leader, now):
             return []
         return [self._create_seat_order(leader, knowledge.OrderKind.OPEN)]
 
@@ -550,7 +573,7 @@
         staged = self._count_staged()
         wanted = {}
         if layout.replicas:
-            usable = sum(record.is_usable for record in self._records.values())
+            usable = self._count_usable()
             wanted = layout_module.count_wanted(
                 self._engine, layout.replicas, usable
             )
@@ -567,7 +590,7 @@
                 )
                 for model in self._engine.models
             },
-            usable=sum(record.is_usable for record in self._records.values()),
+            usable=self._count_usable(),
             size=layout.size,
             coverage=self._measure_coverage(unassigned, formed, demands),
             loading=any(
@@ -582,12 +605,19 @@
         loads = staging.choose_loads(self._engine, inventory)
         return [self._order_load(load, now) for load in loads[:allowed_loads]]
 
+    def _count_usable(self) -> int:
+        """Return how many instances may serve in replicas."""
+        return sum(
+            record.is_usable and self._may_form(record)
+            for record in self._records.values()
+        )
+
     def _count_staged(self) -> dict[str, int]:
         """Return how many usable instances have or load each model."""
         found: dict[str, int] = {}
         for record in self._records.values():
             name = record.staging_model or self._find_staged_model(record)
-            if name and record.is_usable:
+            if name and record.is_usable and self._may_form(record):
                 found[name] = found.get(name, 0) + 1
         return found
 
@@ -601,7 +631,8 @@
         own = self.count_replicas()
         loading: dict[str, int] = {}
         for record in self._records.values():
-            if record.staging_model and record.is_usable:
+            is_loading = record.staging_model and record.is_usable
+            if is_loading and self._may_form(record):
                 loading[record.staging_model] = (
                     loading.get(record.staging_model, 0) + 1
                 )
@@ -631,3 +662,7 @@
             sequence=record.upstream.sequence,
             model=load.model.name,
         )
+
+
+def _is_never(_: ids.DatacentreName) -> bool:
+    return False
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -17,6 +17,7 @@
 from currantwall.coordination.replicas import supply
 from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -101,6 +102,7 @@
         on_slow: Called with the leader's epoch ID when a member slows down
             its replica.
         services: Returns the configured services.
+        evacuations: Data centres in which no replicas are formed.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         self.on_loss: abc.Callable[[str], None] = _ignore
         self.on_slow: abc.Callable[[str], None] = _ignore
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
+        self.evacuations = evacuations_module.Evacuations()
 
     # -- The loop
 
@@ -317,6 +320,7 @@
         """Probe the instances that the planner asks for and the slow ones."""
         members = self._fleet.list_domain(domain.service, domain.name)
         domain.planner.knowledge.note_list(members, now)
+        domain.planner.is_evacuated = self.evacuations.is_evacuated
         interval = (
             _PROBE_INTERVAL if domain.lease.held else _UNLEASED_PROBE_INTERVAL
         )
@@ -365,7 +369,9 @@
     def _compute_demands(self, domain: _Domain) -> dict[str, formation.Demand]:
         """Return each model's demand, and its supply in other domains."""
         busy = self._balancer.count_busy(domain.service)
-        elsewhere = self._supply.count_elsewhere(domain.service, domain.name)
+        elsewhere = self._supply.count_elsewhere(
+            domain.service, domain.name, self.evacuations.is_evacuated
+        )
         total = sum(busy.values())
         found = {}
         for service in self.services():
