Gateway: follow the evacuations in the store

The nodes that read the store watch the kind evacuations and report changes in heartbeats and digests, which every node passes on at once. A node that starts is not ready until the store or a peer has told it the evacuations. Without bounds.evacuateMs nothing of this runs.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -30,6 +30,7 @@
     Attributes:
         version: Version of the configuration that was written last.
         limits: The limits of the machine in a new gateway's settings.
+        bounds: Further bounds in a new gateway's settings.
         fronts: Address for callers of each gateway, by its name.
         readies: Address of each gateway's readiness check.
         directories: Address of each gateway's list of addresses.
@@ -40,6 +41,7 @@
         self._next_host = 10
         self.version = 0
         self.limits: dict[str, float] = {}
+        self.bounds: dict[str, float] = {}
         self.fronts: dict[str, str] = {}
         self.readies: dict[str, str] = {}
         self.directories: dict[str, str] = {}
@@ -133,6 +135,7 @@
                 "graceS": grace,
                 "retryBudgetRatio": 0.2,
                 "budgetSlack": 100,
+                **self.bounds,
             },
             "platform": {"address": self.get_store(name)},
         }
@@ -166,6 +169,21 @@
             response = self.http.request("POST", base, body=data)
         assert response.status == 200, response.data
 
+    def evacuate(self, datacentre: str) -> None:
+        """Request in the store that a data centre be evacuated."""
+        base = f"http://{self.addresses[_STORE_NAME]}{_OBJECTS_PATH}"
+        body = {"metadata": {"name": datacentre}, "spec": {}}
+        data = msgspec.json.encode(body)
+        url = f"{base}/evacuations"
+        response = self.http.request("POST", url, body=data)
+        assert response.status == 200, response.data
+
+    def withdraw_evacuation(self, datacentre: str) -> None:
+        """Withdraw the request to evacuate a data centre."""
+        base = f"http://{self.addresses[_STORE_NAME]}{_OBJECTS_PATH}"
+        url = f"{base}/evacuations/{datacentre}"
+        self.http.request("DELETE", url)
+
     def set_store(self, **faults: typing.Any) -> None:
         """Set the faults that the store injects."""
         url = f"http://{self.addresses[_STORE_NAME]}/control/objectapi"
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -21,6 +21,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
+from currantwall.coordination.requests import evacuations as evacuations_module
 from currantwall.protocol import names as names_module
 from currantwall.state import gateway
 from currantwall.state import routes
@@ -29,6 +30,7 @@
 from currantwall.transport import configurations
 from currantwall.transport import domainleases
 from currantwall.transport import duties
+from currantwall.transport import evacuations as evacuation_feeds
 from currantwall.transport import exchanges
 from currantwall.transport import fleets
 from currantwall.transport import forwarding
@@ -92,6 +94,10 @@
         self._balancer = balancing.Balancer(
             self._fleet, settings.datacentre, settings.node
         )
+        self._evacuations = evacuations_module.Evacuations(
+            settings.evacuation_bound, self._now()
+        )
+        self._balancer.evacuations = self._evacuations
         self._budget = budgets.RepeatBudget(
             settings.repeat_ratio,
             settings.repeat_slack,
@@ -150,6 +156,16 @@
             self._log,
             self._clock,
         )
+        self._evacuation_feed = evacuation_feeds.EvacuationFeed(
+            self._store,
+            documents,
+            self._evacuations,
+            self._fleet,
+            self._presence,
+            self._meter,
+            self._log,
+            self._clock,
+        )
         self._nodes_feed = registrations.NodesFeed(
             self._store, self._presence, self._log, self._clock
         )
@@ -166,6 +182,7 @@
             self._clock,
         )
         self._duties.services = self._list_services
+        self._duties.evacuations = self._evacuations
         self._news = self._make_news()
         self._stopping = False
         self._listener: typing.Any = listener
@@ -196,6 +213,9 @@
         self._duties.on_slow = made.announce_slow
         self._configuration.on_change = made.announce_configuration
         self._fleet_feed.on_change = made.announce_list
+        if self._settings.evacuation_bound is not None:
+            made.note_evacuations = self._evacuation_feed.note_report
+            self._evacuation_feed.on_change = made.announce_evacuations
         return made
 
     # -- Serving
@@ -214,7 +234,7 @@
             ingress.start_server(
                 ingress.listen(address), self._make_ingress(handler)
             )
-        for task in (
+        tasks = [
             self._log.run,
             self._news.run_receiver,
             self._news.run_sender,
@@ -225,7 +245,10 @@
             self._queue.run,
             self._open_front,
             self._sweep,
-        ):
+        ]
+        if settings.evacuation_bound is not None:
+            tasks.append(self._evacuation_feed.run)
+        for task in tasks:
             eventlet.spawn_n(self._supervise, task)
         self._log.write("started", front=settings.front)
         self._stopped.wait()
@@ -286,6 +309,7 @@
     @property
     def _is_ready(self) -> bool:
         known = self._forwarder.has_configuration and self._fleet.is_known
+        known = known and self._evacuations.is_known
         return known and not self._stopping
 
     # -- Handlers of the other addresses
@@ -312,18 +336,22 @@
         return _answer_json(self._documents.encode_addresses(addresses, ttl))
 
     def _answer_peer(self, inbound: ingress.Inbound) -> ingress.Reply:
-        """Return the configuration, or changes of the list of instances.
+        """Return the configuration, the evacuations or changed instances.
 
-        A request for the configuration gets 503 while none is known.
+        A request for the configuration or the evacuations gets 503 while
+        they are not known.
         """
         if inbound.path == peers.INSTANCES_PATH:
             since = peers.parse_since(inbound.target)
             changes = self._fleet_feed.list_changes(since)
             body = peers.compress(msgspec.msgpack.encode(changes))
             return ingress.Reply(status=200, headers=[], body=body)
-        if not self._configuration.document:
+        if inbound.path == peers.EVACUATIONS_PATH:
+            body = self._evacuation_feed.encode_report()
+        else:
+            body = self._configuration.document
+        if not body:
             return ingress.Reply(status=503, headers=[], body=b"")
-        body = self._configuration.document
         return ingress.Reply(status=200, headers=[], body=body)
 
     def _answer_metrics(self, _: ingress.Inbound) -> ingress.Reply:
--- /dev/null
+++ b/currantwall/transport/evacuations.py
@@ -0,0 +1,248 @@
+"""Keeps the evacuated data centres up to date.
+
+A few nodes of each data centre watch the evacuations in the store
+(`Presence.reads_store`). The others learn of changes from heartbeats and
+digests. A node that starts lists them once, or fetches them from a peer.
+"""
+
+from collections import abc
+
+import eventlet
+import msgspec
+import result
+
+from currantwall.coordination import calls
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import evacuations
+from currantwall.state import evacuations as reports_module
+from currantwall.state import hashing
+from currantwall.state import ids
+from currantwall.state import upstreams
+from currantwall.transport import journal
+from currantwall.transport import metrics as metrics_module
+from currantwall.transport import peers
+from currantwall.transport import ports
+from currantwall.transport import timers
+
+__all__ = ["EvacuationFeed"]
+
+# Seconds that one watch waits, as for the configuration: a connection that
+# was lost silently is noticed after that time.
+_WATCH_TIMEOUT = 4.0
+# Seconds to wait after the first failed call, and at most: the bound of an
+# evacuation is 5 s, and another reader may be answered meanwhile.
+_BACKOFF_FIRST = 0.1
+_BACKOFF_LIMIT = 1.0
+# Seconds between two checks whether this node has to watch the store.
+_ROLE_CHECK_INTERVAL = 0.25
+# Seconds between two fetches from peers.
+_FETCH_INTERVAL = 0.25
+# Name of this feed in the log lines about the store.
+_FEED_NAME = "evacuations"
+# Sources of a change in the log that are no peers.
+_STORE_SOURCE = "store"
+_CHANGES_METRIC = "currantwall.evacuations"
+
+
+class EvacuationFeed:
+    """Follows the evacuations; does nothing where there are none.
+
+    Attributes:
+        on_change: Called after the evacuations have changed.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        documents: ports.Documents,
+        known: evacuations.Evacuations,
+        fleet: upstreams.Fleet,
+        presence: presence_module.Presence,
+        meter: metrics_module.Metrics,
+        log: journal.Journal,
+        clock: timers.TimerService,
+    ) -> None:
+        self._store = store
+        self._kind = documents.evacuations_kind
+        self._known = known
+        self._fleet = fleet
+        self._presence = presence
+        self._meter = meter
+        self._log = log
+        self._clock = clock
+        seed = hashing.hash_text(presence.me.id)
+        self._backoff = calls.Backoff(_BACKOFF_FIRST, _BACKOFF_LIMIT, seed)
+        self._jitter = (seed % 16) / 16.0
+        self._reachable = True
+        self._fetching = False
+        # Names in the store as of the last answer.
+        self._listed: set[str] = set()
+        self.on_change: abc.Callable[[], None] = _ignore
+
+    # -- The store
+
+    def run(self) -> None:
+        """Follow the store, or the peers that read it, forever."""
+        while True:
+            if self._known.revision and not self._reads_store():
+                eventlet.sleep(_ROLE_CHECK_INTERVAL)
+                continue
+            listed = self._store.list(self._kind)
+            if not self._check_outcome(listed):
+                continue
+            assert isinstance(listed, result.Ok)
+            listing = listed.ok_value
+            self._listed = {stored.name for stored in listing.objects}
+            self._apply(listing.revision)
+            if self._reads_store():
+                self._watch_store(listing.revision)
+
+    def _reads_store(self) -> bool:
+        return self._presence.reads_store(self._clock.now())
+
+    def _watch_store(self, since: int) -> None:
+        """Watch until a watch fails or this node need not read the store.
+
+        Args:
+            since: Revision from which to watch.
+        """
+        wait = _WATCH_TIMEOUT * (0.5 + self._jitter / 2)
+        while True:
+            changed = self._store.watch(self._kind, since, wait)
+            wait = _WATCH_TIMEOUT
+            if not self._check_outcome(changed):
+                return
+            self._backoff.succeed()
+            assert isinstance(changed, result.Ok)
+            changes = changed.ok_value
+            written = {stored.name for stored in changes.objects}
+            if written & changes.removed:
+                # Written and removed in one answer, which doesn't tell the
+                # order: list them.
+                return
+            self._listed = (self._listed | written) - changes.removed
+            since = max(since, changes.revision)
+            self._apply(since)
+            if not self._reads_store():
+                return
+
+    def _check_outcome(
+        self, outcome: result.Result[ports.Listing, ports.StoreFailure]
+    ) -> bool:
+        """Log the loss and return of the store; wait after a failure.
+
+        Returns:
+            Whether the call succeeded.
+        """
+        if isinstance(outcome, result.Ok):
+            if not self._reachable:
+                self._reachable = True
+                self._log.write("store_regained", feed=_FEED_NAME)
+            return True
+        expired = outcome.err_value is ports.StoreFailure.EXPIRED
+        if self._reachable and not expired:
+            self._reachable = False
+            why = outcome.err_value.value
+            self._log.write("store_lost", feed=_FEED_NAME, why=why)
+        if self._known.expire(self._clock.now()):
+            self._log.write("evacuations_unknown")
+        eventlet.sleep(self._backoff.fail())
+        return False
+
+    def _apply(self, revision: int) -> None:
+        names = [ids.DatacentreName(name) for name in self._listed]
+        report = reports_module.EvacuationReport(revision, tuple(names))
+        self._note(report, _STORE_SOURCE)
+
+    # -- Other nodes
+
+    def note_report(
+        self,
+        node: presence_module.NodeEntry,
+        is_ready: bool,
+        report: reports_module.EvacuationReport | None,
+    ) -> None:
+        """Apply another node's report; fetch it if this node needs it.
+
+        Args:
+            node: The other node.
+            is_ready: Whether it takes requests, and so has learnt the
+                evacuations.
+            report: Its report; None where nothing has changed lately.
+        """
+        if report is not None:
+            self._note(report, node.id)
+        if not is_ready or self._known.revision:
+            return
+        self._known.note_contact(self._clock.now())
+        if not self._fetching:
+            self._fetching = True
+            eventlet.spawn_n(self._fetch_report, node)
+
+    def _fetch_report(self, node: presence_module.NodeEntry) -> None:
+        try:
+            data = peers.fetch(node.peer, peers.EVACUATIONS_PATH)
+            report = msgspec.msgpack.decode(
+                data, type=reports_module.EvacuationReport
+            )
+            self._note(report, node.id)
+        except peers.FAILURES as error:
+            self._log.write(
+                "peer_fetch_failed", peer=node.id, why=type(error).__name__
+            )
+            eventlet.sleep(_FETCH_INTERVAL)
+        finally:
+            self._fetching = False
+
+    def encode_report(self) -> bytes:
+        """Return what this node has learnt, for a peer; empty if nothing."""
+        report = self._known.make_report()
+        if report is None:
+            return b""
+        return peers.compress(msgspec.msgpack.encode(report))
+
+    # -- Changes
+
+    def _note(
+        self, report: reports_module.EvacuationReport, source: str
+    ) -> None:
+        """Apply a report, and log what it changes."""
+        change = self._known.note(
+            report.revision, report.datacentres, self._clock.now()
+        )
+        for datacentre in change.begun:
+            self._log_change(
+                "evacuation_begun", datacentre, report.revision, source
+            )
+        for datacentre in change.withdrawn:
+            self._log_change(
+                "evacuation_withdrawn", datacentre, report.revision, source
+            )
+        if change:
+            self.on_change()
+
+    def _log_change(
+        self,
+        event: str,
+        datacentre: ids.DatacentreName,
+        revision: int,
+        source: str,
+    ) -> None:
+        """Log and count a change.
+
+        A data centre without upstreams may be a misspelled name: such an
+        evacuation has no effect.
+        """
+        count = sum(one.datacentre == datacentre for one in self._fleet.all())
+        self._meter.add(_CHANGES_METRIC, 1, event)
+        self._log.write(
+            event,
+            datacentre=datacentre,
+            revision=revision,
+            source=source,
+            upstreams=count,
+        )
+
+
+def _ignore() -> None:
+    return
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -10,6 +10,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
+from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import configurations
@@ -42,6 +43,8 @@
         is_ready: Returns whether this node takes requests.
         abort_attempts: Called with the epoch ID of a leader whose replica
             has lost a member; ends the attempts at it.
+        note_evacuations: Called for each report with its sender, whether
+            that takes requests, and the evacuations that it reports.
     """
 
     def __init__(
@@ -74,6 +77,14 @@
         self.send = self._heartbeats.send
         self.is_ready: abc.Callable[[], bool] = _is_never_ready
         self.abort_attempts: abc.Callable[[str], None] = _ignore
+        self.note_evacuations: abc.Callable[
+            [
+                presence_module.NodeEntry,
+                bool,
+                evacuations_module.EvacuationReport | None,
+            ],
+            None,
+        ] = _ignore_evacuations
         # What the next heartbeats report, and until when.
         self._stalled: dict[str, float] = {}
         self._lost: dict[str, float] = {}
@@ -104,6 +115,7 @@
             instances=self._fleet_feed.changed,
             leases=self._leases.list_leases(now),
             store_age=self._fleet_feed.get_store_age(now),
+            evacuations=self._balancer.evacuations.list_reports(now),
         )
         return self._relay.list_datagrams(own, now)
 
@@ -155,6 +167,9 @@
         self._fleet_feed.note_peer_revision(report.instances)
         self._leases.note_leases(report.leases, now)
         self._balancer.limits.note_reports(report.limits, now)
+        self.note_evacuations(
+            report.node, _is_from_ready(report), report.evacuations
+        )
         self._suspect(report.stalled)
         for epoch_id in report.lost:
             self._note_loss(epoch_id, now)
@@ -196,6 +211,14 @@
         """Report the limits that upstreams have changed, without delay."""
         self._heartbeats.send_soon()
 
+    def announce_evacuations(self) -> None:
+        """Report a changed set of evacuated data centres, without delay.
+
+        Every node passes a change on at once, relays as well as others: a
+        lost datagram then delays it by no whole round.
+        """
+        self._heartbeats.send_soon()
+
     def announce_configuration(self) -> None:
         """Announce a newer configuration at once, so that others fetch it."""
         self._heartbeats.send_soon()
@@ -244,6 +267,21 @@
     return
 
 
+def _ignore_evacuations(
+    node: presence_module.NodeEntry,
+    is_ready: bool,
+    report: evacuations_module.EvacuationReport | None,
+) -> None:
+    return
+
+
+def _is_from_ready(
+    report: presence_module.Heartbeat | digests.Digest,
+) -> bool:
+    """Return whether the sender takes requests, as all relays do."""
+    return isinstance(report, digests.Digest) or report.ready
+
+
 def _subtract_own(
     total: abc.Mapping[str, int], own: abc.Mapping[str, int]
 ) -> dict[str, int]:
--- a/currantwall/transport/peers.py
+++ b/currantwall/transport/peers.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "CONFIGURATION_PATH",
+    "EVACUATIONS_PATH",
     "FAILURES",
     "INSTANCES_PATH",
     "compress",
@@ -22,6 +23,7 @@
 
 CONFIGURATION_PATH = "/configuration"
 INSTANCES_PATH = "/instances"
+EVACUATIONS_PATH = "/evacuations"
 # Seconds for a fetch: 3 ms between data centres, plus the time to send
 # 0.1 MB to each of fifty nodes over the slowest link.
 _FETCH_TIMEOUT = 0.5
