Planner: replace partly evacuated replicas before their release

A replica with members in two data centres, one of which is evacuated, has to move. relocation.py releases it once a new replica of its model is open in its place, and at once if its leader gets no requests anyway; it finishes its requests without a time limit.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -30,6 +30,7 @@
 
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
+from currantwall.coordination.replicas import relocation
 from currantwall.coordination.replicas import staging
 from currantwall.state import ids
 from currantwall.state import routes
@@ -92,6 +93,7 @@
         self._epoch = 0
         self._layout = layout_module.Layout("")
         self._has_traffic = True
+        self._relocation = relocation.Relocation()
         self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
 
     @property
@@ -242,12 +244,23 @@
                 record.staging_model = ""
         orders: list[knowledge.Order] = []
         assigned: set[ids.InstanceId] = set()
+        released = self._relocation.choose_released(
+            [
+                replica
+                for replica in self._list_replicas()
+                if self._is_intact(replica) and not self._is_spare(replica)
+            ],
+            self.is_evacuated,
+        )
         for replica in self._list_replicas():
             if self._is_spare(replica):
                 continue
             if self._is_intact(replica) and not self._has_failed(replica, now):
                 assigned.update(member.id for member in replica.members)
-                orders += self._plan_open(replica, now)
+                if (replica.id, replica.epoch) in released:
+                    orders += self._plan_release(replica, now)
+                else:
+                    orders += self._plan_open(replica, now)
             else:
                 assigned.update(member.id for member in replica.members)
                 freed, more = self._plan_dissolution(replica, now)
@@ -347,6 +360,18 @@
             return []
         return [self._create_seat_order(leader, knowledge.OrderKind.OPEN)]
 
+    def _plan_release(
+        self, replica: upstreams.Replica, now: float
+    ) -> list[knowledge.Order]:
+        """Return the next order to end a partly evacuated replica.
+
+        It finishes its requests, however long they last.
+        """
+        leader = replica.members[0]
+        if leader.seat is None or leader.seat.phase is Phase.JOINING:
+            return []
+        return self._plan_close(leader, leader.seat.phase, now)
+
     def _plan_dissolution(
         self, replica: upstreams.Replica, now: float
     ) -> tuple[set[ids.InstanceId], list[knowledge.Order]]:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,6 +16,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.replicas import formation
 from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.requests import evacuations
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -252,6 +253,23 @@
         world.run(4.5)
         self.assertEqual(len(world.list_holders()), 1)
 
+    def test_a_new_holder_forms_nothing_in_an_evacuated_data_centre(self):
+        """Guards against replicas that a holder's successor forms there."""
+        world = self.make("n1", "n2")
+        (holder,) = world.list_holders()
+        world.nodes[holder].dead = True
+        (heir,) = world.nodes.keys() - {holder}
+        node = world.nodes[heir]
+        node.duties.evacuations = evacuations.Evacuations(5.0)
+        node.duties.evacuations.note(1, ["a"], world.now())
+        node.engines.sequence = 0
+        world.run(6.0)
+        self.assertEqual(world.list_holders(), [heir])
+        self.assertEqual(node.engines.orders, [])
+        node.duties.evacuations.note(2, [], world.now())
+        world.run(6.0)
+        self.assertNotEqual(node.engines.orders, [])
+
     def test_a_holder_that_the_store_refuses_is_succeeded(self):
         world = self.make("n1", "n2")
         (holder,) = world.list_holders()
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -51,6 +51,7 @@
         # Whether it no longer listens but still finishes its requests.
         self.refusing = False
         self.highest_epoch = 0
+        self.datacentre = "here"
 
     def advance(self, now):
         seat = self.seat
@@ -65,7 +66,7 @@
             id=self.id,
             service=ids.ServiceName("pool"),
             address=f"{self.id}:1",
-            datacentre=ids.DatacentreName("here"),
+            datacentre=ids.DatacentreName(self.datacentre),
             domain=ids.DomainName("d0"),
             born=self.born,
             sequence=self.sequence,
@@ -294,6 +295,62 @@
         self.assertEqual(session.count_open(), 2)
         self.assertEqual(session.world.violations, [])
 
+    def test_an_evacuated_domain_gets_no_orders_to_form(self):
+        """Guards against replicas formed where no request may be sent.
+
+        A member of a replica is lost after the evacuation has begun; once
+        it is withdrawn, the replica is formed again.
+        """
+        session = self.start(9)
+        evacuated = {"here"}
+        session.planner.is_evacuated = evacuated.__contains__
+        session.world.orders.clear()
+        victim = session.world.engines["i0"]
+        victim.up = False
+        session.suspect(victim)
+        session.run(5.0)
+        self.assertEqual(
+            {order.kind for order in session.world.orders}
+            & {Kind.JOIN, Kind.OPEN, Kind.STAGE},
+            set(),
+        )
+        self.assertEqual(session.planner.count_replicas(), {})
+        evacuated.clear()
+        session.run(5.0)
+        self.assertEqual(session.count_open(), 2)
+
+    def test_a_replica_that_forms_during_an_evacuation_is_not_opened(self):
+        """Guards against orders and many probes in an evacuated domain."""
+        session = Session(World(4))
+        session.run(1.0)
+        session.planner.is_evacuated = {"here"}.__contains__
+        session.run(5.0)
+        phases = {
+            engine.seat.phase for engine in session.world.engines.values()
+        }
+        self.assertEqual(phases, {Phase.READY})
+        session.run(2.1)
+        probes = session.planner.list_probes(session.now + 0.1, 4.0)
+        self.assertEqual(probes, [])
+
+    def test_a_partly_evacuated_replica_is_replaced_before_its_release(self):
+        """Guards against losing a replica before the new one is open."""
+        session = self.start(4)
+        before = session.world.engines["i0"].seat.replica
+        session.world.engines["i3"].datacentre = "there"
+        session.planner.is_evacuated = {"there"}.__contains__
+        session.run(3.0)
+        self.assertEqual(session.count_open(), 1)
+        for number in range(4, 8):
+            engine = Engine(f"i{number}", ("large",))
+            session.world.engines[engine.id] = engine
+        for _ in range(60):
+            session.step()
+            self.assertGreaterEqual(session.count_open(), 1)
+        seat = session.world.engines["i0"].seat
+        self.assertNotEqual(seat and seat.replica, before)
+        self.assertEqual(session.world.violations, [])
+
     def test_survivors_of_two_losses_form_one_replica(self):
         """Two replicas each lose two members; one must be open again.
 
