Queue: tell waiting callers that all data centres are evacuated

They are rejected at once, but with the reason of a long backlog. The placer now gives the reason of each refusal.

--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -79,10 +79,12 @@
 
     Attributes:
         retry_after: Seconds after which it will find a free slot.
+        reason: Message for the log and the caller.
     """
 
     ticket: Ticket
     retry_after: float
+    reason: str
 
 
 class Placer:
@@ -193,11 +195,13 @@
         all while every data centre is evacuated.
         """
         if self._balancer.is_wholly_evacuated(kind.service):
+            reason = "all data centres are evacuated"
             unservable = self.backlog.list_tickets(kind, now)
         else:
+            reason = "the backlog is too long"
             unservable = self.backlog.list_unservable(kind, now)
         refusals = [
-            Refusal(ticket, self.estimate_retry_after(ticket, now))
+            Refusal(ticket, self.estimate_retry_after(ticket, now), reason)
             for ticket in unservable
         ]
         for ticket in unservable:
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -127,8 +127,9 @@
             if isinstance(message, requests.Placed):
                 return message.upstream
             if isinstance(message, requests.Rejected):
-                reason = "the backlog is too long"
-                return balancing.Unavailable(reason, message.retry_after)
+                return balancing.Unavailable(
+                    message.reason, message.retry_after
+                )
             if isinstance(message, requests.Disconnected):
                 raise requests.CallerDisconnected
             # All other messages come from an attempt that has ended.
@@ -227,7 +228,7 @@
         """Reject the requests that will get no slot in time."""
         for refusal in self._placer.turn_away(kind, self._now()):
             waiting = self._waiting.pop(refusal.ticket)
-            message = requests.Rejected(refusal.retry_after)
+            message = requests.Rejected(refusal.retry_after, refusal.reason)
             waiting.request.inbox.put(message)
 
 
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -38,9 +38,11 @@
 
     Attributes:
         retry_after: Seconds after which the caller should retry.
+        reason: Text of the answer.
     """
 
     retry_after: float
+    reason: str
 
 
 class CallerDisconnected(Exception):  # noqa: N818
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -7,6 +7,7 @@
 from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import capacity
+from currantwall.coordination.requests import evacuations
 from currantwall.coordination.requests import placing
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -198,6 +199,33 @@
         self.note_pauses("i1", 0.45)
         self.assertEqual(self.fill_up(2.5), 28)
 
+    def evacuate(self, *datacentres):
+        known = evacuations.Evacuations(5.0)
+        known.note(1, datacentres, 1.0)
+        self.balancer.evacuations = known
+
+    def test_a_request_waits_while_another_data_centre_can_serve(self):
+        """Guards against refusing callers during each evacuation."""
+        spare = msgspec.structs.replace(
+            make_leader(1), datacentre=ids.DatacentreName("b"), seat=None
+        )
+        self.fleet.replace([make_leader(0), spare], 2, 0.0)
+        self.evacuate(make_leader(0).datacentre)
+        found = self.placer.try_place(make_ticket("a", 1.0), 1.0)
+        self.assertTrue(found.is_full)
+        self.assertEqual(self.placer.turn_away(_KIND, 1.0), [])
+
+    def test_requests_do_not_wait_where_all_is_evacuated(self):
+        """Guards against callers that wait for nothing, also queued ones."""
+        self.placer.add(make_ticket("queued", 1.0))
+        self.evacuate(make_leader(0).datacentre)
+        found = self.placer.try_place(make_ticket("a", 1.0), 1.0)
+        self.assertFalse(found.is_full)
+        self.assertGreater(found.retry_after, 0)
+        (refusal,) = self.placer.turn_away(_KIND, 1.0)
+        self.assertEqual(refusal.ticket.request, "queued")
+        self.assertGreater(refusal.retry_after, 0)
+
     def test_a_request_does_not_wait_where_no_replica_exists(self):
         self.fleet.replace([], 2, 1.0)
         found = self.placer.try_place(make_ticket("a", 1.0), 1.0)
