Digests: test that evacuations reach all nodes at once

The simulated network carries the evacuations: all of 141 nodes learn one in one round, and nodes that were cut off learn a withdrawal that the others no longer report.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -13,6 +13,7 @@
 from bench import report
 from currantwall.coordination.peers import digests
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import evacuations
 from currantwall.state import ids
 from currantwall.state import limits
 
@@ -31,6 +32,8 @@
 _LIMITED_SHARE = 0.15
 _REPORTED_SHARE = 1 / 11
 _HOLDERS_PER_LIMIT = 4
+# Bound of an evacuation, in seconds.
+_EVACUATION_BOUND = 5.0
 # Requests in flight from a node; typical of the sizes in use today.
 _REQUESTS_PER_NODE = 3
 
@@ -67,6 +70,7 @@
             is slowed by a member.
         remote_loads: Requests in flight by upstream, from the newest total
             digest.
+        evacuations: The evacuated data centres that it knows.
     """
 
     def __init__(self, entry: presence_module.NodeEntry) -> None:
@@ -84,6 +88,7 @@
         self.limits: dict[str, tuple[float | None, float]] = {}
         self.heard_limits: dict[str, tuple[float | None, float]] = {}
         self.remote_loads: dict[str, int] = {}
+        self.evacuations = evacuations.Evacuations(_EVACUATION_BOUND)
         self.sent = 0
         self.received = 0
         self.bytes_sent = 0
@@ -104,6 +109,7 @@
                 for name, (rate, at) in self.limits.items()
             },
             store_age=self._get_store_age(now),
+            evacuations=self.evacuations.list_reports(now),
         )
         return self.relay.list_datagrams(own, now)
 
@@ -122,11 +128,19 @@
         self.answered_at = now
         self.presence.store_history.note_answer(now)
 
-    def receive(self, message: digests.Message, now: float) -> None:
-        """Handle a received message as the gateway does."""
+    def receive(self, message: digests.Message, now: float) -> bool:
+        """Handle a received message as the gateway does.
+
+        Returns:
+            Whether the node has to pass news on at once.
+        """
         self.received += 1
         if isinstance(message, digests.Alarm):
-            return
+            return False
+        report = message.evacuations
+        has_news = report is not None and bool(
+            self.evacuations.note(report.revision, report.datacentres, now)
+        )
         for name in message.lost:
             self.heard_lost.setdefault(name, now)
         for name in message.slow:
@@ -136,9 +150,9 @@
         if isinstance(message, presence_module.Heartbeat):
             if self.presence.note_heartbeat(message, now):
                 self.relay.note_heartbeat(message, now)
-            return
-        if self.relay.note_digest(message, now) and not message.is_part:
+        elif self.relay.note_digest(message, now) and not message.is_part:
             self.remote_loads = message.loads
+        return self.relay.take_urgent() or has_news
 
 
 class Network:
@@ -203,8 +217,7 @@
                 continue
             node = self.nodes[entry.id]
             node.bytes_received += size
-            node.receive(datagram.message, self.now)
-            if node.relay.take_urgent():
+            if node.receive(datagram.message, self.now):
                 urgent.append(entry.id)
         return urgent
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -152,6 +152,41 @@
         ]
         self.assertGreaterEqual(len(informed), 140)
 
+    def list_evacuated(self):
+        """Return the different sets of evacuated data centres that are known.
+
+        Dead nodes are left out.
+        """
+        return {
+            tuple(node.evacuations.list_datacentres())
+            for node in self.net.list_live()
+        }
+
+    def test_an_evacuation_is_reported_to_all_at_once(self):
+        """Failure: requests still reach an evacuated data centre."""
+        reader = self.net.nodes["a-0"]
+        reader.evacuations.note(10, ["b"], self.net.now)
+        self.net.send("a-0")
+        self.assertEqual(self.list_evacuated(), {("b",)})
+
+    def test_a_withdrawal_reaches_nodes_that_were_cut_off(self):
+        """Failure: nodes withhold traffic for good, or revive an evacuation.
+
+        They return when the others no longer report the withdrawal.
+        """
+        reader = self.net.nodes["a-0"]
+        reader.evacuations.note(10, ["b"], self.net.now)
+        self.net.run(1.0)
+        cut = {name for name in self.net.nodes if name.startswith("c")}
+        self.net.dead |= cut
+        reader.evacuations.note(20, [], self.net.now)
+        self.net.run(30.0)
+        self.assertEqual(self.list_evacuated(), {()})
+        self.assertIsNone(reader.evacuations.list_reports(self.net.now))
+        self.net.dead -= cut
+        self.net.run(4.0)
+        self.assertEqual(self.list_evacuated(), {()})
+
     def test_the_fleet_goes_on_when_all_relays_die_at_once(self):
         """Failure: nodes never hear of each other again.
 
