Evacuations: bound the names that a node reports

The store may contain any number of names of any length, but heartbeats must stay small. Names of data centres that have upstreams go first, and a name without upstreams is logged as a possible misspelling.

tests.test_evacuations: pass.

--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -24,9 +24,6 @@
 # Seconds for which a change is reported if no data centre is evacuated
 # any more: 25 rounds of heartbeats, most of which may be lost.
 _REPORT_SECONDS = 10.0
-# Most data centres in a report, so that heartbeats stay small whatever the
-# store contains.
-_MAX_DATACENTRES = 64
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -98,7 +95,7 @@
         if self._bound is None:
             return Change()
         self._heard_at = now
-        listed = frozenset(sorted(datacentres)[:_MAX_DATACENTRES])
+        listed = frozenset(datacentres)
         if revision <= self.revision:
             if revision < self.revision and listed != self._datacentres:
                 # The sender was cut off. It hears of a withdrawal only if
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -39,7 +39,11 @@
 _FETCH_INTERVAL = 0.25
 # Name of this feed in the log lines about the store.
 _FEED_NAME = "evacuations"
-# Sources of a change in the log that are no peers.
+# Most data centres and the longest name that are reported, so that
+# heartbeats stay small whatever the store contains.
+_MAX_DATACENTRES = 64
+_MAX_NAME_CHARACTERS = 100
+# Source of a change that this node has read itself, in the log.
 _STORE_SOURCE = "store"
 _CHANGES_METRIC = "currantwall.evacuations"
 
@@ -150,10 +154,21 @@
         return False
 
     def _apply(self, revision: int) -> None:
-        names = [ids.DatacentreName(name) for name in self._listed]
-        report = reports_module.EvacuationReport(revision, tuple(names))
+        names = self._select_names()
+        report = reports_module.EvacuationReport(revision, names)
         self._note(report, _STORE_SOURCE)
 
+    def _select_names(self) -> tuple[ids.DatacentreName, ...]:
+        """Return the evacuated data centres, those with upstreams first."""
+        used = {one.datacentre for one in self._fleet.all()}
+        names = [
+            ids.DatacentreName(name)
+            for name in self._listed
+            if len(name) <= _MAX_NAME_CHARACTERS
+        ]
+        names.sort(key=lambda name: (name not in used, name))
+        return tuple(names[:_MAX_DATACENTRES])
+
     # -- Other nodes
 
     def note_report(
@@ -228,10 +243,9 @@
         revision: int,
         source: str,
     ) -> None:
-        """Log and count a change.
+        """Log and count a change, and warn of a name without upstreams.
 
-        A data centre without upstreams may be a misspelled name: such an
-        evacuation has no effect.
+        That may be a misspelled one: the evacuation has no effect.
         """
         count = sum(one.datacentre == datacentre for one in self._fleet.all())
         self._meter.add(_CHANGES_METRIC, 1, event)
@@ -242,6 +256,8 @@
             source=source,
             upstreams=count,
         )
+        if self._fleet.is_known and not count:
+            self._log.write("evacuation_unknown_name", datacentre=datacentre)
 
 
 def _ignore() -> None:
