Evacuations: test each failure that the design names

Covers evacuations requested twice, withdrawn immediately, of two and of all data centres, of an unknown name, during a configuration storm, a stop and a restart without the store, and readiness, reports and calls of the store. The stand-in server gets streams that last a second without a stall.

tests.test_evacuations: 21 pass, run twice. Each test of EvacuationsTest fails with its guard taken out. Of EvacuatedSiteTest, those of arrivals, the storm, the unknown name, the restart and all data centres were seen to fail, that of streams with an injected abort. That of the stop fails without the exclusion, but not without reports: a node that hears no reader reads the store itself.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -8,6 +8,7 @@
     /reset3/           the stream is reset after three (or another number
                        of) events, unless it is a resumed one
     /slow/             half a second between the events of a stream
+    /long/             a fifth of a second, which no gateway takes for a stall
     /unframed/         an answer without a length, ended by the close
     /torn/             as unframed, reset in the middle
     /busy/, /busy-ID/  refused before it runs; only by the server ID
@@ -52,6 +53,7 @@
 _EVENT_COUNT = 6
 _EVENT_GAP = 0.02
 _SLOW_GAP = 0.5
+_LONG_GAP = 0.2
 # Seconds that a join takes with the weights staged, and without; staging
 # takes as long as the latter.
 _WARM_JOIN_TIME = 0.1
@@ -261,8 +263,11 @@
             if is_reset and first == 1:
                 yield b"id: 9"
                 _reset_connection(inbound.client)
-            is_slow = "/slow/" in inbound.path and number > first
-            eventlet.sleep(_SLOW_GAP if is_slow else _EVENT_GAP)
+            gap = _EVENT_GAP
+            if number > first:
+                gap = _SLOW_GAP if "/slow/" in inbound.path else gap
+                gap = _LONG_GAP if "/long/" in inbound.path else gap
+            eventlet.sleep(gap)
             run["events"] = number
             yield f"id: {number}\ndata: {attempt} {number}\n\n".encode()
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -48,6 +48,7 @@
 _DUTIES = "tests.test_duties"
 _DIGESTS = "tests.test_digests"
 _FEEDS = "tests.test_feeds"
+_EVACUATIONS = "tests.test_evacuations"
 _FORMATION = "tests.test_formation.FormationTest"
 _PLACING = "tests.test_placing"
 _SHARES = "tests.test_limits.SharesTest"
@@ -578,6 +579,56 @@
         "            if known is None:\n",
         "tests.test_repair.RepairTest.test_never_dearer_than_brute_force",
     ),
+    Mutant(
+        "replicas in an evacuated data centre get requests",
+        f"{_COORDINATION}/requests/balancing.py",
+        "            and not is_evacuated(leader.datacentre)\n",
+        "",
+        f"{_EVACUATIONS}.EvacuatedSiteTest"
+        ".test_no_request_reaches_an_evacuated_data_centre",
+    ),
+    Mutant(
+        "an outdated report revives an evacuation",
+        f"{_COORDINATION}/requests/evacuations.py",
+        "        if revision <= self.revision:\n",
+        "        if False:\n",
+        f"{_EVACUATIONS}.EvacuationsTest"
+        ".test_an_outdated_report_changes_nothing",
+    ),
+    Mutant(
+        "a node sends before it has learnt the evacuations",
+        f"{_COORDINATION}/requests/evacuations.py",
+        "        return not self.is_known or datacentre in"
+        " self._datacentres\n",
+        "        return datacentre in self._datacentres\n",
+        f"{_EVACUATIONS}.EvacuationsTest"
+        ".test_a_node_that_has_learnt_nothing_sends_nothing",
+    ),
+    Mutant(
+        "a withdrawal is not announced again",
+        f"{_COORDINATION}/requests/evacuations.py",
+        "            if revision < self.revision"
+        " and listed != self._datacentres:\n",
+        "            if False:\n",
+        f"{_DIGESTS}.LargeFleetTest"
+        ".test_a_withdrawal_reaches_nodes_that_were_cut_off",
+    ),
+    Mutant(
+        "the order of two changes in one answer is guessed",
+        "currantwall/transport/evacuations.py",
+        "            if written & changes.removed:\n",
+        "            if False:\n",
+        f"{_EVACUATIONS}.EvacuationsTest"
+        ".test_a_request_that_is_renewed_immediately_stays",
+    ),
+    Mutant(
+        "a partly evacuated replica is released before its replacement",
+        f"{_COORDINATION}/replicas/relocation.py",
+        "                if is_serving and surplus <= 0:\n",
+        "                if False:\n",
+        f"{_FORMATION}"
+        ".test_a_partly_evacuated_replica_is_replaced_before_its_release",
+    ),
 )
 
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,12 +1,29 @@
 """Evacuation of data centres: which requests reach their upstreams."""
 
+import signal
 import threading
 import time
 import unittest
+from unittest import mock
+
+import msgspec
+import result
 
 from bench import fleet as fleet_module
 from bench import gateways
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import evacuations
+from currantwall.state import evacuations as reports
+from currantwall.state import ids
+from currantwall.state import rendezvous
+from currantwall.state import upstreams
+from currantwall.transport import evacuations as feeds
+from currantwall.transport import peers
+from currantwall.transport import ports
+from tests import test_feeds
 from tests import test_gateway
+from tests import test_gateway_parts
 
 # Seconds from the store's answer until no request may reach an upstream of
 # the data centre where nothing fails, and the bound in the settings.
@@ -23,6 +40,212 @@
     "e4": "b",
 }
 _GATEWAYS = ("g1", "g2", "g3")
+# The gateways by rank; the first two read the store, the last one follows.
+_RANKED = sorted(_GATEWAYS, key=lambda name: -rendezvous.score("relay", name))
+
+
+class EvacuationsTest(test_feeds.FeedCase):
+    def setUp(self):
+        super().setUp()
+        self.known = evacuations.Evacuations(_BOUND_MS / 1000.0, 100.0)
+        self.withdrawn = []
+        self.known.on_withdrawn = lambda *call: self.withdrawn.append(call)
+
+    # -- Decisions
+
+    def make_balancer(self):
+        fleet = upstreams.Fleet()
+        listed = [
+            test_gateway_parts.make_upstream(name, datacentre=name[0])
+            for name in ("a1", "a2", "b1")
+        ]
+        fleet.replace(listed, 1, 100.0)
+        balancer = balancing.Balancer(fleet, ids.DatacentreName("a"))
+        balancer.evacuations = self.known
+        return balancer
+
+    def choose(self, balancer):
+        """Return the upstreams that requests of a plain service get."""
+        found = set()
+        for number in range(20):
+            chosen = balancer.choose(
+                ids.ServiceName("pool"), None, (), f"salt{number}", 101.0
+            )
+            if isinstance(chosen, balancing.Unavailable):
+                return chosen
+            found.add(chosen.id)
+        return found
+
+    def test_two_data_centres_are_evacuated_together(self):
+        """Guards against requests that wait or are sent where none serves."""
+        balancer = self.make_balancer()
+        self.known.note(1, [], 100.0)
+        self.assertLessEqual({"a1", "a2"}, self.choose(balancer))
+        self.known.note(2, ["a"], 100.0)
+        self.assertEqual(self.choose(balancer), {"b1"})
+        self.known.note(3, ["a", "b"], 100.0)
+        refusal = self.choose(balancer)
+        self.assertFalse(refusal.is_full)
+        self.assertGreater(refusal.retry_after, 0)
+        self.known.note(4, ["b"], 100.0)
+        self.assertEqual(self.choose(balancer), {"a1", "a2"})
+        self.assertEqual(self.withdrawn, [("a", 100.0)])
+
+    def test_one_withdrawal_ends_an_evacuation_requested_twice(self):
+        """Guards against an evacuation that is counted, not set."""
+        self.assertEqual(self.known.note(1, ["a"], 100.0).begun, ("a",))
+        self.assertFalse(self.known.note(2, ["a"], 101.0))
+        self.assertEqual(self.known.note(3, [], 102.0).withdrawn, ("a",))
+        self.assertEqual(self.withdrawn, [("a", 102.0)])
+        self.assertFalse(self.known.is_evacuated("a"))
+
+    def test_an_outdated_report_changes_nothing(self):
+        """Guards against nodes that revive a withdrawn evacuation."""
+        self.known.note(5, [], 100.0)
+        self.assertFalse(self.known.note(4, ["a"], 100.0))
+        self.assertFalse(self.known.is_evacuated("a"))
+
+    def test_a_node_that_has_learnt_nothing_sends_nothing(self):
+        """Guards against requests of a restarted node after the bound."""
+        refusal = self.choose(self.make_balancer())
+        self.assertIsInstance(refusal, balancing.Unavailable)
+        self.known.note_contact(104.0)
+        self.assertFalse(self.known.expire(108.9))
+        self.assertFalse(self.known.is_known)
+
+    def test_a_node_that_nothing_can_inform_serves(self):
+        """Guards against an isolated node that refuses all requests."""
+        self.assertTrue(self.known.expire(105.1))
+        self.assertFalse(self.known.is_active)
+        self.assertIsNone(self.known.list_reports(105.1))
+
+    def test_a_change_is_reported_for_a_while_an_evacuation_always(self):
+        self.known.note(1, ["a"], 100.0)
+        report = reports.EvacuationReport(1, ("a",))
+        self.assertEqual(self.known.list_reports(900.0), report)
+        self.known.note(2, [], 900.0)
+        withdrawal = reports.EvacuationReport(2, ())
+        self.assertEqual(self.known.list_reports(909.0), withdrawal)
+        self.assertIsNone(self.known.list_reports(911.0))
+
+    def test_nothing_is_reported_or_withheld_without_a_bound(self):
+        known = evacuations.Evacuations()
+        self.assertFalse(known.note(1, ["a"], 100.0))
+        self.assertFalse(known.is_active)
+        self.assertIsNone(known.list_reports(100.0))
+
+    # -- Feed
+
+    def make_feed(self, lists, watches=()):
+        """Return a feed of a node that reads the store if it has to."""
+        self.presence = presence_module.Presence(test_feeds.make_entry("me"))
+        self.store = test_feeds.Store(lists, watches)
+        fleet = upstreams.Fleet()
+        fleet.replace(
+            [test_gateway_parts.make_upstream("a1", datacentre="a")], 1, 100.0
+        )
+        feed = feeds.EvacuationFeed(
+            self.store,
+            mock.Mock(evacuations_kind="evacuations"),
+            self.known,
+            fleet,
+            self.presence,
+            mock.Mock(),
+            self.log,
+            self.clock,
+        )
+        feed.on_change = mock.Mock()
+        return feed
+
+    def make_changes(self, revision, written, removed):
+        listing = test_feeds.make_list(revision, *written).ok_value
+        return result.Ok(
+            msgspec.structs.replace(listing, removed=frozenset(removed))
+        )
+
+    def test_a_reader_follows_the_store(self):
+        feed = self.make_feed(
+            [test_feeds.make_list(1)],
+            [
+                self.make_changes(2, ["a"], []),
+                self.make_changes(3, ["nowhere"], []),
+                self.make_changes(4, [], ["a"]),
+            ],
+        )
+        self.store.limit = 4
+        self.run_feed(feed)
+        self.assertEqual(self.known.list_datacentres(), ["nowhere"])
+        self.assertEqual([name for name, _ in self.withdrawn], ["a"])
+        self.assertEqual(feed.on_change.call_count, 3)
+        self.assertEqual(self.log.events.count("evacuation_unknown_name"), 1)
+
+    def test_a_request_that_is_withdrawn_immediately_has_no_effect(self):
+        """Guards against an evacuation that lasts although it was withdrawn.
+
+        One answer has both changes, without their order.
+        """
+        feed = self.make_feed(
+            [test_feeds.make_list(1), test_feeds.make_list(3)],
+            [self.make_changes(3, ["a"], ["a"]), self.make_changes(4, [], [])],
+        )
+        self.store.limit = 4
+        self.run_feed(feed)
+        self.assertEqual(self.known.list_datacentres(), [])
+
+    def test_a_request_that_is_renewed_immediately_stays(self):
+        """Guards against the same with the changes in the other order."""
+        feed = self.make_feed(
+            [test_feeds.make_list(1, "a"), test_feeds.make_list(3, "a")],
+            [self.make_changes(3, ["a"], ["a"]), self.make_changes(4, [], [])],
+        )
+        self.store.limit = 4
+        self.run_feed(feed)
+        self.assertEqual(self.known.list_datacentres(), ["a"])
+
+    def test_a_node_that_the_store_refuses_follows_the_others(self):
+        refused = result.Err(ports.StoreFailure.UNAVAILABLE)
+        feed = self.make_feed([refused])
+        other = test_feeds.make_entry("n")
+        report = reports.EvacuationReport(7, ("a",))
+        self.store.before_call = lambda: feed.note_report(other, True, report)
+        self.store.limit = 4
+        self.run_feed(feed)
+        self.assertTrue(self.known.is_evacuated("a"))
+        self.assertEqual(feed.on_change.call_count, 1)
+
+    def test_a_node_that_nobody_answers_serves_after_the_bound(self):
+        refused = result.Err(ports.StoreFailure.UNAVAILABLE)
+        feed = self.make_feed([refused])
+        self.run_feed(feed)
+        self.assertTrue(self.known.is_known)
+        self.assertIn("evacuations_unknown", self.log.events)
+
+    def test_only_readers_call_the_store(self):
+        """Guards against a watch of every node; each call is paid for."""
+        feed = self.make_feed([test_feeds.make_list(1, "a")])
+        self.presence.reads_store = mock.Mock(return_value=False)
+        self.clock.sleeps = mock.Mock()
+        self.clock.sleeps.append.side_effect = [None] * 40 + [test_feeds.Stop]
+        self.run_feed(feed)
+        self.assertEqual(self.store.calls, 1)
+
+    def test_a_starting_node_asks_a_peer_that_is_ready(self):
+        feed = self.make_feed([test_feeds.make_list(1)])
+        other = test_feeds.make_entry("n")
+        answer = msgspec.msgpack.encode(reports.EvacuationReport(9, ("a",)))
+        with (
+            mock.patch.object(
+                feeds.eventlet, "spawn_n", lambda task, *words: task(*words)
+            ),
+            mock.patch.object(peers, "fetch", return_value=answer) as fetch,
+        ):
+            feed.note_report(other, False, None)
+            self.assertFalse(self.known.is_known)
+            feed.note_report(other, True, None)
+            feed.note_report(other, True, None)
+        fetch.assert_called_once_with("p", peers.EVACUATIONS_PATH)
+        self.assertTrue(self.known.is_evacuated("a"))
+        self.assertTrue(feed.encode_report())
 
 
 class EvacuatedSiteTest(test_gateway.GatewayCase):
@@ -79,8 +302,8 @@
             if at > since
         ]
 
-    def send_for(self, seconds):
-        """Send requests of both kinds to all gateways; return the answers."""
+    def send_for(self, seconds, names=_GATEWAYS):
+        """Send requests of both kinds to gateways; return the answers."""
         answers = []
 
         def send(gateway, method, target):
@@ -91,7 +314,7 @@
 
         senders = [
             threading.Thread(target=send, args=(gateway, *request))
-            for gateway in _GATEWAYS
+            for gateway in names
             for request in (("GET", "/safe/x"), ("POST", "/stream/x"))
         ]
         for sender in senders:
@@ -123,6 +346,89 @@
         self.send_for(2.0)
         self.assertTrue(self.list_late("b", withdrawn))
 
+    def test_streams_in_flight_are_completed(self):
+        """Guards against an evacuation that cuts or repeats streams."""
+        names = [f"drain-{number}" for number in range(6)]
+        answers = []
+
+        def stream(name):
+            answers.append(self.send("POST", "/stream/long/x", attempt=name))
+
+        before = time.monotonic()
+        streams = [
+            threading.Thread(target=stream, args=(name,)) for name in names
+        ]
+        for thread in streams:
+            thread.start()
+        self.wait_for(lambda: self.list_late("b", before))
+        answered = self.evacuate("b")
+        for thread in streams:
+            thread.join()
+        self.assertEqual([answer.whole for answer in answers], [True] * 6)
+        self.assertEqual(self.list_late("b", answered + _EFFECT_SECONDS), [])
+        for name in names:
+            self.assertEqual(len(self.list_runs(name)), 1)
+
+    def test_requests_are_rejected_while_all_is_evacuated(self):
+        self.evacuate("a")
+        answered = self.evacuate("b")
+        time.sleep(_EFFECT_SECONDS)
+        for answer in self.send_for(0.5):
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        for datacentre in ("a", "b"):
+            late = self.list_late(datacentre, answered + _EFFECT_SECONDS)
+            self.assertEqual(late, [])
+
+    def test_a_name_that_no_data_centre_has_changes_nothing(self):
+        self.evacuate("nowhere")
+        answers = self.send_for(1.0)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertIn("evacuation_unknown_name", self.fleet.read_log("g1"))
+
+    def test_an_evacuation_is_in_effect_during_a_configuration_storm(self):
+        def change():
+            for _ in range(30):
+                self.fleet.put_configuration()
+                time.sleep(0.05)
+
+        storm = threading.Thread(target=change)
+        storm.start()
+        answered = self.evacuate("b")
+        self.send_for(2.0)
+        storm.join()
+        self.assertEqual(self.list_late("b", answered + _EFFECT_SECONDS), [])
+
+    def test_an_evacuation_outlasts_the_stop_of_a_reader(self):
+        """Guards against requests of the other nodes when a reader stops."""
+        answered = self.evacuate("b")
+        reader, *others = _RANKED
+        self.fleet.send_signal(reader, signal.SIGTERM)
+        self.addCleanup(self.restart, reader)
+        self.send_for(2.0, others)
+        self.fleet.wait(reader, test_gateway._TIMEOUT)
+        self.send_for(1.0, others)
+        self.assertEqual(self.list_late("b", answered + _EFFECT_SECONDS), [])
+
+    def test_a_restarted_gateway_learns_of_it_without_the_store(self):
+        """Guards against requests of a node that has just started.
+
+        The store is down, so that it must ask another node.
+        """
+        answered = self.evacuate("b")
+        self.send_for(_EFFECT_SECONDS)
+        self.fleet.set_store(down=True)
+        self.addCleanup(self.fleet.set_store)
+        self.fleet.kill(_RANKED[0])
+        self.restart(_RANKED[0])
+        answers = self.send_for(1.0, _RANKED[:1])
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(self.list_late("b", answered + _EFFECT_SECONDS), [])
+
+    def restart(self, name):
+        self.fleet.start_gateway(name)
+        self.wait_for(lambda: self.fleet.is_ready(name))
+
 
 if __name__ == "__main__":
     unittest.main()
