Planner: keep the choice of released replicas with the supply

A gateway may load 26 modules of currantwall.coordination at most (tests.test_node); evacuations and relocation made 27. Relocation moves into supply.py, which counts the same replicas.

tests.test_node, test_formation, test_duties: pass.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -30,8 +30,8 @@
 
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
-from currantwall.coordination.replicas import relocation
 from currantwall.coordination.replicas import staging
+from currantwall.coordination.replicas import supply
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -93,7 +93,7 @@
         self._epoch = 0
         self._layout = layout_module.Layout("")
         self._has_traffic = True
-        self._relocation = relocation.Relocation()
+        self._relocation = supply.Relocation()
         self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
 
     @property
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -623,7 +623,7 @@
     ),
     Mutant(
         "a partly evacuated replica is released before its replacement",
-        f"{_COORDINATION}/replicas/relocation.py",
+        f"{_COORDINATION}/replicas/supply.py",
         "                if is_serving and surplus <= 0:\n",
         "                if False:\n",
         f"{_FORMATION}"
