Entries: evacuate data centres through the tool

currantwall evacuation requests, shows and withdraws evacuations, which are stored as objects of their own kind and acknowledged by all entries. Routing excludes their data centres at once; replicas there drain as for a planned stop, and none is formed or repaired there. A name without instances is refused, and changes are entries of the time line.

--- a/currantwall/cli/main.py
+++ b/currantwall/cli/main.py
@@ -10,6 +10,7 @@
 
 from currantwall.cli import causes
 from currantwall.cli import client
+from currantwall.cli import evacuations
 from currantwall.cli import explanations
 from currantwall.cli import forecasts
 from currantwall.cli import output
@@ -28,6 +29,7 @@
 )
 app.add_typer(profiles.app, name="profile")
 app.add_typer(stops.app, name="stop")
+app.add_typer(evacuations.app, name="evacuation")
 app.command("forecast")(forecasts.show_forecast)
 app.command("timeline")(timelines.show_timeline)
 app.command("explain")(explanations.show_explanation)
--- a/currantwall/cli/output.py
+++ b/currantwall/cli/output.py
@@ -8,8 +8,10 @@
 import typer
 
 from currantwall.cli import client
+from currantwall.coordination.profiles import edits
+from currantwall.protocol import operators
 
-__all__ = ["fail", "print_json", "print_table", "unwrap"]
+__all__ = ["check_answer", "fail", "print_json", "print_table", "unwrap"]
 
 Value = typing.TypeVar("Value")
 
@@ -39,6 +41,17 @@
     raise typer.Exit(problem.code)
 
 
+def check_answer(answer: operators.EditAnswer) -> None:
+    """Exit with an error unless the edit is in force everywhere."""
+    if answer.outcome is edits.EditOutcome.STORED:
+        names = ", ".join(answer.missing)
+        typer.echo(f"stored, not yet in force on {names}", err=True)
+        raise typer.Exit(client.ExitCode.NOT_IN_FORCE)
+    if answer.outcome is not edits.EditOutcome.ACCEPTED:
+        message = f"not done: {answer.outcome.value}"
+        fail(client.Problem(client.ExitCode.FAILED, message))
+
+
 def unwrap(outcome: result.Result[Value, client.Problem]) -> Value:
     """Return the value of an outcome; `fail` if it is a problem."""
     if isinstance(outcome, result.Err):
--- a/currantwall/cli/stops.py
+++ b/currantwall/cli/stops.py
@@ -8,7 +8,6 @@
 
 from currantwall.cli import client
 from currantwall.cli import output
-from currantwall.coordination.profiles import edits
 from currantwall.protocol import operators
 from currantwall.state import objects
 from currantwall.state import profile
@@ -27,17 +26,6 @@
     return output.unwrap(caller.get(_STOPS_PATH, list[operators.StopView]))
 
 
-def _check_answer(answer: operators.EditAnswer) -> None:
-    """Exit with an error unless the edit is in force everywhere."""
-    if answer.outcome is edits.EditOutcome.STORED:
-        names = ", ".join(answer.missing)
-        typer.echo(f"stored, not yet in force on {names}", err=True)
-        raise typer.Exit(client.ExitCode.NOT_IN_FORCE)
-    if answer.outcome is not edits.EditOutcome.ACCEPTED:
-        message = f"not done: {answer.outcome.value}"
-        output.fail(client.Problem(client.ExitCode.FAILED, message))
-
-
 @app.command()
 def plan(
     context: typer.Context,
@@ -80,7 +68,7 @@
             operators.EditAnswer,
         )
     )
-    _check_answer(answer)
+    output.check_answer(answer)
     if json:
         output.print_json(stop)
     else:
@@ -146,7 +134,7 @@
     answer = output.unwrap(
         caller.call("DELETE", path, b"", operators.EditAnswer)
     )
-    _check_answer(answer)
+    output.check_answer(answer)
     if json:
         output.print_json(answer)
     else:
--- a/currantwall/coordination/profiles/configuration.py
+++ b/currantwall/coordination/profiles/configuration.py
@@ -36,7 +36,11 @@
 _PEER_TIMEOUT = 3.0
 # Kinds that operators edit: nodes acknowledge their changes, and the
 # timeline records them.
-_OPERATOR_KINDS = (objects.Kind.PROFILES.value, objects.Kind.STOPS.value)
+_OPERATOR_KINDS = (
+    objects.Kind.PROFILES.value,
+    objects.Kind.STOPS.value,
+    objects.Kind.EVACUATIONS.value,
+)
 
 
 class Written(part.Message, frozen=True):
--- a/currantwall/coordination/profiles/granting.py
+++ b/currantwall/coordination/profiles/granting.py
@@ -281,6 +281,7 @@
         if message.stored.key.kind in (
             objects.Kind.PROFILES.value,
             objects.Kind.STOPS.value,
+            objects.Kind.EVACUATIONS.value,
         ):
             self._next_plan = min(self._next_plan, now)
 
@@ -436,11 +437,12 @@
 
 
 def _list_stopped(view: views.ObjectsView) -> set[str]:
-    """Return the domains and data centres that a stop covers."""
+    """Return the domains and data centres to be drained."""
     scopes = (stops.StopScope.DOMAIN, stops.StopScope.DATACENTRE)
-    return {
+    stopped = {
         stop.target for stop in view.stops.values() if stop.scope in scopes
     }
+    return stopped | view.evacuations.keys()
 
 
 def _list_leaving_instances(view: views.ObjectsView) -> set[str]:
--- a/currantwall/coordination/replicas/sightings.py
+++ b/currantwall/coordination/replicas/sightings.py
@@ -103,6 +103,7 @@
         """
         members: dict[ids.InstanceId, placement.Member] = {}
         stop_targets = _list_stop_targets(self._view.stops.values())
+        stop_targets |= self._view.evacuations.keys()
         for listed in self._view.list_engines(self._domain):
             last = self._last_sightings.get(listed.id)
             health, lost_seconds = self._classify(last, taken_at, now)
--- a/currantwall/coordination/requests/routing.py
+++ b/currantwall/coordination/requests/routing.py
@@ -49,6 +49,11 @@
 _MEDIAN_UPDATE_DRAWS = 32
 
 
+# Seconds until a caller may try again while all data centres are evacuated:
+# an operator has to act.
+_EVACUATION_RETRY_AFTER = 2.0
+
+
 class RefusalReason(enum.Enum):
     """Why a request is not routed."""
 
@@ -306,6 +311,10 @@
         """Return the refusal where no upstream may be used now."""
         name = request.profile or request.service
         reason = RefusalReason.NO_REPLICA
+        known = self._view.list_datacentres()
+        if known and known <= self._view.evacuations.keys():
+            detail = "all data centres are evacuated"
+            return Refusal(reason, detail, _EVACUATION_RETRY_AFTER)
         pauses = [
             self._withdrawals.get_remaining(candidate.instance, now)
             for candidate in self._list_present(request, now)
@@ -370,6 +379,7 @@
             candidate
             for candidate in self._list_present(request, now)
             if candidate.subject not in request.excluded
+            and candidate.datacentre not in self._view.evacuations
             and self._breakers.allows(candidate.subject, now)
             and not self._withdrawals.get_remaining(candidate.instance, now)
         ]
--- a/currantwall/coordination/stops/stopping.py
+++ b/currantwall/coordination/stops/stopping.py
@@ -53,6 +53,8 @@
     def _on_object(
         self, message: messages.ObjectChanged, now: float
     ) -> list[part.Action]:
+        if message.stored.key.kind == objects.Kind.EVACUATIONS.value:
+            return [_record_evacuation(message)]
         if message.stored.key.kind != objects.Kind.STOPS.value:
             return []
         stop = message.value
@@ -118,6 +120,14 @@
         return Progress(False, f"{member.id}: {member.state.value}")
 
 
+def _record_evacuation(message: messages.ObjectChanged) -> part.Action:
+    """Return the entry of the timeline for a changed evacuation."""
+    kind = timeline.EventKind.EVACUATION_CHANGED
+    is_withdrawn = message.value is None
+    detail = "withdrawn" if is_withdrawn else message.value.reason
+    return actions.Record(kind, message.stored.key.name, detail or "requested")
+
+
 def covers(stop: stops.Stop, listed: instances.Instance) -> bool:
     """Return whether a stop covers an instance."""
     names = {
--- a/currantwall/protocol/operators.py
+++ b/currantwall/protocol/operators.py
@@ -5,6 +5,7 @@
 from currantwall.coordination.profiles import edits
 from currantwall.coordination.profiles import forecast
 from currantwall.coordination.profiles import usage
+from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import members
 from currantwall.state import profile as profile_module
@@ -14,6 +15,7 @@
 __all__ = [
     "DomainStatus",
     "EditAnswer",
+    "EvacuationView",
     "ForecastBasis",
     "ProfileView",
     "ReplicaStatus",
@@ -43,6 +45,19 @@
     finished: bool = False
 
 
+class EvacuationView(msgspec.Struct):
+    """A requested evacuation and its progress.
+
+    Attributes:
+        waiting: What is still in flight there; empty if nothing is.
+    """
+
+    version: int
+    evacuation: evacuations_module.Evacuation
+    waiting: str = ""
+    finished: bool = False
+
+
 class EditAnswer(msgspec.Struct):
     """The outcome of an edit.
 
--- a/currantwall/state/evacuations.py
+++ b/currantwall/state/evacuations.py
@@ -1,10 +1,24 @@
-"""Evacuated data centres, as nodes report them to each other."""
+"""Evacuated data centres, as operators request and nodes report them."""
 
 import msgspec
 
 from currantwall.state import ids
 
-__all__ = ["EvacuationReport"]
+__all__ = ["Evacuation", "EvacuationReport"]
+
+
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of ``evacuations/<data centre>`` in the product's own interface.
+
+    Attributes:
+        name: The data centre.
+        requested: Time of the operator's call, in seconds since the Unix
+            epoch.
+    """
+
+    name: str = ""
+    reason: str = ""
+    requested: float = 0.0
 
 
 class EvacuationReport(msgspec.Struct, frozen=True, array_like=True):
--- a/currantwall/state/objects.py
+++ b/currantwall/state/objects.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from currantwall.state import domain
+from currantwall.state import evacuations
 from currantwall.state import grants
 from currantwall.state import hashing
 from currantwall.state import ids
@@ -36,13 +37,20 @@
     GRANTS = "grants"
     CLAIMS = "claims"
     STOPS = "stops"
+    EVACUATIONS = "evacuations"
     # Entries of the platform's instance list. They are treated as objects
     # so that the same versions and anti-entropy apply; never written.
     INSTANCES = "instances"
 
 
 # Kinds that every node watches. Claims are read only when needed.
-WATCHED = (Kind.PROFILES, Kind.DOMAINS, Kind.GRANTS, Kind.STOPS)
+WATCHED = (
+    Kind.PROFILES,
+    Kind.DOMAINS,
+    Kind.GRANTS,
+    Kind.STOPS,
+    Kind.EVACUATIONS,
+)
 
 
 class ObjectKey(msgspec.Struct, frozen=True, order=True):
@@ -73,6 +81,7 @@
     Kind.DOMAINS.value: domain.Domain,
     Kind.GRANTS.value: grants.Grants,
     Kind.STOPS.value: stops.Stop,
+    Kind.EVACUATIONS.value: evacuations.Evacuation,
     Kind.INSTANCES.value: instances.Instance,
 }
 _DECODERS = {
--- a/currantwall/state/timeline.py
+++ b/currantwall/state/timeline.py
@@ -33,6 +33,7 @@
     ORDER_REFUSED = "order_refused"
     CALL_UNKNOWN = "call_unknown"
     STOP_CHANGED = "stop_changed"
+    EVACUATION_CHANGED = "evacuation_changed"
     PLATFORM_DOWN = "platform_down"
     PLATFORM_UP = "platform_up"
 
--- a/currantwall/state/views.py
+++ b/currantwall/state/views.py
@@ -9,6 +9,7 @@
 import typing
 
 from currantwall.state import domain
+from currantwall.state import evacuations
 from currantwall.state import grants
 from currantwall.state import hashing
 from currantwall.state import ids
@@ -255,6 +256,15 @@
         """Return the planned stops by id."""
         return self._get_values(objects.Kind.STOPS)
 
+    @property
+    def evacuations(self) -> abc.Mapping[str, evacuations.Evacuation]:
+        """Return the requested evacuations by data centre."""
+        return self._get_values(objects.Kind.EVACUATIONS)
+
+    def list_datacentres(self) -> set[str]:
+        """Return the data centres that have instances."""
+        return {listed.datacentre for listed in self.instances.values()}
+
     @property
     def instances(self) -> abc.Mapping[str, instances.Instance]:
         """Return the instances of the platform's list by id."""
--- a/currantwall/transport/operators.py
+++ b/currantwall/transport/operators.py
@@ -13,6 +13,7 @@
 from currantwall.protocol import operators
 from currantwall.protocol import signing
 from currantwall.state import domain
+from currantwall.state import evacuations
 from currantwall.state import ids
 from currantwall.state import objects
 from currantwall.state import profile
@@ -190,6 +191,53 @@
         """Cancel a stop, if it is still at the expected version."""
         return self._edit(request, objects.Kind.STOPS, None)
 
+    # -- Evacuations
+
+    @server.route("GET", r"/v1/admin/evacuations")
+    @_signed
+    def list_evacuations(self, request: server.Request) -> Response:
+        """Return all requested evacuations with what each waits for."""
+        view = self._core.node.view
+        found = []
+        for name, evacuation in sorted(view.evacuations.items()):
+            key = objects.ObjectKey(objects.Kind.EVACUATIONS.value, name)
+            scope = stops.StopScope.DATACENTRE
+            progress = self._core.node.stopping.describe(
+                stops.Stop(id=name, scope=scope, target=name)
+            )
+            found.append(
+                operators.EvacuationView(
+                    view.get_expected_version(key),
+                    msgspec.structs.replace(evacuation, name=name),
+                    progress.waiting,
+                    progress.finished,
+                )
+            )
+        return http_protocol.make_json(found)
+
+    @server.route("PUT", r"/v1/admin/evacuations/(?P<name>[^/]+)")
+    @_signed
+    def put_evacuation(self, request: server.Request) -> Response:
+        """Request an evacuation, if it is still at the expected version."""
+        name = request.path_params["name"]
+        known = self._core.node.view.list_datacentres()
+        if name not in known:
+            message = (
+                f"no data centre {name!r}; known: {', '.join(sorted(known))}"
+            )
+            return http_protocol.fail(
+                http.HTTPStatus.NOT_FOUND, "unknown_datacentre", message
+            )
+        return self._edit(
+            request, objects.Kind.EVACUATIONS, evacuations.Evacuation
+        )
+
+    @server.route("DELETE", r"/v1/admin/evacuations/(?P<name>[^/]+)")
+    @_signed
+    def delete_evacuation(self, request: server.Request) -> Response:
+        """Withdraw an evacuation, if it is at the expected version."""
+        return self._edit(request, objects.Kind.EVACUATIONS, None)
+
     # -- Forecast
 
     @server.route("GET", r"/v1/admin/forecast")
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -15,6 +15,7 @@
 from currantwall.coordination.replicas import leases
 from currantwall.coordination.requests import routing
 from currantwall.state import domain
+from currantwall.state import evacuations
 from currantwall.state import ids
 from currantwall.state import objects
 from currantwall.state import stops
@@ -567,6 +568,62 @@
         self.assertEqual(2, least)
         self.assertEqual(2, len(self.list_serving()))
 
+    def evacuate(self, datacentre: str) -> int | None:
+        key = objects.ObjectKey(objects.Kind.EVACUATIONS.value, datacentre)
+        value = objects.encode(evacuations.Evacuation(name=datacentre))
+        version = self.world.platform.store.write(key, value, 0)
+        self.world.platform.wake()
+        self.world.run(self.world.now + 1.0)
+        return version
+
+    def test_an_evacuated_data_centre_gets_no_requests(self) -> None:
+        # Failure: requests still reach a data centre that is evacuated, a
+        # request in flight there is cut, or a replica is not formed
+        # elsewhere although there is room for it.
+        self.start(make_world(engines=5), make_profile(capacity=24))
+        replica = next(r for r in self.list_serving() if "fa" in r.id)
+        self.engine(replica.leader).model.running = 1
+        version = self.evacuate("regina")
+        self.assertEqual(0, self.count_routes(replica.id))
+        self.run_until(
+            lambda: sum("fb" in r.id for r in self.list_serving()) == 2, 60.0
+        )
+        self.assertIn(replica.id, [r.id for r in self.list_replicas()])
+        self.engine(replica.leader).model.running = 0
+        self.run_until(
+            lambda: all("fb" in r.id for r in self.list_replicas()), 60.0
+        )
+        self.world.run(self.world.now + 20.0)
+        self.assertTrue(all("fb" in r.id for r in self.list_replicas()))
+        key = objects.ObjectKey(objects.Kind.EVACUATIONS.value, "regina")
+        self.world.platform.store.write(key, b"", version)
+        self.world.platform.wake()
+        self.world.run(self.world.now + 1.0)
+        host = self.world.hosts["r1"]
+        self.assertEqual({}, host.node.view.evacuations)
+
+    def test_requests_are_refused_while_all_is_evacuated(self) -> None:
+        self.start()
+        self.evacuate("regina")
+        self.evacuate("winnipeg")
+        refusal = sites.route(self.world.hosts["r1"], "counter")
+        self.assertIsInstance(refusal, routing.Refusal)
+        self.assertGreater(refusal.retry_after, 0)
+        self.assertIn("evacuated", refusal.detail)
+
+    def test_no_replica_is_repaired_in_an_evacuated_data_centre(self) -> None:
+        # Failure: instances there are ordered to form a replica.
+        self.start()
+        self.evacuate("regina")
+        self.evacuate("winnipeg")
+        before = {(r.id, r.generation) for r in self.list_replicas()}
+        replica = self.list_replicas()[0]
+        self.engine(replica.members[1]).alive = False
+        for _ in range(60):
+            self.world.run(self.world.now + 1.0)
+            after = {(r.id, r.generation) for r in self.list_replicas()}
+            self.assertLessEqual(after, before)
+
 
 class RandomFaults(stateful.RuleBasedStateMachine):
     """Injects faults in any order; the invariants hold after every step."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -362,6 +362,33 @@
         done = self.fleet.run_tool("nobody", "status")
         self.assertEqual(4, done.returncode)
 
+    def test_an_evacuation_is_requested_shown_and_withdrawn(self) -> None:
+        # The data centre is the only one: requests are refused at once.
+        unknown = self.fleet.run_tool("e1", "evacuation", "request", "nowhere")
+        self.assertEqual(1, unknown.returncode)
+        self.assertIn("no data centre 'nowhere'", unknown.stderr)
+        name = self.fleet.read_json("e1", "status")["domains"][0]["datacentre"]
+        for reason in ("cooling", "cooling, again"):
+            done = self.fleet.run_tool(
+                "e1", "evacuation", "request", name, "--reason", reason
+            )
+            self.assertEqual(0, done.returncode, done.stderr)
+        answer = self.chat()
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        (view,) = self.fleet.read_json("e1", "evacuation", "show")
+        self.assertEqual(name, view["evacuation"]["name"])
+        for wanted in (0, 1):
+            done = self.fleet.run_tool("e1", "evacuation", "withdraw", name)
+            self.assertEqual(wanted, done.returncode, done.stderr)
+        fleet_module.wait_until(
+            lambda: self.chat().status == 200, _WAIT, "it serves again"
+        )
+        events = self.fleet.run_tool(
+            "e1", "timeline", "--kind", "evacuation_changed"
+        )
+        self.assertIn("withdrawn", events.stdout)
+
     def test_planned_stop_of_an_instance_finishes(self) -> None:
         # The instance leaves its replica, which is rebuilt or drained, and
         # the stop is shown as finished. Then the stop is cancelled.
