Evacuations: send nothing after a suspension until news is heard

A process that did not run for longer than the bound resumes with requests in its sockets, and its buffer holds heartbeats from before the evacuation. It sent them to the evacuated data centre, 5.07 s after the store's response. It now rejects requests for 0.6 s, until it has heard a report that is newer; the store or a peer confirms an unchanged state.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -220,6 +220,7 @@
         now: float,
     ) -> list[upstreams.Upstream] | Unavailable:
         """Return the upstreams that may take a request, full ones too."""
+        self.evacuations.note_time(now)
         candidates = self._list_candidates(service, model)
         if not candidates:
             return self._make_unserved(service, model)
@@ -627,6 +628,7 @@
         their own its waiting requests and recently lost answers. All of
         them are thus added up by relays in the same way.
         """
+        self.evacuations.note_time(now)
         counts: dict[str, int] = {}
         for name, health in self._health.items():
             if health.in_flight > 0:
--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -24,6 +24,12 @@
 # Seconds for which a change is reported if no data centre is evacuated
 # any more: 25 rounds of heartbeats, most of which may be lost.
 _REPORT_SECONDS = 10.0
+# Part of the bound for which a node that did not run may have missed an
+# evacuation: it learns one within 1 s of the bound of 5 s.
+_SUSPENSION_RATIO = 0.5
+# Seconds after a suspension within which reports may still be ones that
+# were received before it: heartbeats come every 0.4 s.
+_SETTLE_SECONDS = 0.6
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -67,6 +73,9 @@
         self._datacentres: frozenset[ids.DatacentreName] = frozenset()
         self._heard_at = now
         self._reported_until = now
+        # When this node last ran, and from when reports are known to be new.
+        self._ran_at = now
+        self._confirm_from = now
         self.is_known = bound is None
         self.revision = 0
         self.generation = 0
@@ -96,30 +105,59 @@
             return Change()
         self._heard_at = now
         listed = frozenset(datacentres)
-        if revision <= self.revision:
-            if revision < self.revision and listed != self._datacentres:
+        if revision < self.revision:
+            if listed != self._datacentres:
                 # The sender was cut off. It hears of a withdrawal only if
                 # that is still reported.
                 self._reported_until = now + _REPORT_SECONDS
             return Change()
+        self._confirm(now)
+        if revision == self.revision:
+            return Change()
         change = Change(
             tuple(sorted(listed - self._datacentres)),
             tuple(sorted(self._datacentres - listed)),
         )
-        if change or not self.is_known:
-            self.generation += 1
         if change:
+            self.generation += 1
             self._reported_until = now + _REPORT_SECONDS
         self.revision = revision
         self._datacentres = listed
-        self.is_known = True
         for datacentre in change.withdrawn:
             self.on_withdrawn(datacentre, now)
         return change
 
     def note_contact(self, now: float) -> None:
-        """Record that the store or another node could inform this one."""
+        """Record that another node, which has no news, could inform this one.
+
+        A node that has learnt nothing yet still has to.
+        """
         self._heard_at = now
+        if self.revision:
+            self._confirm(now)
+
+    def _confirm(self, now: float) -> None:
+        """Record that what this node knows is not outdated."""
+        if not self.is_known and now >= self._confirm_from:
+            self.is_known = True
+            self.generation += 1
+
+    def note_time(self, now: float) -> None:
+        """Record that this node runs.
+
+        Failure: a process that was suspended resumes with requests in its
+        sockets, and sends them before it has read the reports. It treats
+        every data centre as evacuated until it hears a new one.
+        """
+        if self._bound is None:
+            return
+        suspended = now - self._ran_at
+        self._ran_at = now
+        if self.is_known and suspended > _SUSPENSION_RATIO * self._bound:
+            self.is_known = False
+            self.generation += 1
+            self._heard_at = now
+            self._confirm_from = now + _SETTLE_SECONDS
 
     def expire(self, now: float) -> bool:
         """End the wait for the evacuations if nothing can tell them.
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -88,6 +88,8 @@
     def run(self) -> None:
         """Follow the store, or the peers that read it, forever."""
         while True:
+            if self._known.expire(self._clock.now()):
+                self._log.write("evacuations_unknown")
             if self._known.revision and not self._reads_store():
                 eventlet.sleep(_ROLE_CHECK_INTERVAL)
                 continue
@@ -98,7 +100,10 @@
             listing = listed.ok_value
             self._listed = {stored.name for stored in listing.objects}
             self._apply(listing.revision)
-            if self._reads_store():
+            if not self._known.is_known:
+                # Just resumed: the answer may be from before the suspension.
+                eventlet.sleep(_ROLE_CHECK_INTERVAL)
+            elif self._reads_store():
                 self._watch_store(listing.revision)
 
     def _reads_store(self) -> bool:
@@ -127,7 +132,7 @@
             self._listed = (self._listed | written) - changes.removed
             since = max(since, changes.revision)
             self._apply(since)
-            if not self._reads_store():
+            if not self._known.is_known or not self._reads_store():
                 return
 
     def _check_outcome(
@@ -148,8 +153,6 @@
             self._reachable = False
             why = outcome.err_value.value
             self._log.write("store_lost", feed=_FEED_NAME, why=why)
-        if self._known.expire(self._clock.now()):
-            self._log.write("evacuations_unknown")
         eventlet.sleep(self._backoff.fail())
         return False
 
@@ -187,10 +190,10 @@
         """
         if report is not None:
             self._note(report, node.id)
-        if not is_ready or self._known.revision:
+        if not is_ready:
             return
         self._known.note_contact(self._clock.now())
-        if not self._fetching:
+        if not self._known.revision and not self._fetching:
             self._fetching = True
             eventlet.spawn_n(self._fetch_report, node)
 
@@ -212,7 +215,7 @@
     def encode_report(self) -> bytes:
         """Return what this node has learnt, for a peer; empty if nothing."""
         report = self._known.make_report()
-        if report is None:
+        if report is None or not self._known.is_known:
             return b""
         return peers.compress(msgspec.msgpack.encode(report))
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,6 +1,7 @@
 """Evacuation of data centres: which requests reach their upstreams."""
 
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -30,6 +31,8 @@
 _EFFECT_SECONDS = 1.0
 _BOUND_MS = 5000
 _REQUEST_INTERVAL = 0.01
+# More datagrams than the buffer of a socket holds.
+_BUFFERED_DATAGRAMS = 1000
 # Data centre of each server; the engines of one are one domain.
 _DATACENTRES = {
     "a1": "a",
@@ -119,6 +122,18 @@
         self.assertFalse(self.known.is_active)
         self.assertIsNone(self.known.list_reports(105.1))
 
+    def test_a_node_that_was_suspended_waits_for_new_reports(self):
+        """Guards against requests on a state from before the suspension."""
+        self.known.note(5, [], 100.0)
+        self.known.note_time(102.4)
+        self.known.note_time(104.8)
+        self.assertTrue(self.known.is_known)
+        self.known.note_time(107.4)
+        self.known.note_contact(107.9)
+        self.assertFalse(self.known.is_known)
+        self.known.note_contact(108.1)
+        self.assertTrue(self.known.is_known)
+
     def test_a_change_is_reported_for_a_while_an_evacuation_always(self):
         self.known.note(1, ["a"], 100.0)
         report = reports.EvacuationReport(1, ("a",))
@@ -220,6 +235,18 @@
         self.assertTrue(self.known.is_known)
         self.assertIn("evacuations_unknown", self.log.events)
 
+    def test_a_lone_node_that_was_suspended_asks_the_store_again(self):
+        feed = self.make_feed(
+            [test_feeds.make_list(1)], [self.make_changes(1, [], [])]
+        )
+        self.known.note(1, [], 100.0)
+        self.known.note_time(103.0)
+        self.clock.time = 103.0
+        self.store.limit = 4
+        self.run_feed(feed)
+        self.assertTrue(self.known.is_known)
+        self.assertLess(self.clock.time, 104.0)
+
     def test_only_readers_call_the_store(self):
         """Guards against a watch of every node; each call is paid for."""
         feed = self.make_feed([test_feeds.make_list(1, "a")])
@@ -425,6 +452,39 @@
         self.assertEqual({answer.status for answer in answers}, {200})
         self.assertEqual(self.list_late("b", answered + _EFFECT_SECONDS), [])
 
+    def test_a_gateway_that_was_suspended_sends_nothing_there(self):
+        """Guards against requests of a process that has just resumed.
+
+        The heartbeats of a large fleet fill its socket's buffer in a few
+        seconds, and the later ones, which have the evacuation, are lost. The
+        store refuses the node.
+        """
+        follower = _RANKED[-1]
+        self.fleet.send_signal(follower, signal.SIGSTOP)
+        self.addCleanup(self.fleet.send_signal, follower, signal.SIGCONT)
+        sender = threading.Thread(
+            target=self.send_for, args=(_BOUND_MS / 1000.0 + 2.0, [follower])
+        )
+        sender.start()
+        self.fill_buffer(follower)
+        # Its own data centre, which it prefers.
+        answered = self.evacuate("a")
+        time.sleep(_BOUND_MS / 1000.0)
+        self.fleet.set_store(down=True)
+        self.addCleanup(self.fleet.set_store)
+        self.fleet.send_signal(follower, signal.SIGCONT)
+        sender.join()
+        self.assertEqual(self.list_late("a", answered + _EFFECT_SECONDS), [])
+
+    def fill_buffer(self, name):
+        """Fill the buffer of a gateway's socket for heartbeats."""
+        path = self.fleet.path / f"{name}.json"
+        settings = msgspec.json.decode(path.read_bytes())
+        address = (settings["ip"], settings["internalPorts"][0])
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(_BUFFERED_DATAGRAMS):
+                sender.sendto(bytes(1000), address)
+
     def restart(self, name):
         self.fleet.start_gateway(name)
         self.wait_for(lambda: self.fleet.is_ready(name))
