--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -17,6 +17,11 @@
   order that arrives late finds another number and has no effect.
 * Each join has a higher epoch than the one before, so that an old join
   can't succeed.
+
+Instances in an evacuated data centre get no orders to join, open or load,
+and their replicas are no supply. Open replicas there stay as they are:
+they finish their requests, and serve again once the evacuation is
+withdrawn.
 """
 
 from collections import abc
@@ -26,6 +31,7 @@
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
 from currantwall.coordination.replicas import staging
+from currantwall.coordination.replicas import supply
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -67,7 +73,11 @@
 
 
 class Planner:
-    """Decides the replicas of one domain."""
+    """Decides the replicas of one domain.
+
+    Attributes:
+        is_evacuated: Returns whether a data centre is evacuated.
+    """
 
     def __init__(self, name: ids.DomainName, engine: routes.Engine) -> None:
         self._name = name
@@ -83,6 +93,8 @@
         self._epoch = 0
         self._layout = layout_module.Layout("")
         self._has_traffic = True
+        self._relocation = supply.Relocation()
+        self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
 
     @property
     def engine(self) -> routes.Engine:
@@ -120,7 +132,9 @@
         """Return how many replicas of each model serve or soon will."""
         found: dict[str, int] = {}
         for replica in self._list_replicas():
-            if self._is_intact(replica) and not self._is_spare(replica):
+            if not self._is_intact(replica) or self._is_spare(replica):
+                continue
+            if not self._has_evacuated(replica):
                 found[replica.model] = found.get(replica.model, 0) + 1
         return found
 
@@ -178,10 +192,20 @@
                     if member.seat and member.seat.phase is Phase.READY
                 )
         for name, record in self._records.items():
-            if record.staging_model:
+            if record.staging_model or not self._may_form(record):
                 found.add(name)
         return found
 
+    def _may_form(self, record: knowledge.InstanceRecord) -> bool:
+        """Return whether an instance may be part of a new replica."""
+        return not self.is_evacuated(record.upstream.datacentre)
+
+    def _has_evacuated(self, replica: upstreams.Replica) -> bool:
+        """Return whether a member is in an evacuated data centre."""
+        return any(
+            self.is_evacuated(member.datacentre) for member in replica.members
+        )
+
     # -- Planning
 
     def plan(
@@ -220,12 +244,23 @@
                 record.staging_model = ""
         orders: list[knowledge.Order] = []
         assigned: set[ids.InstanceId] = set()
+        released = self._relocation.choose_released(
+            [
+                replica
+                for replica in self._list_replicas()
+                if self._is_intact(replica) and not self._is_spare(replica)
+            ],
+            self.is_evacuated,
+        )
         for replica in self._list_replicas():
             if self._is_spare(replica):
                 continue
             if self._is_intact(replica) and not self._has_failed(replica, now):
                 assigned.update(member.id for member in replica.members)
-                orders += self._plan_open(replica, now)
+                if (replica.id, replica.epoch) in released:
+                    orders += self._plan_release(replica, now)
+                else:
+                    orders += self._plan_open(replica, now)
             else:
                 assigned.update(member.id for member in replica.members)
                 freed, more = self._plan_dissolution(replica, now)
@@ -236,6 +271,7 @@
             for name, record in self._records.items()
             if name not in assigned
             and record.is_usable
+            and self._may_form(record)
             and record.upstream.sequence is not None
             and record.pending_until <= now
         ]
@@ -320,10 +356,22 @@
         ):
             return []
         leader = replica.members[0]
-        if not self._can_order(leader, now):
+        if self._has_evacuated(replica) or not self._can_order(leader, now):
             return []
         return [self._create_seat_order(leader, knowledge.OrderKind.OPEN)]
 
+    def _plan_release(
+        self, replica: upstreams.Replica, now: float
+    ) -> list[knowledge.Order]:
+        """Return the next order to end a partly evacuated replica.
+
+        It finishes its requests, however long they last.
+        """
+        leader = replica.members[0]
+        if leader.seat is None or leader.seat.phase is Phase.JOINING:
+            return []
+        return self._plan_close(leader, leader.seat.phase, now)
+
     def _plan_dissolution(
         self, replica: upstreams.Replica, now: float
     ) -> tuple[set[ids.InstanceId], list[knowledge.Order]]:
@@ -550,7 +598,7 @@
         staged = self._count_staged()
         wanted = {}
         if layout.replicas:
-            usable = sum(record.is_usable for record in self._records.values())
+            usable = self._count_usable()
             wanted = layout_module.count_wanted(
                 self._engine, layout.replicas, usable
             )
@@ -567,7 +615,7 @@
                 )
                 for model in self._engine.models
             },
-            usable=sum(record.is_usable for record in self._records.values()),
+            usable=self._count_usable(),
             size=layout.size,
             coverage=self._measure_coverage(unassigned, formed, demands),
             loading=any(
@@ -582,12 +630,19 @@
         loads = staging.choose_loads(self._engine, inventory)
         return [self._order_load(load, now) for load in loads[:allowed_loads]]
 
+    def _count_usable(self) -> int:
+        """Return how many instances may serve in replicas."""
+        return sum(
+            record.is_usable and self._may_form(record)
+            for record in self._records.values()
+        )
+
     def _count_staged(self) -> dict[str, int]:
         """Return how many usable instances have or load each model."""
         found: dict[str, int] = {}
         for record in self._records.values():
             name = record.staging_model or self._find_staged_model(record)
-            if name and record.is_usable:
+            if name and record.is_usable and self._may_form(record):
                 found[name] = found.get(name, 0) + 1
         return found
 
@@ -601,7 +656,8 @@
         own = self.count_replicas()
         loading: dict[str, int] = {}
         for record in self._records.values():
-            if record.staging_model and record.is_usable:
+            is_loading = record.staging_model and record.is_usable
+            if is_loading and self._may_form(record):
                 loading[record.staging_model] = (
                     loading.get(record.staging_model, 0) + 1
                 )
@@ -631,3 +687,7 @@
             sequence=record.upstream.sequence,
             model=load.model.name,
         )
+
+
+def _is_never(_: ids.DatacentreName) -> bool:
+    return False
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from currantwall.coordination.requests import attained
+from currantwall.coordination.requests import evacuations
 from currantwall.coordination.requests import loads as loads_module
 from currantwall.coordination.requests import pacing
 from currantwall.coordination.requests import ratelimits
@@ -87,6 +88,8 @@
 # Seconds until a caller may try again when everything is full: the time in
 # which a full replica completes about one answer.
 _SATURATION_RETRY_AFTER = 0.5
+# The same while all data centres are evacuated: an operator has to act.
+_EVACUATION_RETRY_AFTER = 2.0
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -141,6 +144,7 @@
         withdrawals: Upstreams that have asked for no more requests.
         attained: Service that organisations have attained at all nodes.
         arrivals: Arrival rates of new requests at all nodes.
+        evacuations: Data centres that get no more requests.
     """
 
     def __init__(
@@ -159,6 +163,7 @@
         self._fleet = fleet
         self.limits = ratelimits.RateLimits(node)
         self.withdrawals = withdrawals.Withdrawals()
+        self.evacuations = evacuations.Evacuations()
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
@@ -264,9 +269,10 @@
         now: float,
     ) -> list[upstreams.Upstream] | Unavailable:
         """Return the upstreams that may take a request, full ones too."""
+        self.evacuations.note_time(now)
         candidates = self._list_candidates(service, model)
         if not candidates:
-            return Unavailable("no upstream serves", _RECOVERY_RETRY_AFTER)
+            return self._make_unserved(service, model)
         untried = [
             upstream
             for upstream in candidates
@@ -302,6 +308,36 @@
         # A plain service: an ejected upstream is better than none.
         return usable or permitted
 
+    def _make_unserved(
+        self, service: ids.ServiceName, model: str | None
+    ) -> Unavailable:
+        """Return the answer where no upstream serves.
+
+        A request for a model may wait while the replicas that serve it are
+        evacuated and other data centres can form more.
+        """
+        if self.is_wholly_evacuated(service):
+            return Unavailable(
+                "all data centres are evacuated", _EVACUATION_RETRY_AFTER
+            )
+        is_evacuated = model is not None and any(
+            self.evacuations.is_evacuated(replica.members[0].datacentre)
+            for replica in self._fleet.list_serving(service, model)
+        )
+        return Unavailable(
+            "no upstream serves", _RECOVERY_RETRY_AFTER, is_evacuated
+        )
+
+    def is_wholly_evacuated(self, service: ids.ServiceName) -> bool:
+        """Return whether all upstreams of a service are evacuated."""
+        if not self.evacuations.is_active:
+            return False
+        listed = self._fleet.list_service(service)
+        return bool(listed) and all(
+            self.evacuations.is_evacuated(upstream.datacentre)
+            for upstream in listed
+        )
+
     def _make_paused(
         self, paused: list[upstreams.Upstream], now: float
     ) -> Unavailable:
@@ -453,14 +489,17 @@
         """Return a plain service's upstreams or a model's leaders.
 
         Upstreams that are leaving are left out, whether the list says so
-        or only their answers do.
+        or only their answers do, and so are those of evacuated data
+        centres.
         """
+        is_evacuated = self.evacuations.is_evacuated
         if model is None:
             return [
                 upstream
                 for upstream in self._fleet.list_service(service)
                 if not upstream.leaving
                 and not self.withdrawals.is_leaving(upstream)
+                and not is_evacuated(upstream.datacentre)
             ]
         replicas = self._fleet.list_serving(service, model)
         leaders = (replica.members[0] for replica in replicas)
@@ -468,6 +507,7 @@
             leader
             for leader in leaders
             if not self.withdrawals.is_leaving(leader)
+            and not is_evacuated(leader.datacentre)
         ]
 
     def _compute_cost(
@@ -677,6 +717,7 @@
         their own its waiting requests and recently lost answers. All of
         them are thus added up by relays in the same way.
         """
+        self.evacuations.note_time(now)
         counts: dict[str, int] = {}
         for name, health in self._health.items():
             if health.in_flight > 0:
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -88,10 +88,12 @@
 
     Attributes:
         retry_after: Seconds after which it will find a free slot.
+        reason: Message for the log and the caller.
     """
 
     ticket: Ticket
     retry_after: float
+    reason: str
 
 
 class Placer:
@@ -246,11 +248,17 @@
     def turn_away(self, kind: Kind, now: float) -> list[Refusal]:
         """Remove and return the requests that cannot start soon enough.
 
-        These are the ones whose callers give up before a slot is free.
+        These are the ones whose callers give up before a slot is free, and
+        all while every data centre is evacuated.
         """
-        unservable = self.backlog.list_unservable(kind, now)
+        if self._balancer.is_wholly_evacuated(kind.service):
+            reason = "all data centres are evacuated"
+            unservable = self.backlog.list_tickets(kind, now)
+        else:
+            reason = "the backlog is too long"
+            unservable = self.backlog.list_unservable(kind, now)
         refusals = [
-            Refusal(ticket, self.estimate_retry_after(ticket, now))
+            Refusal(ticket, self.estimate_retry_after(ticket, now), reason)
             for ticket in unservable
         ]
         for ticket in unservable:
