Decode how long upstreams are cold

A service may state for how long its instances are slow after a start and what they sustain meanwhile, an entry and an answer how much of that time is left, and the settings the bound over all nodes. Nothing read them.

The fields are decoded; all default to "never cold". `tells_coldness` distinguishes an entry that says 0 from one that doesn't say.

--- a/currantwall/protocol/advisories.py
+++ b/currantwall/protocol/advisories.py
@@ -11,7 +11,7 @@
 
 from currantwall.protocol import names as names_module
 
-__all__ = ["is_leaving", "parse_limit", "parse_retry_after"]
+__all__ = ["is_leaving", "parse_cold", "parse_limit", "parse_retry_after"]
 
 # Statuses of answers that turn a request away for the moment.
 _REFUSALS = (429, 503)
@@ -31,6 +31,17 @@
     return _parse_decimal(headers.get(names.limit))
 
 
+def parse_cold(
+    headers: urllib3.HTTPHeaderDict, names: names_module.HeaderNames
+) -> float | None:
+    """Return the seconds for which an upstream stays cold, 0 if it is warm.
+
+    None if its answer doesn't say.
+    """
+    milliseconds = _parse_decimal(headers.get(names.cold))
+    return None if milliseconds is None else milliseconds / 1000.0
+
+
 def parse_retry_after(
     status: int, headers: urllib3.HTTPHeaderDict
 ) -> float | None:
--- a/currantwall/protocol/names.py
+++ b/currantwall/protocol/names.py
@@ -27,6 +27,7 @@
         priority: Priority of a request at an upstream; 0 is the highest.
         limit: Requests a second that an upstream takes from all nodes.
         leaving: Set by an upstream that is going to exit.
+        cold: Milliseconds for which an upstream stays cold.
     """
 
     attempt: str
@@ -42,3 +43,4 @@
     priority: str
     limit: str
     leaving: str
+    cold: str
--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -27,6 +27,9 @@
         drain: Seconds for which requests still arrive after a stop began.
         capacity: Relative capacity of the node; 1 is a whole core on a
             link of 100 Mbit/s, and the scarcer of the two counts.
+        cold_overshoot: Factor on the rate that a cold upstream sustains,
+            for the requests that it gets in any second from all nodes.
+        cold_slack: Number of such requests allowed beyond that.
     """
 
     node: ids.NodeId
@@ -44,3 +47,5 @@
     grace: float = 8.0
     drain: float = 3.0
     capacity: float = 1.0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
--- a/currantwall/state/routes.py
+++ b/currantwall/state/routes.py
@@ -180,11 +180,21 @@
         connections: Number of connections that one instance accepts from
             all callers together.
         engine: Set if the instances are model engines.
+        cold_start: Seconds for which an instance is cold that starts
+            during traffic; 0 if it never is.
+        cold_rate: Requests a second that an instance sustains meanwhile.
     """
 
     name: ids.ServiceName
     connections: int = 0
     engine: Engine | None = None
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
+
+    @property
+    def starts_cold(self) -> bool:
+        """Return whether requests to cold instances are limited."""
+        return self.cold_start > 0 and self.cold_rate > 0
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -61,6 +61,9 @@
         seat: Its position in a replica; None if it belongs to none.
         busy: Whether it is carrying out an order, such as a load.
         pace: Reported factor by which it is slower than usual.
+        cold_left: Seconds for which it stays cold, as of its entry; 0 if
+            it is warm.
+        tells_coldness: Whether its entry has that time.
     """
 
     id: ids.InstanceId
@@ -76,6 +79,8 @@
     seat: Seat | None = None
     busy: bool = False
     pace: float = 1.0
+    cold_left: float = 0.0
+    tells_coldness: bool = False
 
     @property
     def epoch_id(self) -> str:
