Share limits by requests between the holders and other nodes

Half of an upstream's limit went unused: each holder had its share only for its own requests, and every node but the holders left the upstream alone. A cold upstream needs a limit too, for three seconds, in which reports in heartbeats don't reach a holder and return.

A node whose request finds no share asks a holder by a datagram of its own and gets tokens that are void 0.2 s after it asked. Cold upstreams take what warm ones have no room for.

The mutant of the holders' number is now one of the condition that uses it. The replay of the fleet keeps requests waiting, asks for shares and is told the time.

Run: tests.test_limits, tests.test_gateway, tests.test_gateway_parts, tests.test_placing, tests.test_news, tests.test_digests, tests.test_withdrawals, tests.test_purity, tests.layers: pass.

--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -75,7 +75,13 @@
     stalled: tuple[str, ...]
 
 
-Message = presence_module.Heartbeat | Digest | Alarm
+Message = (
+    presence_module.Heartbeat
+    | Digest
+    | Alarm
+    | limits_module.ShareRequest
+    | limits_module.ShareGrant
+)
 
 
 class Datagram(msgspec.Struct, frozen=True):
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -13,7 +13,9 @@
 There the better of two is only chosen with the higher probability;
 otherwise every replica would be overrun and avoided in turn. Upstreams
 that have reached their limit of requests in flight are left out; a
-request for which none remains waits in the backlog (`backlog`).
+request for which none remains waits in the backlog (`backlog`). Upstreams
+that are cold take what the warm ones have no room for, within the limit of
+all nodes (`ratelimits`).
 """
 
 import collections
@@ -22,6 +24,7 @@
 
 import msgspec
 
+from currantwall.coordination.requests import coldness
 from currantwall.coordination.requests import loads as loads_module
 from currantwall.coordination.requests import ratelimits
 from currantwall.coordination.requests import withdrawals
@@ -85,6 +88,10 @@
 # Seconds until a caller may try again when everything is full: the time in
 # which a full replica completes about one answer.
 _SATURATION_RETRY_AFTER = 0.5
+# Most limited upstreams whose shares are asked for at a time, and seconds
+# until others are.
+_MAX_WANTED = 4
+_DEMAND_PERIOD = 0.05
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -133,7 +140,9 @@
     """Chooses upstreams by what this node has observed of each.
 
     Attributes:
-        limits: Limits that upstreams set on the requests of all nodes.
+        limits: Limits that upstreams set on the requests of all nodes, and
+            those of cold upstreams.
+        coldness: Tells `limits` which upstreams are cold.
         withdrawals: Upstreams that have asked for no more requests.
     """
 
@@ -142,6 +151,8 @@
         fleet: upstreams.Fleet,
         datacentre: ids.DatacentreName,
         node: ids.NodeId = ids.NodeId(""),
+        cold_overshoot: float = 1.5,
+        cold_slack: float = 5.0,
     ) -> None:
         """Create a balancer that knows of no requests.
 
@@ -149,9 +160,13 @@
             fleet: The upstreams.
             datacentre: Data centre of this node.
             node: This node, for its rank among those that share a limit.
+            cold_overshoot: Factor on the rate of a cold upstream that no
+                second may exceed, over all nodes.
+            cold_slack: Requests beyond that.
         """
         self._fleet = fleet
-        self.limits = ratelimits.RateLimits(node)
+        self.limits = ratelimits.RateLimits(node, cold_overshoot, cold_slack)
+        self.coldness = coldness.Coldness(fleet, self.limits)
         self.withdrawals = withdrawals.Withdrawals()
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
@@ -191,8 +206,25 @@
                 where it isn't known.
         """
         usable = self._list_usable(service, model, excluded, now)
+        if isinstance(usable, list):
+            usable = self._list_roomy(usable, get_limit, now)
         if isinstance(usable, Unavailable):
+            if usable.is_full:
+                self._note_demand(service, model, excluded, salt, now)
             return usable
+        return self._choose_usable(usable, salt, service_time)
+
+    def _list_roomy(
+        self,
+        usable: list[upstreams.Upstream],
+        get_limit: LimitFunction | None,
+        now: float,
+    ) -> list[upstreams.Upstream] | Unavailable:
+        """Return the warm upstreams with room, else the cold ones.
+
+        Where no limit is given, all have room, but cold upstreams are
+        preferred to warm ones whose slots are taken.
+        """
         if get_limit is not None:
             usable = [
                 upstream
@@ -205,7 +237,47 @@
                     _SATURATION_RETRY_AFTER,
                     is_full=True,
                 )
-        return self._choose_usable(usable, salt, service_time)
+        cold = [one for one in usable if self.limits.is_cold(one.id, now)]
+        if not cold:
+            return usable
+        warm = [one for one in usable if not self.limits.is_cold(one.id, now)]
+        if get_limit is None:
+            warm = [one for one in warm if self.count_load(one.id) < one.slots]
+        return warm or cold
+
+    def _note_demand(
+        self,
+        service: ids.ServiceName,
+        model: str | None,
+        excluded: abc.Container[str],
+        salt: str,
+        now: float,
+    ) -> None:
+        """Have shares of limited upstreams asked for.
+
+        All waiting requests count; few of the upstreams are sampled, others
+        each time.
+        """
+        if not self.limits.has_any:
+            return
+        limited = [
+            upstream
+            for upstream in self._list_candidates(service, model)
+            if upstream.epoch_id not in excluded
+            and not self.withdrawals.get_remaining(upstream.id, now)
+            and not self._is_ejected(upstream, now)
+            and not self.limits.permits(upstream.id, now)
+        ]
+        if not limited:
+            return
+        waiting = max(sum(self.waiting.values()), 1)
+        count = min(waiting, len(limited), _MAX_WANTED)
+        first = hashing.hash_text(f"{salt}{now // _DEMAND_PERIOD}")
+        for index in range(count):
+            upstream = limited[(first + index) % len(limited)]
+            self.limits.note_demand(
+                upstream.id, math.ceil(waiting / count), now
+            )
 
     def _list_usable(
         self,
@@ -274,13 +346,14 @@
         """Return the answer where all upstreams limit their requests.
 
         A request may wait for its turn only at a node that holds a share of
-        one of the limits.
+        one of the limits, or knows another node that does.
         """
         return Unavailable(
             "all limit their requests",
             _SATURATION_RETRY_AFTER,
             is_full=any(
-                self.limits.is_holder(upstream.id, now) for upstream in limited
+                self.limits.may_permit(upstream.id, now)
+                for upstream in limited
             ),
         )
 
@@ -291,13 +364,42 @@
         get_limit: LimitFunction,
         now: float,
     ) -> int:
-        """Return how many more requests a model's replicas can take."""
+        """Return how many more requests a model's replicas can take.
+
+        Those of replicas that limit their requests aren't counted.
+        """
         return sum(
             max(0, get_limit(upstream) - self.count_load(upstream.id))
             for upstream in self._list_candidates(service, model)
             if not self._is_ejected(upstream, now)
             and not self.withdrawals.get_remaining(upstream.id, now)
-            and self.limits.permits(upstream.id, now)
+            and not self.limits.is_limited(upstream.id, now)
+        )
+
+    def count_own_slots(
+        self,
+        service: ids.ServiceName,
+        model: str,
+        get_limit: LimitFunction,
+        now: float,
+    ) -> int:
+        """Return how many more requests this node alone may send.
+
+        These are its shares of the replicas that limit their requests.
+        """
+        if not self.limits.has_any:
+            return 0
+        return sum(
+            max(
+                0,
+                min(
+                    get_limit(upstream) - self.count_load(upstream.id),
+                    self.limits.count_permitted(upstream.id, now),
+                ),
+            )
+            for upstream in self._list_candidates(service, model)
+            if not self._is_ejected(upstream, now)
+            and not self.withdrawals.get_remaining(upstream.id, now)
         )
 
     def _choose_usable(
@@ -616,6 +718,7 @@
         """Drop outdated counts, and upstreams that are no longer listed."""
         self._remote.expire(now)
         self.limits.expire(self._is_listed, now)
+        self.coldness.expire(now)
         self.withdrawals.expire(self._is_listed, now)
         for name, health in list(self._health.items()):
             if health.in_flight <= 0 and self._fleet.get(name) is None:
--- /dev/null
+++ b/currantwall/coordination/requests/coldness.py
@@ -0,0 +1,162 @@
+"""Decides which upstreams are cold, and until when.
+
+The load pattern: a data centre returns, or instances are replaced, while
+callers send more than the warm upstreams take. An upstream that has just
+started is slow for some seconds and crashes if it gets its usual share of
+the requests. Its entry says for how long, and answers may say so too.
+
+A node reads an entry seconds after it was written, and counts the time that
+is left from the reading, so that an old entry gives a later end, never an
+earlier one. `ratelimits` then limits the requests of all nodes.
+"""
+
+from collections import abc
+
+import msgspec
+
+from currantwall.coordination.requests import ratelimits
+from currantwall.state import ids
+from currantwall.state import routes
+from currantwall.state import upstreams
+
+__all__ = ["Coldness"]
+
+# Seconds after an answer that said an upstream is cold within which an entry
+# that says it is warm was probably written earlier: a stale read lags by up
+# to 2 s, and a follower by 0.3 s more.
+_ENTRY_AGE = 2.5
+# Seconds for which an instance that is no longer listed is remembered. Its
+# entry returns after an outage, which is no start.
+_RETENTION = 60.0
+
+
+class _Known(msgspec.Struct):
+    """What was last known of an instance.
+
+    Attributes:
+        born: Start of its process.
+        listed_at: When its entry last changed.
+        answered_at: When an answer last said that it is cold; 0 for never.
+    """
+
+    born: int
+    listed_at: float
+    answered_at: float = 0.0
+
+
+class Coldness:
+    """Tells the limits which upstreams are cold.
+
+    Attributes:
+        services: Returns the configured services.
+    """
+
+    def __init__(
+        self, fleet: upstreams.Fleet, limits: ratelimits.RateLimits
+    ) -> None:
+        self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
+        self._fleet = fleet
+        self._limits = limits
+        limits.get_cold_rate = self.get_cold_rate
+        self._known: dict[ids.InstanceId, _Known] = {}
+
+    def get_cold_rate(self, instance: ids.InstanceId) -> float:
+        """Return the requests a second that a cold instance sustains.
+
+        0 if its service states none, or no time for which it is cold.
+        """
+        upstream = self._fleet.get(instance)
+        if upstream is None:
+            return 0.0
+        service = self._find_service(upstream.service)
+        return service.cold_rate if service is not None else 0.0
+
+    def _find_service(self, name: ids.ServiceName) -> routes.Service | None:
+        """Return a service whose instances start cold, None for others."""
+        for service in self.services():
+            if service.name == name and service.starts_cold:
+                return service
+        return None
+
+    def note_change(
+        self, change: upstreams.Change, has_traffic: bool, now: float
+    ) -> list[ids.InstanceId]:
+        """Record the instances that the list added or changed.
+
+        Args:
+            change: Difference that the list made.
+            has_traffic: Whether this node knew a list before, and a request
+                has been sent to an upstream. An instance that has just
+                started is then cold until its entry says how long.
+            now: Monotonic time.
+
+        Returns:
+            The instances that are cold since then.
+        """
+        found = []
+        for upstream in change.new:
+            was_cold = self._limits.is_cold(upstream.id, now)
+            service = self._find_service(upstream.service)
+            if service is not None:
+                self._note_entry(upstream, service, has_traffic, now)
+                if not was_cold and self._limits.is_cold(upstream.id, now):
+                    found.append(upstream.id)
+            known = self._known.setdefault(upstream.id, _Known(0, now))
+            known.born, known.listed_at = upstream.born, now
+        return found
+
+    def _note_entry(
+        self,
+        upstream: upstreams.Upstream,
+        service: routes.Service,
+        has_traffic: bool,
+        now: float,
+    ) -> None:
+        """Record what an entry that was added or changed says."""
+        known = self._known.get(upstream.id)
+        is_new = known is None or known.born != upstream.born
+        left = upstream.cold_left
+        if upstream.tells_coldness:
+            if left <= 0 and not is_new and self._is_outdated(known, now):
+                return
+        elif is_new and has_traffic:
+            left = service.cold_start
+        else:
+            return
+        self._limits.note_cold(upstream.id, service.cold_rate, now + left, now)
+
+    @staticmethod
+    def _is_outdated(known: _Known | None, now: float) -> bool:
+        """Return whether an answer is newer than the entry read now."""
+        if known is None or not known.answered_at:
+            return False
+        return now - known.answered_at <= _ENTRY_AGE
+
+    def note_answer(
+        self, upstream: upstreams.Upstream, left: float, now: float
+    ) -> bool:
+        """Record the time for which an answer says an upstream is cold.
+
+        Args:
+            upstream: The upstream.
+            left: Seconds for which it is cold; 0 if it is warm.
+            now: Monotonic time.
+
+        Returns:
+            Whether it has become cold by what this node knows.
+        """
+        service = self._find_service(upstream.service)
+        if service is None:
+            return False
+        was_cold = self._limits.is_cold(upstream.id, now)
+        self._limits.note_cold(upstream.id, service.cold_rate, now + left, now)
+        known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
+        known.answered_at = now if left > 0 else 0.0
+        return left > 0 and not was_cold
+
+    def expire(self, now: float) -> None:
+        """Forget instances that left the list long ago."""
+        for name, known in list(self._known.items()):
+            last = max(known.listed_at, known.answered_at)
+            if now - last > _RETENTION and self._fleet.get(name) is None:
+                del self._known[name]
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -153,7 +153,8 @@
         To be called every `TICK` seconds.
         """
         tickets = self.backlog.list_tickets(kind, now)
-        credit = self._compute_credit(kind, tickets, now)
+        own = self._count_own_slots(kind, tickets, now)
+        credit = self._compute_credit(kind, tickets, now) + own
         placements = []
         for ticket in tickets:
             if credit < 1.0:
@@ -164,9 +165,26 @@
                 credit -= 1.0
             elif chosen.is_full:
                 break
-        self._credit[kind] = min(credit, 1.0)
+        self._credit[kind] = min(max(credit - own, 0.0), 1.0)
         return placements
 
+    def _count_own_slots(
+        self, kind: Kind, tickets: list[Ticket], now: float
+    ) -> int:
+        """Return the slots that no other gateway may fill.
+
+        These are this gateway's shares of the replicas that limit their
+        requests; a share that another gateway has granted is soon void.
+        """
+        if not tickets:
+            return 0
+        return self._balancer.count_own_slots(
+            kind.service,
+            kind.model,
+            self._make_limit_function(tickets[0], now),
+            now,
+        )
+
     def _compute_credit(
         self, kind: Kind, tickets: list[Ticket], now: float
     ) -> float:
--- a/currantwall/state/limits.py
+++ b/currantwall/state/limits.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-__all__ = ["LimitReport"]
+from currantwall.state import ids
+
+__all__ = ["LimitReport", "ShareGrant", "ShareRequest"]
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -16,3 +18,29 @@
 
     rate: float | None
     age: float
+
+
+class ShareRequest(msgspec.Struct, frozen=True, tag="share_request"):
+    """Asks a holder of limits for a part of its shares.
+
+    Attributes:
+        node: The sender.
+        serial: Number that the answer repeats.
+        wanted: Number of requests that wait for each limit.
+    """
+
+    node: ids.NodeId
+    serial: int
+    wanted: dict[str, int]
+
+
+class ShareGrant(msgspec.Struct, frozen=True, tag="share_grant"):
+    """Grants another node a part of this node's shares.
+
+    Attributes:
+        serial: Number of the request that it answers.
+        granted: Number of requests that may be sent, by limit.
+    """
+
+    serial: int
+    granted: dict[str, int]
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -6,11 +6,14 @@
 
 from collections import abc
 
+import eventlet
+
 from currantwall.coordination.peers import digests
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
 from currantwall.state import ids
+from currantwall.state import limits as limits_module
 from currantwall.state import upstreams
 from currantwall.transport import configurations
 from currantwall.transport import domainleases
@@ -30,6 +33,11 @@
 _SLOW_REPORT_TTL = 1.5
 # Seconds between heartbeats while replicas are nearly full.
 _HIGH_LOAD_INTERVAL = 0.12
+# Seconds between two checks whether shares of limits have to be asked for.
+_SHARES_INTERVAL = 0.05
+_SHARES_WANTED = "currantwall.shares.wanted"
+_SHARES_GRANTED = "currantwall.shares.granted"
+_SHARES_RECEIVED = "currantwall.shares.received"
 # The balancer's key for the counts of all other nodes, as summed by a
 # relay.
 _ALL_NODES = ids.NodeId("")
@@ -65,6 +73,7 @@
         self._leases = leases
         self._duties = domain_duties
         self._now = clock.now
+        self._meter = meter
         self._relay = digests.Relay(presence)
         self._heartbeats = heartbeats.Heartbeats(
             address, self._compose, self._receive, meter, clock
@@ -89,7 +98,11 @@
         self._slow = _drop_expired(self._slow, now)
         self._sent_loads = self._balancer.list_loads(now)
         self._presence.ready = self.is_ready()
-        self._balancer.limits.note_nodes(self._presence.list_members(now))
+        self._balancer.limits.note_nodes(
+            self._presence.list_members(now),
+            now,
+            [node.id for node in self._presence.list_peers()],
+        )
         self._balancer.are_counts_relayed = not self._presence.is_full_mesh
         own = presence_module.Heartbeat(
             node=self._presence.me,
@@ -113,6 +126,11 @@
             self._receive_heartbeat(message, now)
         elif isinstance(message, digests.Digest):
             self._receive_digest(message, now)
+        elif isinstance(message, limits_module.ShareRequest):
+            self._grant_shares(message, now)
+        elif isinstance(message, limits_module.ShareGrant):
+            granted = self._balancer.limits.note_grant(message, now)
+            self._meter.add(_SHARES_RECEIVED, granted)
         else:
             self._suspect(message.stalled)
         if self._relay.take_urgent():
@@ -192,6 +210,33 @@
         if self._presence.is_full_mesh:
             self._heartbeats.send_soon(_HIGH_LOAD_INTERVAL)
 
+    def run_shares(self) -> None:
+        """Ask other nodes for shares of limits, as needed, forever."""
+        while True:
+            eventlet.sleep(_SHARES_INTERVAL)
+            if self._balancer.limits.has_demand:
+                self._ask_for_shares(self._now())
+
+    def _ask_for_shares(self, now: float) -> None:
+        asked = self._balancer.limits.list_share_requests(now)
+        for node, request in asked.items():
+            entry = self._presence.get(node)
+            if entry is not None:
+                self._meter.add(_SHARES_WANTED, sum(request.wanted.values()))
+                datagram = digests.Datagram((entry,), request)
+                self._heartbeats.send_one(datagram)
+
+    def _grant_shares(
+        self, request: limits_module.ShareRequest, now: float
+    ) -> None:
+        entry = self._presence.get(request.node)
+        if entry is None:
+            return
+        grant = self._balancer.limits.grant(request, now)
+        if grant is not None:
+            self._meter.add(_SHARES_GRANTED, sum(grant.granted.values()))
+            self._heartbeats.send_one(digests.Datagram((entry,), grant))
+
     def announce_limits(self) -> None:
         """Report the limits that upstreams have changed, without delay."""
         self._heartbeats.send_soon()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -56,9 +56,8 @@
     Mutant(
         "every node holds a share of every limit",
         f"{_COORDINATION}/requests/ratelimits.py",
-        "        wanted = _MIN_HOLDERS"
-        " + int(_HOLDERS_PER_RATE * limit.applied_rate)\n",
-        "        wanted = len(self._nodes)\n",
+        "        return limit.rank < holders + successors\n",
+        "        return True\n",
         f"{_SHARES}.test_all_nodes_together_keep_to_a_limit",
     ),
     Mutant(
@@ -78,15 +77,17 @@
     Mutant(
         "nobody succeeds the silent holders of a limit",
         f"{_COORDINATION}/requests/ratelimits.py",
-        "        successors = int(max(silent, 0.0) * limit.applied_rate)\n",
+        "        successors = int("
+        "max(silent, 0.0) * self._compute_rate(limit, now))\n",
         "        successors = 0\n",
         f"{_SHARES}.test_a_limit_is_kept_while_its_holders_send_nothing",
     ),
     Mutant(
         "all nodes try an upstream whose limit nobody confirms",
         f"{_COORDINATION}/requests/ratelimits.py",
-        "        successors = int(max(silent, 0.0) * limit.applied_rate)\n",
-        "        successors = len(self._nodes) if silent > 0 else 0\n",
+        "        successors = int("
+        "max(silent, 0.0) * self._compute_rate(limit, now))\n",
+        "        successors = len(self._named.nodes) if silent > 0 else 0\n",
         f"{_SHARES}.test_a_limit_is_kept_while_its_holders_send_nothing",
     ),
     Mutant(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,6 +1,7 @@
 """Limits on the requests a second that an upstream takes from all nodes."""
 
 import bisect
+import collections
 from concurrent import futures
 import heapq
 import random
@@ -88,15 +89,21 @@
 
 _SERVER = ids.InstanceId("i1")
 _REPORT_INTERVAL = 0.4
+# Seconds for which a request waits at a node, and the longest ones that a
+# message takes.
+_PATIENCE = 0.5
+_LONGEST_DELAY = 0.02
 # Seconds until other nodes notice that one has gone, or has come.
 _NOTICE_GONE_SECONDS = 1.8
 _NOTICE_NEW_SECONDS = 0.4
 
 
 class Fleet:
-    """Nodes in virtual time that send one server all that they may.
+    """Nodes in virtual time that send servers all that they may.
 
     Attributes:
+        servers: The servers; the first one names its limit in answers.
+        arrived: Times of all requests, by server.
         rate: The limit that the server names now; None for none.
         arrivals: Times at which requests of nodes that must know the limit
             reached it.
@@ -113,6 +120,9 @@
         self.sent = []
         self.told_at = {}
         self.nodes = {}
+        self.servers = [_SERVER]
+        self.arrived = collections.defaultdict(list)
+        self.waiting = {}
         self.members = [ids.NodeId(f"n{n}") for n in range(count)]
         self.events = []
         self.serial = 0
@@ -124,7 +134,8 @@
         node = ratelimits.RateLimits(name)
         self.nodes[name] = node
         self.told_at.pop(name, None)
-        node.note_nodes([*self.members, name])
+        self.waiting[name] = []
+        node.note_nodes([*self.members, name], self.now)
         self.schedule(self.random.uniform(0, 0.4), self.report, name, node)
         self.schedule(
             self.random.expovariate(self.demand), self.send, name, node
@@ -144,7 +155,7 @@
 
     def spread_members(self):
         for node in self.nodes.values():
-            node.note_nodes(self.members)
+            node.note_nodes(self.members, self.now)
 
     def schedule(self, delay, callback, *args):
         self.serial += 1
@@ -163,9 +174,42 @@
         self.schedule(
             self.random.expovariate(self.demand), self.send, name, node
         )
-        if not node.permits(_SERVER, self.now):
+        self.waiting[name].append(self.now)
+        self.place(name, node)
+
+    def place(self, name, node):
+        """Send the waiting requests that may be sent, ask for the others."""
+        waiting = self.waiting[name]
+        waiting[:] = [at for at in waiting if self.now - at < _PATIENCE]
+        servers = self.random.sample(self.servers, len(self.servers))
+        for server in servers:
+            while waiting and node.permits(server, self.now):
+                waiting.pop()
+                node.note_request(server, self.now)
+                self.deliver_request(name, node, server)
+        for server in servers[: len(waiting)]:
+            node.note_demand(server, len(waiting), self.now)
+        for holder, request in node.list_share_requests(self.now).items():
+            self.schedule(self.draw_delay(), self.ask, name, holder, request)
+
+    def draw_delay(self):
+        return self.random.uniform(0.001, _LONGEST_DELAY)
+
+    def ask(self, name, holder, request):
+        grant = holder in self.nodes and self.nodes[holder].grant(
+            request, self.now
+        )
+        if grant:
+            self.schedule(self.draw_delay(), self.take, name, grant)
+
+    def take(self, name, grant):
+        if name in self.nodes and self.nodes[name].note_grant(grant, self.now):
+            self.place(name, self.nodes[name])
+
+    def deliver_request(self, name, node, server):
+        self.arrived[server].append(self.now + self.draw_delay())
+        if server is not _SERVER:
             return
-        node.note_request(_SERVER, self.now)
         self.sent.append(self.now)
         told_at = self.told_at.get(name)
         if told_at is not None and self.now >= told_at + _REACTION_SECONDS:
@@ -185,6 +229,7 @@
         if self.nodes.get(name) is not node:
             return
         self.schedule(_REPORT_INTERVAL, self.report, name, node)
+        self.place(name, node)
         reports = node.list_reports(self.now)
         if reports:
             self.schedule(self.report_delay, self.deliver, node, reports)
