Tell the limits which upstreams are cold

Entries and answers that say an upstream is cold are passed on, with a log line and a counter, from the list feed and from the heads of answers.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -90,7 +90,11 @@
         self._store = make_store(self._meter)
         self._fleet = upstreams.Fleet()
         self._balancer = balancing.Balancer(
-            self._fleet, settings.datacentre, settings.node
+            self._fleet,
+            settings.datacentre,
+            settings.node,
+            settings.cold_overshoot,
+            settings.cold_slack,
         )
         self._budget = budgets.RepeatBudget(
             settings.repeat_ratio,
@@ -166,6 +170,8 @@
             self._clock,
         )
         self._duties.services = self._list_services
+        self._balancer.coldness.services = self._list_services
+        self._fleet_feed.note_change = self._advisories.note_change
         self._news = self._make_news()
         self._stopping = False
         self._listener: typing.Any = listener
@@ -218,6 +224,7 @@
             self._log.run,
             self._news.run_receiver,
             self._news.run_sender,
+            self._news.run_shares,
             self._configuration.run,
             self._fleet_feed.run,
             self._nodes_feed.run,
--- a/currantwall/transport/advisories.py
+++ b/currantwall/transport/advisories.py
@@ -1,9 +1,9 @@
 """Handles what the answers of upstreams ask of this node.
 
 An upstream names its limit in every answer while it has one, asks for a
-pause in a refusal, and says that it is leaving. `coordination` decides
-what follows (`ratelimits`, `withdrawals`); this module tells it, and logs
-and counts what was asked.
+pause in a refusal, and says that it is cold or leaving. `coordination`
+decides what follows (`ratelimits`, `coldness`, `withdrawals`); this module
+tells it, and logs and counts what was asked.
 """
 
 import typing
@@ -22,6 +22,9 @@
 _LIMITED = "currantwall.answers.limited"
 _PAUSED = "currantwall.answers.paused"
 _LEAVING = "currantwall.answers.leaving"
+_COLD = "currantwall.instances.cold"
+# Largest number of instance names in one field of a log line.
+_NAMES_LIMIT = 8
 
 
 class Advisories:
@@ -63,6 +66,7 @@
             return
         now = self._now()
         self._note_limit(request, upstream, head, now)
+        self._note_cold(request, upstream, head, now)
         self._note_withdrawal(request, upstream, head, now)
 
     def _note_limit(
@@ -89,6 +93,48 @@
         )
         self.on_limit_changed()
 
+    def _note_cold(
+        self,
+        request: requests.Request,
+        upstream: upstreams.Upstream,
+        head: exchanges.Head,
+        now: float,
+    ) -> None:
+        """Record for how long an upstream stays cold."""
+        left = advisories_protocol.parse_cold(head.headers, self._names)
+        if left is None:
+            return
+        if self._balancer.coldness.note_answer(upstream, left, now):
+            self._meter.add(_COLD, 1)
+            self._log.write(
+                "upstream_cold",
+                request=request.attempt_id,
+                upstream=upstream.id,
+                left=left,
+                list_age=round(now - self._fleet.updated, 3),
+            )
+
+    def note_change(self, change: upstreams.Change, has_list: bool) -> None:
+        """Record the instances that the list says are cold.
+
+        Args:
+            change: Difference that the list made.
+            has_list: Whether this node knew a list before.
+        """
+        cold = self._balancer.coldness.note_change(
+            change,
+            has_list and self._balancer.has_seen_traffic,
+            self._now(),
+        )
+        if cold:
+            self._meter.add(_COLD, len(cold))
+            self._log.write(
+                "upstreams_cold",
+                upstreams=sorted(cold)[:_NAMES_LIMIT],
+                count=len(cold),
+                revision=self._fleet.revision,
+            )
+
     def _note_withdrawal(
         self,
         request: requests.Request,
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -48,6 +48,8 @@
 
     Attributes:
         on_change: Called after the list has changed.
+        note_change: Called with the instances that differ in a new list,
+            and whether there was a list before.
     """
 
     def __init__(
@@ -69,6 +71,9 @@
         # Instances kept although the list lacks them, as last logged.
         self._unlisted: set[ids.InstanceId] = set()
         self.on_change: abc.Callable[[], None] = _ignore
+        self.note_change: abc.Callable[[upstreams.Change, bool], None] = (
+            _ignore_change
+        )
         # The newest list with its recent changes, for the peers.
         self._changes: changes.ChangeLog[ports.StoredObject] = (
             changes.ChangeLog()
@@ -279,6 +284,7 @@
         gone = {ids.InstanceId(name) for name in listing.removed} | unreadable
         if not self._fleet.update(listed, gone, listing.revision, asked_at):
             return
+        self.note_change(self._fleet.last_change, True)
         self._changes.merge(listing.objects, listing.removed, listing.revision)
         self.on_change()
         self._log_changes(listing.revision)
@@ -286,10 +292,12 @@
     def _apply_list(self, listing: ports.Listing, asked_at: float) -> None:
         found = self._decoder.decode(listing.objects)
         keep_missing = self._may_lack_entries(asked_at)
+        had_list = self._fleet.is_known
         if not self._fleet.replace(
             found, listing.revision, asked_at, keep_missing
         ):
             return
+        self.note_change(self._fleet.last_change, had_list)
         known = self.changed
         self._changes.replace(listing.objects, listing.revision)
         if self.changed > known:
@@ -400,3 +408,7 @@
 
 def _ignore() -> None:
     return
+
+
+def _ignore_change(_: upstreams.Change, __: bool) -> None:
+    return
