Limit requests to cold upstreams within a bound over all nodes

A node that learnt from an answer that an upstream is cold kept that to itself, a single-node site could not use a rate above the holder's burst, and plain services never sent a cold upstream anything while others had room. Shares of holders that ask in step went to waste.

Cold times that an answer or a report names are passed on in the heartbeat's `limits`, the burst is divided among the holders that there are, plain requests wait up to 0.2 s for a share, and the holders asked rotate. The stand-in's control calls are in a method of their own, and one more has its entry say that it is cold.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -192,6 +192,16 @@
         url = f"http://{self.addresses[name]}/control/pause"
         self.http.request("POST", url, body=msgspec.json.encode(seconds))
 
+    def set_cold(self, name: str, seconds: float) -> None:
+        """Have a server's entry say that it is cold.
+
+        Args:
+            name: The server.
+            seconds: For how long; 0 if it is warm.
+        """
+        url = f"http://{self.addresses[name]}/control/cold"
+        self.http.request("POST", url, body=msgspec.json.encode(seconds))
+
     def list_arrivals(self, name: str) -> list[float]:
         """Return the monotonic times at which requests reached a server."""
         url = f"http://{self.addresses[name]}/control/arrivals"
--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -117,7 +117,7 @@
             age: Seconds since it was received.
         """
         for upstream, limit in message.limits.items():
-            aged = limits_module.LimitReport(limit.rate, limit.age + age)
+            aged = msgspec.structs.replace(limit, age=limit.age + age)
             known_limit = self.limits.get(upstream)
             if known_limit is None or aged.age < known_limit.age:
                 self.limits[upstream] = aged
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -92,6 +92,9 @@
 # until others are.
 _MAX_WANTED = 4
 _DEMAND_PERIOD = 0.05
+# Seconds in which an answer to that comes: the period, and a datagram each
+# way on a slow link.
+_SHARE_SECONDS = 0.2
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -102,12 +105,15 @@
         retry_after: Seconds after which the caller should try again.
         is_full: Whether there are usable upstreams, all of them full.
         earliest: Seconds before which none will take it.
+        share_wait: Seconds in which another node may grant a share of an
+            upstream that limits its requests.
     """
 
     reason: str
     retry_after: float
     is_full: bool = False
     earliest: float = 0.0
+    share_wait: float = 0.0
 
 
 # A function that returns how many requests an upstream may have in flight.
@@ -212,6 +218,9 @@
             if usable.is_full:
                 self._note_demand(service, model, excluded, salt, now)
             return usable
+        if get_limit is None and self._are_slots_taken(usable):
+            # For the next requests: this one is sent without delay.
+            self._note_demand(service, model, excluded, salt, now)
         return self._choose_usable(usable, salt, service_time)
 
     def _list_roomy(
@@ -237,6 +246,8 @@
                     _SATURATION_RETRY_AFTER,
                     is_full=True,
                 )
+        if not self.limits.has_any:
+            return usable
         cold = [one for one in usable if self.limits.is_cold(one.id, now)]
         if not cold:
             return usable
@@ -245,6 +256,12 @@
             warm = [one for one in warm if self.count_load(one.id) < one.slots]
         return warm or cold
 
+    def _are_slots_taken(self, usable: list[upstreams.Upstream]) -> bool:
+        """Return whether limited upstreams should take a part as well."""
+        return self.limits.has_any and all(
+            self.count_load(one.id) >= one.slots for one in usable
+        )
+
     def _note_demand(
         self,
         service: ids.ServiceName,
@@ -348,13 +365,14 @@
         A request may wait for its turn only at a node that holds a share of
         one of the limits, or knows another node that does.
         """
+        may_wait = any(
+            self.limits.may_permit(upstream.id, now) for upstream in limited
+        )
         return Unavailable(
             "all limit their requests",
             _SATURATION_RETRY_AFTER,
-            is_full=any(
-                self.limits.may_permit(upstream.id, now)
-                for upstream in limited
-            ),
+            is_full=may_wait,
+            share_wait=_SHARE_SECONDS if may_wait else 0.0,
         )
 
     def count_free_slots(
--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -143,16 +143,20 @@
             now: Monotonic time.
 
         Returns:
-            Whether it has become cold by what this node knows.
+            Whether this changes what this node knew. The other nodes are
+            then told.
         """
         service = self._find_service(upstream.service)
         if service is None:
             return False
-        was_cold = self._limits.is_cold(upstream.id, now)
+        was_cold = self._limits.get_cold_left(upstream.id, now) > 0
         self._limits.note_cold(upstream.id, service.cold_rate, now + left, now)
         known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
         known.answered_at = now if left > 0 else 0.0
-        return left > 0 and not was_cold
+        changed = was_cold != (left > 0)
+        if changed:
+            self._limits.report_cold(upstream.id, now)
+        return changed
 
     def expire(self, now: float) -> None:
         """Forget instances that left the list long ago."""
--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -20,8 +20,8 @@
 requests that arrive in any second were given out by the holders within
 `_BOUND_SECONDS`. The parts and bursts are those of one holder more than
 there are, which allows for a node with an incomplete view of the others: a
-new node holds nothing until the others count it, counts holders that it
-does not know yet, and one that falls silent is counted for as long as it
+new node holds nothing until the others count it, one that knows no others
+takes one part only, and one that falls silent is counted for as long as it
 is known.
 
 A holder's requests show what the upstream says now. Changes, and from time
@@ -34,6 +34,7 @@
 
 import msgspec
 
+from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import limits
 from currantwall.state import rendezvous
@@ -70,7 +71,8 @@
 # Seconds without any news of a limit after which further nodes, one by one,
 # may send the upstream a request: its holders have none for it, or cannot
 # be heard. Also the seconds for which a node that is no longer ready counts
-# as a holder for cold upstreams, and a new node expects unknown holders.
+# as a holder for cold upstreams, and for which a new node that knows no
+# others expects that there are some.
 _SUCCESSION_DELAY = 15.0
 # Seconds for which a node that has become ready holds no share of a cold
 # upstream: until the others know it, 1.2 s through relays, with a margin for
@@ -97,8 +99,9 @@
         observed_at: When the answer came that said so, at any node.
         rank: How many nodes hold the limit before this one does.
         refilled_at: When `tokens` was computed.
-        tokens: Requests that this node may send now, in fractions.
         holders: The nodes that rank first, the first one first.
+        tokens: Requests that this node may send now, in fractions; at first
+            as many as it may save up.
         granted: When each request that another holder granted is void.
         cold_until: When the upstream becomes warm; None if the upstream has
             named the limit in an answer.
@@ -109,8 +112,8 @@
     observed_at: float
     rank: int
     refilled_at: float
-    tokens: float
     holders: list[ids.NodeId]
+    tokens: float = math.inf
     granted: list[float] = []
     cold_until: float | None = None
     reported_until: float = -math.inf
@@ -155,7 +158,6 @@
         instance: ids.InstanceId,
         rate: float | None,
         observed_at: float,
-        tokens: float,
         now: float,
     ) -> _Limit:
         """Add the limit of an upstream and return it."""
@@ -164,7 +166,6 @@
             observed_at=observed_at,
             rank=self._count_before(instance, self.nodes),
             refilled_at=now,
-            tokens=tokens,
             holders=self._choose_holders(instance, self.nodes),
         )
         return limit
@@ -227,8 +228,8 @@
         self._me = me
         # One holder more than there are counts for the bound.
         self._most = min(max(int(cold_slack) - 1, 1), _MAX_HOLDERS)
-        # Requests that a holder may send at once.
-        self._burst = max(cold_slack / (self._most + 1), 1.0)
+        # Requests that all holders together may send at once.
+        self._slack = cold_slack
         self._cold_share = min(
             cold_overshoot / _BOUND_SECONDS * (self._most / (self._most + 1)),
             _USED_SHARE,
@@ -244,6 +245,9 @@
         # When this node asked a holder, by serial number.
         self._asked_at: dict[int, float] = {}
         self._serial = 0
+        # Counts the times that holders were asked. Nodes begin at different
+        # ones, so that they don't all ask the same holder at once.
+        self._round = hashing.hash_text(me) % _MAX_HOLDERS
         self.get_cold_rate: abc.Callable[[ids.InstanceId], float] = _get_none
 
     # -- Input from upstreams and other nodes
@@ -277,7 +281,10 @@
     ) -> None:
         """Record the limits that another node reports."""
         for name, report in reports.items():
-            instance = ids.InstanceId(name)
+            instance = ids.InstanceId(name.removesuffix(_COLD_SUFFIX))
+            if name != instance:
+                self._note_cold_report(instance, report, now)
+                continue
             known = self._named.limits.get(instance)
             observed_at = now - report.age
             if known is None or observed_at > known.observed_at:
@@ -292,9 +299,7 @@
     ) -> _Limit:
         limit = self._named.limits.get(instance)
         if limit is None:
-            return self._named.add(
-                instance, rate, observed_at, self._burst, now
-            )
+            return self._named.add(instance, rate, observed_at, now)
         if limit.rate != rate:
             self._refill(limit, now)
             # Only what this node has observed itself is reported.
@@ -318,17 +323,44 @@
         if limit is None:
             if until <= now:
                 return
-            limit = self._cold.add(instance, rate, now, self._burst, now)
+            limit = self._cold.add(instance, rate, now, now)
             limit.cold_until = until
             return
         self._refill(limit, now)
         limit.rate = rate
         limit.observed_at = now
+        limit.reported_until = -math.inf
         # A rise of the rate that has begun is not begun again.
         is_warm = limit.cold_until is not None and limit.cold_until <= now
         if until > now or not is_warm:
             limit.cold_until = max(until, now)
 
+    def _note_cold_report(
+        self, instance: ids.InstanceId, report: limits.LimitReport, now: float
+    ) -> None:
+        """Record another node's report that an upstream is cold, or warm."""
+        limit = self._cold.limits.get(instance)
+        observed_at = now - report.age
+        if limit is not None and observed_at <= limit.observed_at:
+            return
+        until = observed_at + report.cold_left
+        self.note_cold(instance, report.rate or 0.0, until, now)
+        if instance in self._cold.limits:
+            self._cold.limits[instance].observed_at = observed_at
+
+    def report_cold(self, instance: ids.InstanceId, now: float) -> None:
+        """Report to the other nodes what was just recorded of an upstream."""
+        limit = self._cold.limits.get(instance)
+        if limit is not None:
+            limit.reported_until = now + _CHANGE_REPORT_SECONDS
+
+    def get_cold_left(self, instance: ids.InstanceId, now: float) -> float:
+        """Return the seconds for which an upstream is cold."""
+        limit = self._cold.limits.get(instance)
+        if limit is None or limit.cold_until is None:
+            return 0.0
+        return max(limit.cold_until - now, 0.0)
+
     def note_returned(
         self,
         instances: abc.Iterable[ids.InstanceId],
@@ -496,18 +528,21 @@
 
     def _count_holders(self, limit: _Limit, now: float) -> int:
         """Return among how many nodes a limit is divided."""
-        if limit.cold_until is not None:
+        holders = max(len(limit.holders), 1)
+        if limit.cold_until is not None and holders == 1:
             since = self._ready_since
             if since is None or now < since + _SUCCESSION_DELAY:
                 return self._most
-        return max(len(limit.holders), 1)
+        return holders
 
     def _refill(self, limit: _Limit, now: float) -> None:
         """Add the tokens of this node's share since the last call."""
-        rate = self._compute_rate(limit, now) / self._count_holders(limit, now)
+        holders = self._count_holders(limit, now)
+        rate = self._compute_rate(limit, now) / holders
         elapsed = max(now - limit.refilled_at, 0.0)
         limit.refilled_at = now
-        limit.tokens = min(self._burst, limit.tokens + rate * elapsed)
+        burst = max(self._slack / (holders + 1), 1.0)
+        limit.tokens = min(burst, limit.tokens + rate * elapsed)
 
     # -- Shares that holders grant to other nodes
 
@@ -539,6 +574,8 @@
         """Return what to ask of each holder, for the demand noted before."""
         wanted: dict[ids.NodeId, dict[str, int]] = {}
         demands, self._demands = self._demands, {}
+        # Rotates the holders, one of which may be down.
+        self._round += 1
         for key, (count, at) in demands.items():
             if now - at > _DEMAND_SECONDS:
                 continue
@@ -547,7 +584,7 @@
             others = self._list_other_holders(limit) if limit else []
             # The first ones get the remainder, and in turn one more.
             for index in range(min(missing, len(others))):
-                node = others[(self._serial + index) % len(others)]
+                node = others[(self._round + index) % len(others)]
                 if node not in wanted and len(wanted) >= _MAX_ASKED:
                     continue
                 share = (missing + len(others) - 1 - index) // len(others)
@@ -619,11 +656,20 @@
 
     def list_reports(self, now: float) -> dict[str, limits.LimitReport]:
         """Return the limits to report to the other nodes."""
-        return {
+        found = {
             instance: limits.LimitReport(limit.rate, now - limit.observed_at)
             for instance, limit in self._named.limits.items()
             if now < limit.reported_until
         }
+        for instance, limit in self._cold.limits.items():
+            if now < limit.reported_until:
+                end = limit.cold_until or 0.0
+                found[f"{instance}{_COLD_SUFFIX}"] = limits.LimitReport(
+                    limit.rate,
+                    now - limit.observed_at,
+                    max(end - limit.observed_at, 0.0),
+                )
+        return found
 
 
 def _get_none(_: ids.InstanceId) -> float:
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -172,6 +172,7 @@
         self._duties.services = self._list_services
         self._balancer.coldness.services = self._list_services
         self._fleet_feed.note_change = self._advisories.note_change
+        self._duties.on_report = self._advisories.note_report
         self._news = self._make_news()
         self._stopping = False
         self._listener: typing.Any = listener
--- a/currantwall/state/limits.py
+++ b/currantwall/state/limits.py
@@ -7,17 +7,22 @@
 __all__ = ["LimitReport", "ShareGrant", "ShareRequest"]
 
 
-class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+class LimitReport(
+    msgspec.Struct, frozen=True, array_like=True, omit_defaults=True
+):
     """What an answer of an upstream said about its limit.
 
     Attributes:
         rate: Requests a second that it takes from all nodes together; None
             if it named no limit.
         age: Seconds since the answer came.
+        cold_left: Seconds for which it was cold then, in reports that an
+            upstream is cold.
     """
 
     rate: float | None
     age: float
+    cold_left: float = 0.0
 
 
 class ShareRequest(msgspec.Struct, frozen=True, tag="share_request"):
--- a/currantwall/transport/advisories.py
+++ b/currantwall/transport/advisories.py
@@ -31,7 +31,8 @@
     """Passes on what upstreams ask of this node.
 
     Attributes:
-        on_limit_changed: Called when an upstream has changed its limit.
+        on_limit_changed: Called when an upstream has changed its limit, or
+            has become cold or warm.
     """
 
     def __init__(
@@ -104,15 +105,33 @@
         left = advisories_protocol.parse_cold(head.headers, self._names)
         if left is None:
             return
-        if self._balancer.coldness.note_answer(upstream, left, now):
+        self._note_cold_left(upstream, left, request.attempt_id, now)
+
+    def note_report(self, upstream: upstreams.Upstream) -> None:
+        """Record for how long an instance's report says it is cold."""
+        if upstream.tells_coldness:
+            now = self._now()
+            self._note_cold_left(upstream, upstream.cold_left, None, now)
+
+    def _note_cold_left(
+        self,
+        upstream: upstreams.Upstream,
+        left: float,
+        request: str | None,
+        now: float,
+    ) -> None:
+        if not self._balancer.coldness.note_answer(upstream, left, now):
+            return
+        if left > 0:
             self._meter.add(_COLD, 1)
-            self._log.write(
-                "upstream_cold",
-                request=request.attempt_id,
-                upstream=upstream.id,
-                left=left,
-                list_age=round(now - self._fleet.updated, 3),
-            )
+        self._log.write(
+            "upstream_cold",
+            request=request,
+            upstream=upstream.id,
+            left=left,
+            list_age=round(now - self._fleet.updated, 3),
+        )
+        self.on_limit_changed()
 
     def note_change(self, change: upstreams.Change, has_list: bool) -> None:
         """Record the instances that the list says are cold.
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -100,6 +100,7 @@
             lost a member.
         on_slow: Called with the leader's epoch ID when a member slows down
             its replica.
+        on_report: Called with each instance as it has reported itself.
         services: Returns the configured services.
     """
 
@@ -134,6 +135,9 @@
         self._stopping = False
         self.on_loss: abc.Callable[[str], None] = _ignore
         self.on_slow: abc.Callable[[str], None] = _ignore
+        self.on_report: abc.Callable[[upstreams.Upstream], None] = (
+            _ignore_report
+        )
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
 
     # -- The loop
@@ -445,6 +449,7 @@
                 self._report_loss(domain, upstream)
         else:
             domain.planner.knowledge.note_report(found, now)
+            self.on_report(found)
             self._report_pace(domain, found)
 
     def _report_pace(self, domain: _Domain, found: upstreams.Upstream) -> None:
@@ -522,6 +527,10 @@
     return
 
 
+def _ignore_report(_: upstreams.Upstream) -> None:
+    return
+
+
 def _find_staged_models(
     instances: abc.Iterable[upstreams.Upstream],
     sizes: abc.Mapping[ids.DomainName, int],
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -136,7 +136,7 @@
         """
         if request.model is not None and not request.progress.runs:
             return self._send_queued(request)
-        deadline = min(self.now() + wait, request.deadline)
+        started = self.now()
         while True:
             now = self.now()
             chosen = self._balancer.choose(
@@ -149,6 +149,9 @@
             if isinstance(chosen, upstreams.Upstream):
                 self._balancer.begin(chosen.id, now)
                 return self._start_attempt(request, chosen, now)
+            deadline = min(
+                started + max(wait, chosen.share_wait), request.deadline
+            )
             if now + _CHOOSE_INTERVAL >= deadline or request.disconnected:
                 raise self.make_refusal(
                     request, chosen.reason, chosen.retry_after
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -20,7 +20,8 @@
 time of each request that reached it. ``/control/headers`` takes a JSON object
 of headers that it then adds to all of its answers, ``/control/pause`` a number
 of seconds: while it is not 0, each request is refused and asked to wait so
-long.
+long. ``/control/cold`` takes a number of seconds for which its entry then says
+that it is cold.
 
 If a record file is given, arrivals, runs and changes of the server's seat and
 headers are appended to it, and can be read when the process has died.
@@ -92,6 +93,8 @@
         self._arrivals: list[float] = []
         self._extra_headers: list[tuple[str, str]] = []
         self._pause_seconds = 0.0
+        # When it becomes warm; None if its entry doesn't say.
+        self._cold_until: float | None = None
         self.state = "ready"
         self._record_file = -1
         if record:
@@ -141,6 +144,9 @@
             "seq": self._heartbeat_count,
             "born": self._started_ms,
         }
+        if self._cold_until is not None:
+            left = max(self._cold_until - time.monotonic(), 0.0)
+            entry["coldLeftMs"] = round(left * 1000)
         if self._domain:
             entry["domain"] = self._domain
             entry["staged"] = self._staged
@@ -152,22 +158,8 @@
     def serve(self, inbound: ingress.Inbound) -> Reply:
         """Answer a request, an order, a probe or a control call."""
         path = inbound.path
-        if path == "/control/runs":
-            return _answer_json(200, self._runs)
-        if path == "/control/arrivals":
-            return _answer_json(200, self._arrivals)
-        if path == "/control/headers":
-            extra = msgspec.json.decode(inbound.body, type=dict[str, str])
-            self._extra_headers = list(extra.items())
-            self._write_record("headers", headers=extra)
-            return _answer_json(200, {})
-        if path == "/control/pause":
-            self._pause_seconds = msgspec.json.decode(inbound.body, type=float)
-            return _answer_json(200, {})
-        if path == "/control/drain":
-            self.state = "draining"
-            self._write_record("drain")
-            return _answer_json(200, {})
+        if path.startswith("/control/"):
+            return self._control(path, inbound.body)
         expected = inbound.headers.get("X-Expect-Instance", self._id)
         if expected != self._id:
             return Reply(
@@ -190,6 +182,30 @@
         reply.headers += self._extra_headers
         return reply
 
+    def _control(self, path: str, body: bytes) -> Reply:
+        """Answer a call of a test."""
+        if path == "/control/runs":
+            return _answer_json(200, self._runs)
+        if path == "/control/arrivals":
+            return _answer_json(200, self._arrivals)
+        if path == "/control/headers":
+            extra = msgspec.json.decode(body, type=dict[str, str])
+            self._extra_headers = list(extra.items())
+            self._write_record("headers", headers=extra)
+            return _answer_json(200, {})
+        if path == "/control/pause":
+            self._pause_seconds = msgspec.json.decode(body, type=float)
+            return _answer_json(200, {})
+        if path == "/control/cold":
+            seconds = msgspec.json.decode(body, type=float)
+            self._cold_until = time.monotonic() + seconds
+            return _answer_json(200, {})
+        if path == "/control/drain":
+            self.state = "draining"
+            self._write_record("drain")
+            return _answer_json(200, {})
+        return _answer_json(404, {})
+
     def _run_request(self, inbound: ingress.Inbound) -> Reply:
         attempt = inbound.headers.get("X-Attempt-Id", "")
         is_open = self._group is not None and self._group["state"] == "open"
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -100,8 +100,8 @@
     Mutant(
         "relays pass limits on without the time they held them",
         f"{_COORDINATION}/peers/digests.py",
-        "limits_module.LimitReport(limit.rate, limit.age + age)",
-        "limits_module.LimitReport(limit.rate, limit.age)",
+        "msgspec.structs.replace(limit, age=limit.age + age)",
+        "msgspec.structs.replace(limit, age=limit.age)",
         f"{_DIGESTS}.LargeFleetTest"
         ".test_every_node_learns_a_limit_and_the_age_of_its_answer",
     ),
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from bench import gateways
 from currantwall.coordination.requests import ratelimits
 from currantwall.state import ids
 from currantwall.state import limits
@@ -27,9 +28,9 @@
 _SLACK = 5
 
 
-def count_most_arrivals(arrivals):
+def count_most_arrivals(arrivals, window=_WINDOW_SECONDS):
     """Return the most arrivals in any window, by their sorted times."""
-    ends = (bisect.bisect(arrivals, at + _WINDOW_SECONDS) for at in arrivals)
+    ends = (bisect.bisect(arrivals, at + window) for at in arrivals)
     return max((end - start for start, end in enumerate(ends)), default=0)
 
 
@@ -54,7 +55,7 @@
         with futures.ThreadPoolExecutor(_CALLERS) as pool:
             return sum(pool.map(call, nodes), [])
 
-    def count_arrivals(self, servers, method, target):
+    def count_arrivals(self, servers, method, target, window=_WINDOW_SECONDS):
         """Return the most arrivals at each server in a window.
 
         Both nodes have been told of the limit before.
@@ -65,7 +66,8 @@
         self.statuses = self.send_for(_SENDING_SECONDS, method, target)
         return {
             name: count_most_arrivals(
-                [at for at in self.fleet.list_arrivals(name) if at >= started]
+                [at for at in self.fleet.list_arrivals(name) if at >= started],
+                window,
             )
             for name in servers
         }
@@ -86,6 +88,29 @@
         for name, most in found.items():
             self.assertLessEqual(most, count_allowed(1.2), name)
 
+    def test_nodes_together_keep_to_the_bound_of_a_cold_leader(self):
+        """Guards against a cold leader that each node sends its share.
+
+        Both replicas are cold by their entries, so requests wait for their
+        turn at either node.
+        """
+        configuration = gateways.make_configuration(0)
+        services = configuration["services"]
+        services[0] |= {"coldStartS": 3, "coldPerS": 4}
+        self.fleet.put_configuration(services=services)
+        self.addCleanup(self.fleet.put_configuration)
+        for name in test_gateway._ENGINES:
+            self.fleet.set_cold(name, 60.0)
+            self.addCleanup(self.fleet.set_cold, name, 0.0)
+        most = self.count_arrivals(
+            test_gateway._ENGINES, "POST", "/stream/x", window=1.0
+        )
+        self.assertLessEqual(max(most.values()), 4 * 1.5 + 5)
+        served = self.statuses.count(200)
+        rate = 4 * sum(count > 0 for count in most.values())
+        self.assertGreaterEqual(served, 0.8 * rate * _SENDING_SECONDS)
+        self.assertLessEqual(served, 1.1 * rate * _SENDING_SECONDS)
+
 
 _SERVER = ids.InstanceId("i1")
 _REPORT_INTERVAL = 0.4
