Heed entries of cold upstreams read before the configuration

A node that starts reads the list of instances before it knows which services start cold, and took all for warm until their entries changed. With each configuration the list it holds is examined again.

Run: tests.test_cold.ColdnessTest: passes; fails when nothing is recorded.

--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -105,6 +105,19 @@
             known.born, known.listed_at = upstream.born, now
         return found
 
+    def note_services(self, now: float) -> None:
+        """Record what entries say that were read before the configuration.
+
+        Failure: a node that starts reads the list first, and sends cold
+        upstreams their usual share until their entries change.
+        """
+        for upstream in self._fleet.all():
+            service = self._find_service(upstream.service)
+            if service is None or upstream.cold_left <= 0:
+                continue
+            if not self._limits.get_cold_left(upstream.id, now):
+                self._note_entry(upstream, service, False, now)
+
     def _note_entry(
         self,
         upstream: upstreams.Upstream,
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -201,10 +201,14 @@
         self._queue.on_high_load = made.report_high_load
         self._duties.on_loss = made.announce_loss
         self._duties.on_slow = made.announce_slow
-        self._configuration.on_change = made.announce_configuration
+        self._configuration.on_change = self._on_configuration
         self._fleet_feed.on_change = made.announce_list
         return made
 
+    def _on_configuration(self) -> None:
+        self._advisories.note_services()
+        self._news.announce_configuration()
+
     # -- Serving
 
     def run(self) -> None:
--- a/currantwall/transport/advisories.py
+++ b/currantwall/transport/advisories.py
@@ -133,6 +133,10 @@
         )
         self.on_limit_changed()
 
+    def note_services(self) -> None:
+        """Record the cold instances that the list already has."""
+        self._balancer.coldness.note_services(self._now())
+
     def note_change(self, change: upstreams.Change, has_list: bool) -> None:
         """Record the instances that the list says are cold.
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -271,6 +271,15 @@
         self.list_replicas(21.1, born=1, tells_coldness=True)
         self.assertEqual(self.get_left(21.1), 0.0)
 
+    def test_an_entry_counts_that_was_read_before_the_configuration(self):
+        """Guards against a node that starts and takes all for warm."""
+        services, self.coldness.services = self.coldness.services, tuple
+        self.list_replicas(20.0, born=1, cold_left=2.0, tells_coldness=True)
+        self.assertEqual(self.get_left(20.0), 0.0)
+        self.coldness.services = services
+        self.coldness.note_services(20.5)
+        self.assertAlmostEqual(self.get_left(20.5), 2.0)
+
     def test_an_instance_that_starts_is_cold_until_its_entry_says(self):
         """Guards against a new instance that gets its share of requests."""
         self.list_replicas(20.0, born=1)
