Test the decoding and the messages of cold upstreams

Covers the wire fields of settings, services, entries, answers and reports, the share asked of a holder and granted, and the first list of a node. A time that one entry or answer names counts for two minutes at most.

--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -25,6 +25,9 @@
 # that says it is warm was probably written earlier: a stale read lags by up
 # to 2 s, and a follower by 0.3 s more.
 _ENTRY_AGE = 2.5
+# Seconds for which an instance is taken for cold at most, by one entry or
+# answer. A faulty one must not limit its requests for good.
+_LONGEST = 120.0
 # Seconds for which an instance that is no longer listed is remembered. Its
 # entry returns after an outage, which is no start.
 _RETENTION = 60.0
@@ -136,7 +139,9 @@
             left = service.cold_start
         else:
             return
-        self._limits.note_cold(upstream.id, service.cold_rate, now + left, now)
+        self._limits.note_cold(
+            upstream.id, service.cold_rate, now + min(left, _LONGEST), now
+        )
 
     @staticmethod
     def _is_outdated(known: _Known | None, now: float) -> bool:
@@ -163,7 +168,9 @@
         if service is None:
             return False
         was_cold = self._limits.get_cold_left(upstream.id, now) > 0
-        self._limits.note_cold(upstream.id, service.cold_rate, now + left, now)
+        self._limits.note_cold(
+            upstream.id, service.cold_rate, now + min(left, _LONGEST), now
+        )
         known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
         known.answered_at = now if left > 0 else 0.0
         changed = was_cold != (left > 0)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -132,7 +132,7 @@
         f"{_COORDINATION}/requests/ratelimits.py",
         "            if since is None or now < since + _SETTLING_SECONDS:\n",
         "            if since is None:\n",
-        f"{_COLD}.test_a_node_that_knows_no_others_limits_itself",
+        f"{_COLD}.test_nodes_that_start_meanwhile_add_nothing",
     ),
     Mutant(
         "a node that knows no others holds the whole limit",
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,6 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import urllib3
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
 
@@ -35,6 +36,8 @@
         "graceS": 8,
         "retryBudgetRatio": 0.2,
         "budgetSlack": 282,
+        "coldOvershoot": 2,
+        "coldSlack": 7,
         "budgetWindowS": 10,
         "ttl_max_s": 5,
     },
@@ -84,6 +87,8 @@
         {
             "name": "pool",
             "maxConnections": 854,
+            "coldStartS": 3,
+            "coldPerS": 7.5,
             "engine": {
                 "slots": 13,
                 "models": [
@@ -112,6 +117,7 @@
         self.assertEqual(gateway.heartbeats, "10.1.0.40:7340")
         self.assertEqual(gateway.datacentre, "a")
         self.assertEqual(gateway.repeat_slack, 282)
+        self.assertEqual((gateway.cold_overshoot, gateway.cold_slack), (2, 7))
         self.assertEqual(found.store, "10.200.1.7:8223")
 
     def test_an_error_names_the_missing_field(self):
@@ -144,6 +150,10 @@
         self.assertEqual(unsafe.shares[0].service, "other")
         self.assertEqual(found.services[0].engine.models[0].size, 4)
         self.assertEqual(found.services[0].engine.form_time, 0.3)
+        self.assertEqual(found.services[0].cold_start, 3.0)
+        self.assertEqual(found.services[0].cold_rate, 7.5)
+        self.assertTrue(found.services[0].starts_cold)
+        self.assertFalse(found.services[1].starts_cold)
         self.assertEqual(found.limits.idle_timeout, 9.0)
         self.assertEqual(found.organisations[0].keys, ("k1", "k2"))
 
@@ -192,6 +202,14 @@
         (found,) = self.decode(ENTRY)
         self.assertIsNone(found.sequence)
 
+    def test_an_entry_says_for_how_long_its_server_is_cold(self):
+        for value, left in ((1500, 1.5), (0, 0.0), (-4, 0.0), (None, 0.0)):
+            (found,) = self.decode({**ENTRY, "coldLeftMs": value})
+            self.assertEqual(found.cold_left, left)
+            self.assertIs(found.tells_coldness, value is not None)
+        (found,) = self.decode(ENTRY)
+        self.assertFalse(found.tells_coldness)
+
     def test_a_draining_server_is_leaving(self):
         (found,) = self.decode({**ENTRY, "state": "draining"})
         self.assertTrue(found.leaving)
@@ -282,6 +300,18 @@
             found = self.report(False, return_value=answer)
             self.assertEqual(found.pace, pace)
 
+    def test_a_report_says_for_how_long_its_server_is_cold(self):
+        """Guards against the time of an entry taken for that of a report."""
+        self.upstream = msgspec.structs.replace(
+            self.upstream, cold_left=2.0, tells_coldness=True
+        )
+        for value, left in (("1500", 1.5), ("0", 0.0), ("x", None)):
+            headers = urllib3.HTTPHeaderDict({"X-Cold-Ms": value})
+            answer = client.Answer(200, b"{}", 3.0, headers)
+            found = self.report(False, return_value=answer)
+            self.assertEqual(found.cold_left, left or 0.0)
+            self.assertIs(found.tells_coldness, left is not None)
+
     def test_an_address_that_another_server_has_counts_as_gone(self):
         other = client.Answer(421, b"", 0.0)
         found = self.report(False, return_value=other)
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -7,7 +7,9 @@
 
 from currantwall.protocol import advisories
 
-_NAMES = types.SimpleNamespace(limit="Server-Limit", leaving="Server-Leaving")
+_NAMES = types.SimpleNamespace(
+    limit="Server-Limit", leaving="Server-Leaving", cold="X-Cold-Ms"
+)
 
 
 def make_headers(**values):
@@ -28,6 +30,17 @@
         nothing = advisories.parse_limit(make_headers(), _NAMES)
         self.assertIsNone(nothing)
 
+    def test_the_cold_time_is_in_milliseconds(self):
+        for text, left in (
+            ("1500", 1.5),
+            ("0", 0.0),
+            ("-1", None),
+            ("", None),
+        ):
+            found = make_headers(X_Cold_Ms=text)
+            self.assertEqual(advisories.parse_cold(found, _NAMES), left)
+        self.assertIsNone(advisories.parse_cold(make_headers(), _NAMES))
+
     def test_an_unreadable_limit_is_none(self):
         """Guards against a faulty server that stops its own requests."""
         for text in ("", "-1", "nan", "inf", "1e9", "1,5", "9" * 400, "٣"):
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -19,6 +19,8 @@
 # between two views of which nodes are ready.
 _TICK = 0.05
 _VIEW_INTERVAL = 1.0
+# Seconds until a node that starts knows the others.
+_NOTICE_SECONDS = 1.2
 # When all nodes have known each other for long, and when upstreams are warm.
 _START = 20.0
 _WARM = 25.0
@@ -31,11 +33,13 @@
     Attributes:
         unseen: Probability that a node takes another one for not ready.
         sides: Number of parts that can't reach each other.
+        refused: Nodes that can't reach the store.
     """
 
     def __init__(self, nodes, servers, seed, unseen=0.0, sides=1):
         super().__init__(nodes, 1e-9, 0.05, seed)
         self.learnt = set()
+        self.refused = set()
         self.unseen = unseen
         self.sides = sides
         self.servers = [ids.InstanceId(f"s{n}") for n in range(servers)]
@@ -52,6 +56,13 @@
             self.schedule(learnt, self.learn, name, node, rate)
             self.schedule(0.0, self.view, name, node)
 
+    def start_alone(self, name, rate):
+        """Restart a node, which first knows no other one."""
+        node = self.nodes[name] = ratelimits.RateLimits(name)
+        node.note_nodes([name], self.now)
+        self.learn(name, node, rate)
+        self.schedule(_NOTICE_SECONDS, self.view, name, node)
+
     def learn(self, name, node, rate, until=_WARM):
         for server in self.servers:
             node.note_cold(server, rate, until, self.now)
@@ -59,6 +70,8 @@
         self.tick(name, node)
 
     def tick(self, name, node):
+        if self.nodes[name] is not node:
+            return
         self.schedule(_TICK, self.tick, name, node)
         self.place(name, node)
 
@@ -77,7 +90,8 @@
                 and self.random.random() >= self.unseen
             )
         ]
-        node.note_nodes(seen, self.now, self.members)
+        listed = () if name in self.refused else self.members
+        node.note_nodes(seen, self.now, listed)
 
     def is_reachable(self, name, other):
         return int(name[1:]) % self.sides == int(other[1:]) % self.sides
@@ -146,9 +160,11 @@
         """Guards against the burst at its return and at the end of the time.
 
         57 upstreams are cold, each node has 2.6 requests a second, and the
-        nodes learn of the return within a second.
+        nodes learn of the return within a second. A third of them can't
+        reach the store.
         """
         fleet = ColdFleet(143, 57, 1, 0.1)
+        fleet.refused = set(fleet.members[::3])
         fleet.make_cold(7.0, delay=1.0)
         fleet.start_demand(2.6 * 143, 143)
         fleet.run(_WARM)
@@ -157,6 +173,20 @@
             fleet.compute_use(7.0), 0.8 * min(2.6 * 143 / (7.0 * 57), 1.0)
         )
 
+    def test_nodes_that_start_meanwhile_add_nothing(self):
+        """Guards against new nodes that take themselves for the only ones.
+
+        A third of the nodes restarts while upstreams are cold.
+        """
+        fleet = ColdFleet(60, 4, 1)
+        fleet.make_cold(14.0)
+        fleet.start_demand(1000.0, 60)
+        fleet.run(_START + 1)
+        for name in fleet.members[::3]:
+            fleet.start_alone(name, 14.0)
+        fleet.run(_WARM)
+        self.check_bound(fleet, 14.0)
+
     def test_the_share_rises_when_the_upstream_becomes_warm(self):
         """Guards against all waiting requests at once at the end."""
         fleet = ColdFleet(143, 1, 1)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -161,6 +161,16 @@
     def list_names(self):
         return sorted(one.id for one in self.fleet.all())
 
+    def test_changes_are_passed_on_but_the_first_list_starts_nothing(self):
+        """Guards against all instances that count as started just now."""
+        feed = self.make([make_list(1, "a"), make_list(2, "a", "b")])
+        passed = []
+        feed.note_change = lambda change, had_list: passed.append(
+            ([one.id for one in change.new], had_list)
+        )
+        self.run_feed(feed)
+        self.assertEqual(passed[:2], [(["a"], False), (["b"], True)])
+
     def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self):
         """Guards against replicas that are all dissolved after an outage.
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -146,6 +146,27 @@
         self.balancer.limits.note_request(_LEADER, 10.0)
         self.assertFalse(self.balancer.limits.permits(_LEADER, 10.0))
 
+    def test_a_share_is_asked_of_a_holder_and_granted(self):
+        """Guards against limits of which the holders use their parts only."""
+        exchange = self.make(0.1)
+        own = self.balancer.limits
+        holder, node = (ids.NodeId(f"n{n}") for n in (5, 6))
+        own.note_nodes([holder], 10.0)
+        own.note_answer(_LEADER, 3.0, 10.0)
+        own.note_demand(_LEADER, 1, 10.0)
+        exchange._ask_for_shares(10.0)
+        (asked,) = exchange._heartbeats.send_one.call_args.args
+        self.assertEqual([one.id for one in asked.to], [holder])
+        exchange._receive(
+            limits.ShareGrant(asked.message.serial, {_LEADER: 1})
+        )
+        self.assertTrue(own.permits(_LEADER, 10.0))
+        own.note_nodes([self.balancer.limits._me], 10.0)
+        exchange._receive(limits.ShareRequest(node, 7, {_LEADER: 1}))
+        (granted,) = exchange._heartbeats.send_one.call_args.args
+        self.assertEqual([one.id for one in granted.to], [node])
+        self.assertEqual(granted.message, limits.ShareGrant(7, {_LEADER: 1}))
+
     def test_a_stall_is_reported_directly_to_the_prober(self):
         """Guards against probing a stalled replica half a second late."""
         exchange = self.make(0.1)
