Keep reporting a cold upstream while it goes on answering

Each further answer ended the report of the first, often before a heartbeat was sent, so that the other nodes learnt it from the entry only.

Adds tests of plain services with cold upstreams and of shares that a gateway uses at once.

Run: tests.test_cold.ColdnessTest, tests.test_placing: pass; the test of the report failed before the change, the others with the guard taken out.

--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -329,7 +329,6 @@
         self._refill(limit, now)
         limit.rate = rate
         limit.observed_at = now
-        limit.reported_until = -math.inf
         # A rise of the rate that has begun is not begun again.
         is_warm = limit.cold_until is not None and limit.cold_until <= now
         if until > now or not is_warm:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -337,6 +337,8 @@
         """Guards against nodes that learn it from the entry, seconds late."""
         self.list_replicas(20.0, born=1)
         self.answer(2.0, 21.0)
+        # Further answers don't end the report.
+        self.answer(1.95, 21.05)
         other = ratelimits.RateLimits(ids.NodeId("other"))
         reports = self.limits.list_reports(21.5)
         other.note_reports(reports, 21.5)
@@ -380,6 +382,34 @@
         self.assertIsInstance(found, balancing.Unavailable)
         self.assertTrue(found.is_full)
 
+    def test_a_plain_request_goes_to_a_cold_upstream_if_others_are_busy(self):
+        """Guards against the same where upstreams have no limit of slots."""
+        plain = [
+            upstreams.Upstream(
+                id=ids.InstanceId(name),
+                service=_SERVICE,
+                address="a:1",
+                datacentre=ids.DatacentreName("here"),
+                cold_left=9.0 if name == "cold" else 0.0,
+                tells_coldness=True,
+            )
+            for name in ("cold", "warm")
+        ]
+        self.fleet.replace(plain, 1, 20.0)
+        self.coldness.note_change(self.fleet.last_change, False, 20.0)
+        found = []
+        for step in range(4):
+            now = 20.0 + step * 0.01
+            chosen = self.balancer.choose(_SERVICE, None, (), f"{step}", now)
+            self.balancer.begin(chosen.id, now)
+            found.append(chosen.id)
+        self.assertEqual(found, ["warm", "cold", "warm", "warm"])
+        self.assertTrue(self.limits.has_demand)
+        self.limits.note_nodes([ids.NodeId(f"n{n}") for n in range(3)], 40.0)
+        excluded = [plain[1].epoch_id]
+        chosen = self.balancer.choose(_SERVICE, None, excluded, "x", 28.0)
+        self.assertGreater(chosen.share_wait, 0.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -174,6 +174,18 @@
         self.assertEqual(placement.ticket.request, "next")
         self.assertEqual(self.placer.backlog.count(_KIND), 0)
 
+    def test_a_share_of_a_limit_is_used_at_once(self):
+        """Guards against shares that lapse while they are divided again.
+
+        Many requests wait at other gateways, but the share is this one's.
+        """
+        self.balancer.limits.note_answer(ids.InstanceId("i0"), 5.0, 0.0)
+        key = backlog.format_count_key(_KIND)
+        self.balancer.note_loads(ids.NodeId("n1"), {key: 200}, 0.0)
+        self.placer.add(make_ticket("next", 0.0))
+        (placement,) = self.placer.fill(_KIND, 0.01)
+        self.assertEqual(placement.ticket.request, "next")
+
     def test_a_slow_replica_has_a_lower_limit(self):
         """Guards against long pauses in a quarter of all streams.
 
