Check less often for wanted shares while nothing is limited

The check ran 20 times a second on every gateway. While no upstream limits its requests it now runs four times a second.

Run: tests.test_news, tests.layers: pass.

--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -35,6 +35,8 @@
 _HIGH_LOAD_INTERVAL = 0.12
 # Seconds between two checks whether shares of limits have to be asked for.
 _SHARES_INTERVAL = 0.05
+# The same while no upstream limits its requests.
+_UNLIMITED_INTERVAL = 0.25
 _SHARES_WANTED = "currantwall.shares.wanted"
 _SHARES_GRANTED = "currantwall.shares.granted"
 _SHARES_RECEIVED = "currantwall.shares.received"
@@ -213,8 +215,11 @@
     def run_shares(self) -> None:
         """Ask other nodes for shares of limits, as needed, forever."""
         while True:
-            eventlet.sleep(_SHARES_INTERVAL)
-            if self._balancer.limits.has_demand:
+            limits = self._balancer.limits
+            eventlet.sleep(
+                _SHARES_INTERVAL if limits.has_any else _UNLIMITED_INTERVAL
+            )
+            if limits.has_demand:
                 self._ask_for_shares(self._now())
 
     def _ask_for_shares(self, now: float) -> None:
