Keep the slack of cold upstreams out of other limits

The holders' bursts followed `bounds.coldSlack` for every limit, so that a deployment with a large slack would have exceeded the limits that upstreams name, and sent a cold one the whole slack in a moment. At most five requests at once are now sent of any limit.

--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -48,6 +48,9 @@
 # more of them would exceed a low limit together; with fewer, the limit would
 # be unused while one is down.
 _MAX_HOLDERS = 3
+# Requests that the holders of a limit and one more may send at once, all of
+# them together. More at the same moment overload an upstream.
+_SLACK = 5.0
 # Lowest rate that is applied, in requests a second. Without any request
 # nobody would notice that a limit has ended.
 _MIN_RATE = 0.25
@@ -228,13 +231,13 @@
         self._me = me
         # One holder more than there are counts for the bound.
         self._most = min(max(int(cold_slack) - 1, 1), _MAX_HOLDERS)
-        # Requests that all holders together may send at once.
-        self._slack = cold_slack
+        # Requests that all holders of a cold upstream may send at once.
+        self._cold_slack = min(cold_slack, _SLACK)
         self._cold_share = min(
             cold_overshoot / _BOUND_SECONDS * (self._most / (self._most + 1)),
             _USED_SHARE,
         )
-        self._named = _Group(me, self._most)
+        self._named = _Group(me, _MAX_HOLDERS)
         self._cold = _Group(me, self._most)
         # When this node became ready; None if nobody has told.
         self._ready_since: float | None = None
@@ -540,7 +543,8 @@
         rate = self._compute_rate(limit, now) / holders
         elapsed = max(now - limit.refilled_at, 0.0)
         limit.refilled_at = now
-        burst = max(self._slack / (holders + 1), 1.0)
+        slack = _SLACK if limit.cold_until is None else self._cold_slack
+        burst = max(slack / (holders + 1), 1.0)
         limit.tokens = min(burst, limit.tokens + rate * elapsed)
 
     # -- Shares that holders grant to other nodes
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -229,6 +229,29 @@
         self.assertLessEqual(sum(counts[60:260]), 10 * 14 / 3 + 1)
         self.assertGreater(sum(counts[400:]), 0.8 * 10 * 14)
 
+    def test_the_settings_bound_the_requests(self):
+        """Guards against the slack of cold upstreams used for other limits."""
+        server = ids.InstanceId("s0")
+        for overshoot, slack, rate in ((1.0, 2.0, 14.0), (3.0, 90.0, 1.0)):
+            for is_cold in (True, False):
+                node = ratelimits.RateLimits(
+                    ids.NodeId("me"), overshoot, slack
+                )
+                node.note_nodes([ids.NodeId("me")], 0.0)
+                if is_cold:
+                    node.note_cold(server, rate, 90.0, 20.0)
+                else:
+                    node.note_answer(server, rate, 20.0)
+                sent = []
+                for step in range(300):
+                    if node.permits(server, 20.0 + step * 0.01):
+                        node.note_request(server, 20.0 + step * 0.01)
+                        sent.append(step * 0.01)
+                most = test_limits.count_most_arrivals(sent, 1.0)
+                self.assertGreater(most, 0)
+                self.assertLessEqual(most, min(overshoot * rate + slack, 16))
+                self.assertLessEqual(most, 5 + 1.5 * rate)
+
     def test_a_grant_is_void_when_it_is_late_or_comes_twice(self):
         """Guards against requests of an earlier second that add to a later.
 
