Hold a limit that an upstream names at as many nodes as it needs

Three holders of a limit of 40 requests a second send it few requests of their own while other upstreams have room, and nobody asks for the rest.

The number of holders grows with the limit again, with 1.3 nodes for each request a second; cold upstreams keep three. A node asks at most four at a time, in turn for each limit.

Run: tests.test_limits.SharesTest, tests.test_cold, tests.test_news: pass.

--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -43,11 +43,19 @@
 
 # Part of a limit that is used at most. The rest is a margin for nodes that
 # disagree for a moment about which of them are ready.
-_USED_SHARE = 0.92
-# Most nodes that hold a limit. Each may send a request at any moment, so
-# more of them would exceed a low limit together; with fewer, the limit would
-# be unused while one is down.
+_USED_SHARE = 0.88
+# Most nodes that hold the limit of a cold upstream. Each may send a request
+# at any moment, so more of them would exceed a low limit together; with
+# fewer, the limit would be unused while one is down.
 _MAX_HOLDERS = 3
+# Nodes that hold a limit that an upstream names: a number, and more for each
+# request a second. Upstreams name the limit of several seconds, and most
+# requests are spared the message to a holder.
+_MIN_NAMED_HOLDERS = 2
+_NAMED_HOLDERS_PER_RATE = 1.5
+# Least requests that a holder may save up. With 1 it would lose what it
+# gets until the next request comes.
+_MIN_BURST = 1.25
 # Requests that the holders of a limit and one more may send at once, all of
 # them together. More at the same moment overload an upstream.
 _SLACK = 5.0
@@ -102,7 +110,9 @@
         observed_at: When the answer came that said so, at any node.
         rank: How many nodes hold the limit before this one does.
         refilled_at: When `tokens` was computed.
+        width: How many nodes hold the limit.
         holders: The nodes that rank first, the first one first.
+        asked: Counts the holders that were asked, to ask others next.
         tokens: Requests that this node may send now, in fractions; at first
             as many as it may save up.
         granted: When each request that another holder granted is void.
@@ -115,7 +125,9 @@
     observed_at: float
     rank: int
     refilled_at: float
+    width: int
     holders: list[ids.NodeId]
+    asked: int = 0
     tokens: float = math.inf
     granted: list[float] = []
     cold_until: float | None = None
@@ -150,9 +162,8 @@
         limits: The limits, by upstream.
     """
 
-    def __init__(self, me: ids.NodeId, holders: int) -> None:
+    def __init__(self, me: ids.NodeId) -> None:
         self._me = me
-        self._holders = holders
         self.nodes = frozenset((me,))
         self.limits: dict[ids.InstanceId, _Limit] = {}
 
@@ -161,6 +172,7 @@
         instance: ids.InstanceId,
         rate: float | None,
         observed_at: float,
+        width: int,
         now: float,
     ) -> _Limit:
         """Add the limit of an upstream and return it."""
@@ -169,10 +181,18 @@
             observed_at=observed_at,
             rank=self._count_before(instance, self.nodes),
             refilled_at=now,
-            holders=self._choose_holders(instance, self.nodes),
+            width=width,
+            holders=rendezvous.choose(instance, self.nodes, width),
         )
         return limit
 
+    def resize(self, instance: ids.InstanceId, width: int) -> None:
+        """Set how many nodes hold the limit of an upstream."""
+        limit = self.limits[instance]
+        if limit.width != width:
+            limit.width = width
+            limit.holders = rendezvous.choose(instance, self.nodes, width)
+
     def replace_nodes(self, nodes: frozenset[ids.NodeId]) -> None:
         """Replace the nodes.
 
@@ -189,12 +209,9 @@
             candidates: abc.Iterable[ids.NodeId] = {*limit.holders, *added}
             if not removed.isdisjoint(limit.holders):
                 candidates = nodes
-            limit.holders = self._choose_holders(instance, candidates)
-
-    def _choose_holders(
-        self, instance: ids.InstanceId, nodes: abc.Iterable[ids.NodeId]
-    ) -> list[ids.NodeId]:
-        return rendezvous.choose(instance, nodes, self._holders)
+            limit.holders = rendezvous.choose(
+                instance, candidates, limit.width
+            )
 
     def _count_before(
         self, instance: ids.InstanceId, nodes: abc.Iterable[ids.NodeId]
@@ -237,8 +254,8 @@
             cold_overshoot / _BOUND_SECONDS * (self._most / (self._most + 1)),
             _USED_SHARE,
         )
-        self._named = _Group(me, _MAX_HOLDERS)
-        self._cold = _Group(me, self._most)
+        self._named = _Group(me)
+        self._cold = _Group(me)
         # When this node became ready; None if nobody has told.
         self._ready_since: float | None = None
         # When each node was last known, for cold upstreams.
@@ -248,9 +265,9 @@
         # When this node asked a holder, by serial number.
         self._asked_at: dict[int, float] = {}
         self._serial = 0
-        # Counts the times that holders were asked. Nodes begin at different
-        # ones, so that they don't all ask the same holder at once.
-        self._round = hashing.hash_text(me) % _MAX_HOLDERS
+        # Nodes begin with different holders, so that they don't all ask the
+        # same one at once.
+        self._offset = hashing.hash_text(me)
         self.get_cold_rate: abc.Callable[[ids.InstanceId], float] = _get_none
 
     # -- Input from upstreams and other nodes
@@ -301,10 +318,12 @@
         now: float,
     ) -> _Limit:
         limit = self._named.limits.get(instance)
+        width = _count_named_holders(rate)
         if limit is None:
-            return self._named.add(instance, rate, observed_at, now)
+            return self._named.add(instance, rate, observed_at, width, now)
         if limit.rate != rate:
             self._refill(limit, now)
+            self._named.resize(instance, width)
             # Only what this node has observed itself is reported.
             limit.reported_until = -math.inf
         limit.rate = rate
@@ -326,7 +345,7 @@
         if limit is None:
             if until <= now:
                 return
-            limit = self._cold.add(instance, rate, now, now)
+            limit = self._cold.add(instance, rate, now, self._most, now)
             limit.cold_until = until
             return
         self._refill(limit, now)
@@ -544,7 +563,8 @@
         elapsed = max(now - limit.refilled_at, 0.0)
         limit.refilled_at = now
         slack = _SLACK if limit.cold_until is None else self._cold_slack
-        burst = max(slack / (holders + 1), 1.0)
+        least = _MIN_BURST if limit.cold_until is None else 1.0
+        burst = max(slack / (holders + 1), least)
         limit.tokens = min(burst, limit.tokens + rate * elapsed)
 
     # -- Shares that holders grant to other nodes
@@ -577,21 +597,24 @@
         """Return what to ask of each holder, for the demand noted before."""
         wanted: dict[ids.NodeId, dict[str, int]] = {}
         demands, self._demands = self._demands, {}
-        # Rotates the holders, one of which may be down.
-        self._round += 1
         for key, (count, at) in demands.items():
             if now - at > _DEMAND_SECONDS:
                 continue
             limit = self._find(key)
-            missing = count - (self._count_tokens(limit, now) if limit else 0)
-            others = self._list_other_holders(limit) if limit else []
-            # The first ones get the remainder, and in turn one more.
-            for index in range(min(missing, len(others))):
-                node = others[(self._round + index) % len(others)]
+            if limit is None:
+                continue
+            missing = count - self._count_tokens(limit, now)
+            others = self._list_other_holders(limit)
+            parts = min(missing, len(others), _MAX_ASKED)
+            for index in range(parts):
+                # In turn: one of them may be down.
+                node = others[(self._offset + limit.asked) % len(others)]
                 if node not in wanted and len(wanted) >= _MAX_ASKED:
-                    continue
-                share = (missing + len(others) - 1 - index) // len(others)
-                wanted.setdefault(node, {})[key] = max(share, 1)
+                    break
+                limit.asked += 1
+                # The first ones are asked for one more each.
+                part = (missing + parts - 1 - index) // parts
+                wanted.setdefault(node, {})[key] = part
         for serial, at in list(self._asked_at.items()):
             if now - at > _GRANT_SECONDS:
                 del self._asked_at[serial]
@@ -675,5 +698,11 @@
         return found
 
 
+def _count_named_holders(rate: float | None) -> int:
+    """Return how many nodes hold a limit that an upstream names."""
+    applied = max(rate or 0.0, _MIN_RATE) * _USED_SHARE
+    return _MIN_NAMED_HOLDERS + int(_NAMED_HOLDERS_PER_RATE * applied)
+
+
 def _get_none(_: ids.InstanceId) -> float:
     return 0.0
