Measure the work offered to each model and publish it

Cause: the layout of fabric domains follows the shares that the operator states, and no node knows the work that all nodes are offered.

Change: workload.Workload averages the arrivals of each service and model, rejected and queued ones included, and the time that a full replica works on a request. Balancer.list_loads reports the product in whole replica-milliseconds per second under SERVICE/MODEL/work, which relays sum; nothing is reported without work. Balancer.measure_work returns the sum over all nodes.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -22,6 +22,8 @@
 
 import msgspec
 
+from currantwall.coordination.replicas import workload
+from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import loads as loads_module
 from currantwall.coordination.requests import ratelimits
 from currantwall.coordination.requests import withdrawals
@@ -135,6 +137,7 @@
     Attributes:
         limits: Limits that upstreams set on the requests of all nodes.
         withdrawals: Upstreams that have asked for no more requests.
+        work: Work that arrives at this node.
     """
 
     def __init__(
@@ -153,6 +156,7 @@
         self._fleet = fleet
         self.limits = ratelimits.RateLimits(node)
         self.withdrawals = withdrawals.Withdrawals()
+        self.work = workload.Workload()
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
@@ -585,8 +589,8 @@
         """Return the counts of this node to report to the others.
 
         These are its requests in flight by upstream, and under keys of
-        their own its waiting requests and recently lost answers. All of
-        them are thus added up by relays in the same way.
+        their own its waiting requests, recently lost answers and offered
+        work. All of them are thus added up by relays in the same way.
         """
         counts: dict[str, int] = {}
         for name, health in self._health.items():
@@ -595,7 +599,15 @@
             lost = sum(now - at <= _LOST_SECONDS for at in health.lost_at)
             if lost:
                 counts[_format_lost_key(name)] = lost
-        return counts | dict(self.waiting)
+        return counts | dict(self.waiting) | self.work.list_counts(now)
+
+    def measure_work(
+        self, service: ids.ServiceName, model: str, now: float
+    ) -> float:
+        """Return how many replicas the work offered to all nodes takes."""
+        key = workload.format_work_key(backlog.Kind(service, model))
+        own = self.work.list_counts(now).get(key, 0)
+        return (own + self._remote.get(key)) / workload.UNIT
 
     def count_remote_waiting(self, key: str) -> int:
         """Return the requests that wait at other nodes under a key."""
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -11,6 +11,7 @@
 import eventlet.event
 import eventlet.queue
 
+from currantwall.coordination.replicas import workload
 from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
@@ -71,6 +72,10 @@
             requests.CallerDisconnected: The caller closed its connection.
         """
         ticket = self._make_ticket(request)
+        if not request.progress.sends:
+            self._balancer.work.note_arrival(
+                ticket.kind, ticket.engine, self._now()
+            )
         found = self._placer.try_place(ticket, self._now())
         if isinstance(found, placing.Placement):
             if self._placer.is_nearly_full(found.upstream):
@@ -91,6 +96,21 @@
         if request.model is not None:
             self._placer.backlog.note_first(_make_kind(request), seconds)
 
+    def note_service(
+        self,
+        request: requests.Request,
+        upstream: upstreams.Upstream,
+        seconds: float,
+    ) -> None:
+        """Record the seconds that a replica has worked on a request."""
+        engine = request.service.engine
+        if engine is None:
+            return
+        # The request itself has ended and is no longer counted.
+        requests_count = self._balancer.count_load(upstream.id) + 1
+        full = workload.estimate_full_time(engine, seconds, requests_count)
+        self._balancer.work.note_service(_make_kind(request), full)
+
     def _wait(
         self, request: requests.Request, ticket: backlog.Ticket
     ) -> upstreams.Upstream | balancing.Unavailable:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -6,6 +6,7 @@
 each answer.
 """
 
+import http
 import itertools
 import typing
 
@@ -507,6 +508,10 @@
         spent = now - request.inbound.received
         self._meter.add(ANSWERS, 1, str(status))
         self._meter.observe(_DURATION, spent, request.route.kind.value)
+        if status == http.HTTPStatus.OK:
+            self._queue.note_service(
+                request, current.upstream, now - current.sent_at
+            )
         self._log.write(
             "answered" if status else "ended_early",
             request=request.attempt_id,
