Load blank instances with the scarce model; never undo a waiting step

Cause: blank instances were loaded with their domain's model though the measured work is short of the other one.

Change: blank instances that are enough for a replica get the model that the review calls for. While a step is under way, and for as long as the measured work is short of the model, its idle instances are not converted.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -708,7 +708,10 @@
             usable=sum(record.is_usable for record in self._records.values()),
             size=layout.size,
             coverage=self._measure_coverage(unassigned, formed, demands),
-            loading=any(
+            # Instances of a step that wait for their load are not converted
+            # back.
+            loading=self.conversion is not None
+            or any(
                 record.staging_model or record.upstream.busy
                 for record in self._records.values()
             ),
@@ -716,6 +719,7 @@
             formed=self.count_replicas(),
             wanted=wanted,
             staged=staged,
+            scarce=layout.scarce,
         )
         loads = staging.choose_loads(self._engine, inventory)
         return [self._order_load(load, now) for load in loads[:allowed_loads]]
--- a/currantwall/coordination/replicas/layout.py
+++ b/currantwall/coordination/replicas/layout.py
@@ -54,12 +54,15 @@
             else empty.
         size: Largest number of instances that the domain has had.
         change: The step to begin now, if the measured work requires one.
+        scarce: Model that the measured work is short of, in all domains;
+            empty if there is none.
     """
 
     main: str
     replicas: abc.Mapping[str, int] = {}
     size: int = 0
     change: Change | None = None
+    scarce: str = ""
 
 
 def choose_mix(
--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -110,9 +110,15 @@
 
 
 class Review:
-    """Decides the steps of one service's domains."""
+    """Decides the steps of one service's domains.
+
+    Attributes:
+        scarce: Model that steps are called for; empty if there is none. It
+            is loaded onto blank instances first, also while steps wait.
+    """
 
     def __init__(self) -> None:
+        self.scarce = ""
         # The step that the last reviews called for, as surplus and scarce
         # model, and since when.
         self._called_for: tuple[str, str] | None = None
@@ -148,13 +154,15 @@
         called_for = (change.surplus, change.scarce) if change else None
         if called_for != self._called_for:
             self._called_for, self._since = called_for, now
-        if change is None or not change.domain:
-            return None
-        if now - self._since < _HOLD_SECONDS:
+        self.scarce = ""
+        if change is None or now - self._since < _HOLD_SECONDS:
             return None
         is_opposite = change.surplus == self._last_scarce
         if is_opposite and now - self._last_at < _HORIZON_SECONDS:
             return None
+        self.scarce = change.scarce
+        if not change.domain:
+            return None
         self._last_scarce, self._last_at = change.scarce, now
         return change
 
--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -68,6 +68,8 @@
             domain is mixed; else empty.
         staged: Number of usable instances that have or load a model's
             weights, by model.
+        scarce: Model that the measured work is short of; empty if there is
+            none.
     """
 
     main: routes.Model
@@ -81,6 +83,7 @@
     formed: abc.Mapping[str, int] = {}
     wanted: abc.Mapping[str, int] = {}
     staged: abc.Mapping[str, int] = {}
+    scarce: str = ""
 
 
 class LoadBucket:
@@ -211,7 +214,14 @@
 def _choose_model(
     engine: routes.Engine, inventory: DomainInventory
 ) -> routes.Model:
-    """Return the model to load onto blank instances."""
+    """Return the model to load onto blank instances.
+
+    Those that are enough for a replica get the model that the measured work
+    is short of.
+    """
+    measured = engine.find(inventory.scarce)
+    if measured is not None and measured.size <= len(inventory.blank):
+        return measured
     if inventory.coverage[inventory.main.name] < _HIGH_COVERAGE:
         return inventory.main
     scarce = min(
@@ -233,6 +243,8 @@
 
     There are such loads only if the idle instances are too few for a
     replica of the model they have, and the other model is worth the loads.
+    Instances of the model that the measured work is short of are kept: a
+    step may still load others with it.
     """
     if inventory.loading:
         return []
@@ -245,7 +257,7 @@
         others = [
             instance
             for name, instances in inventory.idle.items()
-            if name != model.name
+            if name not in (model.name, inventory.scarce)
             for instance in instances
         ]
         missing = model.size - len(inventory.idle.get(model.name, ()))
@@ -307,7 +319,8 @@
     waiting = [
         instance
         for model in engine.models
-        if model.name != main.name and not inventory.formed.get(model.name)
+        if model.name not in (main.name, inventory.scarce)
+        and not inventory.formed.get(model.name)
         for instance in inventory.idle.get(model.name, ())
         if len(inventory.idle[model.name]) < model.size
     ]
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -282,7 +282,11 @@
         for name, model in found.items():
             domain = self._domains[name]
             domain.layout = layout_module.Layout(
-                model, mix, self._sizes[name], domain.layout.change
+                model,
+                mix,
+                self._sizes[name],
+                domain.layout.change,
+                domain.layout.scarce,
             )
 
     def _review_layouts(self, now: float) -> None:
@@ -303,9 +307,10 @@
                 for model in service.engine.models
             }
             self._work[service.name] = work
-            if service.name not in self._reviews:
-                self._reviews[service.name] = rebalancing.Review()
-            change = self._reviews[service.name].decide(
+            review = self._reviews.setdefault(
+                service.name, rebalancing.Review()
+            )
+            change = review.decide(
                 service.name,
                 service.engine,
                 work,
@@ -316,7 +321,7 @@
             )
             for domain in self._domains.values():
                 if domain.service == service.name:
-                    _set_change(domain, change)
+                    _set_change(domain, change, review.scarce)
 
     def _add_domain(
         self, name: ids.DomainName, service: routes.Service
@@ -634,12 +639,17 @@
 _EXPECTED_REQUESTS = 10.0
 
 
-def _set_change(domain: _Domain, change: layout_module.Change | None) -> None:
-    """Set the step that a domain should begin, or none."""
+def _set_change(
+    domain: _Domain, change: layout_module.Change | None, scarce: str
+) -> None:
+    """Set the step that a domain should begin, and the scarce model."""
     is_here = change is not None and change.domain == domain.name
-    wanted = change if is_here and not domain.layout.replicas else None
-    if wanted != domain.layout.change:
-        domain.layout = msgspec.structs.replace(domain.layout, change=wanted)
+    is_mixed = bool(domain.layout.replicas)
+    domain.layout = msgspec.structs.replace(
+        domain.layout,
+        change=change if is_here and not is_mixed else None,
+        scarce="" if is_mixed else scarce,
+    )
 
 
 def _ignore(_: str) -> None:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -496,6 +496,69 @@
 
 
 class StartTest(LeaseCase):
+    def test_a_holder_drains_a_replica_that_the_work_does_not_need(self):
+        """Guards against a decision that reaches no instance.
+
+        Two domains of four; the model "n" is measured to be short.
+        """
+        world = World(("n1", "n2"))
+        models = (
+            msgspec.structs.replace(_MODEL, share=0.5),
+            msgspec.structs.replace(_MODEL, name="n", share=0.5),
+        )
+        engine = msgspec.structs.replace(_SERVICE.engine, models=models)
+        service = msgspec.structs.replace(_SERVICE, engine=engine)
+        listed = [
+            upstreams.Upstream(
+                id=ids.InstanceId(f"e{n}"),
+                service=_SERVICE.name,
+                address=f"e{n}:1",
+                datacentre=ids.DatacentreName("a"),
+                domain=ids.DomainName(f"d{n // 4}"),
+                staged=("mn"[n // 4],),
+                seat=upstreams.Seat(
+                    f"{'mn'[n // 4]}.2.r{n // 2}",
+                    1,
+                    n % 2,
+                    upstreams.Phase.READY if n % 2 else upstreams.Phase.OPEN,
+                ),
+            )
+            for n in range(8)
+        ]
+        work = {"m": 0.2, "n": 3.0}
+        for node in world.nodes.values():
+            node.duties.services = lambda: (service,)
+            node.engines.sequence = 3
+            node.duties._balancer.measure_work = lambda _, model, now: work[
+                model
+            ]
+            node.duties._balancer.count_load.return_value = 0
+            node.update_fleet = lambda node=node: node.fleet.replace(
+                listed, round(world.now() * 10), world.now()
+            )
+        world.run(8.0)
+        work["n"] = 0.2
+        world.run(10.0)
+        self.assertEqual(self.list_orders(world), [])
+        work["n"] = 3.0
+        world.run(10.0)
+        orders = self.list_orders(world)
+        self.assertEqual({kind for kind, _ in orders}, {"close"})
+        self.assertEqual(len({name for _, name in orders}), 1)
+        events = [
+            call.args[0]
+            for node in world.nodes.values()
+            for call in node.duties._log.write.call_args_list
+        ]
+        self.assertEqual(events.count("layout_change_begun"), 1)
+
+    def list_orders(self, world):
+        return [
+            (order.kind.value, order.instance)
+            for node in world.nodes.values()
+            for order in node.engines.orders
+        ]
+
     def test_models_are_not_assigned_from_an_incomplete_list(self):
         """Guards against models assigned from an incomplete list.
 
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -105,6 +105,17 @@
         loads = self.choose(blank=("a", "b", "c"), coverage=coverage)
         self.assertEqual({model for _, model in loads}, {"small"})
 
+    def test_blank_instances_get_the_model_that_the_work_is_short_of(self):
+        """Replacements were loaded with a model of which there was plenty.
+
+        Where they are too few for a replica they replace lost members.
+        """
+        blank = ("a", "b", "c")
+        loads = self.choose(blank=blank, scarce="small")
+        self.assertEqual({model for _, model in loads}, {"small"})
+        loads = self.choose(blank=blank[:2], scarce="small")
+        self.assertEqual({model for _, model in loads}, {"large"})
+
     def test_spares_stay_spares_while_their_model_is_needed(self):
         """The spares of a domain must not be loaded with a scarcer model.
 
