Decide steps by a fresh list, and drain nothing the list misstates

Cause: in a trial with real processes the store was down for 10 s right after a domain had begun to change. When it was back another gateway held the lease, took the list from before the outage and drained the last replica of the larger model.

Change: the review decides nothing by a list older than 3 s, and a step names the replicas that the domain has by the list; its holder drains none if there are fewer.

--- a/currantwall/coordination/replicas/conversions.py
+++ b/currantwall/coordination/replicas/conversions.py
@@ -54,16 +54,21 @@
 
 def choose_drained(
     change: layout.Change,
-    replicas: abc.Iterable[upstreams.Replica],
+    replicas: abc.Sequence[upstreams.Replica],
     loads: abc.Mapping[ids.InstanceId, int],
 ) -> list[upstreams.Replica]:
     """Return the replicas to drain, or none if too many are busy.
 
+    None either if the domain has fewer replicas than the step was decided
+    by: an earlier holder of the domain has drained one since.
+
     Args:
         change: The step to begin.
         replicas: Open replicas of the surplus model in the domain.
         loads: Requests in flight by leader.
     """
+    if len(replicas) < change.held:
+        return []
     quiet = []
     for replica in replicas:
         leader = replica.members[0]
--- a/currantwall/coordination/replicas/layout.py
+++ b/currantwall/coordination/replicas/layout.py
@@ -37,12 +37,15 @@
         scarce: Model that they are loaded with.
         drained: Replicas of `surplus` that are drained for it; 0 if idle
             instances are enough.
+        held: Whole replicas of `surplus` that the domain has by the list.
+            None is drained if it has fewer.
     """
 
     domain: ids.DomainName
     surplus: str
     scarce: str
     drained: int
+    held: int = 0
 
 
 class Layout(msgspec.Struct, frozen=True):
--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -50,6 +50,9 @@
 # Factor by which the surplus model must still be covered better than the
 # scarce one after a step. Without it the opposite step could be due next.
 _MIN_COVERAGE_RATIO = 1.2
+# Age of the list of instances up to which steps are decided by it; it is
+# below a second without faults.
+_MAX_LIST_AGE_SECONDS = 3.0
 # Instances of a domain to keep as spares for losses.
 _MIN_SPARES = 1
 # Value of idle instances in replicas of their model: a loss would need them.
@@ -133,21 +136,28 @@
         engine: routes.Engine,
         work: abc.Mapping[str, float],
         list_domains: abc.Callable[[], abc.Sequence[DomainSupply]],
+        list_age: float,
         now: float,
     ) -> layout.Change | None:
         """Return the step that one domain should begin or continue.
 
+        Failure: a domain changes during an outage of the store. When the
+        store is back, another node holds the lease, takes the list from
+        before the outage and drains the last replica of a model.
+
         Args:
             service: The service, for the order of its domains.
             engine: Models with their stated shares.
             work: Replicas that are kept busy by the offered work, by model.
             list_domains: Returns the domains; called only if the shares
                 deviate.
+            list_age: Seconds since the list of instances was read.
             now: Monotonic time in seconds.
         """
         change = None
         shares = workload.compute_shares(engine, work)
-        if shares and self._may_change(engine, shares):
+        is_known = bool(shares) and list_age <= _MAX_LIST_AGE_SECONDS
+        if is_known and self._may_change(engine, shares):
             domains = list_domains()
             state = _make_state(engine, work, shares, domains)
             change = _choose_change(service, state)
@@ -229,6 +239,7 @@
         surplus=surplus.name,
         scarce=scarce.name,
         drained=drained,
+        held=chosen.replicas.get(surplus.name, 0) if chosen else 0,
     )
 
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -317,6 +317,7 @@
                 lambda name=service.name, engine=service.engine: (
                     self._supply.list_domains(name, engine)
                 ),
+                now - self._fleet.updated,
                 now,
             )
             for domain in self._domains.values():
