Let loads end when another node takes a changing domain over

Cause: a successor does not know which instances its predecessor ordered to load. They still report their former weights, and it formed a replica of them.

Change: while the measured work calls for steps, instances that report a load, or were ordered one, join no replica. At other times nothing differs. The simulated domain records a join during a load as a violation.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -538,7 +538,7 @@
             for name, record in self._records.items()
             if name not in members
             and record.is_usable
-            and not record.staging_model
+            and not record.is_loading
             and self._find_staged_model(record) == model
         ]
 
@@ -594,7 +594,9 @@
         for record in free:
             unassigned[self._find_staged_model(record)].append(record)
         for model in self._engine.models:
-            candidates = unassigned[model.name]
+            candidates, loading = self._separate_loading(
+                unassigned[model.name]
+            )
             candidates.sort(
                 key=lambda record: not self._is_warmed_up(record, model.name)
             )
@@ -607,7 +609,7 @@
                 orders += self._plan_joins(
                     model, [record.upstream for record in chosen]
                 )
-            unassigned[model.name] = candidates
+            unassigned[model.name] = candidates + loading
         orders += self._plan_loads(
             unassigned, formed, demands, allowed_loads, now
         )
@@ -616,10 +618,28 @@
             for record in unassigned[model.name]:
                 if record.upstream.id in ordered or record.staging_model:
                     continue
+                if self._layout.scarce and record.is_loading:
+                    continue
                 if not self._is_warmed_up(record, model.name):
                     orders += self._plan_joins(model, [record.upstream])
         return orders
 
+    def _separate_loading(
+        self, records: list[knowledge.InstanceRecord]
+    ) -> tuple[list[knowledge.InstanceRecord], list[knowledge.InstanceRecord]]:
+        """Return the instances that may join a replica, and the others.
+
+        Failure: the holder of a domain dies while a step loads instances,
+        and its successor forms a replica from them by the weights that they
+        still report. Only while the measured work calls for steps: at other
+        times few instances load, and an order to join ends the wait for an
+        order to load that was lost.
+        """
+        if not self._layout.scarce:
+            return records, []
+        loading = [record for record in records if record.is_loading]
+        return [one for one in records if not one.is_loading], loading
+
     def _find_staged_model(self, record: knowledge.InstanceRecord) -> str:
         """Return the first model whose weights are on the host, or empty."""
         for model in self._engine.models:
--- a/currantwall/coordination/replicas/knowledge.py
+++ b/currantwall/coordination/replicas/knowledge.py
@@ -142,6 +142,18 @@
             and self.missed < _MISSED_PROBES_LIMIT
         )
 
+    @property
+    def is_loading(self) -> bool:
+        """Return whether it loads weights, by an order or its own report.
+
+        An earlier holder of the domain may have ordered the load.
+        """
+        seat = self.upstream.seat
+        is_joining = seat is not None and seat.phase is Phase.JOINING
+        return bool(self.staging_model) or (
+            self.upstream.busy and not is_joining
+        )
+
     @property
     def is_usable(self) -> bool:
         """Return whether a replica may be formed with it."""
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -126,6 +126,8 @@
     def join(self, engine, order, now):
         if order.epoch < engine.highest_epoch:
             return False
+        if engine.staging:
+            self.violations.append(f"{engine.id} joined while it loads")
         old = engine.seat
         changes_replica = old is not None and old.replica != order.replica
         if changes_replica and self.is_leader_serving(old.replica, old.epoch):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -159,6 +159,7 @@
             change = node.change
             is_here = change is not None and change.domain == session.domain
             session.change = change if is_here else None
+            session.scarce = node.review.scarce
             if self.has_store:
                 session.step(_STEP)
                 continue
@@ -329,6 +330,7 @@
             drained=drained,
             held=session.count_open(),
         )
+        session.scarce = scarce
         return session
 
     def test_a_replica_is_drained_before_its_instances_are_loaded(self):
@@ -384,7 +386,6 @@
             if takes_over:
                 session.replace_planner()
                 session.change = None
-                session.scarce = "large"
                 session.run(30.0)
             session.allowed_loads = 1000
             session.run(40.0)
@@ -392,6 +393,20 @@
             self.assertEqual(models, {"large"})
             self.assertEqual(session.world.violations, [])
 
+    def test_a_successor_lets_loads_end(self):
+        """Guards against instances that join while they load other weights.
+
+        The holder is killed 3 s after it ordered eight loads.
+        """
+        session = self.start()
+        session.run(3.0)
+        self.assertEqual(len(list_loads(session)), 8)
+        session.replace_planner()
+        session.run(20.0)
+        self.assertEqual(session.world.violations, [])
+        self.assertEqual(len(list_loads(session)), 8)
+        self.assertEqual(session.count_open(), 3)
+
     def test_a_busy_replica_is_not_taken_away(self):
         """Guards against the drain of a replica that is in use."""
         session = self.start()
