Keep the layout by stated shares for comparisons; test each guard

Cause: comparisons need the current method, and some guards of the layout by measured work could be removed without a failing test.

Each guard was taken out once in a copy of the tree, and a test failed, except for two that others cover: the 8 s hold in the replay of a reversing mix (the average alone is enough there; test_duties fails without it), and the last replica (the ratio of coverages is enough; with both out the test fails).

--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -108,6 +108,8 @@
         on_slow: Called with the leader's epoch ID when a member slows down
             its replica.
         services: Returns the configured services.
+        follows_work: Whether domains change by the measured work. Without
+            it they keep to the stated shares, for comparisons.
     """
 
     def __init__(
@@ -147,6 +149,7 @@
         self.on_loss: abc.Callable[[str], None] = _ignore
         self.on_slow: abc.Callable[[str], None] = _ignore
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
+        self.follows_work = True
 
     # -- The loop
 
@@ -294,7 +297,7 @@
 
         Mixed domains keep to their mix.
         """
-        if now < self._next_review:
+        if not self.follows_work or now < self._next_review:
             return
         self._next_review = now + _REVIEW_INTERVAL
         for service in self.services():
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -296,6 +296,30 @@
         "tests.test_formation.FormationTest"
         ".test_a_domain_waits_for_replacements_while_others_have_plenty",
     ),
+    Mutant(
+        "domains change although the work is as stated",
+        f"{_COORDINATION}/replicas/rebalancing.py",
+        "            >= _MIN_DEVIATION * max(model.share, 0.01)\n",
+        "            >= 0\n",
+        "tests.test_layout.ReplayTest"
+        ".test_nothing_changes_where_the_work_is_as_stated",
+    ),
+    Mutant(
+        "a replica is drained by a list from before an outage",
+        f"{_COORDINATION}/replicas/conversions.py",
+        "    if len(replicas) < change.held:\n",
+        "    if False:\n",
+        "tests.test_layout.StepTest"
+        ".test_no_replica_is_drained_by_a_list_that_shows_more",
+    ),
+    Mutant(
+        "a change is undone within the time in which it pays off",
+        f"{_COORDINATION}/replicas/rebalancing.py",
+        "if is_opposite and now",
+        "if False and now",
+        "tests.test_layout.ReplayTest"
+        ".test_nothing_is_loaded_back_after_a_reversal_in_an_outage",
+    ),
     Mutant(
         "instances that left stay when only changes are applied",
         "currantwall/state/upstreams.py",
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -541,6 +541,12 @@
         world.run(10.0)
         self.assertEqual(self.list_orders(world), [])
         work["n"] = 3.0
+        for node in world.nodes.values():
+            node.duties.follows_work = False
+        world.run(10.0)
+        self.assertEqual(self.list_orders(world), [])
+        for node in world.nodes.values():
+            node.duties.follows_work = True
         world.run(10.0)
         orders = self.list_orders(world)
         self.assertEqual({kind for kind, _ in orders}, {"close"})
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -382,7 +382,12 @@
                 session.allowed_loads = 5 - len(list_loads(session))
                 session.step()
             session.allowed_loads = 0
+            if not takes_over:
+                # The work changes meanwhile.
+                session.scarce = ""
             session.run(20.0)
+            # The three that wait form no replica with the spares.
+            self.assertEqual(session.count_open(), 2)
             if takes_over:
                 session.replace_planner()
                 session.change = None
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -116,6 +116,17 @@
         loads = self.choose(blank=blank[:2], scarce="small")
         self.assertEqual({model for _, model in loads}, {"large"})
 
+    def test_instances_of_the_scarce_model_are_not_loaded_back(self):
+        """The instances of a step that waited were loaded back.
+
+        They are too few for a replica until the rest is loaded.
+        """
+        idle = {"small": ("a", "b"), "large": ("c", "d")}
+        fields = {"main": SMALL, "idle": idle}
+        fields["coverage"] = {"large": 2.0, "small": 1.0}
+        self.assertEqual(self.choose(**fields), [("c", "small")])
+        self.assertEqual(self.choose(scarce="large", **fields), [])
+
     def test_spares_stay_spares_while_their_model_is_needed(self):
         """The spares of a domain must not be loaded with a scarcer model.
 
