Keep the hold of a step over a lost digest

Cause: with heartbeats of 1.2 s a lost digest leaves a node without the others' work for up to two seconds, and the 8 s for which a step must be called for began anew.

Change: it goes on over gaps of up to 3 s.

--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -41,6 +41,10 @@
 # Seconds for which the same step must be called for. A burst of 3.6 s shows
 # in the averages for that long and one averaging time of 4 s more.
 _HOLD_SECONDS = 8.0
+# Seconds for which a step need not be called for within that time. The
+# others' work is unknown for two seconds if one of the relays' digests is
+# lost.
+_MAX_GAP_SECONDS = 3.0
 # Seconds for which a mix of requests is expected to last; the time in which
 # a change must pay off. Its opposite is not begun earlier.
 _HORIZON_SECONDS = 60.0
@@ -123,9 +127,10 @@
     def __init__(self) -> None:
         self.scarce = ""
         # The step that the last reviews called for, as surplus and scarce
-        # model, and since when.
+        # model, since when, and when it was last.
         self._called_for: tuple[str, str] | None = None
         self._since = -math.inf
+        self._seen_at = -math.inf
         # Scarce model of the last step that was decided, and when.
         self._last_scarce = ""
         self._last_at = -math.inf
@@ -161,9 +166,7 @@
             domains = list_domains()
             state = _make_state(engine, work, shares, domains)
             change = _choose_change(service, state)
-        called_for = (change.surplus, change.scarce) if change else None
-        if called_for != self._called_for:
-            self._called_for, self._since = called_for, now
+        self._note_called_for(change, now)
         self.scarce = ""
         if change is None or now - self._since < _HOLD_SECONDS:
             return None
@@ -176,6 +179,18 @@
         self._last_scarce, self._last_at = change.scarce, now
         return change
 
+    def _note_called_for(
+        self, change: layout.Change | None, now: float
+    ) -> None:
+        """Note which step is called for, and since when."""
+        if change is None:
+            return
+        models = (change.surplus, change.scarce)
+        is_new = models != self._called_for
+        if is_new or now - self._seen_at > _MAX_GAP_SECONDS:
+            self._since = now
+        self._called_for, self._seen_at = models, now
+
     def _may_change(
         self, engine: routes.Engine, shares: abc.Mapping[str, float]
     ) -> bool:
