State what happens when nodes disagree on a step as it is

Cause: the doc comment promised two domains at most, which nothing enforces where more than two nodes disagree.

Change: the comment only. test_layout 19, test_purity 1 passed.

--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -10,7 +10,7 @@
 differ in age. That is safe: only the holder of a domain's lease orders its
 instances, each order names the sequence number that the instance must
 have, and a step that was begun is completed whatever is decided meanwhile.
-At worst two domains change at a time, each by one step.
+At worst several domains change at a time, each by one step.
 
 Where the measured shares are near the stated ones nothing is decided, so
 that the layout stays as it is assigned by the stated shares.
