--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -28,8 +28,10 @@
 
 import msgspec
 
+from currantwall.coordination.replicas import conversions
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
+from currantwall.coordination.replicas import rebalancing
 from currantwall.coordination.replicas import staging
 from currantwall.coordination.replicas import supply
 from currantwall.state import ids
@@ -95,6 +97,8 @@
         self._has_traffic = True
         self._relocation = supply.Relocation()
         self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
+        # The step to another model that is under way here.
+        self.conversion: conversions.Conversion | None = None
 
     @property
     def engine(self) -> routes.Engine:
@@ -216,6 +220,8 @@
         demands: abc.Mapping[str, Demand],
         allowed_loads: int = 1000,
         has_traffic: bool = True,
+        loads: abc.Mapping[ids.InstanceId, int] | None = None,
+        allowed_conversion_loads: int = 0,
     ) -> list[knowledge.Order]:
         """Return the orders to send now.
 
@@ -227,6 +233,10 @@
             demands: Demand and supply elsewhere, by model.
             allowed_loads: Number of loads of weights that may start now.
             has_traffic: Whether any request has come yet.
+            loads: Requests in flight by leader, to choose the replicas that
+                a change of the layout drains.
+            allowed_conversion_loads: Number of loads that may start now for
+                a change of the layout.
         """
         self._layout = layout
         self._has_traffic = has_traffic
@@ -244,15 +254,17 @@
                 record.staging_model = ""
         orders: list[knowledge.Order] = []
         assigned: set[ids.InstanceId] = set()
+        replicas = self._list_replicas()
+        self._update_conversion(replicas, loads or {})
         released = self._relocation.choose_released(
             [
                 replica
-                for replica in self._list_replicas()
+                for replica in replicas
                 if self._is_intact(replica) and not self._is_spare(replica)
             ],
             self.is_evacuated,
         )
-        for replica in self._list_replicas():
+        for replica in replicas:
             if self._is_spare(replica):
                 continue
             if self._is_intact(replica) and not self._has_failed(replica, now):
@@ -260,7 +272,7 @@
                 if (replica.id, replica.epoch) in released:
                     orders += self._plan_release(replica, now)
                 else:
-                    orders += self._plan_open(replica, now)
+                    orders += self._plan_intact(replica, now)
             else:
                 assigned.update(member.id for member in replica.members)
                 freed, more = self._plan_dissolution(replica, now)
@@ -275,6 +287,15 @@
             and record.upstream.sequence is not None
             and record.pending_until <= now
         ]
+        if self.conversion is not None:
+            orders += self._plan_conversion_loads(
+                self.conversion, free, allowed_conversion_loads, now
+            )
+            free = [
+                record
+                for record in free
+                if record.upstream.id not in self.conversion.instances
+            ]
         orders += self._plan_free_instances(free, demands, allowed_loads, now)
         for order in orders:
             self._records[order.instance].pending_until = (
@@ -346,6 +367,16 @@
             upstream.id, now
         )
 
+    def _plan_intact(
+        self, replica: upstreams.Replica, now: float
+    ) -> list[knowledge.Order]:
+        """Return the order that a whole replica needs next, if any."""
+        if self.conversion is not None and self.conversion.drains(replica):
+            leader = replica.members[0]
+            assert leader.seat is not None
+            return self._plan_close(leader, leader.seat.phase, now)
+        return self._plan_open(replica, now)
+
     def _plan_open(
         self, replica: upstreams.Replica, now: float
     ) -> list[knowledge.Order]:
@@ -482,6 +513,113 @@
             epoch=seat.epoch,
         )
 
+    # -- Changes to another model
+
+    def _update_conversion(
+        self,
+        replicas: abc.Iterable[upstreams.Replica],
+        loads: abc.Mapping[ids.InstanceId, int],
+    ) -> None:
+        """Begin the step that the layout calls for, or note its end.
+
+        Only one step is under way at a time. It ends when each of its
+        instances has the new model or is lost.
+        """
+        current = self.conversion
+        if current is None:
+            self.conversion = self._begin_conversion(replicas, loads)
+            return
+        current.instances = {
+            name
+            for name in current.instances
+            if name in self._records
+            and self._records[name].is_usable
+            and current.model.name not in self._records[name].upstream.staged
+        }
+        if not current.instances:
+            self.conversion = None
+
+    def _begin_conversion(
+        self,
+        replicas: abc.Iterable[upstreams.Replica],
+        loads: abc.Mapping[ids.InstanceId, int],
+    ) -> conversions.Conversion | None:
+        """Return the step that the layout calls for, None if there is none.
+
+        Failure: the layout was derived from a list that is a second old.
+        The step therefore begins only if the replicas and idle instances
+        that it needs are still there.
+        """
+        change = self._layout.change
+        model = self._engine.find(change.scarce) if change else None
+        if change is None or model is None:
+            return None
+        open_replicas = [
+            replica
+            for replica in replicas
+            if replica.model == change.surplus
+            and not self._is_spare(replica)
+            and self._is_intact(replica)
+            and _is_open(replica)
+        ]
+        drained = conversions.choose_drained(change, open_replicas, loads)
+        idle = self._list_idle(replicas, change.surplus)
+        remaining = len(open_replicas) - len(drained)
+        chosen = conversions.choose_idle(change, model, idle, remaining)
+        is_possible = drained if change.drained else len(idle) > model.size
+        if not is_possible:
+            return None
+        return conversions.Conversion(change, model, drained, chosen)
+
+    def _list_idle(
+        self, replicas: abc.Iterable[upstreams.Replica], model: str
+    ) -> list[ids.InstanceId]:
+        """Return the usable instances with a model that no replica needs."""
+        members = {
+            member.id
+            for replica in replicas
+            if not self._is_spare(replica)
+            for member in replica.members
+        }
+        return [
+            name
+            for name, record in self._records.items()
+            if name not in members
+            and record.is_usable
+            and not record.is_loading
+            and self._find_staged_model(record) == model
+        ]
+
+    def _plan_conversion_loads(
+        self,
+        conversion: conversions.Conversion,
+        free: abc.Iterable[knowledge.InstanceRecord],
+        allowed_loads: int,
+        now: float,
+    ) -> list[knowledge.Order]:
+        """Return the loads of a step's instances that are free."""
+        loading = sum(
+            bool(self._records[name].staging_model)
+            for name in conversion.instances
+        )
+        at_once = rebalancing.count_loads_at_once(
+            self._engine, conversion.model
+        )
+        allowed = max(0, min(allowed_loads, at_once - loading))
+        ready = [
+            record
+            for record in free
+            if record.upstream.id in conversion.instances
+            and not record.staging_model
+            and not record.upstream.busy
+        ]
+        return [
+            self._order_load(
+                staging.Load(record.upstream.id, conversion.model), now
+            )
+            for record in ready[:allowed]
+        ]
+
     # -- Forming and staging
 
     def _plan_free_instances(
@@ -504,7 +642,9 @@
         for record in free:
             unassigned[self._find_staged_model(record)].append(record)
         for model in self._engine.models:
-            candidates = unassigned[model.name]
+            candidates, loading = self._separate_loading(
+                unassigned[model.name]
+            )
             candidates.sort(
                 key=lambda record: not self._is_warmed_up(record, model.name)
             )
@@ -517,7 +657,7 @@
                 orders += self._plan_joins(
                     model, [record.upstream for record in chosen]
                 )
-            unassigned[model.name] = candidates
+            unassigned[model.name] = candidates + loading
         orders += self._plan_loads(
             unassigned, formed, demands, allowed_loads, now
         )
@@ -526,10 +666,28 @@
             for record in unassigned[model.name]:
                 if record.upstream.id in ordered or record.staging_model:
                     continue
+                if self._layout.scarce and record.is_loading:
+                    continue
                 if not self._is_warmed_up(record, model.name):
                     orders += self._plan_joins(model, [record.upstream])
         return orders
 
+    def _separate_loading(
+        self, records: list[knowledge.InstanceRecord]
+    ) -> tuple[list[knowledge.InstanceRecord], list[knowledge.InstanceRecord]]:
+        """Return the instances that may join a replica, and the others.
+
+        Failure: the holder of a domain dies while a step loads instances,
+        and its successor forms a replica from them by the weights that they
+        still report. Only while the measured work calls for steps: at other
+        times few instances load, and an order to join ends the wait for an
+        order to load that was lost.
+        """
+        if not self._layout.scarce:
+            return records, []
+        loading = [record for record in records if record.is_loading]
+        return [one for one in records if not one.is_loading], loading
+
     def _find_staged_model(self, record: knowledge.InstanceRecord) -> str:
         """Return the first model whose weights are on the host, or empty."""
         for model in self._engine.models:
@@ -618,7 +776,10 @@
             usable=self._count_usable(),
             size=layout.size,
             coverage=self._measure_coverage(unassigned, formed, demands),
-            loading=any(
+            # Instances of a step that wait for their load are not converted
+            # back.
+            loading=self.conversion is not None
+            or any(
                 record.staging_model or record.upstream.busy
                 for record in self._records.values()
             ),
@@ -626,6 +787,7 @@
             formed=self.count_replicas(),
             wanted=wanted,
             staged=staged,
+            scarce=layout.scarce,
         )
         loads = staging.choose_loads(self._engine, inventory)
         return [self._order_load(load, now) for load in loads[:allowed_loads]]
@@ -691,3 +853,9 @@
 
 def _is_never(_: ids.DatacentreName) -> bool:
     return False
+
+
+def _is_open(replica: upstreams.Replica) -> bool:
+    """Return whether the leader of a replica takes requests."""
+    seat = replica.members[0].seat
+    return seat is not None and seat.phase is Phase.OPEN
--- a/currantwall/coordination/replicas/layout.py
+++ b/currantwall/coordination/replicas/layout.py
@@ -18,7 +18,7 @@
 from currantwall.state import ids
 from currantwall.state import routes
 
-__all__ = ["Layout", "choose_mix", "count_wanted"]
+__all__ = ["Change", "Layout", "choose_mix", "count_wanted"]
 
 # Instances of a domain to keep as spares for losses.
 _MIN_SPARES = 1
@@ -29,6 +29,25 @@
 _MAX_MIX_INSTANCES = 256
 
 
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """One step of a domain from an over-provisioned model to a scarce one.
+
+    Attributes:
+        surplus: Model whose instances are loaded with another one.
+        scarce: Model that they are loaded with.
+        drained: Replicas of `surplus` that are drained for it; 0 if idle
+            instances are enough.
+        held: Whole replicas of `surplus` that the domain has by the list.
+            None is drained if it has fewer.
+    """
+
+    domain: ids.DomainName
+    surplus: str
+    scarce: str
+    drained: int
+    held: int = 0
+
+
 class Layout(msgspec.Struct, frozen=True):
     """Which models the instances of a domain are meant for.
 
@@ -37,11 +56,16 @@
         replicas: Number of replicas of each model if the domain is mixed,
             else empty.
         size: Largest number of instances that the domain has had.
+        change: The step to begin now, if the measured work requires one.
+        scarce: Model that the measured work is short of, in all domains;
+            empty if there is none.
     """
 
     main: str
     replicas: abc.Mapping[str, int] = {}
     size: int = 0
+    change: Change | None = None
+    scarce: str = ""
 
 
 def choose_mix(
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -24,7 +24,9 @@
 
 import msgspec
 
+from currantwall.coordination.replicas import workload
 from currantwall.coordination.requests import attained
+from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import coldness
 from currantwall.coordination.requests import evacuations
 from currantwall.coordination.requests import loads as loads_module
@@ -160,6 +162,7 @@
         attained: Service that organisations have attained at all nodes.
         arrivals: Arrival rates of new requests at all nodes.
         evacuations: Data centres that get no more requests.
+        work: Work that arrives at this node.
     """
 
     def __init__(
@@ -185,6 +188,7 @@
         self.coldness = coldness.Coldness(fleet, self.limits)
         self.withdrawals = withdrawals.Withdrawals()
         self.evacuations = evacuations.Evacuations()
+        self.work = workload.Workload()
         self._datacentre = datacentre
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
@@ -879,8 +883,8 @@
         """Return the counts of this node to report to the others.
 
         These are its requests in flight by upstream, and under keys of
-        their own its waiting requests and recently lost answers. All of
-        them are thus added up by relays in the same way.
+        their own its waiting requests, recently lost answers and offered
+        work. All of them are thus added up by relays in the same way.
         """
         self.evacuations.note_time(now)
         counts: dict[str, int] = {}
@@ -892,8 +896,17 @@
                 counts[_format_lost_key(name)] = lost
         counts |= self.waiting
         counts |= self.attained.list_counts(now)
+        counts |= self.work.list_counts(now)
         return counts | self.arrivals.list_counts(now)
 
+    def measure_work(
+        self, service: ids.ServiceName, model: str, now: float
+    ) -> float:
+        """Return how many replicas the work offered to all nodes takes."""
+        key = workload.format_work_key(backlog.Kind(service, model))
+        own = self.work.list_counts(now).get(key, 0)
+        return (own + self._remote.get(key)) / workload.UNIT
+
     def count_remote_waiting(self, key: str) -> int:
         """Return the requests that wait at other nodes under a key."""
         return self._remote.get(key)
