Evacuations: test that they are off without their setting

Both tests (settings, and a site whose only data centre is evacuated in the store) pass, and fail with a default bound.

tests.test_adapter, test_withdrawals: pass.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -114,6 +114,15 @@
         self.assertEqual(gateway.repeat_slack, 282)
         self.assertEqual(found.store, "10.200.1.7:8223")
 
+    def test_evacuations_are_enabled_by_their_bound(self):
+        """Guards against calls of the store where there are none."""
+        found = settings.parse(msgspec.json.encode(SETTINGS)).ok_value
+        self.assertIsNone(found.gateway.evacuation_bound)
+        bounds = SETTINGS["bounds"] | {"evacuateMs": 5000}
+        data = msgspec.json.encode(SETTINGS | {"bounds": bounds})
+        found = settings.parse(data).ok_value
+        self.assertEqual(found.gateway.evacuation_bound, 5.0)
+
     def test_an_error_names_the_missing_field(self):
         for field in ("nodeName", "listen", "internalPorts", "platform"):
             broken = {k: v for k, v in SETTINGS.items() if k != field}
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -66,6 +66,17 @@
         self.send_for(1.0, "GET", "/safe/x")
         self.assertGreater(len(self.list_arrivals("a1", started)), 0)
 
+    def test_evacuations_are_ignored_where_they_are_not_enabled(self):
+        """Guards against a feature that takes effect without its setting.
+
+        All servers are in the data centre.
+        """
+        self.addCleanup(self.fleet.withdraw_evacuation, "a")
+        self.fleet.evacuate("a")
+        answers = self.send_for(1.0, "GET", "/safe/x")
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertNotIn("evacuation", self.fleet.read_log("g1"))
+
     def test_leaders_of_replicas_are_left_alone_for_their_pause(self):
         """Guards against the same where every replica asks for a pause."""
         names = test_gateway._ENGINES
