Evacuations: watch the store only after the start

Before the first heartbeats every node takes itself for a reader, so that all nodes of a site that starts would watch for some seconds, and each watch is paid for. They wait 1.2 s after their first list, as for the configuration. A node that need not read waits between two lists in any case.

tests.test_evacuations.EvacuationsTest: 17 pass; the new test and that of the lone node fail without their guards. EvacuatedSiteTest: 8 pass.

--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -35,6 +35,8 @@
 _BACKOFF_LIMIT = 1.0
 # Seconds between two checks whether this node has to watch the store.
 _ROLE_CHECK_INTERVAL = 0.25
+# Seconds after the start within which the readers' heartbeats arrive.
+_START_DELAY = 1.2
 # Seconds between two fetches from peers.
 _FETCH_INTERVAL = 0.25
 # Name of this feed in the log lines about the store.
@@ -79,6 +81,7 @@
         self._jitter = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
+        self._started = False
         # Names in the store as of the last answer.
         self._listed: set[str] = set()
         self.on_change: abc.Callable[[], None] = _ignore
@@ -100,11 +103,16 @@
             listing = listed.ok_value
             self._listed = {stored.name for stored in listing.objects}
             self._apply(listing.revision)
-            if not self._known.is_known:
+            if not self._started:
+                # No heartbeat has arrived yet, and most nodes will not need
+                # a watch of their own.
+                self._started = True
+                eventlet.sleep(_START_DELAY)
+            if self._known.is_known and self._reads_store():
+                self._watch_store(listing.revision)
+            else:
                 # Just resumed: the answer may be from before the suspension.
                 eventlet.sleep(_ROLE_CHECK_INTERVAL)
-            elif self._reads_store():
-                self._watch_store(listing.revision)
 
     def _reads_store(self) -> bool:
         return self._presence.reads_store(self._clock.now())
