--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -169,6 +169,16 @@
         self.net.send("a-0")
         self.assertEqual(self.list_evacuated(), {("b",)})
 
+    def test_an_evacuation_reaches_nodes_that_were_cut_off(self):
+        """Failure: nodes that return send requests on what they knew."""
+        cut = {name for name in self.net.nodes if name.startswith("c")}
+        self.net.dead |= cut
+        self.net.nodes["a-0"].evacuations.note(10, ["b"], self.net.now)
+        self.net.run(12.0)
+        self.net.dead -= cut
+        self.net.run(2 * network.ROUND)
+        self.assertEqual(self.list_evacuated(), {("b",)})
+
     def test_a_withdrawal_reaches_nodes_that_were_cut_off(self):
         """Failure: nodes withhold traffic for good, or revive an evacuation.
 
