--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -520,7 +520,7 @@
                 service=service,
                 model="small" if number % 2 else f"made-up-{number}",
                 route=mock.Mock(target=0.4, timeout=2.0, gap=0.0),
-                inbound=mock.Mock(received=10.0),
+                inbound=mock.Mock(received=10.0, headers={}),
                 caller_timeout=None,
                 deadline=12.0,
                 tried=set(),
