Exchanges: fail responses that parsers read differently

Responses of upstreams were read by the standard library and urllib3, which accept bare LFs, folded lines, whitespace before a colon, the first of several lengths, a length beside chunks, signs and underscores in chunk sizes, and any two bytes after a chunk. A connection that ended between two headers looked like the end of the headers. Extra bytes that arrived with the end of a response were dropped with its buffer, and the connection was reused.

StrictResponse fails such a response, so that the attempt fails and the connection is closed; a connection on which bytes follow a complete response delivers that response and is not reused. Chunks are read with read1, since read_chunked does not check them. Only exchanges with upstreams are affected, not calls to the store or to other nodes.

--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -18,6 +18,7 @@
 
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
+from currantwall.transport import responses
 from currantwall.transport import sockets
 
 __all__ = [
@@ -155,6 +156,7 @@
                 return idle.connection
             idle.connection.close()
         connection = open_connection(address, _CONNECT_TIMEOUT)
+        connection.response_class = responses.StrictResponse
         self.opened += 1
         return connection
 
@@ -305,10 +307,7 @@
         )
 
     def _read_body(self, response: urllib3.HTTPResponse) -> None:
-        if response.chunked and response.supports_chunked_reads():
-            for chunk in response.read_chunked(decode_content=False):
-                self._put(Data(self.number, chunk))
-            return
+        # Not read_chunked, which repairs chunks that are framed badly.
         while True:
             data = response.read1(_READ_SIZE, decode_content=False)
             if not data:
@@ -320,6 +319,8 @@
         connection = self._connection
         if connection is None or connection.sock is None:
             return
+        if connection.sock.is_ambiguous:
+            return
         is_delimited = response.chunked or "content-length" in response.headers
         if not is_delimited:
             return
--- a/currantwall/transport/sockets.py
+++ b/currantwall/transport/sockets.py
@@ -18,11 +18,16 @@
 
     Uses the connection of another eventlet socket and holds a reference to
     that socket, which would close the connection when garbage-collected.
+
+    Attributes:
+        is_ambiguous: Whether bytes have followed a complete response, so
+            that the connection must not be reused.
     """
 
     def __init__(self, connected: typing.Any) -> None:
         super().__init__(connected.fd)
         self._connected = connected
+        self.is_ambiguous = False
 
     def recv_into(
         self, buffer: typing.Any, nbytes: int = 0, flags: int = 0
