Test sites: a loopback address for each site and gateway

Every site's gateways took 127.0.0.10 and up, with the metrics port that the platform fixes (9464), and every other process of a site listened on 127.0.0.1. Listeners share ports, so that a scrape could be answered by a gateway of another test run.

Each site and each of its gateways now reserves a loopback address by a UDP socket on the metrics port, which can't be shared and is released with its process. The metrics port stays the platform's; it is its own by the address. Proxies of the soak listen on their site's address.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,7 +23,19 @@
 from currantwall.state import ids
 from currantwall.state import instances
 
-__all__ = ["EntrySpec", "Fleet", "FleetError", "wait_until"]
+__all__ = [
+    "Addresses",
+    "EntrySpec",
+    "Fleet",
+    "FleetError",
+    "METRICS_PORT",
+    "pick_port",
+    "wait_until",
+]
+
+# Port of a gateway's metrics page, which its platform fixes. Gateways of
+# several sites therefore need addresses of their own.
+METRICS_PORT = 9464
 
 _STOP_SECONDS = 10.0
 _POLL_SECONDS = 0.05
@@ -78,8 +90,48 @@
     raise FleetError(f"timed out after {seconds:g} s: {what}")
 
 
-def pick_port() -> int:
-    """Return a free port of the loopback interface.
+class Addresses:
+    """Loopback addresses that no other process of the machine has reserved.
+
+    Failure: listeners may share a port, so that a request to one site is
+    answered by a process of another one that runs at the same time. A
+    reservation is a UDP socket, which can't share its port. It ends with
+    this process at the latest.
+    """
+
+    def __init__(self) -> None:
+        self._reservations: list[socket.socket] = []
+
+    def reserve(self) -> str:
+        """Return an address on which nothing uses the metrics port.
+
+        Raises:
+            FleetError: None was found.
+        """
+        for _ in range(_MAX_PORT_ATTEMPTS):
+            numbers = (random.randrange(1, 255) for _ in range(3))
+            ip = ".".join(("127", *map(str, numbers)))
+            reservation = socket.socket(type=socket.SOCK_DGRAM)
+            try:
+                reservation.bind((ip, METRICS_PORT))
+                # A process that outlived its site may still listen.
+                with socket.socket() as listener:
+                    listener.bind((ip, METRICS_PORT))
+            except OSError:
+                reservation.close()
+                continue
+            self._reservations.append(reservation)
+            return ip
+        raise FleetError("no free loopback address found")
+
+    def release(self) -> None:
+        """End all reservations."""
+        while self._reservations:
+            self._reservations.pop().close()
+
+
+def pick_port(ip: str) -> int:
+    """Return a free port of a loopback address.
 
     The port lies below the range for outgoing connections: otherwise such
     a connection could take it before the process listens on it. No port
@@ -93,7 +145,7 @@
         port = random.randrange(first, last)
         with socket.socket() as candidate:
             try:
-                candidate.bind(("127.0.0.1", port))
+                candidate.bind((ip, port))
             except OSError:
                 continue
         if port not in _USED_PORTS:
@@ -102,8 +154,8 @@
     raise FleetError("no free port found")
 
 
-def pick_port_pair() -> tuple[int, int]:
-    """Return two free ports next to each other.
+def pick_port_pair(ip: str) -> tuple[int, int]:
+    """Return two free ports of an address, next to each other.
 
     Only the first is tested for being free. Both are recorded as used: if
     only the first were, the second could be given to another listener;
@@ -111,7 +163,7 @@
     wrong one.
     """
     for _ in range(_MAX_PORT_ATTEMPTS):
-        first = pick_port()
+        first = pick_port(ip)
         if first + 1 not in _USED_PORTS:
             _USED_PORTS.add(first + 1)
             return first, first + 1
@@ -122,6 +174,7 @@
     """Processes of one site on the loopback interface.
 
     Attributes:
+        ip: Loopback address that only this site uses.
         path: Temporary directory for settings and logs.
         addresses: Address (``host:port``) of each process by its name.
         http: Connections for requests to the processes.
@@ -130,6 +183,8 @@
     def __init__(self) -> None:
         self._directory = tempfile.TemporaryDirectory(prefix="fleet-")
         self.path = pathlib.Path(self._directory.name)
+        self._reserved = Addresses()
+        self.ip = self._reserved.reserve()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._instances: list[instances.Instance] = []
         self.addresses: dict[str, str] = {}
@@ -166,7 +221,7 @@
 
     def _assign_address(self, name: str) -> str:
         if name not in self.addresses:
-            self.addresses[name] = f"127.0.0.1:{pick_port()}"
+            self.addresses[name] = f"{self.ip}:{pick_port(self.ip)}"
         return self.addresses[name]
 
     def start_platform(self, lag: float = 1.0) -> None:
@@ -322,6 +377,7 @@
         for process in self._processes.values():
             process.wait(max(0.1, deadline - time.monotonic()))
         self._directory.cleanup()
+        self._reserved.release()
 
     # -- Requests
 
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -37,7 +37,6 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._next_host = 10
         self.version = 0
         self.limits: dict[str, float] = {}
         self.fronts: dict[str, str] = {}
@@ -111,9 +110,8 @@
     def _write_settings(
         self, name: str, settings_path: pathlib.Path, grace: float
     ) -> None:
-        ip = f"127.0.0.{self._next_host}"
-        self._next_host += 1
-        ports = [fleet_module.pick_port() for _ in range(3)]
+        ip = self._reserved.reserve()
+        ports = [fleet_module.pick_port(ip) for _ in range(3)]
         listen = {
             "front": f"{ip}:{ports[0]}",
             "ready": f"{ip}:{ports[1]}",
@@ -127,7 +125,7 @@
             "ip": ip,
             "zone": "a",
             "listen": listen,
-            "internalPorts": fleet_module.pick_port_pair(),
+            "internalPorts": fleet_module.pick_port_pair(ip),
             "limits": self.limits,
             "bounds": {
                 "graceS": grace,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -103,10 +103,11 @@
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
-        self.address = f"127.0.0.1:{fleet_module.pick_port()}"
+        # The site's own loopback address, as its target's.
+        listening = (host, fleet_module.pick_port(host))
+        self.address = f"{host}:{listening[1]}"
         self._mode = Mode.PASSING
         self._links: set[_Link] = set()
-        listening = ("127.0.0.1", int(self.address.rpartition(":")[2]))
         self._listener = eventlet.listen(listening, backlog=_BACKLOG)
         eventlet.spawn_n(self._accept)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -284,7 +284,8 @@
     def test_counters_and_latencies_are_on_the_metrics_page(self):
         self.send("GET", "/safe/x")
         host = self.fleet.fronts["g1"].partition(":")[0]
-        page = self.fleet.http.request("GET", f"http://{host}:9464/metrics")
+        url = f"http://{host}:{fleet_module.METRICS_PORT}/metrics"
+        page = self.fleet.http.request("GET", url)
         self.assertIn(b"currantwall_answers_total", page.data)
         self.assertIn(b'le="0.025"', page.data)
 
