Node: a pause of the process is no evidence against others

The demo's first chat got 503 because both replicas were suspended. The condition: the entries were not running for longer than the evidence TTL (2 s). Reproduced with the demo's site: all three entries stopped by SIGSTOP for 2.5 s, three times; all 33 chats sent during the stop and right after it got 503 "nothing serves counter now", and the replicas stayed suspended for 1.0 to 1.5 s. The own evidence had expired, and an observer's first verdict after the pause joined a fresh probe of one member with one from before the pause of another, so that it arrived expired and replaced the earlier one. A probe that timed out only because its answer was read late made a verdict "silent", and a lease holder took the sightings it had missed for silent instances.

The node gets a beat when nothing else reaches it for 0.2 s; a beat or message that is 0.25 s late shows that the process was not running, and all parts get Resumed before anything else. The observer then ignores time-outs of probes from before the pause and gives no verdict until each member was probed again; the holder counts silence from the resumption; requests that find no usable upstream wait for at most observe_timeout plus observe_interval (1 s) instead of being refused. Evidence still expires as before: no request goes to a replica on expired evidence.

--- a/currantwall/coordination/node.py
+++ b/currantwall/coordination/node.py
@@ -35,6 +35,13 @@
 
 __all__ = ["Node"]
 
+# Most seconds between two messages to a running node.
+_BEAT_SECONDS = 0.2
+# Seconds by which a beat is late if the process was not running. With the
+# interval it is less than the default timeout of a probe (0.5 s), so that no
+# pause that outlasts a probe is missed.
+_PAUSE_SECONDS = 0.25
+
 
 class Node:
     """The parts of one process, and the delivery of messages to them."""
@@ -106,6 +113,7 @@
             self.stopping,
             self.broadcast,
         )
+        self._next_beat: float | None = None
         self._subscribers: dict[type, list[part.Part]] = {}
         for subscriber in self._parts:
             for topic in subscriber.handlers:
@@ -121,9 +129,16 @@
         times = [item.due() for item in self._parts]
         return min((time for time in times if time is not None), default=None)
 
+    @property
+    def next_beat(self) -> float:
+        """Return when the next `part.Beat` is due if nothing else arrives."""
+        return self._next_beat or 0.0
+
     def handle(self, message: part.Message, now: float) -> list[part.Action]:
         """Handle a message and return the actions for the transport."""
         queue = collections.deque([message])
+        if self._was_paused(now):
+            queue.appendleft(part.Resumed())
         outgoing: list[part.Action] = []
         while queue:
             current = queue.popleft()
@@ -132,6 +147,11 @@
                 self._dispatch(resulting, queue, outgoing, now)
         return outgoing
 
+    def _was_paused(self, now: float) -> bool:
+        """Return whether the process was not running until now."""
+        was_due, self._next_beat = self._next_beat, now + _BEAT_SECONDS
+        return was_due is not None and now - was_due > _PAUSE_SECONDS
+
     def receive(
         self, envelope: wire.Envelope, now: float
     ) -> list[part.Action]:
--- a/currantwall/coordination/part.py
+++ b/currantwall/coordination/part.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-__all__ = ["Action", "Message", "Part", "Tick", "handles"]
+__all__ = ["Action", "Beat", "Message", "Part", "Resumed", "Tick", "handles"]
 
 
 class Action(msgspec.Struct, frozen=True):
@@ -32,6 +32,21 @@
     """A time that a part asked for, by `Part.due`, has come."""
 
 
+class Beat(Message, frozen=True):
+    """Sent to a node that nothing else has reached for a while.
+
+    No part handles it. A late one shows that the process was not running.
+    """
+
+
+class Resumed(Message, frozen=True):
+    """This process was not running for a while.
+
+    Handled before everything that arrived meanwhile. What others did not
+    send or answer in that time proves nothing about them.
+    """
+
+
 Handler = typing.Callable[..., abc.Iterable[Action] | None]
 _HANDLED_TYPE = "_handled_type"
 
--- a/currantwall/coordination/replicas/controller.py
+++ b/currantwall/coordination/replicas/controller.py
@@ -430,6 +430,10 @@
         if self._sightings.record(sighting, delay, now):
             self.request_plan(now)
 
+    def note_resumed(self, now: float) -> None:
+        """Record that this process was not running until now."""
+        self._sightings.resumed_at = now
+
     def request_plan(self, now: float) -> None:
         """Schedule a plan soon after a change."""
         self._next_plan = min(self._next_plan, now + _PLAN_DELAY)
--- a/currantwall/coordination/replicas/controllers.py
+++ b/currantwall/coordination/replicas/controllers.py
@@ -63,6 +63,11 @@
                 result += domain_controller.step(now, self._ranks.get(name, 0))
         return result
 
+    @part.handles(part.Resumed)
+    def _on_resumed(self, _: part.Resumed, now: float) -> None:
+        for domain_controller in self._controllers.values():
+            domain_controller.note_resumed(now)
+
     @part.handles(messages.MemberChanged)
     def _on_member(self, message: messages.MemberChanged, now: float) -> None:
         self._assignment_outdated = True
--- a/currantwall/coordination/replicas/observation.py
+++ b/currantwall/coordination/replicas/observation.py
@@ -118,6 +118,8 @@
         self._subject_by_member: dict[ids.InstanceId, str] = {}
         self._duties_outdated = True
         self._next_assignment = 0.0
+        # When this process last resumed after a pause.
+        self._resumed_at = 0.0
         # Heap of probe times and instances. An entry is valid only if its
         # time equals the instance's `next_probe`.
         self._probe_queue: list[tuple[float, ids.InstanceId]] = []
@@ -226,6 +228,15 @@
 
     # -- Probing
 
+    @part.handles(part.Resumed)
+    def _on_resumed(self, _: part.Resumed, now: float) -> None:
+        """Publish no verdict until all its members were probed again.
+
+        Failure: a verdict from probes before the pause replaces, at all
+        nodes, this observer's earlier evidence, and has expired itself.
+        """
+        self._resumed_at = now
+
     @part.handles(part.Tick)
     def _on_tick(self, _: part.Tick, now: float) -> list[part.Action]:
         if self._duties_outdated or now >= self._next_assignment:
@@ -259,6 +270,10 @@
         observed.next_probe = max(observed.next_probe, now)
         entry = (observed.next_probe, answer.instance)
         heapq.heappush(self._probe_queue, entry)
+        is_timeout = answer.outcome is messages.ProbeOutcome.TIMEOUT
+        if is_timeout and observed.probed_at < self._resumed_at:
+            # The answer may have arrived while this process was paused.
+            return []
         changed = self._store_answer(observed, answer)
         label = answer.outcome.value
         result: list[part.Action] = [
@@ -351,13 +366,17 @@
     def _compute_verdict(
         self, subject: _Subject, now: float
     ) -> wire.Verdict | None:
-        """Return the verdict, None while a member has no probe result yet."""
+        """Return the verdict, None while a member has no probe result yet.
+
+        Results from before a pause of this process don't count.
+        """
         silent = False
         for member in subject.members:
             observed = self._observed.get(member)
-            if observed is None or not (
-                observed.answered_at or observed.failed_at
-            ):
+            if observed is None:
+                return None
+            last = max(observed.answered_at, observed.failed_at)
+            if not last or last < self._resumed_at:
                 return None
             if observed.refused or self._contradicts_ledger(subject, observed):
                 return wire.Verdict.BROKEN
--- a/currantwall/coordination/replicas/sightings.py
+++ b/currantwall/coordination/replicas/sightings.py
@@ -52,6 +52,9 @@
         self._view = view
         self._settings = settings
         self._last_sightings: dict[ids.InstanceId, _LastSighting] = {}
+        # When this process last resumed after a pause. Sightings that it
+        # missed meanwhile do not show that an instance is silent.
+        self.resumed_at = -1e9
         # When a lost instance last answered again.
         self.returned_at = -1e9
 
@@ -127,14 +130,14 @@
         health = repair.Health
         silence = _SILENCE_INTERVALS * self._settings.sighting_interval
         if last is None:
-            since = max(taken_at, 0.0) + silence
+            since = max(taken_at, self.resumed_at, 0.0) + silence
             if now < since:
                 return health.UNKNOWN, 0.0
             return health.SILENT, now - since
         if last.lost_since:
             loss = health.EMPTY if last.refused else health.SILENT
             return loss, now - last.lost_since
-        if now - last.probed_at > silence:
+        if now - max(last.probed_at, self.resumed_at) > silence:
             return health.SILENT, now - last.probed_at
         return health.HEALTHY, 0.0
 
--- a/currantwall/coordination/requests/admission.py
+++ b/currantwall/coordination/requests/admission.py
@@ -187,6 +187,14 @@
         self._last_number = 0
         self._next_interval = 0.0
         self._next_queue_check = math.inf
+        # Seconds for which requests wait for the observers' first evidence
+        # after a pause of this process: until a probe has timed out and the
+        # next one is answered.
+        self._hold_seconds = (
+            settings.replicas.observe_timeout
+            + settings.replicas.observe_interval
+        )
+        self._held_until = 0.0
 
     def due(self) -> float:
         """Return when the next tick is wanted."""
@@ -219,10 +227,27 @@
             answer = self._router.choose(request, now)
             if isinstance(answer, routing.Route):
                 return self._start_attempt(target, request, answer, now)
-            if answer.reason is not routing.RefusalReason.OVERLOADED:
+            if not self._may_wait(answer, now):
                 return self._refuse(request, answer)
         return self._enqueue(target, request, now)
 
+    @part.handles(part.Resumed)
+    def _on_resumed(self, _: part.Resumed, now: float) -> None:
+        """Hold requests that find no upstream after a pause.
+
+        Failure: the evidence of all upstreams has expired while this
+        process was paused, and requests are refused though every replica
+        serves.
+        """
+        self._held_until = now + self._hold_seconds
+
+    def _may_wait(self, refusal: routing.Refusal, now: float) -> bool:
+        """Return whether what prevents a request may soon be over."""
+        reasons = routing.RefusalReason
+        if refusal.reason is reasons.NO_REPLICA:
+            return now < self._held_until
+        return refusal.reason is reasons.OVERLOADED
+
     def _check_rate(
         self, request: routing.RouteRequested, now: float
     ) -> routing.Refusal | None:
@@ -470,7 +495,7 @@
                 continue
             answer = self._router.choose(request, now)
             if isinstance(answer, routing.Refusal):
-                if answer.reason is routing.RefusalReason.OVERLOADED:
+                if self._may_wait(answer, now):
                     break
                 queue.remove(queued)
                 found += self._refuse(request, answer)
--- a/currantwall/transport/coordinator.py
+++ b/currantwall/transport/coordinator.py
@@ -56,6 +56,7 @@
         self._answers: dict[int, typing.Any] = {}
         self._performers[actions.Reply] = self._reply
         clock.subscribe(node.due, self._tick)
+        clock.subscribe(lambda: node.next_beat, self._beat)
 
     def attach(self, performer: object) -> None:
         """Register the methods of an object that `performs` has marked."""
@@ -118,6 +119,9 @@
         now = self._clock.now()
         self.perform(self.node.handle(part.Tick(), now))
 
+    def _beat(self) -> None:
+        self.perform(self.node.handle(part.Beat(), self._clock.now()))
+
     def _reply(self, action: actions.Reply) -> None:
         waiting = self._waiting.get(action.ticket)
         if waiting is None or waiting.ready():
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -4,7 +4,10 @@
 fails.
 """
 
+from concurrent import futures
+import signal
 import socket
+import time
 import typing
 import unittest
 
@@ -14,6 +17,10 @@
 from bench import fleet as fleet_module
 
 _WAIT = 60.0
+# Longer than the default evidence TTL (2 s).
+_STOPPED_SECONDS = 2.5
+# Time in which requests to a stopped entry are sent.
+_SEND_SECONDS = 0.2
 _EXTRA = """
 [replicas]
 load_time = 1
@@ -198,6 +205,19 @@
         self.assertEqual(503, response.status)
         self.assertEqual("unknown", response.headers["Currantwall-Outcome"])
 
+    def test_an_entry_that_was_not_running_refuses_nothing(self) -> None:
+        # Failure: the evidence expires while the entry is stopped, and the
+        # requests that arrived meanwhile get 503 though every replica serves.
+        self.fleet.send_signal("e1", signal.SIGSTOP)
+        self.addCleanup(self.fleet.send_signal, "e1", signal.SIGCONT)
+        time.sleep(_STOPPED_SECONDS)
+        with futures.ThreadPoolExecutor() as pool:
+            chats = [pool.submit(self.chat) for _ in range(4)]
+            time.sleep(_SEND_SECONDS)
+            self.fleet.send_signal("e1", signal.SIGCONT)
+        statuses = [chat.result().status for chat in chats]
+        self.assertEqual([200] * 4, statuses)
+
     def test_slow_booking_is_unknown_and_never_repeated(self) -> None:
         # The service accepts a booking and does not answer in time. It may
         # have run, so no further call with its key runs it again.
