Attempts: a test that every repeat is charged

decide never returns REPEAT: an attempt that was refused or not connected is charged to the retry budget like one that may have run. The behaviour is unchanged; the test shows it. tests.test_gateway_parts: passed.

--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -280,6 +280,20 @@
             verdict = self.decide(route, failure, sends=1)
             self.assertIsNot(verdict, Verdict.GIVE_UP)
 
+    def test_repeats_of_what_has_not_run_are_charged(self):
+        """Shows that refusals use up the budget for repeats.
+
+        Attempts that were refused or not connected are charged like those
+        that may have run. With an exhausted budget, a request that has not
+        run anywhere is refused although another upstream has room.
+        """
+        unsafe = make_route(kind=routes.RouteKind.UNSAFE, attempts=1)
+        for route in (unsafe, make_route()):
+            for failure in Failure:
+                if not failure.may_have_run:
+                    verdict = self.decide(route, failure, sends=1)
+                    self.assertIs(verdict, Verdict.REPEAT_PAID, failure)
+
     def test_a_stream_that_cannot_be_resumed_counts_as_unsafe(self):
         route = make_route(kind=routes.RouteKind.STREAMING, resumable=False)
         verdict = self.decide(route, Failure.LOST, sends=1, runs=1)
