Mutants: guards of the known failures

Four mutants: a bare LF in a request, a connection with extra bytes, the hold after a pause and a probe that a pause outlasts. Each was noticed.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -194,6 +194,38 @@
         f"{_FEEDS}.ConfigurationFeedTest"
         ".test_an_outage_costs_others_than_readers_a_call_in_seconds",
     ),
+    Mutant(
+        "a line of a request ends with a bare LF",
+        "currantwall/transport/ingress.py",
+        'x80-\\xff]*\\r\\n")\n_FIELD',
+        'x80-\\xff]*\\r?\\n")\n_FIELD',
+        "tests.test_ingress.FuzzTest"
+        ".test_an_ambiguous_request_ends_its_connection",
+    ),
+    Mutant(
+        "a connection with extra bytes is reused",
+        "currantwall/transport/exchanges.py",
+        "if connection.sock.is_ambiguous:",
+        "if False:",
+        "tests.test_exchanges.ExchangeTest"
+        ".test_a_connection_with_extra_bytes_is_not_reused",
+    ),
+    Mutant(
+        "requests are refused as soon as a paused node resumes",
+        f"{_COORDINATION}/requests/admission.py",
+        "return now < self._held_until",
+        "return False",
+        "tests.test_replicas.PauseTest"
+        ".test_a_paused_node_refuses_no_request_when_it_resumes",
+    ),
+    Mutant(
+        "a probe that a pause outlasts counts as failed",
+        f"{_COORDINATION}/replicas/observation.py",
+        "if is_timeout and observed.probed_at < self._resumed_at:",
+        "if False:",
+        "tests.test_replicas.PauseTest"
+        ".test_a_probe_that_a_pause_outlasts_shows_no_silence",
+    ),
     Mutant(
         "only one process can listen on an address",
         "currantwall/transport/listeners.py",
