--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -215,7 +215,7 @@
         f"{_COORDINATION}/requests/admission.py",
         "return now < self._held_until",
         "return False",
-        "tests.test_replicas.PauseTest"
+        "tests.test_replicas.LeaseTest"
         ".test_a_paused_node_refuses_no_request_when_it_resumes",
     ),
     Mutant(
@@ -223,7 +223,7 @@
         f"{_COORDINATION}/replicas/observation.py",
         "if is_timeout and observed.probed_at < self._resumed_at:",
         "if False:",
-        "tests.test_replicas.PauseTest"
+        "tests.test_replicas.LeaseTest"
         ".test_a_probe_that_a_pause_outlasts_shows_no_silence",
     ),
     Mutant(
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -241,80 +241,6 @@
         self.run_until(is_repaired, 60.0)
 
 
-class PauseTest(ReplicaCase):
-    def pause_all(self, seconds: float) -> None:
-        for host in self.world.hosts.values():
-            host.pause()
-        self.world.run(self.world.now + seconds)
-        for host in self.world.hosts.values():
-            host.resume()
-
-    def get_sightings(self, name: str) -> sightings_module.Sightings:
-        controllers = self.find_holder(name).node.controllers._controllers
-        return controllers[ids.DomainName(name)]._sightings
-
-    def test_a_paused_node_refuses_no_request_when_it_resumes(self) -> None:
-        """Failure: 503 for all requests though every replica serves.
-
-        All evidence expired while the nodes were paused on a busy machine.
-        Each seed pauses them in another phase of their probes.
-        """
-        for seed in range(5):
-            with self.subTest(seed):
-                self.start(make_world(seed=seed))
-                for host in self.world.hosts.values():
-                    self.assertEqual(host.node.admission._held_until, 0.0)
-                self.world.run(self.world.now + 0.13 * seed)
-                self.pause_all(2.5)
-                ticket = 700
-                for host in self.world.hosts.values():
-                    request = routing.RouteRequested(
-                        ticket=ticket,
-                        attempt=ids.AttemptId(f"{host.name}.late"),
-                        profile=ids.ProfileName("counter"),
-                    )
-                    host.tell(request)
-                self.world.run(self.world.now + 0.1)
-                for host in self.world.hosts.values():
-                    answer = host.replies.get(ticket)
-                    self.assertIsInstance(answer, routing.Route)
-
-    def test_a_probe_that_a_pause_outlasts_shows_no_silence(self) -> None:
-        """Failure: observers that were paused suspend every replica.
-
-        Their probes, still unanswered, time out during the pause.
-        """
-        self.start()
-        for engine in self.world.engines.values():
-            engine.paused = True
-        self.world.run(self.world.now + 0.45)
-        for engine in self.world.engines.values():
-            engine.paused = False
-        self.pause_all(0.5)
-        self.world.run(self.world.now + 1.0)
-        silent = "currantwall.replicas.verdicts/silent"
-        for host in self.world.hosts.values():
-            self.assertNotIn(silent, host.counts)
-        for name in ("fa", "fb"):
-            sightings = self.get_sightings(name)
-            self.assertLess(sightings.returned_at, 0.0, "was seen as lost")
-
-    def test_reports_missed_in_a_pause_show_no_silence(self) -> None:
-        """Failure: a holder repairs replicas whose reports it missed."""
-        self.start()
-        holder = self.find_holder("fa")
-        # Longer than three sighting intervals, shorter than the lease.
-        self.pause_all(5.9)
-        # Less than the answer to a probe takes.
-        self.world.run(self.world.now + 0.001)
-        self.assertIs(self.find_holder("fa"), holder)
-        found = self.get_sightings("fa").describe_members(0.0, self.world.now)
-        self.assertEqual(
-            {member.health for member in found.values()},
-            {repair.Health.HEALTHY},
-        )
-
-
 class LeaseTest(ReplicaCase):
     def test_holder_that_resumes_after_its_lease_changes_nothing(self) -> None:
         # Failure: the holder of a domain is paused until after its lease,
@@ -411,6 +337,78 @@
             answer = sites.route(host, "counter")
             self.assertIsInstance(answer, routing.Route, answer)
 
+    def pause_all(self, seconds: float) -> None:
+        for host in self.world.hosts.values():
+            host.pause()
+        self.world.run(self.world.now + seconds)
+        for host in self.world.hosts.values():
+            host.resume()
+
+    def get_sightings(self, name: str) -> sightings_module.Sightings:
+        controllers = self.find_holder(name).node.controllers._controllers
+        return controllers[ids.DomainName(name)]._sightings
+
+    def test_a_paused_node_refuses_no_request_when_it_resumes(self) -> None:
+        """Failure: 503 for all requests though every replica serves.
+
+        All evidence expired while the nodes were paused on a busy machine.
+        Each seed pauses them in another phase of their probes.
+        """
+        for seed in range(5):
+            with self.subTest(seed):
+                self.start(make_world(seed=seed))
+                for host in self.world.hosts.values():
+                    self.assertEqual(host.node.admission._held_until, 0.0)
+                self.world.run(self.world.now + 0.13 * seed)
+                self.pause_all(2.5)
+                ticket = 700
+                for host in self.world.hosts.values():
+                    request = routing.RouteRequested(
+                        ticket=ticket,
+                        attempt=ids.AttemptId(f"{host.name}.late"),
+                        profile=ids.ProfileName("counter"),
+                    )
+                    host.tell(request)
+                self.world.run(self.world.now + 0.1)
+                for host in self.world.hosts.values():
+                    answer = host.replies.get(ticket)
+                    self.assertIsInstance(answer, routing.Route)
+
+    def test_a_probe_that_a_pause_outlasts_shows_no_silence(self) -> None:
+        """Failure: observers that were paused suspend every replica.
+
+        Their probes, still unanswered, time out during the pause.
+        """
+        self.start()
+        for engine in self.world.engines.values():
+            engine.paused = True
+        self.world.run(self.world.now + 0.45)
+        for engine in self.world.engines.values():
+            engine.paused = False
+        self.pause_all(0.5)
+        self.world.run(self.world.now + 1.0)
+        silent = "currantwall.replicas.verdicts/silent"
+        for host in self.world.hosts.values():
+            self.assertNotIn(silent, host.counts)
+        for name in ("fa", "fb"):
+            sightings = self.get_sightings(name)
+            self.assertLess(sightings.returned_at, 0.0, "was seen as lost")
+
+    def test_reports_missed_in_a_pause_show_no_silence(self) -> None:
+        """Failure: a holder repairs replicas whose reports it missed."""
+        self.start()
+        holder = self.find_holder("fa")
+        # Longer than three sighting intervals, shorter than the lease.
+        self.pause_all(5.9)
+        # Less than the answer to a probe takes.
+        self.world.run(self.world.now + 0.001)
+        self.assertIs(self.find_holder("fa"), holder)
+        found = self.get_sightings("fa").describe_members(0.0, self.world.now)
+        self.assertEqual(
+            {member.health for member in found.values()},
+            {repair.Health.HEALTHY},
+        )
+
 
 class FencingTest(ReplicaCase):
     def test_engine_that_ignores_epochs_is_held_back(self) -> None:
