--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -8,13 +8,16 @@
     /reset3/           the stream is reset after three (or another number
                        of) events, unless it is a resumed one
     /slow/             half a second between the events of a stream
+    /bulk400/          a stream of 400 (or another number of) events of
+                       1 KiB, without pauses, of any server
     /unframed/         an answer without a length, ended by the close
     /torn/             as unframed, reset in the middle
     /busy/, /busy-ID/  refused before it runs; only by the server ID
     /error/            status 500
     /mute/             an answer without the server's signature
 
-Only engines stream; only plain services answer as unframed, torn or error.
+Other streams are those of engines; only plain services answer as unframed,
+torn or error.
 
 ``/control/runs`` returns the requests that it ran, ``/control/arrivals`` the
 time of each request that reached it. ``/control/headers`` takes a JSON object
@@ -45,6 +48,7 @@
 
 __all__ = ["main"]
 
+_BULK_PATH = re.compile(r"/bulk(\d+)/")
 _RESET_PATH = re.compile(r"/reset(\d+)/")
 # Seconds between two writes of the server's entry.
 _HEARTBEAT_INTERVAL = 0.3
@@ -52,6 +56,8 @@
 _EVENT_COUNT = 6
 _EVENT_GAP = 0.02
 _SLOW_GAP = 0.5
+# Bytes of each event of a large stream.
+_BULK_BYTES = 1024
 # Seconds that a join takes with the weights staged, and without; staging
 # takes as long as the latter.
 _WARM_JOIN_TIME = 0.1
@@ -216,6 +222,14 @@
         headers = [("X-Attempt-Id", attempt)]
         if "/mute/" not in inbound.path:
             headers.append(("X-Server-Seal", f"seal.{self._id}"))
+        bulk = _BULK_PATH.search(inbound.path)
+        if bulk is not None:
+            headers.append(("Content-Type", "text/event-stream"))
+            return Reply(
+                status=200,
+                headers=headers,
+                body=_stream_bulk(inbound, int(bulk[1])),
+            )
         if self._domain:
             headers.append(("Content-Type", "text/event-stream"))
             return Reply(
@@ -335,6 +349,14 @@
     raise ConnectionAbortedError("connection reset by the stand-in")
 
 
+def _stream_bulk(inbound: ingress.Inbound, count: int) -> abc.Iterator[bytes]:
+    """Yield events of one size as fast as they are taken."""
+    first = int(inbound.headers.get("Last-Event-Id", "0")) + 1
+    for number in range(first, count + 1):
+        head = f"id: {number}\ndata: ".encode()
+        yield head + b"x" * (_BULK_BYTES - len(head) - 2) + b"\n\n"
+
+
 def _refuse(attempt: str, pause: float) -> Reply:
     """Return a refusal that asks for a pause, in seconds."""
     headers = [
