Exchanges: idle connections above descriptor 1,023 are usable

Cause: with 500 slow callers a gateway has more than 1,024 descriptors, and select() raises ValueError for such a connection. Change: poll() instead.

--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -36,7 +36,7 @@
 
 # Status of an answer from a server that the request was not meant for.
 MISDIRECTED = 421
-_select = eventlet.patcher.original("select").select
+_select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
 # centres takes 3 ms; TCP sends a lost SYN again after a second.
@@ -341,8 +341,10 @@
     """
     if connection.sock is None or connection.sock.fileno() < 0:
         return False
-    ready, _, _ = _select([connection.sock.fileno()], [], [], 0)
-    return not ready
+    # `select` fails for descriptors above 1,023.
+    poller = _select.poll()
+    poller.register(connection.sock.fileno(), _select.POLLIN)
+    return not poller.poll(0)
 
 
 def read_keep_alive(headers: urllib3.HTTPHeaderDict) -> float:
