--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -27,6 +27,8 @@
         drain: Seconds for which requests still arrive after a stop began.
         capacity: Relative capacity of the node; 1 is a whole core on a
             link of 100 Mbit/s, and the scarcer of the two counts.
+        memory: Bytes of memory that the process may use; None if what it
+            holds for callers is not bounded.
     """
 
     node: ids.NodeId
@@ -44,3 +46,4 @@
     grace: float = 8.0
     drain: float = 3.0
     capacity: float = 1.0
+    memory: int | None = None
