Slow readers: a budget for what is held for callers

Cause: a gateway reads answers ahead of callers that do not read them, and the kernel buffers megabytes for each connection. A caller that takes nothing holds up its upstream for 10 s, and one that takes a few bytes for as long as its request may last. A write that takes over 0.5 s is taken for a stall of the upstream, whose messages are waiting.

Change, only where limits.memoryMb is set: coordination.requests.buffering decides by a budget over all connections; the upstream is not read while 64 KiB are queued for its caller; a caller that keeps its upstream waiting for 3 s is closed with a reset, and while the budget is used up, idle connections and then the slowest callers are. Socket buffers are bounded. Line slow_reader_closed, counter currantwall.readers.closed, gauge currantwall.buffered.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -26,6 +26,7 @@
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import advisories
+from currantwall.transport import buffers
 from currantwall.transport import configurations
 from currantwall.transport import domainleases
 from currantwall.transport import duties
@@ -172,6 +173,13 @@
         self._front_task: typing.Any = None
         self._stopped = eventlet.event.Event()
         self._front = self._make_ingress(self._forwarder.serve)
+        self._buffers: buffers.Buffers | None = None
+        if settings.memory is not None:
+            self._buffers = buffers.Buffers(
+                settings.memory, self._meter, self._log, self._now
+            )
+            self._front.buffers = self._buffers
+            self._connections.is_bounded = True
 
     def _make_news(self) -> news.NewsExchange:
         """Create the news exchange and connect its callbacks."""
@@ -209,6 +217,9 @@
         if self._listener is None:
             self._listener = listeners.open_listener(settings.front)
         self._listener = ingress.wrap_listener(self._listener)
+        if self._buffers is not None:
+            buffers.limit_listener(self._listener)
+            eventlet.spawn_n(self._supervise, self._buffers.run)
         self._front_task = ingress.start_server(self._listener, self._front)
         for address, handler in self._get_handlers().items():
             ingress.start_server(
--- a/currantwall/state/ids.py
+++ b/currantwall/state/ids.py
@@ -9,6 +9,7 @@
 __all__ = [
     "AttemptId",
     "CallId",
+    "ConnectionId",
     "DatacentreName",
     "DomainName",
     "Epoch",
@@ -26,6 +27,7 @@
 
 AttemptId = typing.NewType("AttemptId", str)
 CallId = typing.NewType("CallId", int)
+ConnectionId = typing.NewType("ConnectionId", int)
 DatacentreName = typing.NewType("DatacentreName", str)
 DomainName = typing.NewType("DomainName", str)
 InstanceId = typing.NewType("InstanceId", str)
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -18,6 +18,7 @@
 
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
+from currantwall.transport import buffers
 from currantwall.transport import sockets
 
 __all__ = [
@@ -128,12 +129,14 @@
 
     Attributes:
         opened: Number of connections opened so far.
+        is_bounded: Whether the buffers of new connections are bounded.
     """
 
     def __init__(self, now: typing.Callable[[], float]) -> None:
         self._now = now
         self._idle: dict[ids.InstanceId, list[_Idle]] = {}
         self.opened = 0
+        self.is_bounded = False
 
     def take(
         self, instance: ids.InstanceId, address: str, new_connection: bool
@@ -155,6 +158,8 @@
                 return idle.connection
             idle.connection.close()
         connection = open_connection(address, _CONNECT_TIMEOUT)
+        if self.is_bounded:
+            buffers.limit_receiving(connection.sock)
         self.opened += 1
         return connection
 
@@ -231,7 +236,9 @@
         inbox: eventlet.queue.LightQueue,
         connections: Connections,
         names: names_module.HeaderNames,
+        backlog: buffers.Backlog | None = None,
     ) -> None:
+        self._backlog = backlog
         self.number = number
         self._instance = instance
         self._address = address
@@ -304,16 +311,39 @@
             decode_content=False,
         )
 
+    def _put_data(self, data: bytes) -> None:
+        """Pass on part of the body, once there is room for it.
+
+        Failure: a caller reads slowly, and the answer to it fills the
+        memory of the node.
+        """
+        message = Data(self.number, data)
+        backlog = self._backlog
+        if backlog is None:
+            self._put(message)
+            return
+        backlog.hold()
+        try:
+            backlog.wait_for_room()
+            self._put(message)
+        finally:
+            # Also reached when the task is killed.
+            backlog.resume()
+        backlog.note_queued(len(data))
+
     def _read_body(self, response: urllib3.HTTPResponse) -> None:
+        if self._backlog is not None and self._connection is not None:
+            self._backlog.upstream = self._connection.sock
         if response.chunked and response.supports_chunked_reads():
-            for chunk in response.read_chunked(decode_content=False):
-                self._put(Data(self.number, chunk))
+            size = None if self._backlog is None else _READ_SIZE
+            for chunk in response.read_chunked(size, decode_content=False):
+                self._put_data(chunk)
             return
         while True:
             data = response.read1(_READ_SIZE, decode_content=False)
             if not data:
                 return
-            self._put(Data(self.number, data))
+            self._put_data(data)
 
     def _finish(self, response: urllib3.HTTPResponse) -> None:
         """Return the connection to the pool if it can be reused."""
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -17,7 +17,9 @@
 import msgspec
 import urllib3
 
+from currantwall.coordination.requests import buffering
 from currantwall.state import routes
+from currantwall.transport import buffers as buffers_module
 from currantwall.transport import listeners
 
 __all__ = [
@@ -68,6 +70,7 @@
         client: The caller's socket.
         received: Monotonic time at which it was read completely.
         caller: The caller's IP address.
+        backlog: What is held for the caller; None if it is not bounded.
     """
 
     method: str
@@ -77,6 +80,7 @@
     client: typing.Any
     received: float
     caller: str = ""
+    backlog: buffers_module.Backlog | None = None
 
     @property
     def path(self) -> str:
@@ -107,6 +111,7 @@
         is_closing: Whether each answer closes its connection.
         in_flight: Number of requests that are being answered.
         on_error: Called with unexpected exceptions of the handler.
+        buffers: Bounds what is held for callers; None to bound nothing.
     """
 
     def __init__(
@@ -121,6 +126,7 @@
         self.is_closing = False
         self.in_flight = 0
         self.on_error: abc.Callable[[Exception], None] = _ignore
+        self.buffers: buffers_module.Buffers | None = None
 
     def handle(self, inbound: Inbound) -> Reply:
         """Return the answer to a request, or 500 if the handler fails.
@@ -149,6 +155,41 @@
     minimum_chunk_size = 0
     capitalize_response_headers = False
 
+    # -- Bounds on what is held for the caller
+
+    def setup(self) -> None:
+        """Create the files of the connection, and count what it holds."""
+        self._opened: buffers_module.CallerSocket | None = None
+        buffers = self.ingress.buffers
+        if buffers is not None:
+            caller = str(self.client_address[0])
+            self._opened = buffers.open(self.request, caller)
+            self.request = self._opened
+        super().setup()
+
+    def finish(self) -> None:
+        """Close the connection."""
+        try:
+            super().finish()
+        finally:
+            if self._opened is not None:
+                self._close_opened(self._opened)
+
+    def _close_opened(self, opened: buffers_module.CallerSocket) -> None:
+        """Close a counted connection, also where its last write failed."""
+        try:
+            self.rfile.close()
+            opened.close()
+        finally:
+            assert self.ingress.buffers is not None
+            self.ingress.buffers.close(opened)
+
+    def _note_phase(self, phase: buffering.Phase) -> None:
+        if self._opened is not None:
+            self._opened.note_phase(phase)
+
+    # -- Requests
+
     def handle_one_request(self) -> None:
         """Read one request and answer it."""
         self.close_connection = 0
@@ -166,6 +207,7 @@
             self.close_connection = 1
             return
         self.ingress.in_flight += 1
+        self._note_phase(buffering.Phase.ANSWERING)
         try:
             self._answer(inbound)
         except OSError:
@@ -173,6 +215,7 @@
             self.close_connection = 1
         finally:
             self.ingress.in_flight -= 1
+            self._note_phase(buffering.Phase.IDLE)
 
     # -- Reading
 
@@ -182,6 +225,7 @@
         if not self.rfile.peek(1):
             return None
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
+        self._note_phase(buffering.Phase.RECEIVING)
         with eventlet.Timeout(limits.header_timeout):
             method, target, headers = self._read_head(limits.header_bytes)
         self.command = method
@@ -200,6 +244,7 @@
             client=self.connection,
             received=self.ingress.now(),
             caller=str(self.client_address[0]),
+            backlog=self._opened.backlog if self._opened else None,
         )
 
     def _read_line(self, limit: int) -> bytes:
--- a/currantwall/transport/metrics.py
+++ b/currantwall/transport/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and histograms, exported through OpenTelemetry.
+"""Counters, gauges and histograms, exported through OpenTelemetry.
 
 The library is loaded at the first scrape: it takes 10 MB of a process of
 35 MB, and on most days most nodes are not scraped. Until then the counts
@@ -22,15 +22,17 @@
 
 
 class Metrics:
-    """Counters and histograms of this process."""
+    """Counters, gauges and histograms of this process."""
 
     def __init__(self, node: str) -> None:
         self._registry: typing.Any = None
         self._meter: typing.Any = None
         self._counters: dict[str, typing.Any] = {}
+        self._gauges: dict[str, typing.Any] = {}
         self._histograms: dict[str, typing.Any] = {}
         self._node = node
         self._pending: dict[tuple[str, str], int] = {}
+        self._values: dict[str, int] = {}
         self._samples: collections.deque[tuple[str, str, float]] = (
             collections.deque(maxlen=_SAMPLES_LIMIT)
         )
@@ -61,6 +63,15 @@
         key = (name, label)
         self._pending[key] = self._pending.get(key, 0) + amount
 
+    def set(self, name: str, value: int) -> None:
+        """Set the present value of a gauge.
+
+        Args:
+            name: Name of the metric.
+            value: The value.
+        """
+        self._values[name] = value
+
     def observe(self, name: str, value: float, label: str = "") -> None:
         """Record a value in a histogram.
 
@@ -86,6 +97,12 @@
                 counter = self._meter.create_counter(name)
                 self._counters[name] = counter
             counter.add(amount, _make_attributes(label))
+        for name, value in self._values.items():
+            gauge = self._gauges.get(name)
+            if gauge is None:
+                gauge = self._meter.create_gauge(name)
+                self._gauges[name] = gauge
+            gauge.set(value)
         while self._samples:
             name, label, value = self._samples.popleft()
             histogram = self._histograms.get(name)
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -117,6 +117,16 @@
             )
         self.last_event_at = now
 
+    def note_taken(self, amount: int) -> None:
+        """Count bytes of an answer as taken from the inbox."""
+        if self.inbound.backlog is not None:
+            self.inbound.backlog.note_taken(amount)
+
+    def note_written(self) -> None:
+        """Count the bytes of an answer that were taken as passed on."""
+        if self.inbound.backlog is not None:
+            self.inbound.backlog.note_written()
+
 
 class Attempt(msgspec.Struct, kw_only=True):
     """One attempt at one upstream.
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -195,6 +195,7 @@
             request.inbox,
             self._connections,
             self.names,
+            inbound.backlog,
         )
         active = self._active.setdefault(upstream.epoch_id, {})
         active[exchange.number] = request.inbox
@@ -400,6 +401,8 @@
                 return None
             if isinstance(message, requests.Disconnected):
                 raise requests.CallerDisconnected
+            if isinstance(message, exchanges.Data):
+                request.note_taken(len(message.data))
             if message.exchange == current.exchange.number:
                 current.last_message_at = self.now()
                 self._last_message_times[current.upstream.id] = (
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -207,6 +207,7 @@
                     )
                     request.note_events(self._sender.now())
                     yield b"".join(event.data for event in new_events)
+                    self._note_written(request, current)
                 if ended:
                     if splitter.rest:
                         yield splitter.rest
@@ -239,6 +240,19 @@
                 self._sender.note_success(current)
             self._sender.note_answer(request, current, status)
 
+    def _note_written(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> None:
+        """Record that the caller has accepted all events so far.
+
+        Failure: the time in which the caller accepted nothing counts as
+        silence of the upstream, whose messages were waiting. A healthy
+        upstream is taken for stalled and the stream is started again.
+        """
+        if request.inbound.backlog is not None:
+            request.note_written()
+            current.last_message_at = self._sender.now()
+
     @staticmethod
     def _is_new(request: requests.Request, event: events.Event) -> bool:
         """Return whether the caller has not received an event yet.
