Ingress: an incomplete answer to an HTTP/1.0 caller is reset

Cause: an answer without chunks ends with its connection. When its stream was aborted, or its caller stopped reading for 10 s, the connection had an orderly end, and the caller took what it had for the whole answer. Change: such a connection is reset.

--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -9,6 +9,7 @@
 from collections import abc
 import re
 import socket
+import struct
 import typing
 
 import eventlet
@@ -160,6 +161,7 @@
     def setup(self) -> None:
         """Create the files of the connection, and count what it holds."""
         self._opened: buffers_module.CallerSocket | None = None
+        self._is_whole = True
         buffers = self.ingress.buffers
         if buffers is not None:
             caller = str(self.client_address[0])
@@ -168,9 +170,12 @@
         super().setup()
 
     def finish(self) -> None:
-        """Close the connection."""
+        """Close the connection, with a reset if its answer is incomplete."""
         try:
-            super().finish()
+            if self._is_whole:
+                super().finish()
+            else:
+                self._reset()
         finally:
             if self._opened is not None:
                 self._close_opened(self._opened)
@@ -184,6 +189,33 @@
             assert self.ingress.buffers is not None
             self.ingress.buffers.close(opened)
 
+    def _reset(self) -> None:
+        """Close the connection without an orderly end.
+
+        Failure: an answer that the end of the connection ends is cut off,
+        and the caller takes what it has for the whole answer.
+        """
+        linger = struct.pack("ii", 1, 0)
+        try:
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            self.wfile.close()
+        except OSError:
+            # The caller has disconnected.
+            pass
+        finally:
+            self.rfile.close()
+            self.connection.close()
+
+    def _watch_end(
+        self, chunks: abc.Iterable[bytes]
+    ) -> abc.Generator[bytes, None, None]:
+        """Yield the parts of an answer, and note whether it is complete."""
+        self._is_whole = False
+        yield from chunks
+        self._is_whole = True
+
     def _note_phase(self, phase: buffering.Phase) -> None:
         if self._opened is not None:
             self._opened.note_phase(phase)
@@ -341,7 +373,10 @@
         body: bytes | abc.Iterator[bytes],
     ) -> None:
         phrase = _PHRASES.get(status, "Unknown")
+        chunks: abc.Iterable[bytes]
         chunks = (body,) if isinstance(body, bytes) else body
+        if self.request_version == "HTTP/1.0" and not isinstance(body, bytes):
+            chunks = self._watch_end(chunks)
 
         def application(
             environ: dict[str, typing.Any],
