Streams: an upstream whose message waits was not silent

Cause: a stream is judged by the time of the last message that was taken. When 500 callers connect within seconds the gateway is late, and takes upstreams for stalled whose messages it has not read: 89 attempts in a trial of 20 s. Change, only for bounded callers: while a message waits before the deadline, nobody was silent.

--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -155,7 +155,7 @@
             until = request.deadline
             if timeout is not None:
                 until = min(until, silent_since + timeout)
-            if now >= until:
+            if now >= until and not self._has_message(request, now):
                 self._sender.fail_stalled(request, current)
                 return None
             if not probe_requested:
@@ -240,6 +240,17 @@
                 self._sender.note_success(current)
             self._sender.note_answer(request, current, status)
 
+    @staticmethod
+    def _has_message(request: requests.Request, now: float) -> bool:
+        """Return whether a message waits, so that nobody was silent.
+
+        Failure: this node was late, as when many callers connect at once,
+        and takes upstreams for stalled whose messages it has not read.
+        """
+        is_bounded = request.inbound.backlog is not None
+        is_waiting = is_bounded and not request.inbox.empty()
+        return is_waiting and now < request.deadline
+
     def _note_written(
         self, request: requests.Request, current: requests.Attempt
     ) -> None:
