Slow readers: idle connections, senders, closed ones; whose fault it is

Change: idle connections go first when the budget or nine tenths of the 900 connections are used; callers that send slowly count as slow; connections that are closed here count until their callers have read the rest, or nothing for 60 s. An upstream that fails within 2 s of being kept waiting is neither avoided nor is the request sent again. Time in which the process did not run does not count. Bytes are counted before they are queued: a full inbox may be read before put() returns. Send buffers have 64 KB: with 32 KB a large write over loopback reached 2 MB/s, with 64 KB 1,200.

--- a/currantwall/coordination/requests/buffering.py
+++ b/currantwall/coordination/requests/buffering.py
@@ -27,17 +27,29 @@
 # Part of the node's memory that connections may use. A process uses 28 to
 # 38 MB of the smallest node's 152 MB without any; the rest is for the
 # copies that Python makes of what it forwards.
-_BUDGET_SHARE = 0.4
+_BUDGET_SHARE = 0.35
+# Part of the connections that a node serves at once above which it closes
+# the same ones as for the budget; the rest is for new callers.
+_CONNECTIONS_SHARE = 0.9
 # Resident bytes of a connection without a request (26 KB measured), and of
-# one with a request in progress and its connection to an upstream (41 KB).
+# one with a request in progress and its connection to an upstream (41 KB). Of
+# a closed one only the kernel's socket is left.
 _IDLE_BYTES = 26_000
 _BUSY_BYTES = 42_000
+_CLOSING_BYTES = 4_000
 # Bytes of an answer that may be queued between an upstream and a caller.
-QUEUE_BYTES = 65_536
+QUEUE_BYTES = 32_768
+# Bytes of an answer that are read also while the budget is used up, so that
+# callers that read at once are served while slow ones are closed.
+_RESERVED_BYTES = 8_192
 # Seconds after which an upstream that is not read is released. Upstreams
 # abort an answer that stays unread for some seconds; what the sockets hold
 # keeps them writing for longer than they are not read.
 _HOLD_LIMIT = 3.0
+# Seconds after which the rest of an answer is discarded whose caller accepts
+# none of it. A caller that reads 100 bytes a second lets its socket accept
+# more every 10 to 20 s.
+_STILL_LIMIT = 60.0
 # A caller is slow if it would take more seconds than this for what waits
 # for it, and if it has been behind for as long.
 _SLOW_SECONDS = 1.0
@@ -46,6 +58,9 @@
 _SENDING_BYTES = 32_768
 # Seconds over which the rate of a caller is averaged.
 _RATE_PERIOD = 2.0
+# Most seconds that are counted between two samples: while the process did
+# not run, it neither read nor wrote, and no caller was slow.
+_MAX_ELAPSED = 0.75
 
 
 class Phase(enum.Enum):
@@ -54,10 +69,14 @@
     IDLE = "idle"
     RECEIVING = "receiving"
     ANSWERING = "answering"
+    # Closed here, while the caller still reads the end of its answer.
+    CLOSING = "closing"
 
     @property
     def overhead(self) -> int:
         """Return the bytes that a connection takes besides what it holds."""
+        if self is Phase.CLOSING:
+            return _CLOSING_BYTES
         return _IDLE_BYTES if self is Phase.IDLE else _BUSY_BYTES
 
 
@@ -65,6 +84,7 @@
     """Why a connection is closed."""
 
     HELD = "held"
+    STALLED = "stalled"
     BUDGET = "budget"
     IDLE = "idle"
 
@@ -95,7 +115,8 @@
     Attributes:
         buffered: Bytes held for it.
         rate: Bytes a second that the caller has sent or accepted.
-        behind: Seconds for which it was behind or idle.
+        behind: Seconds for which it was behind, idle, or kept its upstream
+            waiting.
     """
 
     connection: ids.ConnectionId
@@ -111,16 +132,20 @@
     Attributes:
         moved: `Sample.moved` of the last sample.
         sampled_at: Time of the last sample.
-        since: Time since which it is behind, or idle.
+        phase: `Sample.phase` of the last sample.
         rate: Bytes a second, averaged.
+        behind: Seconds for which it was behind, or idle.
+        held: Seconds for which its upstream was not read.
+        still: Seconds for which it sent and accepted nothing.
     """
 
     moved: int
     sampled_at: float
     phase: Phase
-    since: float
     rate: float = 0.0
-    is_behind: bool = False
+    behind: float = 0.0
+    held: float = 0.0
+    still: float = 0.0
 
 
 class Budget:
@@ -131,13 +156,15 @@
         used: Bytes held at the last update, and changes since then.
     """
 
-    def __init__(self, memory: int) -> None:
+    def __init__(self, memory: int, connections: int) -> None:
         """Create a budget.
 
         Args:
             memory: Memory of the node in bytes.
+            connections: Most connections that the node serves at once.
         """
         self.limit = int(memory * _BUDGET_SHARE)
+        self._max_connections = int(connections * _CONNECTIONS_SHARE)
         self.used = 0
         self._paces: dict[ids.ConnectionId, _Pace] = {}
 
@@ -145,13 +172,15 @@
         """Count bytes held, or released if negative, since the update."""
         self.used += amount
 
-    def may_read(self, queued: int) -> bool:
+    def may_read(self, queued: int, collected: int) -> bool:
         """Return whether more of an answer may be read from its upstream.
 
         Args:
             queued: Bytes of the answer that are queued for the caller.
+            collected: Bytes of it that were taken from the queue and are
+                not written yet.
         """
-        if not queued:
+        if queued + collected < _RESERVED_BYTES:
             return True
         return queued < QUEUE_BYTES and self.used < self.limit
 
@@ -174,22 +203,41 @@
         }
         self.used = sum(sample.buffered for sample in samples)
         victims = [
-            self._make_victim(sample, Reason.HELD, now)
+            self._make_victim(sample, reason)
             for sample in samples
-            if _is_held(sample, now)
+            if (reason := self._find_limit(sample)) is not None
         ]
-        excess = self.used - sum(victim.buffered for victim in victims)
         closed = {victim.connection for victim in victims}
-        for sample, reason in self._rank(samples, now):
-            if excess <= self.limit:
-                break
-            if sample.connection not in closed:
-                victims.append(self._make_victim(sample, reason, now))
-                excess -= sample.buffered
+        left = [item for item in samples if item.connection not in closed]
+        bytes_left = sum(item.buffered for item in left)
+        count_left = sum(item.phase is not Phase.CLOSING for item in left)
+        for sample, reason in self._rank(left):
+            is_open = sample.phase is not Phase.CLOSING
+            is_crowded = count_left > self._max_connections and is_open
+            if bytes_left > self.limit or is_crowded:
+                victims.append(self._make_victim(sample, reason))
+                bytes_left -= sample.buffered
+                count_left -= is_open
         return victims
 
+    def _find_limit(self, sample: Sample) -> Reason | None:
+        """Return the limit that a caller exceeds, None if it exceeds none.
+
+        Failure: the upstream aborts the answer, or holds it in its memory
+        until it crashes. A queue that is full only because the budget is
+        used up does not count: its caller has accepted everything.
+        """
+        pace = self._paces[sample.connection]
+        if not sample.unread:
+            return None
+        if pace.held >= _HOLD_LIMIT and pace.behind >= _SLOW_SECONDS:
+            return Reason.HELD
+        if sample.phase is Phase.CLOSING and pace.still >= _STILL_LIMIT:
+            return Reason.STALLED
+        return None
+
     def _rank(
-        self, samples: abc.Sequence[Sample], now: float
+        self, samples: abc.Sequence[Sample]
     ) -> list[tuple[Sample, Reason]]:
         """Return the connections that may be closed for the budget.
 
@@ -200,62 +248,65 @@
         slow = []
         for sample in samples:
             pace = self._paces[sample.connection]
-            if now - pace.since < _SLOW_SECONDS:
+            if pace.behind < _SLOW_SECONDS:
                 continue
             if sample.phase is Phase.IDLE and not sample.unread:
-                idle.append((pace.since, sample.connection, sample))
-            elif pace.is_behind:
+                idle.append((-pace.behind, sample.connection, sample))
+            else:
                 key = (pace.rate, -sample.buffered, sample.connection)
                 slow.append((*key, sample))
         return [(item[-1], Reason.IDLE) for item in sorted(idle)] + [
             (item[-1], Reason.BUDGET) for item in sorted(slow)
         ]
 
-    def _make_victim(
-        self, sample: Sample, reason: Reason, now: float
-    ) -> Victim:
+    def _make_victim(self, sample: Sample, reason: Reason) -> Victim:
         pace = self._paces[sample.connection]
         return Victim(
             sample.connection,
             reason,
             sample.buffered,
             pace.rate,
-            now - pace.since,
+            {
+                Reason.HELD: pace.held,
+                Reason.STALLED: pace.still,
+            }.get(reason, pace.behind),
         )
 
 
-def _is_held(sample: Sample, now: float) -> bool:
-    """Return whether a caller keeps its upstream waiting for too long.
-
-    Failure: the upstream aborts the answer, or holds it in its memory
-    until it crashes. A queue that is full only because the budget is used
-    up does not count: its caller has accepted everything.
-    """
-    if sample.held_since is None or not sample.unread:
-        return False
-    return now - sample.held_since >= _HOLD_LIMIT
-
-
 def _follow(known: _Pace | None, sample: Sample, now: float) -> _Pace:
     """Return the pace of a caller after one more sample."""
-    if known is None or known.phase is not sample.phase:
-        return _Pace(
-            sample.moved,
-            now,
-            sample.phase,
-            now,
-            known.rate if known is not None else 0.0,
-        )
+    if known is None:
+        return _Pace(sample.moved, now, sample.phase)
     elapsed = now - known.sampled_at
     if elapsed <= 0:
         return known
     speed = (sample.moved - known.moved) / elapsed
     weight = min(1.0, elapsed / _RATE_PERIOD)
-    rate = known.rate + (speed - known.rate) * weight
+    pace = _Pace(sample.moved, now, sample.phase)
+    pace.rate = known.rate + (speed - known.rate) * weight
+    counted = min(elapsed, _MAX_ELAPSED)
+    if _is_behind(sample, speed) and sample.phase is known.phase:
+        pace.behind = known.behind + counted
+    if not speed:
+        pace.still = known.still + counted
+    if sample.held_since is not None:
+        is_same = sample.held_since <= known.sampled_at
+        pace.held = (known.held if is_same else 0.0) + min(
+            counted, now - sample.held_since
+        )
+    return pace
+
+
+def _is_behind(sample: Sample, speed: float) -> bool:
+    """Return whether a caller is slow, or has no request.
+
+    Args:
+        sample: The last state of its connection.
+        speed: Bytes a second that it sent or accepted since the one before.
+    """
+    if sample.phase is Phase.IDLE and not sample.unread:
+        return speed == 0
     awaited = sample.unread
     if sample.phase is Phase.RECEIVING:
         awaited = _SENDING_BYTES
-    is_behind = awaited > speed * _SLOW_SECONDS
-    is_same = is_behind == known.is_behind or sample.phase is Phase.IDLE
-    since = known.since if is_same else now
-    return _Pace(sample.moved, now, sample.phase, since, rate, is_behind)
+    return awaited > speed * _SLOW_SECONDS
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -176,7 +176,11 @@
         self._buffers: buffers.Buffers | None = None
         if settings.memory is not None:
             self._buffers = buffers.Buffers(
-                settings.memory, self._meter, self._log, self._now
+                settings.memory,
+                ingress.POOL_SIZE,
+                self._meter,
+                self._log,
+                self._now,
             )
             self._front.buffers = self._buffers
             self._connections.is_bounded = True
--- a/currantwall/transport/buffers.py
+++ b/currantwall/transport/buffers.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import contextlib
 import errno
 import fcntl
 import itertools
@@ -26,6 +27,7 @@
 from currantwall.transport import metrics as metrics_module
 
 __all__ = [
+    "WRITE_TIMEOUT",
     "Backlog",
     "Buffers",
     "CallerSocket",
@@ -39,10 +41,19 @@
 _SAMPLE_INTERVAL = 0.25
 # Seconds between two looks of an exchange at a budget that is used up.
 _ROOM_INTERVAL = 0.25
-# Bytes of a socket's buffer in each direction. The kernel takes twice as
-# much. A round trip of 3.5 ms carries 9 MB/s with it; the fastest link has
-# 12.5 MB/s for all connections together.
-_SOCKET_BYTES = 32_768
+# Seconds in which a caller must accept a write of its answer.
+WRITE_TIMEOUT = 10.0
+# Seconds for which an upstream must be kept waiting, and after which at
+# most it must fail, for its failure to be the caller's.
+_LONG_HOLD = 1.0
+_BLAME_SECONDS = 2.0
+# Bytes of a socket's receive buffer; the kernel takes twice as much. A round
+# trip of 3.5 ms carries 9 MB/s with it, and the fastest link 12.5 MB/s.
+_RECEIVE_BYTES = 32_768
+# Bytes of a socket's send buffer. Below 48 KB a large write over loopback,
+# whose segments have 64 KB, waits for delayed acknowledgements: 2 MB/s
+# were measured with 32 KB, and 1,200 with 64 KB.
+_SEND_BYTES = 65_536
 # Bytes that were not acknowledged; the request's name for sockets is
 # SIOCOUTQ, its number that of TIOCOUTQ.
 _UNSENT_REQUEST = termios.TIOCOUTQ
@@ -67,17 +78,25 @@
         self._room = eventlet.event.Event()
         self._queued = 0
         self._collected = 0
+        self._held_until = -_BLAME_SECONDS
         self.held_since: float | None = None
         self.upstream: typing.Any = None
 
+    @property
+    def was_held(self) -> bool:
+        """Return whether the upstream was kept waiting shortly before."""
+        return self._now() - self._held_until < _BLAME_SECONDS
+
     @property
     def held(self) -> int:
         """Return the bytes of an answer that were read and not passed on."""
         return self._queued + self._collected
 
-    def wait_for_room(self) -> None:
-        """Wait until more may be read from the upstream."""
-        while not self._budget.may_read(self._queued):
+    def wait_for_room(self, amount: int) -> None:
+        """Wait until the queue has room for bytes that it counts already."""
+        while not self._budget.may_read(
+            self._queued - amount, self._collected
+        ):
             self._room = eventlet.event.Event()
             with eventlet.Timeout(_ROOM_INTERVAL, False):
                 self._room.wait()
@@ -88,25 +107,38 @@
 
     def resume(self) -> None:
         """Note that the upstream is read again."""
-        self.held_since = None
+        now = self._now()
+        since, self.held_since = self.held_since, None
+        if since is not None and now - since >= _LONG_HOLD:
+            self._held_until = now
 
     def note_queued(self, amount: int) -> None:
         """Count bytes that were read from the upstream."""
         self._queued += amount
         self._budget.note(amount)
 
+    def note_dropped(self, amount: int) -> None:
+        """Count bytes as released that never reached the queue."""
+        amount = min(amount, self._queued)
+        self._queued -= amount
+        self._budget.note(-amount)
+
     def note_taken(self, amount: int) -> None:
         """Count bytes taken from the queue, which are not written yet."""
         amount = min(amount, self._queued)
         self._queued -= amount
         self._collected += amount
-        if not self._room.ready():
-            self._room.send(None)
+        self._wake()
 
     def note_written(self) -> None:
         """Count all bytes taken from the queue as passed on."""
         self._budget.note(-self._collected)
         self._collected = 0
+        self._wake()
+
+    def _wake(self) -> None:
+        if not self._room.ready():
+            self._room.send(None)
 
     def clear(self) -> None:
         """Forget the answer, which has ended."""
@@ -128,20 +160,31 @@
         caller: The caller's IP address.
         phase: What the connection is doing.
         backlog: What is held for the caller.
-        is_cut: Whether the connection is being closed.
+        is_cut: Whether the connection is being reset.
+        is_closing: Whether it is being closed, with a reset or without.
+        is_stalled: Whether a write has timed out.
     """
 
     def __init__(
-        self, accepted: typing.Any, number: int, caller: str, backlog: Backlog
+        self,
+        accepted: typing.Any,
+        number: int,
+        caller: str,
+        backlog: Backlog,
+        on_close: abc.Callable[["CallerSocket"], None],
     ) -> None:
         super().__init__(accepted.fd)
         self._accepted = accepted
+        self._on_close = on_close
         self.shutdown = self._shutdown
+        self.close = self._close
         self.number = ids.ConnectionId(number)
         self.caller = caller
         self.phase = buffering.Phase.IDLE
         self.backlog = backlog
         self.is_cut = False
+        self.is_closing = False
+        self.is_stalled = False
         self._sent = 0
         self._received = 0
         # Bytes received before the request that is being served.
@@ -161,6 +204,11 @@
         self._writer = eventlet.getcurrent()
         try:
             sent = typing.cast("int", super().send(data, flags))
+        except OSError as error:
+            # What the socket holds is of no use to the caller any more.
+            self.is_stalled = isinstance(error, TimeoutError)
+            self._reset_on_close()
+            raise
         finally:
             self._writer = None
             self._pending = 0
@@ -184,6 +232,11 @@
         if not self.is_cut:
             self.fd.shutdown(how)
 
+    def _close(self) -> None:
+        if self.fd.fileno() >= 0:
+            self._on_close(self)
+        self.fd.close()
+
     def note_phase(self, phase: buffering.Phase) -> None:
         """Note what the connection is doing from now on."""
         self.phase = phase
@@ -191,9 +244,13 @@
             self.backlog.clear()
             self._received_before = self._received
 
+    def count_unsent(self) -> int:
+        """Return the bytes that the caller's host has not acknowledged."""
+        return _count_bytes(self.fd, _UNSENT_REQUEST)
+
     def sample(self) -> buffering.Sample:
         """Return the state of the connection."""
-        unsent = _count_bytes(self.fd, _UNSENT_REQUEST)
+        unsent = self.count_unsent()
         held = max(self.backlog.held, self._pending)
         waiting = 0
         if self.phase is buffering.Phase.ANSWERING:
@@ -210,12 +267,25 @@
             held_since=self.backlog.held_since,
         )
 
+    def end(self) -> None:
+        """Have the connection closed once no request is left on it.
+
+        A request that has already arrived is still read and answered.
+        """
+        self.is_closing = True
+        self.fd.shutdown(socket.SHUT_RD)
+
+    def _reset_on_close(self) -> None:
+        self.is_cut = self.is_closing = True
+        with contextlib.suppress(OSError):
+            # Fails where the caller has disconnected.
+            self.fd.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+
     def cut(self) -> None:
         """Have the connection reset by the task that serves it."""
-        self.is_cut = True
-        self.fd.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-        )
+        self._reset_on_close()
         if self._writer is not None:
             eventlet.greenthread.kill(self._writer, _make_cut_error())
             return
@@ -223,12 +293,57 @@
         self.fd.shutdown(socket.SHUT_RD)
 
 
+class _ClosedSocket:
+    """A closed connection whose caller has not read all of its answer.
+
+    Failure: the kernel goes on holding what callers do not read, for
+    minutes, and nothing counts it.
+    """
+
+    phase = buffering.Phase.CLOSING
+
+    def __init__(self, opened: CallerSocket) -> None:
+        self.number = opened.number
+        self.caller = opened.caller
+        self.is_closing = False
+        self._moved = opened.sample().moved
+        self._unsent = opened.count_unsent()
+        self._socket = opened.fd.dup()
+
+    def sample(self) -> buffering.Sample:
+        """Return the state of the connection."""
+        unsent = _count_bytes(self._socket, _UNSENT_REQUEST)
+        self._moved += self._unsent - unsent
+        self._unsent = unsent
+        return buffering.Sample(
+            connection=self.number,
+            phase=self.phase,
+            buffered=self.phase.overhead + unsent,
+            unread=unsent,
+            moved=self._moved,
+        )
+
+    def cut(self) -> None:
+        """Discard what was not read, and reset the connection."""
+        self.is_closing = True
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+        self._socket.close()
+
+    def end(self) -> None:
+        """Let go of the connection, which has nothing left to send."""
+        self.is_closing = True
+        self._socket.close()
+
+
 class Buffers:
     """All connections of callers, and the budget that they share."""
 
     def __init__(
         self,
         memory: int,
+        connections: int,
         meter: metrics_module.Metrics,
         log: journal.Journal,
         now: abc.Callable[[], float],
@@ -237,28 +352,38 @@
 
         Args:
             memory: Memory of the node in bytes.
+            connections: Most connections that are served at once.
             meter: Counts the bytes held and the connections closed.
             log: Gets a line for each connection that is closed.
             now: Returns the monotonic time.
         """
-        self._budget = buffering.Budget(memory)
+        self._budget = buffering.Budget(memory, connections)
         self._meter = meter
         self._log = log
         self._now = now
         self._numbers = itertools.count(1)
-        self._sockets: dict[ids.ConnectionId, CallerSocket] = {}
+        self._sockets: dict[
+            ids.ConnectionId, CallerSocket | _ClosedSocket
+        ] = {}
 
     def open(self, accepted: typing.Any, caller: str) -> CallerSocket:
         """Return the socket to use for an accepted connection."""
         backlog = Backlog(self._budget, self._now)
-        opened = CallerSocket(accepted, next(self._numbers), caller, backlog)
+        opened = CallerSocket(
+            accepted, next(self._numbers), caller, backlog, self._close
+        )
         self._sockets[opened.number] = opened
         return opened
 
-    def close(self, opened: CallerSocket) -> None:
-        """Forget a connection that has ended."""
+    def _close(self, opened: CallerSocket) -> None:
+        """Forget a connection that is closed, once its caller has read all."""
+        if self._sockets.pop(opened.number, None) is None:
+            return
+        if opened.is_stalled:
+            self._note_closed(opened, _make_stalled(opened.sample()))
         opened.backlog.clear()
-        self._sockets.pop(opened.number, None)
+        if not opened.is_cut and opened.count_unsent():
+            self._sockets[opened.number] = _ClosedSocket(opened)
 
     def run(self) -> None:
         """Watch all connections; does not return."""
@@ -271,15 +396,40 @@
         samples = [
             opened.sample()
             for opened in self._sockets.values()
-            if not opened.is_cut
+            if not opened.is_closing
         ]
+        for sample in samples:
+            is_sent = sample.unread == 0
+            if sample.phase is buffering.Phase.CLOSING and is_sent:
+                self._sockets.pop(sample.connection).end()
         for victim in self._budget.update(samples, now):
             opened = self._sockets.get(victim.connection)
-            if opened is not None and not opened.is_cut:
-                self._cut(opened, victim)
+            if opened is not None and not opened.is_closing:
+                self._close_slow(opened, victim)
         self._meter.set(_BUFFERED, self._budget.used)
 
-    def _cut(self, opened: CallerSocket, victim: buffering.Victim) -> None:
+    def _close_slow(
+        self,
+        opened: CallerSocket | _ClosedSocket,
+        victim: buffering.Victim,
+    ) -> None:
+        self._note_closed(opened, victim)
+        try:
+            if victim.reason is buffering.Reason.IDLE:
+                opened.end()
+                return
+            opened.cut()
+            if isinstance(opened, _ClosedSocket):
+                del self._sockets[opened.number]
+        except OSError:
+            # The caller has disconnected.
+            return
+
+    def _note_closed(
+        self,
+        opened: CallerSocket | _ClosedSocket,
+        victim: buffering.Victim,
+    ) -> None:
         self._meter.add(_CLOSED, 1, victim.reason.value)
         self._log.write(
             "slow_reader_closed",
@@ -292,22 +442,17 @@
             used=self._budget.used,
             limit=self._budget.limit,
         )
-        try:
-            opened.cut()
-        except OSError:
-            # The caller has disconnected.
-            return
 
 
 def limit_listener(listener: typing.Any) -> None:
     """Bound the buffers of the connections that a listener accepts."""
     limit_receiving(listener)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SOCKET_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BYTES)
 
 
 def limit_receiving(sock: typing.Any) -> None:
     """Bound the bytes that a socket receives before they are read."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
 
 
 def _count_bytes(sock: typing.Any, request: int) -> int:
@@ -319,6 +464,14 @@
     return int.from_bytes(answer, "little")
 
 
+def _make_stalled(sample: buffering.Sample) -> buffering.Victim:
+    """Return the record of a connection whose write has timed out."""
+    stalled = buffering.Reason.STALLED
+    return buffering.Victim(
+        sample.connection, stalled, sample.buffered, 0.0, WRITE_TIMEOUT
+    )
+
+
 def _make_cut_error() -> OSError:
     """Return the error of a write to a connection that is being closed."""
     return OSError(errno.ECONNRESET, "the caller reads too slowly")
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -27,6 +27,7 @@
     "End",
     "Exchange",
     "Failed",
+    "HELD",
     "Head",
     "MISDIRECTED",
     "Outbound",
@@ -37,6 +38,8 @@
 
 # Status of an answer from a server that the request was not meant for.
 MISDIRECTED = 421
+# Step of an exchange that failed after its upstream was kept waiting.
+HELD = "held"
 _select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
@@ -56,6 +59,9 @@
 _INBOX_LIMIT = 64
 # Most bytes read at once.
 _READ_SIZE = 65_536
+# Most bytes read at once for a bounded caller; one that accepts 6 KB/s
+# takes them within the time for which an upstream may be kept waiting.
+_BOUNDED_READ_SIZE = 16_384
 
 Headers = list[tuple[str, str]]
 
@@ -110,7 +116,8 @@
         may_have_sent: Whether part of the request may have reached the
             upstream.
         step: What failed: connect, send, head or body; `verdict` if the
-            gateway aborted the attempt because its replica lost a member.
+            gateway aborted the attempt because its replica lost a member;
+            `HELD` if the upstream was kept waiting by the caller.
     """
 
     exchange: int
@@ -283,6 +290,8 @@
         ) as error:
             self._close()
             detail = f"{type(error).__name__}: {error}"
+            if self._backlog is not None and self._backlog.was_held:
+                step = HELD
             self._put(Failed(self.number, self._may_have_sent, step, detail))
         finally:
             # Also reached when the task is killed.
@@ -323,19 +332,24 @@
             self._put(message)
             return
         backlog.hold()
+        is_queued = False
+        # Counted first: a full inbox may be read before `put` returns.
+        backlog.note_queued(len(data))
         try:
-            backlog.wait_for_room()
+            backlog.wait_for_room(len(data))
             self._put(message)
+            is_queued = True
         finally:
             # Also reached when the task is killed.
             backlog.resume()
-        backlog.note_queued(len(data))
+            if not is_queued:
+                backlog.note_dropped(len(data))
 
     def _read_body(self, response: urllib3.HTTPResponse) -> None:
         if self._backlog is not None and self._connection is not None:
             self._backlog.upstream = self._connection.sock
         if response.chunked and response.supports_chunked_reads():
-            size = None if self._backlog is None else _READ_SIZE
+            size = None if self._backlog is None else _BOUNDED_READ_SIZE
             for chunk in response.read_chunked(size, decode_content=False):
                 self._put_data(chunk)
             return
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -26,6 +26,7 @@
 __all__ = [
     "Inbound",
     "Ingress",
+    "POOL_SIZE",
     "Reply",
     "listen",
     "start_server",
@@ -33,9 +34,8 @@
 ]
 
 # Most connections served at the same time; further ones wait.
-_POOL_SIZE = 900
-# Seconds in which a caller must accept a write of its answer.
-_WRITE_TIMEOUT = 10.0
+POOL_SIZE = 900
+_WRITE_TIMEOUT = buffers_module.WRITE_TIMEOUT
 # Seconds in which a body must arrive.
 _BODY_TIMEOUT = 10.0
 # Most bytes of the line that begins a chunk.
@@ -184,10 +184,8 @@
         """Close a counted connection, also where its last write failed."""
         try:
             self.rfile.close()
-            opened.close()
         finally:
-            assert self.ingress.buffers is not None
-            self.ingress.buffers.close(opened)
+            opened.close()
 
     def _reset(self) -> None:
         """Close the connection without an orderly end.
@@ -475,7 +473,7 @@
         eventlet.wsgi.server,
         listener,
         None,
-        custom_pool=eventlet.GreenPool(_POOL_SIZE),
+        custom_pool=eventlet.GreenPool(POOL_SIZE),
         protocol=protocol,
         log_output=False,
         debug=False,
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -446,9 +446,17 @@
     ) -> None:
         """Fail an attempt whose exchange broke off.
 
+        Failure: an upstream aborts an answer that its caller does not read,
+        is avoided as if it had failed, and the next one is kept waiting.
+
         Raises:
             requests.Refused: The request is not retried.
         """
+        if failed.step == exchanges.HELD:
+            current.exchange.cancel()
+            self.end_attempt(current)
+            request.progress.runs += 1
+            raise self.make_refusal(request, "its caller reads slowly", 0.0)
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
         why = f"{failed.step}: {failed.detail}"
         self.fail_attempt(request, current, failure, why)
