--- a/bench/readers.py
+++ b/bench/readers.py
@@ -22,7 +22,15 @@
 from bench import gateways
 from bench import report
 
-__all__ = ["Report", "measure_readers", "run_readers", "start_site"]
+__all__ = [
+    "MEMORY_MB",
+    "UPSTREAMS",
+    "Caller",
+    "Report",
+    "measure_readers",
+    "run_readers",
+    "start_site",
+]
 
 # Bytes of each event of the stand-in's large streams.
 EVENT_BYTES = 1024
@@ -39,7 +47,7 @@
 _PAUSE_SECONDS = 0.5
 # Connections that are opened in one tick.
 _CONNECTS_PER_TICK = 100
-_UPSTREAMS = ("a1", "a2")
+UPSTREAMS = ("a1", "a2")
 # Seconds in which slow callers read the rest of their answers at the end.
 _REST_SECONDS = 20.0
 _PAGE_BYTES = 4096
@@ -85,7 +93,7 @@
     refused: int = 0
 
 
-class _Caller:
+class Caller:
     """One connection that asks for a large stream.
 
     Attributes:
@@ -147,6 +155,17 @@
             return True
         return not data
 
+    def read_rest(self, seconds: float) -> None:
+        """Read at once until the answer ends.
+
+        Raises:
+            OSError: Nothing arrived for as many seconds.
+        """
+        self.read_size = _READ_BYTES
+        self.socket.settimeout(seconds)
+        while not self.read():
+            continue
+
     @property
     def is_refused(self) -> bool:
         """Return whether the answer is not that of the upstream."""
@@ -179,8 +198,14 @@
         _TIMEOUT_SECONDS,
         "store",
     )
-    for name in _UPSTREAMS:
+    for name in UPSTREAMS:
         fleet.start_upstream(name, "app")
+    for name in UPSTREAMS:
+        fleet_module.wait_until(
+            lambda name=name: fleet.is_answering(name, "/control/runs"),
+            _TIMEOUT_SECONDS,
+            name,
+        )
     configuration = gateways.make_configuration(1)
     bulk = {
         "name": "bulk",
@@ -205,10 +230,8 @@
 def _is_serving(fleet: gateways.Gateways) -> bool:
     """Return whether the gateway forwards requests to the server."""
     try:
-        caller = _Caller(fleet.fronts[_GATEWAY], 0, 0.0, FAST_EVENT_COUNT)
-        caller.socket.setblocking(True)
-        while not caller.read():
-            continue
+        caller = Caller(fleet.fronts[_GATEWAY], 0, 0.0, FAST_EVENT_COUNT)
+        caller.read_rest(_TIMEOUT_SECONDS)
         caller.socket.close()
     except OSError:
         return False
@@ -249,15 +272,15 @@
         self._fleet = fleet
         self._found = found
         self._selector = selectors.DefaultSelector()
-        self._slow: list[_Caller] = []
-        self._paused: collections.deque[tuple[float, _Caller]] = (
+        self._slow: list[Caller] = []
+        self._paused: collections.deque[tuple[float, Caller]] = (
             collections.deque()
         )
         self._address = fleet.fronts[_GATEWAY]
 
     def add(self, number: int, delay: float) -> None:
         """Start a caller."""
-        caller = _Caller(self._address, number, delay, self._events[delay > 0])
+        caller = Caller(self._address, number, delay, self._events[delay > 0])
         if delay:
             self._slow.append(caller)
         else:
@@ -302,7 +325,7 @@
         for caller in self._slow:
             caller.socket.close()
 
-    def _serve_fast(self, caller: _Caller) -> None:
+    def _serve_fast(self, caller: Caller) -> None:
         if not caller.read():
             return
         self._selector.unregister(caller.socket)
@@ -362,7 +385,7 @@
         that were not read, and the number of connections with the latter.
     """
     front = _format_address(fleet.fronts[_GATEWAY])
-    upstreams = {_format_address(fleet.addresses[name]) for name in _UPSTREAMS}
+    upstreams = {_format_address(fleet.addresses[name]) for name in UPSTREAMS}
     unsent = unread = waiting = 0
     lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()
     for line in lines[1:]:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -214,6 +214,24 @@
         self.assertEqual(answer.body, make_events("once-1", range(1, 4)))
         self.assertEqual(len(self.list_runs("once-1")), 1)
 
+    def test_a_broken_stream_without_chunks_ends_with_a_reset(self):
+        """Guards against taking half an answer for the whole one.
+
+        The answer to a caller with HTTP/1.0 ends with its connection.
+        """
+        host, _, port = self.fleet.fronts["g1"].partition(":")
+        head = (
+            f"POST /once/reset3/x HTTP/1.0\r\nHost: {gateways.HOST}\r\n"
+            f"Authorization: Bearer {gateways.KEY}\r\nX-Model: m\r\n"
+            "X-Attempt-Id: once-2\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port)), 20) as raw:
+            raw.sendall(head.encode())
+            with self.assertRaises(ConnectionResetError):
+                while raw.recv(65_536):
+                    continue
+        self.assertEqual(len(self.list_runs("once-2")), 1)
+
     def test_a_callers_own_resumption_is_passed_on(self):
         headers = {"Last-Event-Id": "4"}
         answer = self.send(
