--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -47,6 +47,7 @@
 _REPLICAS = "tests.test_replicas"
 _DUTIES = "tests.test_duties"
 _DIGESTS = "tests.test_digests"
+_BUDGET = "tests.test_buffering.BudgetTest"
 _FEEDS = "tests.test_feeds"
 _FORMATION = "tests.test_formation.FormationTest"
 _PLACING = "tests.test_placing"
@@ -578,6 +579,37 @@
         "            if known is None:\n",
         "tests.test_repair.RepairTest.test_never_dearer_than_brute_force",
     ),
+    Mutant(
+        "a caller may keep its upstream waiting without end",
+        f"{_COORDINATION}/requests/buffering.py",
+        "        if pace.held >= _HOLD_LIMIT and"
+        " pace.behind >= _SLOW_SECONDS:\n",
+        "        if False:\n",
+        f"{_BUDGET}.test_a_caller_that_keeps_its_upstream_waiting_is_closed",
+    ),
+    Mutant(
+        "callers that read at once are closed for the budget",
+        f"{_COORDINATION}/requests/buffering.py",
+        "            if pace.behind < _SLOW_SECONDS:\n",
+        "            if False:\n",
+        f"{_BUDGET}"
+        ".test_the_slowest_callers_are_closed_when_the_budget_is_used",
+    ),
+    Mutant(
+        "a pause of the process counts against callers",
+        f"{_COORDINATION}/requests/buffering.py",
+        "    counted = min(elapsed, _MAX_ELAPSED)\n",
+        "    counted = elapsed\n",
+        f"{_BUDGET}.test_a_paused_process_closes_nobody",
+    ),
+    Mutant(
+        "an upstream that its caller kept waiting is blamed",
+        "currantwall/transport/exchanges.py",
+        "                step = HELD\n",
+        "                pass\n",
+        f"{_BUDGET}"
+        ".test_an_upstream_that_a_caller_kept_waiting_is_not_to_blame",
+    ),
 )
 
 
