--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 _MODULES = (
     "bench.callers",
     "bench.observers",
+    "bench.readers",
     "bench.relay",
     "bench.replicas",
     "bench.overload",
