Slow readers: less work for each event where there is room

Cause: counting cost 22 microseconds an event: 500 to 560 ms of processor time for an answer of 4,000 events, without a limit 410 to 440. Change: an exchange notes a hold only where it has to wait.

--- a/currantwall/transport/buffers.py
+++ b/currantwall/transport/buffers.py
@@ -75,7 +75,8 @@
     ) -> None:
         self._budget = budget
         self._now = now
-        self._room = eventlet.event.Event()
+        # Set while an exchange waits for room.
+        self._room: eventlet.event.Event | None = None
         self._queued = 0
         self._collected = 0
         self._held_until = -_BLAME_SECONDS
@@ -92,14 +93,17 @@
         """Return the bytes of an answer that were read and not passed on."""
         return self._queued + self._collected
 
+    def has_room(self, amount: int) -> bool:
+        """Return whether the queue has room for bytes that it counts."""
+        return self._budget.may_read(self._queued - amount, self._collected)
+
     def wait_for_room(self, amount: int) -> None:
         """Wait until the queue has room for bytes that it counts already."""
-        while not self._budget.may_read(
-            self._queued - amount, self._collected
-        ):
+        while not self.has_room(amount):
             self._room = eventlet.event.Event()
             with eventlet.Timeout(_ROOM_INTERVAL, False):
                 self._room.wait()
+            self._room = None
 
     def hold(self) -> None:
         """Note that the upstream is not read from now on."""
@@ -128,17 +132,20 @@
         amount = min(amount, self._queued)
         self._queued -= amount
         self._collected += amount
-        self._wake()
+        if self._room is not None:
+            self._wake()
 
     def note_written(self) -> None:
         """Count all bytes taken from the queue as passed on."""
         self._budget.note(-self._collected)
         self._collected = 0
-        self._wake()
+        if self._room is not None:
+            self._wake()
 
     def _wake(self) -> None:
-        if not self._room.ready():
-            self._room.send(None)
+        room, self._room = self._room, None
+        if room is not None:
+            room.send(None)
 
     def clear(self) -> None:
         """Forget the answer, which has ended."""
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -331,10 +331,13 @@
         if backlog is None:
             self._put(message)
             return
-        backlog.hold()
-        is_queued = False
         # Counted first: a full inbox may be read before `put` returns.
         backlog.note_queued(len(data))
+        if backlog.has_room(len(data)) and not self._inbox.full():
+            self._put(message)
+            return
+        backlog.hold()
+        is_queued = False
         try:
             backlog.wait_for_room(len(data))
             self._put(message)
