--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -105,6 +105,15 @@
 
 
 class SettingsTest(unittest.TestCase):
+    def test_the_memory_is_read_from_the_settings(self):
+        """Guards against a node that bounds nothing, or that should not."""
+        given = SETTINGS | {"limits": {"memoryMb": 152}}
+        found = settings.parse(msgspec.json.encode(given)).ok_value
+        self.assertEqual(found.gateway.memory, 152_000_000)
+        without = SETTINGS | {"limits": {}}
+        found = settings.parse(msgspec.json.encode(without)).ok_value
+        self.assertIsNone(found.gateway.memory)
+
     def test_addresses_are_read_from_the_settings(self):
         found = settings.parse(msgspec.json.encode(SETTINGS)).ok_value
         gateway = found.gateway
