--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -33,6 +33,8 @@
         cold_overshoot: Factor on the rate that a cold upstream sustains,
             for the requests that it gets in any second from all nodes.
         cold_slack: Number of such requests allowed beyond that.
+        memory: Bytes of memory that the process may use; None if what it
+            holds for callers is not bounded.
     """
 
     node: ids.NodeId
@@ -53,3 +55,4 @@
     evacuation_bound: float | None = None
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
+    memory: int | None = None
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -18,6 +18,7 @@
 
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
+from currantwall.transport import buffers
 from currantwall.transport import responses
 from currantwall.transport import sockets
 
@@ -27,6 +28,7 @@
     "End",
     "Exchange",
     "Failed",
+    "HELD",
     "Head",
     "MISDIRECTED",
     "Outbound",
@@ -37,7 +39,9 @@
 
 # Status of an answer from a server that the request was not meant for.
 MISDIRECTED = 421
-_select = eventlet.patcher.original("select").select
+# Step of an exchange that failed after its upstream was kept waiting.
+HELD = "held"
+_select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
 # centres takes 3 ms; TCP sends a lost SYN again after a second.
@@ -56,6 +60,9 @@
 _INBOX_LIMIT = 64
 # Most bytes read at once.
 _READ_SIZE = 65_536
+# Most bytes read at once for a bounded caller; one that accepts 6 KB/s
+# takes them within the time for which an upstream may be kept waiting.
+_BOUNDED_READ_SIZE = 16_384
 
 Headers = list[tuple[str, str]]
 
@@ -110,7 +117,8 @@
         may_have_sent: Whether part of the request may have reached the
             upstream.
         step: What failed: connect, send, head or body; `verdict` if the
-            gateway aborted the attempt because its replica lost a member.
+            gateway aborted the attempt because its replica lost a member;
+            `HELD` if the upstream was kept waiting by the caller.
     """
 
     exchange: int
@@ -129,12 +137,14 @@
 
     Attributes:
         opened: Number of connections opened so far.
+        is_bounded: Whether the buffers of new connections are bounded.
     """
 
     def __init__(self, now: typing.Callable[[], float]) -> None:
         self._now = now
         self._idle: dict[ids.InstanceId, list[_Idle]] = {}
         self.opened = 0
+        self.is_bounded = False
 
     def take(
         self, instance: ids.InstanceId, address: str, new_connection: bool
@@ -157,6 +167,8 @@
             idle.connection.close()
         connection = open_connection(address, _CONNECT_TIMEOUT)
         connection.response_class = responses.StrictResponse
+        if self.is_bounded:
+            buffers.limit_receiving(connection.sock)
         self.opened += 1
         return connection
 
@@ -233,7 +245,9 @@
         inbox: eventlet.queue.LightQueue,
         connections: Connections,
         names: names_module.HeaderNames,
+        backlog: buffers.Backlog | None = None,
     ) -> None:
+        self._backlog = backlog
         self.number = number
         self._instance = instance
         self._address = address
@@ -278,6 +292,8 @@
         ) as error:
             self._close()
             detail = f"{type(error).__name__}: {error}"
+            if self._backlog is not None and self._backlog.was_held:
+                step = HELD
             self._put(Failed(self.number, self._may_have_sent, step, detail))
         finally:
             # Also reached when the task is killed.
@@ -306,13 +322,44 @@
             decode_content=False,
         )
 
+    def _put_data(self, data: bytes) -> None:
+        """Pass on part of the body, once there is room for it.
+
+        Failure: a caller reads slowly, and the answer to it fills the
+        memory of the node.
+        """
+        message = Data(self.number, data)
+        backlog = self._backlog
+        if backlog is None:
+            self._put(message)
+            return
+        # Counted first: a full inbox may be read before `put` returns.
+        backlog.note_queued(len(data))
+        if backlog.has_room(len(data)) and not self._inbox.full():
+            self._put(message)
+            return
+        backlog.hold()
+        is_queued = False
+        try:
+            backlog.wait_for_room(len(data))
+            self._put(message)
+            is_queued = True
+        finally:
+            # Also reached when the task is killed.
+            backlog.resume()
+            if not is_queued:
+                backlog.note_dropped(len(data))
+
     def _read_body(self, response: urllib3.HTTPResponse) -> None:
+        if self._backlog is not None and self._connection is not None:
+            self._backlog.upstream = self._connection.sock
+        size = _READ_SIZE if self._backlog is None else _BOUNDED_READ_SIZE
         # Not read_chunked, which repairs chunks that are framed badly.
         while True:
-            data = response.read1(_READ_SIZE, decode_content=False)
+            data = response.read1(size, decode_content=False)
             if not data:
                 return
-            self._put(Data(self.number, data))
+            self._put_data(data)
 
     def _finish(self, response: urllib3.HTTPResponse) -> None:
         """Return the connection to the pool if it can be reused."""
@@ -342,8 +389,10 @@
     """
     if connection.sock is None or connection.sock.fileno() < 0:
         return False
-    ready, _, _ = _select([connection.sock.fileno()], [], [], 0)
-    return not ready
+    # `select` fails for descriptors above 1,023.
+    poller = _select.poll()
+    poller.register(connection.sock.fileno(), _select.POLLIN)
+    return not poller.poll(0)
 
 
 def read_keep_alive(headers: urllib3.HTTPHeaderDict) -> float:
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -9,6 +9,7 @@
 from collections import abc
 import re
 import socket
+import struct
 import typing
 
 import eventlet
@@ -17,12 +18,15 @@
 import msgspec
 import urllib3
 
+from currantwall.coordination.requests import buffering
 from currantwall.state import routes
+from currantwall.transport import buffers as buffers_module
 from currantwall.transport import listeners
 
 __all__ = [
     "Inbound",
     "Ingress",
+    "POOL_SIZE",
     "Reply",
     "listen",
     "start_server",
@@ -30,9 +34,8 @@
 ]
 
 # Most connections served at the same time; further ones wait.
-_POOL_SIZE = 900
-# Seconds in which a caller must accept a write of its answer.
-_WRITE_TIMEOUT = 10.0
+POOL_SIZE = 900
+_WRITE_TIMEOUT = buffers_module.WRITE_TIMEOUT
 # Seconds in which a body must arrive.
 _BODY_TIMEOUT = 10.0
 # Most bytes of the line that begins a chunk.
@@ -92,6 +95,7 @@
         client: The caller's socket.
         received: Monotonic time at which it was read completely.
         caller: The caller's IP address.
+        backlog: What is held for the caller; None if it is not bounded.
     """
 
     method: str
@@ -101,6 +105,7 @@
     client: typing.Any
     received: float
     caller: str = ""
+    backlog: buffers_module.Backlog | None = None
 
     @property
     def path(self) -> str:
@@ -131,6 +136,7 @@
         is_closing: Whether each answer closes its connection.
         in_flight: Number of requests that are being answered.
         on_error: Called with unexpected exceptions of the handler.
+        buffers: Bounds what is held for callers; None to bound nothing.
     """
 
     def __init__(
@@ -145,6 +151,7 @@
         self.is_closing = False
         self.in_flight = 0
         self.on_error: abc.Callable[[Exception], None] = _ignore
+        self.buffers: buffers_module.Buffers | None = None
 
     def handle(self, inbound: Inbound) -> Reply:
         """Return the answer to a request, or 500 if the handler fails.
@@ -173,6 +180,70 @@
     minimum_chunk_size = 0
     capitalize_response_headers = False
 
+    # -- Bounds on what is held for the caller
+
+    def setup(self) -> None:
+        """Create the files of the connection, and count what it holds."""
+        self._opened: buffers_module.CallerSocket | None = None
+        self._is_whole = True
+        buffers = self.ingress.buffers
+        if buffers is not None:
+            caller = str(self.client_address[0])
+            self._opened = buffers.open(self.request, caller)
+            self.request = self._opened
+        super().setup()
+
+    def finish(self) -> None:
+        """Close the connection, with a reset if its answer is incomplete."""
+        try:
+            if self._is_whole:
+                super().finish()
+            else:
+                self._reset()
+        finally:
+            if self._opened is not None:
+                self._close_opened(self._opened)
+
+    def _close_opened(self, opened: buffers_module.CallerSocket) -> None:
+        """Close a counted connection, also where its last write failed."""
+        try:
+            self.rfile.close()
+        finally:
+            opened.close()
+
+    def _reset(self) -> None:
+        """Close the connection without an orderly end.
+
+        Failure: an answer that the end of the connection ends is cut off,
+        and the caller takes what it has for the whole answer.
+        """
+        linger = struct.pack("ii", 1, 0)
+        try:
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            self.wfile.close()
+        except OSError:
+            # The caller has disconnected.
+            pass
+        finally:
+            self.rfile.close()
+            self.connection.close()
+
+    def _watch_end(
+        self, chunks: abc.Iterable[bytes]
+    ) -> abc.Generator[bytes, None, None]:
+        """Yield the parts of an answer, and note whether it is complete."""
+        self._is_whole = False
+        yield from chunks
+        self._is_whole = True
+
+    def _note_phase(self, phase: buffering.Phase) -> None:
+        if self._opened is not None:
+            self._opened.note_phase(phase)
+
+    # -- Requests
+
     def handle_one_request(self) -> None:
         """Read one request and answer it."""
         self.close_connection = 0
@@ -190,6 +261,7 @@
             self.close_connection = 1
             return
         self.ingress.in_flight += 1
+        self._note_phase(buffering.Phase.ANSWERING)
         try:
             self._answer(inbound)
         except OSError:
@@ -197,6 +269,7 @@
             self.close_connection = 1
         finally:
             self.ingress.in_flight -= 1
+            self._note_phase(buffering.Phase.IDLE)
 
     # -- Reading
 
@@ -206,6 +279,7 @@
         if not self.rfile.peek(1):
             return None
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
+        self._note_phase(buffering.Phase.RECEIVING)
         with eventlet.Timeout(limits.header_timeout):
             head = self._read_head(limits.header_bytes)
         if head is None:
@@ -227,6 +301,7 @@
             client=self.connection,
             received=self.ingress.now(),
             caller=str(self.client_address[0]),
+            backlog=self._opened.backlog if self._opened else None,
         )
 
     def _read_line(self, limit: int, excess_status: int = 431) -> bytes:
@@ -346,7 +421,10 @@
         body: bytes | abc.Iterator[bytes],
     ) -> None:
         phrase = _PHRASES.get(status, "Unknown")
+        chunks: abc.Iterable[bytes]
         chunks = (body,) if isinstance(body, bytes) else body
+        if self.request_version == "HTTP/1.0" and not isinstance(body, bytes):
+            chunks = self._watch_end(chunks)
 
         def application(
             environ: dict[str, typing.Any],
@@ -457,7 +535,7 @@
         eventlet.wsgi.server,
         listener,
         None,
-        custom_pool=eventlet.GreenPool(_POOL_SIZE),
+        custom_pool=eventlet.GreenPool(POOL_SIZE),
         protocol=protocol,
         log_output=False,
         debug=False,
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -199,6 +199,7 @@
             request.inbox,
             self._connections,
             self.names,
+            inbound.backlog,
         )
         active = self._active.setdefault(upstream.epoch_id, {})
         active[exchange.number] = request.inbox
@@ -404,6 +405,8 @@
                 return None
             if isinstance(message, requests.Disconnected):
                 raise requests.CallerDisconnected
+            if isinstance(message, exchanges.Data):
+                request.note_taken(len(message.data))
             if message.exchange == current.exchange.number:
                 current.last_message_at = self.now()
                 self._last_message_times[current.upstream.id] = (
@@ -447,9 +450,17 @@
     ) -> None:
         """Fail an attempt whose exchange broke off.
 
+        Failure: an upstream aborts an answer that its caller does not read,
+        is avoided as if it had failed, and the next one is kept waiting.
+
         Raises:
             requests.Refused: The request is not retried.
         """
+        if failed.step == exchanges.HELD:
+            current.exchange.cancel()
+            self.end_attempt(current)
+            request.progress.runs += 1
+            raise self.make_refusal(request, "its caller reads slowly", 0.0)
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
         why = f"{failed.step}: {failed.detail}"
         self.fail_attempt(request, current, failure, why)
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -155,7 +155,7 @@
             until = request.deadline
             if timeout is not None:
                 until = min(until, silent_since + timeout)
-            if now >= until:
+            if now >= until and not self._has_message(request, now):
                 self._sender.fail_stalled(request, current)
                 return None
             if not probe_requested:
@@ -207,6 +207,7 @@
                     )
                     request.note_events(self._sender.now())
                     yield b"".join(event.data for event in new_events)
+                    self._note_written(request, current)
                 if ended:
                     if splitter.rest:
                         yield splitter.rest
@@ -239,6 +240,30 @@
                 self._sender.note_success(current)
             self._sender.note_answer(request, current, status)
 
+    @staticmethod
+    def _has_message(request: requests.Request, now: float) -> bool:
+        """Return whether a message waits, so that nobody was silent.
+
+        Failure: this node was late, as when many callers connect at once,
+        and takes upstreams for stalled whose messages it has not read.
+        """
+        is_bounded = request.inbound.backlog is not None
+        is_waiting = is_bounded and not request.inbox.empty()
+        return is_waiting and now < request.deadline
+
+    def _note_written(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> None:
+        """Record that the caller has accepted all events so far.
+
+        Failure: the time in which the caller accepted nothing counts as
+        silence of the upstream, whose messages were waiting. A healthy
+        upstream is taken for stalled and the stream is started again.
+        """
+        if request.inbound.backlog is not None:
+            request.note_written()
+            current.last_message_at = self._sender.now()
+
     @staticmethod
     def _is_new(request: requests.Request, event: events.Event) -> bool:
         """Return whether the caller has not received an event yet.
