Let waiting requests of relayed fleets use slots that become free

Change: waiting requests share the slots that are free or become free while the counts are on their way, but for those that new requests take; late ones that arrive start at once while fewer wait than such slots exist.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -212,7 +212,6 @@
         now: float,
         get_limit: LimitFunction | None = None,
         service_time: float = 0.0,
-        is_new: bool = True,
     ) -> upstreams.Upstream | Unavailable:
         """Return the upstream for a request.
 
@@ -228,9 +227,6 @@
                 flight; None for no limit.
             service_time: Seconds that an upstream works on a request; 0
                 where it isn't known.
-            is_new: Whether the request has just arrived. Slots that become
-                free while the counts are on their way are left to new
-                requests, or each would be filled twice.
         """
         candidates = self._list_usable(service, model, excluded, now)
         found: list[upstreams.Upstream] | upstreams.Upstream | Unavailable
@@ -238,9 +234,8 @@
         if isinstance(candidates, list):
             found = self._list_roomy(candidates, get_limit, now)
             if get_limit is not None and self.are_counts_relayed:
-                age = RELAY_DELAY if is_new else 0.0
                 found = self._spread(
-                    candidates, found, salt, get_limit, service_time, age, now
+                    candidates, found, salt, get_limit, service_time, now
                 )
         if isinstance(found, upstreams.Upstream):
             return found
@@ -289,7 +284,6 @@
         salt: str,
         get_limit: LimitFunction,
         service_time: float,
-        age: float,
         now: float,
     ) -> list[upstreams.Upstream] | upstreams.Upstream | Unavailable:
         """Return a warm upstream by its free slots if some are full.
@@ -306,7 +300,7 @@
         if not is_any_full or service_time <= 0:
             return roomy
         chosen = self._choose_by_free_slots(
-            warm, salt, get_limit, service_time, age
+            warm, salt, get_limit, service_time
         )
         if chosen is not None:
             return chosen
@@ -360,7 +354,6 @@
         salt: str,
         get_limit: LimitFunction,
         service_time: float,
-        age: float,
     ) -> upstreams.Upstream | None:
         """Return an upstream, with a probability by its free slots.
 
@@ -377,7 +370,7 @@
                 get_limit(upstream),
                 self.count_load(upstream.id),
                 service_time,
-                age,
+                RELAY_DELAY,
             )
             for upstream in candidates
         ]
@@ -528,7 +521,41 @@
             service_time: Seconds that a request takes.
             now: Monotonic time.
         """
-        free = sum(
+        free = self._estimate_free_slots(
+            service, model, get_limit, service_time, now
+        )
+        arrivals = self.arrivals.sum_rates(kind, now) * RELAY_DELAY
+        return min(free / arrivals, 1.0) if arrivals > 0 else 1.0
+
+    def estimate_spare_slots(
+        self,
+        service: ids.ServiceName,
+        model: str,
+        kind: str,
+        get_limit: LimitFunction,
+        service_time: float,
+        now: float,
+    ) -> float:
+        """Return the free slots of a model that new requests don't take.
+
+        The arguments are those of `compute_started_part`.
+        """
+        free = self._estimate_free_slots(
+            service, model, get_limit, service_time, now
+        )
+        arrivals = self.arrivals.sum_rates(kind, now) * RELAY_DELAY
+        return max(free - arrivals, 0.0)
+
+    def _estimate_free_slots(
+        self,
+        service: ids.ServiceName,
+        model: str,
+        get_limit: LimitFunction,
+        service_time: float,
+        now: float,
+    ) -> float:
+        """Return the slots that are or become free within `RELAY_DELAY`."""
+        return sum(
             pacing.estimate_free_slots(
                 get_limit(upstream),
                 self.count_load(upstream.id),
@@ -537,8 +564,6 @@
             )
             for upstream in self._list_open(service, model, now)
         )
-        arrivals = self.arrivals.sum_rates(kind, now) * RELAY_DELAY
-        return min(free / arrivals, 1.0) if arrivals > 0 else 1.0
 
     def _list_open(
         self, service: ids.ServiceName, model: str, now: float
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -119,8 +119,7 @@
         self._set_initial_estimate(ticket)
         self._note_remote_waiting(ticket.kind, now)
         self._note_arrival(ticket, now)
-        is_new = not self.is_late(ticket, now)
-        found = self._choose(ticket, now, is_new)
+        found = self._choose(ticket, now)
         if isinstance(found, balancing.Unavailable):
             return found
         is_shared = not self._balancer.limits.is_limited(found.id, now)
@@ -145,7 +144,8 @@
             return True
         key = backlog_module.format_count_key(ticket.kind)
         if self.is_late(ticket, now):
-            return not self._attained.is_short(key, now)
+            waiting = self._balancer.count_all_waiting(key)
+            return waiting < self._count_free_slots(ticket, now)
         part = self._balancer.compute_started_part(
             ticket.kind.service,
             ticket.kind.model,
@@ -160,12 +160,24 @@
             )
         return pacing.is_started(part, ticket.request)
 
-    def _count_free_slots(self, ticket: Ticket, now: float) -> int:
-        """Return the slots of all replicas that a request may take."""
-        return self._balancer.count_free_slots(
-            ticket.kind.service,
-            ticket.kind.model,
-            self._make_limit_function(ticket, now),
+    def _count_free_slots(self, ticket: Ticket, now: float) -> float:
+        """Return the slots of all replicas that a waiting request may take.
+
+        Where counts are relayed, these are the slots that become free while
+        the counts are on their way, but for those that new requests take.
+        """
+        get_limit = self._make_limit_function(ticket, now)
+        kind = ticket.kind
+        if not self._balancer.are_counts_relayed:
+            return self._balancer.count_free_slots(
+                kind.service, kind.model, get_limit, now
+            )
+        return self._balancer.estimate_spare_slots(
+            kind.service,
+            kind.model,
+            backlog_module.format_count_key(kind),
+            get_limit,
+            _estimate_service_time(ticket),
             now,
         )
 
@@ -328,7 +340,7 @@
     # -- Slots of a replica
 
     def _choose(
-        self, ticket: Ticket, now: float, is_new: bool = False
+        self, ticket: Ticket, now: float
     ) -> upstreams.Upstream | balancing.Unavailable:
         return self._balancer.choose(
             ticket.kind.service,
@@ -338,7 +350,6 @@
             now,
             self._make_limit_function(ticket, now),
             _estimate_service_time(ticket),
-            is_new,
         )
 
     def _make_limit_function(
