Test overload with organisations and with relayed counts

Replays in virtual time: small organisations beside ones at five and ten times their rate that repeat at once, a burst of 2.6 times in a fleet with relayed counts, the division of the started part, the size of reports, the spread of requests over full replicas. Each fails with its guard out; the burst fails only with both the spread and the started part out.

--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,13 +1,17 @@
 """Overload in virtual time: which requests wait, go first or are refused."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
+from currantwall.coordination.requests import attained
 from currantwall.coordination.requests import backlog
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import capacity
 from currantwall.coordination.requests import evacuations
+from currantwall.coordination.requests import fairness
+from currantwall.coordination.requests import pacing
 from currantwall.coordination.requests import placing
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -61,6 +65,135 @@
             )
 
 
+class OrganisationsTest(unittest.TestCase):
+    """Organisations that send many times their share for six seconds.
+
+    Load: five small organisations use a third of the replicas. Two others
+    send five and ten times as much as before, and repeat at once after each
+    refusal.
+    """
+
+    SMALL = tuple(f"small{number}" for number in range(5))
+    LARGE = ("large", "greedy")
+
+    def play(self, seed, relayed=False):
+        scale = 2 if relayed else 1
+        simulation = surge.Simulation(
+            surge.Policy.WAITS,
+            gateways=40 if relayed else 15,
+            replicas=6 * scale,
+            seed=seed,
+            are_counts_relayed=relayed,
+        )
+        senders = {name: surge.Sender(rate=3.0 * scale) for name in self.SMALL}
+        for name, factor in zip(self.LARGE, (5.0, 10.0), strict=True):
+            senders[name] = surge.Sender(
+                rate=8.0 * scale, factor=factor, repeats=True
+            )
+        load = surge.Surge(
+            rate=0.0, factor=1.0, begin=6.0, end=12.0, seconds=17.0
+        )
+        simulation.run_senders(load, senders)
+        return simulation
+
+    def check_small(self, simulation):
+        """Check the small organisations' requests during the surge."""
+        before, during = (
+            sum(
+                simulation.compute_share_of(name, *period)
+                for name in self.SMALL
+            )
+            for period in ((1.0, 6.0), (7.0, 12.0))
+        )
+        self.assertGreaterEqual(during, 0.9 * before)
+
+    def check_large(self, simulation):
+        """Check that the others divide equally what is left."""
+        counts = [
+            simulation.count_in_time(name, 7.0, 12.0) for name in self.LARGE
+        ]
+        self.assertGreaterEqual(fairness.measure_jain(counts), 0.9)
+
+    def test_small_organisations_are_in_time_beside_large_ones(self):
+        """Guards against one organisation that makes all others late."""
+        for seed in (1, 2):
+            simulation = self.play(seed)
+            self.check_small(simulation)
+            self.check_large(simulation)
+
+    def test_small_organisations_are_in_time_where_counts_are_relayed(self):
+        """Guards against the same where counts are as old as a request."""
+        simulation = self.play(1, relayed=True)
+        self.check_large(simulation)
+        self.check_small(simulation)
+
+    def test_a_relayed_fleet_is_in_time_again_after_a_burst(self):
+        """Guards against an overload that goes on after its cause.
+
+        Load: 2.6 times as many requests for four seconds, at a hundred
+        gateways with counts as old as a request. Requests were late until
+        16 s after the end of such a burst: all gateways chose the replicas
+        that seemed free, and overran them in turn.
+        """
+        simulation = surge.Simulation(
+            surge.Policy.WAITS,
+            gateways=100,
+            replicas=16,
+            are_counts_relayed=True,
+        )
+        load = surge.Surge(
+            rate=104.0, factor=2.6, begin=6.0, end=10.0, seconds=16.0
+        )
+        with mock.patch.object(surge, "TARGET", 0.25):
+            simulation.run(load)
+            share = simulation.compute_share_in_time(13.0, 16.0)
+        self.assertGreaterEqual(share, 0.9)
+
+    def test_nothing_is_held_back_while_capacity_suffices(self):
+        """Guards against organisations that are limited at the usual load."""
+        account = attained.AttainedService(lambda _: 0)
+        name = ids.OrganisationName("a")
+        for number in range(100):
+            account.note_arrival("pool/m", name, 0.1, number / 100)
+            account.note_start("pool/m", name, 0.1, number / 100)
+        self.assertEqual(account.find_level("pool/m", name, 1.0), 0)
+        self.assertEqual(account.divide_part("pool/m", name, 1.0, 1.0), 1.0)
+        self.assertEqual(account.list_counts(1.0), {})
+
+    def test_the_started_part_is_divided_by_max_min_fairness(self):
+        """Guards against reducing small organisations as much as large."""
+        account = attained.AttainedService(lambda _: 0)
+        account.note_waiting("pool/m", 0.0)
+        small, large = map(ids.OrganisationName, ("small", "large"))
+        account.note_arrival("pool/m", small, 1.0, 0.0)
+        account.note_arrival("pool/m", large, 9.0, 0.0)
+        parts = [
+            account.divide_part("pool/m", name, 0.5, 0.0)
+            for name in (small, large)
+        ]
+        self.assertEqual(parts[0], 1.0)
+        self.assertAlmostEqual(parts[1], 4 / 9, places=2)
+
+    def test_reports_do_not_grow_with_the_number_of_organisations(self):
+        """Guards against heartbeats of several kilobytes per organisation."""
+        account = attained.AttainedService(lambda _: 0)
+        account.note_waiting("pool/m", 0.0)
+        for number in range(1000):
+            name = ids.OrganisationName(f"o{number}")
+            account.note_arrival("pool/m", name, 0.1, 0.0)
+            account.note_start("pool/m", name, 0.1, 0.0)
+        self.assertLessEqual(len(account.list_counts(0.0)), 256)
+
+    def test_the_reported_rate_is_that_of_all_gateways(self):
+        """Guards against gateways that know only their own arrivals."""
+        rates = pacing.ArrivalRates({"pool/m/rate": 5000}.get)
+        for number in range(400):
+            rates.note_arrival("pool/m", number / 100)
+        self.assertAlmostEqual(rates.sum_rates("pool/m", 4.0), 150, delta=5)
+        self.assertEqual(list(rates.list_counts(4.0)), ["pool/m/rate"])
+        self.assertEqual(rates.list_counts(20.0), {})
+
+
 class BacklogTest(unittest.TestCase):
     def setUp(self):
         self.backlog = backlog.Backlog()
@@ -238,6 +371,25 @@
         self.assertEqual(refusal.ticket.request, "queued")
         self.assertGreater(refusal.retry_after, 0)
 
+    def test_relayed_requests_spread_while_most_replicas_are_full(self):
+        """Guards against a hundred gateways that choose the same replica.
+
+        Its counts show a free slot for as long as they are old.
+        """
+        self.fleet.replace([make_leader(n) for n in range(4)], 2, 0.0)
+        loads = {"i0": 14, "i1": 14, "i2": 14, "i3": 13}
+        self.balancer.note_loads(ids.NodeId("other"), loads, 0.0)
+        chosen = set()
+        for number in range(40):
+            ticket = make_ticket(f"r{number}")
+            chosen.add(self.placer._choose(ticket, 0.0).id)
+        self.assertEqual(chosen, {"i3"})
+        self.balancer.are_counts_relayed = True
+        for number in range(40):
+            ticket = make_ticket(f"r{number}")
+            chosen.add(self.placer._choose(ticket, 0.0).id)
+        self.assertEqual(chosen, set(loads))
+
     def test_a_request_does_not_wait_where_no_replica_exists(self):
         self.fleet.replace([], 2, 1.0)
         found = self.placer.try_place(make_ticket("a", 1.0), 1.0)
