Limits: waiting requests ask for shares

Cause: a gateway without credit for free slots never reached the choice of an upstream, which is what asks for shares, so cold replicas idled while requests waited. Holders left requests that they could not grant unanswered, so each waiting node asked again at every tick.

Change: `Placer.fill` notes demand for the requests that remain. A holder that grants less than was asked for answers when to ask again; it gives the nodes different times, at eight times the rate of its share and at most 1 s ahead.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -246,11 +246,11 @@
             return found
         if isinstance(found, Unavailable):
             if found.is_full:
-                self._note_demand(service, model, excluded, salt, now)
+                self.note_demand(service, model, excluded, salt, now)
             return found
         if get_limit is None and self._are_slots_taken(found):
             # For the next requests: this one is sent without delay.
-            self._note_demand(service, model, excluded, salt, now)
+            self.note_demand(service, model, excluded, salt, now)
         return self._choose_usable(found, salt, service_time)
 
     def _list_roomy(
@@ -320,7 +320,7 @@
             self.count_load(one.id) >= one.slots for one in usable
         )
 
-    def _note_demand(
+    def note_demand(
         self,
         service: ids.ServiceName,
         model: str | None,
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -229,8 +229,25 @@
             elif chosen.is_full:
                 break
         self._credit[kind] = min(max(credit - own, 0.0), 1.0)
+        self._note_demand(tickets[len(placements) :], now)
         return placements
 
+    def _note_demand(self, waiting: list[Ticket], now: float) -> None:
+        """Have shares of limited upstreams asked for, for waiting requests.
+
+        Failure: a gateway without credit chooses no upstream, which is
+        otherwise what asks, and limited upstreams idle.
+        """
+        if waiting:
+            ticket = waiting[0]
+            self._balancer.note_demand(
+                ticket.kind.service,
+                ticket.kind.model,
+                ticket.excluded,
+                ticket.request,
+                now,
+            )
+
     def _count_own_slots(
         self, kind: Kind, tickets: list[Ticket], now: float
     ) -> int:
--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -74,6 +74,16 @@
 # Most holders that a node asks at a time. It bounds the datagrams of a node
 # whose requests could use any of dozens of upstreams.
 _MAX_ASKED = 4
+# Times that a holder lets itself be asked for each request of its share.
+# Nodes that were told to ask again may have no request then, and with few
+# messages a share would lapse before the next one.
+_ASKED_PER_TOKEN = 8.0
+# Most seconds after which a node is told to ask again. The rate of an
+# upstream that becomes warm rises within about as long.
+_LONGEST_RETRY = 1.0
+# Seconds after which a node asks again one that holds no share: they know
+# different nodes, or one has not learnt the limit yet.
+_NO_HOLDER_RETRY = 0.25
 # Seconds for which a change is reported, and a value that is repeated.
 _CHANGE_REPORT_SECONDS = 2.0
 _REPEAT_REPORT_SECONDS = 1.0
@@ -116,6 +126,9 @@
         tokens: Requests that this node may send now, in fractions; at first
             as many as it may save up.
         granted: When each request that another holder granted is void.
+        next_asked_at: When the last node that was told to ask this holder
+            again does so.
+        retry_at: When to ask each other holder again.
         cold_until: When the upstream becomes warm; None if the upstream has
             named the limit in an answer.
         reported_until: Until when this node reports it.
@@ -128,6 +141,8 @@
     width: int
     holders: list[ids.NodeId]
     asked: int = 0
+    next_asked_at: float = -math.inf
+    retry_at: dict[ids.NodeId, float] = {}
     tokens: float = math.inf
     granted: list[float] = []
     cold_until: float | None = None
@@ -605,6 +620,9 @@
                 continue
             missing = count - self._count_tokens(limit, now)
             others = self._list_other_holders(limit)
+            others = [
+                node for node in others if limit.retry_at.get(node, now) <= now
+            ]
             parts = min(missing, len(others), _MAX_ASKED)
             for index in range(parts):
                 # In turn: one of them may be down.
@@ -645,21 +663,45 @@
         """Take what another node asks for from this node's shares.
 
         Returns:
-            The answer; None if there is nothing to grant.
+            The answer; None if nothing was asked for.
         """
-        granted = {}
+        granted: dict[str, int] = {}
+        retry_after: dict[str, float] = {}
         for key, count in request.wanted.items():
             limit = self._find(key)
-            if limit is None or not limit.applies(now):
-                continue
-            if not self._is_holder(limit, now):
+            if (
+                limit is None
+                or not limit.applies(now)
+                or not self._is_holder(limit, now)
+            ):
+                retry_after[key] = _NO_HOLDER_RETRY
                 continue
             self._refill(limit, now)
             part = min(count, math.floor(limit.tokens))
             if part > 0:
                 limit.tokens -= part
                 granted[key] = part
-        return limits.ShareGrant(request.serial, granted) if granted else None
+            if part < count:
+                retry_after[key] = self._schedule_retry(limit, now)
+        if not granted and not retry_after:
+            return None
+        return limits.ShareGrant(
+            request.serial, granted, self._me, retry_after
+        )
+
+    def _schedule_retry(self, limit: _Limit, now: float) -> float:
+        """Return the seconds after which a node asks for a share again.
+
+        The nodes are told different times, so that the messages are few and
+        come evenly while many nodes wait.
+        """
+        rate = self._compute_rate(limit, now) / self._count_holders(limit, now)
+        earliest = now + max(1.0 - limit.tokens, 0.0) / rate
+        at = max(limit.next_asked_at, earliest)
+        if at > now + _LONGEST_RETRY:
+            at = min(earliest, now + _LONGEST_RETRY)
+        limit.next_asked_at = at + 1.0 / (_ASKED_PER_TOKEN * rate)
+        return at - now
 
     def note_grant(self, grant: limits.ShareGrant, now: float) -> int:
         """Record what a holder grants; return how many requests.
@@ -669,6 +711,10 @@
         asked_at = self._asked_at.pop(grant.serial, None)
         if asked_at is None or now > asked_at + _GRANT_SECONDS:
             return 0
+        for key, delay in grant.retry_after.items():
+            limit = self._find(key)
+            if limit is not None:
+                limit.retry_at[grant.node] = now + min(delay, _LONGEST_RETRY)
         total = 0
         for key, count in grant.granted.items():
             limit = self._find(key)
--- a/currantwall/state/limits.py
+++ b/currantwall/state/limits.py
@@ -45,7 +45,12 @@
     Attributes:
         serial: Number of the request that it answers.
         granted: Number of requests that may be sent, by limit.
+        node: The sender.
+        retry_after: Seconds after which to ask again, by limit, where less
+            was granted than was asked for.
     """
 
     serial: int
     granted: dict[str, int]
+    node: ids.NodeId = ids.NodeId("")
+    retry_after: dict[str, float] = {}
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,5 +1,6 @@
 """Requests to upstreams that are cold, over all nodes."""
 
+import collections
 import unittest
 
 import msgspec
@@ -279,6 +280,27 @@
         node.note_request(server, 22.1)
         self.assertFalse(node.permits(server, 22.1))
 
+    def test_a_holder_without_a_share_is_not_asked_at_every_tick(self):
+        """Guards against thousands of messages a second to one holder.
+
+        143 nodes wait for one cold upstream, each of them at every tick.
+        """
+        fleet = ColdFleet(143, 1, 1)
+        asked = collections.Counter()
+        ask = fleet.ask
+
+        def count(name, holder, request):
+            if fleet.now >= _START + 1:
+                asked[holder] += 1
+            ask(name, holder, request)
+
+        fleet.ask = count
+        fleet.make_cold(7.0)
+        fleet.start_demand(2.0 * 143, 143)
+        fleet.run(_WARM)
+        self.assertLessEqual(max(asked.values()), 1.25 * 143 * 4)
+        self.assertGreaterEqual(fleet.compute_use(7.0), 0.8)
+
 
 class ColdnessTest(unittest.TestCase):
     def setUp(self):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -187,6 +187,21 @@
         (placement,) = self.placer.fill(_KIND, 0.01)
         self.assertEqual(placement.ticket.request, "next")
 
+    def test_waiting_requests_ask_for_shares_without_a_free_slot(self):
+        """Guards against cold replicas that idle while requests wait.
+
+        The warm replica is full, so this gateway may fill no slot, and no
+        new request comes.
+        """
+        self.fleet.replace([make_leader(0), make_leader(1)], 2, 0.0)
+        self.balancer.limits.note_cold(ids.InstanceId("i1"), 7.0, 9.0, 0.0)
+        for _ in range(20):
+            self.balancer.begin(ids.InstanceId("i0"), 0.0)
+        self.placer.add(make_ticket("next", 0.0))
+        self.balancer.limits.list_share_requests(0.0)
+        self.assertEqual(self.placer.fill(_KIND, 0.01), [])
+        self.assertTrue(self.balancer.limits.has_demand)
+
     def test_a_slow_replica_has_a_lower_limit(self):
         """Guards against long pauses in a quarter of all streams.
 
