Coldness: reports outdate entries as answers do

Cause: only a node's own answers were compared with the age of an entry, so a stale entry that said warm ended the cold time on nodes that had learnt it by report. An entry read just before also made a newer cold report look older.

Change: the limits keep when the last answer came to any node and whether it said cold. Staleness is checked against that time; a cold report is compared with answers only.

--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -133,7 +133,8 @@
         is_new = known is None or known.born != upstream.born
         left = upstream.cold_left
         if upstream.tells_coldness:
-            if left <= 0 and not is_new and self._is_outdated(known, now):
+            is_outdated = self._is_outdated(upstream.id, now)
+            if left <= 0 and not is_new and is_outdated:
                 return
         elif is_new and has_traffic:
             left = service.cold_start
@@ -143,12 +144,13 @@
             upstream.id, service.cold_rate, now + min(left, _LONGEST), now
         )
 
-    @staticmethod
-    def _is_outdated(known: _Known | None, now: float) -> bool:
-        """Return whether an answer is newer than the entry read now."""
-        if known is None or not known.answered_at:
-            return False
-        return now - known.answered_at <= _ENTRY_AGE
+    def _is_outdated(self, instance: ids.InstanceId, now: float) -> bool:
+        """Return whether an answer is newer than the entry read now.
+
+        Answers to other nodes count, which have reported them.
+        """
+        answered_at = self._limits.get_cold_answer_time(instance)
+        return now - answered_at <= _ENTRY_AGE
 
     def note_withdrawn(
         self, datacentre: ids.DatacentreName, now: float
@@ -185,9 +187,8 @@
         if service is None:
             return False
         was_cold = self._limits.get_cold_left(upstream.id, now) > 0
-        self._limits.note_cold(
-            upstream.id, service.cold_rate, now + min(left, _LONGEST), now
-        )
+        until = now + min(left, _LONGEST)
+        self._limits.note_cold(upstream.id, service.cold_rate, until, now, now)
         known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
         known.answered_at = now if left > 0 else 0.0
         changed = was_cold != (left > 0)
--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -129,6 +129,9 @@
         next_asked_at: When the last node that was told to ask this holder
             again does so.
         retry_at: When to ask each other holder again.
+        answered_at: When the last answer came that said whether the
+            upstream is cold, to any node.
+        says_cold: Whether that answer said that it is.
         cold_until: When the upstream becomes warm; None if the upstream has
             named the limit in an answer.
         reported_until: Until when this node reports it.
@@ -145,6 +148,8 @@
     retry_at: dict[ids.NodeId, float] = {}
     tokens: float = math.inf
     granted: list[float] = []
+    answered_at: float = -math.inf
+    says_cold: bool = False
     cold_until: float | None = None
     reported_until: float = -math.inf
 
@@ -346,7 +351,12 @@
         return limit
 
     def note_cold(
-        self, instance: ids.InstanceId, rate: float, until: float, now: float
+        self,
+        instance: ids.InstanceId,
+        rate: float,
+        until: float,
+        now: float,
+        answered_at: float | None = None,
     ) -> None:
         """Record that an upstream is cold, or for how much longer.
 
@@ -355,6 +365,8 @@
             rate: Requests a second that it sustains, of all nodes.
             until: When it becomes warm; its share then rises from `rate`.
             now: Monotonic time.
+            answered_at: When the answer came that says so, at any node;
+                None if no answer does.
         """
         limit = self._cold.limits.get(instance)
         if limit is None:
@@ -362,10 +374,16 @@
                 return
             limit = self._cold.add(instance, rate, now, self._most, now)
             limit.cold_until = until
+            if answered_at is not None:
+                limit.observed_at = limit.answered_at = answered_at
+                limit.says_cold = True
             return
         self._refill(limit, now)
         limit.rate = rate
-        limit.observed_at = now
+        limit.observed_at = now if answered_at is None else answered_at
+        if answered_at is not None:
+            limit.answered_at = answered_at
+            limit.says_cold = until > answered_at
         # A rise of the rate that has begun is not begun again.
         is_warm = limit.cold_until is not None and limit.cold_until <= now
         if until > now or not is_warm:
@@ -378,11 +396,22 @@
         limit = self._cold.limits.get(instance)
         observed_at = now - report.age
         if limit is not None and observed_at <= limit.observed_at:
-            return
+            # An entry read since then may be older than the answer.
+            is_warm = report.cold_left <= 0
+            if is_warm or observed_at <= limit.answered_at:
+                return
         until = observed_at + report.cold_left
-        self.note_cold(instance, report.rate or 0.0, until, now)
-        if instance in self._cold.limits:
-            self._cold.limits[instance].observed_at = observed_at
+        self.note_cold(instance, report.rate or 0.0, until, now, observed_at)
+
+    def get_cold_answer_time(self, instance: ids.InstanceId) -> float:
+        """Return when the last answer came, if it said an upstream is cold.
+
+        It may have come to another node. Minus infinity for none.
+        """
+        limit = self._cold.limits.get(instance)
+        if limit is None or not limit.says_cold:
+            return -math.inf
+        return limit.answered_at
 
     def report_cold(self, instance: ids.InstanceId, now: float) -> None:
         """Report to the other nodes what was just recorded of an upstream."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -173,8 +173,7 @@
     Mutant(
         "an older entry replaces what an answer said",
         f"{_COORDINATION}/requests/coldness.py",
-        "            if left <= 0 and not is_new"
-        " and self._is_outdated(known, now):\n",
+        "            if left <= 0 and not is_new and is_outdated:\n",
         "            if False:\n",
         f"{_COLDNESS}.test_an_answer_counts_more_than_an_older_entry",
     ),
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -378,6 +378,20 @@
         self.assertTrue(self.answer(0.0, 22.0))
         self.assertEqual(self.get_left(22.0), 0.0)
 
+    def test_a_report_counts_more_than_an_older_entry(self):
+        """Guards against an entry, read late, on nodes told by others."""
+        self.list_replicas(20.0, born=1, tells_coldness=True)
+        report = limits.LimitReport(7.0, 0.3, 4.0)
+        self.limits.note_reports({"a0/cold": report}, 21.0)
+        self.list_replicas(21.5, born=1, tells_coldness=True, busy=True)
+        self.assertAlmostEqual(self.get_left(21.5), 3.2)
+        self.list_replicas(23.5, born=1, tells_coldness=True)
+        self.assertEqual(self.get_left(23.5), 0.0)
+        # A cold report that is older than an answer to this node.
+        self.answer(0.0, 23.6)
+        self.limits.note_reports({"a0/cold": report}, 23.7)
+        self.assertEqual(self.get_left(23.7), 0.0)
+
     def test_other_nodes_learn_what_an_answer_says(self):
         """Guards against nodes that learn it from the entry, seconds late."""
         self.list_replicas(20.0, born=1)
