Coldness: report a cold time that is extended

Cause: an answer was reported only if it changed between cold and warm, so other nodes took an upstream for warm at the end first reported.

Change: an answer is also reported if the end is more than 0.3 s later than the one last reported. Small steps add up.

Result: the new test failed before and passes; tests.test_cold passes.

--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -31,6 +31,9 @@
 # Seconds for which an instance that is no longer listed is remembered. Its
 # entry returns after an outage, which is no start.
 _RETENTION = 60.0
+# Seconds by which the end of the cold time must move later to be reported.
+# Each answer moves it a little, because the time is counted from its arrival.
+_EXTENSION = 0.3
 
 
 class _Known(msgspec.Struct):
@@ -40,11 +43,13 @@
         born: Start of its process.
         listed_at: When its entry last changed.
         answered_at: When an answer last said that it is cold; 0 for never.
+        reported_until: End of the cold time that this node last reported.
     """
 
     born: int
     listed_at: float
     answered_at: float = 0.0
+    reported_until: float = 0.0
 
 
 class Coldness:
@@ -186,13 +191,21 @@
         service = self._find_service(upstream.service)
         if service is None:
             return False
-        was_cold = self._limits.get_cold_left(upstream.id, now) > 0
+        known_until = now + self._limits.get_cold_left(upstream.id, now)
+        was_cold = known_until > now
         until = now + min(left, _LONGEST)
         self._limits.note_cold(upstream.id, service.cold_rate, until, now, now)
         known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
         known.answered_at = now if left > 0 else 0.0
-        changed = was_cold != (left > 0)
+        if not was_cold:
+            known.reported_until = 0.0
+        elif not known.reported_until:
+            # An entry or another node's report said so.
+            known.reported_until = known_until
+        is_extended = left > 0 and until > known.reported_until + _EXTENSION
+        changed = was_cold != (left > 0) or is_extended
         if changed:
+            known.reported_until = until if left > 0 else 0.0
             self._limits.report_cold(upstream.id, now)
         return changed
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -405,6 +405,18 @@
             other.get_cold_left(ids.InstanceId("a0"), 21.5), 1.5
         )
 
+    def test_other_nodes_learn_that_the_cold_time_is_extended(self):
+        """Guards against other nodes that take the upstream for warm."""
+        self.list_replicas(20.0, born=1)
+        self.assertTrue(self.answer(2.0, 21.0))
+        self.assertFalse(self.answer(2.1, 21.1))
+        self.assertFalse(self.answer(2.05, 21.2))
+        # Small steps add up to 0.5 s since the last report.
+        self.assertTrue(self.answer(2.2, 21.3))
+        self.assertTrue(self.answer(9.0, 21.4))
+        self.assertFalse(self.answer(2.0, 23.9))
+        self.assertTrue(self.limits.list_reports(23.3))
+
     def test_upstreams_return_cold_after_an_evacuation(self):
         """Guards against the usual share for upstreams that were unused."""
         self.list_replicas(20.0, born=1, tells_coldness=True)
