Placing: charge own slots to limited replicas only

Cause: a gateway's shares of limited replicas were added to the credit for all replicas, and the choice prefers warm ones, so a cold share let it fill warm slots that were other gateways' to fill.

Change: own slots are counted apart from the credit. Without credit only replicas that limit their requests are chosen, and a placement there is charged to the own slots.

Result: the new test placed two requests on the warm replica before and places both on the cold one now. tests.test_placing, test_cold, test_balancing, test_gateway_parts and test_large_fleet pass.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -123,6 +123,10 @@
     share_wait: float = 0.0
 
 
+# The result where an upstream that limits its requests is wanted.
+_NONE_LIMITED = Unavailable(
+    "none limits its requests", _SATURATION_RETRY_AFTER
+)
 _ALL_FULL = Unavailable("all are full", _SATURATION_RETRY_AFTER, is_full=True)
 
 # A function that returns how many requests an upstream may have in flight.
@@ -213,6 +217,7 @@
         get_limit: LimitFunction | None = None,
         service_time: float = 0.0,
         is_new: bool = True,
+        is_limited_only: bool = False,
     ) -> upstreams.Upstream | Unavailable:
         """Return the upstream for a request.
 
@@ -231,8 +236,18 @@
             is_new: Whether the request has just arrived. Slots that become
                 free while the counts are on their way are left to new
                 requests, or each would be filled twice.
+            is_limited_only: Whether only upstreams that limit their requests
+                are considered.
         """
         candidates = self._list_usable(service, model, excluded, now)
+        if is_limited_only and isinstance(candidates, list):
+            candidates = [
+                one
+                for one in candidates
+                if self.limits.is_limited(one.id, now)
+            ]
+            if not candidates:
+                return _NONE_LIMITED
         found: list[upstreams.Upstream] | upstreams.Upstream | Unavailable
         found = candidates
         if isinstance(candidates, list):
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -217,18 +217,23 @@
         self._note_remote_waiting(kind, now)
         tickets = self.backlog.list_tickets(kind, now)
         own = self._count_own_slots(kind, tickets, now)
-        credit = self._compute_credit(kind, tickets, now) + own
+        credit = self._compute_credit(kind, tickets, now)
         placements = []
         for ticket in tickets:
-            if credit < 1.0:
+            if credit < 1.0 and own < 1:
                 break
-            chosen = self._choose(ticket, now)
+            # Own slots are no credit for replicas that all gateways use.
+            is_limited_only = credit < 1.0
+            chosen = self._choose(ticket, now, is_limited_only=is_limited_only)
             if isinstance(chosen, upstreams.Upstream):
+                if self._balancer.limits.is_limited(chosen.id, now):
+                    own -= 1
+                else:
+                    credit -= 1.0
                 placements.append(self._assign_waiting(ticket, chosen, now))
-                credit -= 1.0
             elif chosen.is_full:
                 break
-        self._credit[kind] = min(max(credit - own, 0.0), 1.0)
+        self._credit[kind] = min(max(credit, 0.0), 1.0)
         self._note_demand(tickets[len(placements) :], now)
         return placements
 
@@ -345,7 +350,11 @@
     # -- Slots of a replica
 
     def _choose(
-        self, ticket: Ticket, now: float, is_new: bool = False
+        self,
+        ticket: Ticket,
+        now: float,
+        is_new: bool = False,
+        is_limited_only: bool = False,
     ) -> upstreams.Upstream | balancing.Unavailable:
         return self._balancer.choose(
             ticket.kind.service,
@@ -356,6 +365,7 @@
             self._make_limit_function(ticket, now),
             _estimate_service_time(ticket),
             is_new,
+            is_limited_only,
         )
 
     def _make_limit_function(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -187,6 +187,24 @@
         (placement,) = self.placer.fill(_KIND, 0.01)
         self.assertEqual(placement.ticket.request, "next")
 
+    def test_the_share_of_a_cold_replica_is_no_credit_for_warm_ones(self):
+        """Guards against slots that two gateways fill at once.
+
+        Many requests wait at other gateways, so this one may fill hardly
+        any of the warm replica's slots.
+        """
+        self.fleet.replace([make_leader(0), make_leader(1)], 2, 0.0)
+        me = self.balancer.limits
+        me.note_nodes([ids.NodeId("")], 0.0)
+        me.note_cold(ids.InstanceId("i1"), 7.0, 90.0, 30.0)
+        key = backlog.format_count_key(_KIND)
+        self.balancer.note_loads(ids.NodeId("n1"), {key: 2000}, 30.0)
+        for number in range(20):
+            self.placer.add(make_ticket(f"w{number}", 30.0))
+        self.assertTrue(me.permits(ids.InstanceId("i1"), 30.0))
+        found = self.placer.fill(_KIND, 30.0)
+        self.assertEqual([one.upstream.id for one in found], ["i1", "i1"])
+
     def test_waiting_requests_ask_for_shares_without_a_free_slot(self):
         """Guards against cold replicas that idle while requests wait.
 
