Limits: nodes with an incomplete list hold no share

Cause: a node that has not read the list of nodes, or hears of nodes it lacks, ranks itself among the few that it knows and took itself for a holder of cold upstreams, beyond the number that the bound allows.

Change: such a node holds and grants no share of a cold upstream until its list is complete. The division by the most holders in fleets below three nodes is not changed: two tests of the use of the rate at one and two nodes require the present division.

--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -189,6 +189,7 @@
         self.ready = False
         # Whether a digest names a node whose entry is not known here.
         self.has_unknown_nodes = False
+        self._has_list = False
         self._peers: dict[ids.NodeId, _Peer] = {}
         # When the store last answered a node that reads it.
         self._store_answered_at: float | None = None
@@ -206,6 +207,7 @@
     def note_list(self, entries: abc.Iterable[NodeEntry], now: float) -> None:
         """Record the nodes that the platform lists."""
         self.has_unknown_nodes = False
+        self._has_list = True
         for peer in self._peers.values():
             peer.is_listed = False
         for entry in entries:
@@ -415,6 +417,11 @@
 
     # -- Relays and readers of the store
 
+    @property
+    def knows_all_nodes(self) -> bool:
+        """Return whether the list was read and names all nodes heard of."""
+        return self._has_list and not self.has_unknown_nodes
+
     @property
     def is_full_mesh(self) -> bool:
         """Return whether every heartbeat goes to all nodes, without relays."""
--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -20,9 +20,10 @@
 the arrivals of any second, over all nodes, are at most what the holders give
 out in `_BOUND_SECONDS`. The parts are such that this holds with one holder
 more than there are, and no more nodes than that take themselves for
-holders: a new node holds nothing until the others count it, one that knows
-no others takes one part only, and one that falls silent is counted for as
-long as it is known.
+holders: a new node holds nothing until the others count it, nor does one
+that has not read the list of nodes or hears of a node that it lacks; one
+that knows no others takes one part only at first, and one that falls silent
+is counted for as long as it is known.
 
 A holder's requests show what the upstream says now. Changes, and from time
 to time the present value, are reported to the other nodes with the age of
@@ -278,6 +279,8 @@
         self._cold = _Group(me)
         # When this node became ready; None if nobody has told.
         self._ready_since: float | None = None
+        # Whether this node knows all others.
+        self._is_complete = True
         # When each node was last known, for cold upstreams.
         self._known_at: dict[ids.NodeId, float] = {}
         # Requests that found no share, by limit, and when.
@@ -451,6 +454,7 @@
         nodes: abc.Collection[ids.NodeId],
         now: float = 0.0,
         known: abc.Iterable[ids.NodeId] = (),
+        is_complete: bool = True,
     ) -> None:
         """Replace the nodes that take requests and hold the limits.
 
@@ -459,7 +463,11 @@
             now: Monotonic time.
             known: Further nodes that may take requests, although this node
                 does not hear them. They hold shares of cold upstreams.
+            is_complete: Whether these are all nodes that there are, as far
+                as this node can tell. It holds no share of a cold upstream
+                otherwise: others may rank before it.
         """
+        self._is_complete = is_complete
         was_ready = self._ready_since is not None
         if self._me not in nodes:
             self._ready_since = math.inf
@@ -578,6 +586,8 @@
             since = self._ready_since
             if since is None or now < since + _SETTLING_SECONDS:
                 return False
+            if not self._is_complete:
+                return False
             return limit.rank < holders
         if self._me not in self._named.nodes:
             return False
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -115,6 +115,7 @@
             self._presence.list_members(now),
             now,
             [node.id for node in self._presence.list_peers()],
+            self._presence.knows_all_nodes,
         )
         self._balancer.are_counts_relayed = not self._presence.is_full_mesh
         own = presence_module.Heartbeat(
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -230,6 +230,22 @@
         self.assertLessEqual(sum(counts[60:260]), 10 * 14 / 3 + 1)
         self.assertGreater(sum(counts[400:]), 0.8 * 10 * 14)
 
+    def test_a_node_that_does_not_know_all_others_holds_nothing(self):
+        """Guards against more holders than the bound allows.
+
+        A node whose list lacks the others takes itself for a holder.
+        """
+        me, server = ids.NodeId("me"), ids.InstanceId("s0")
+        node = ratelimits.RateLimits(me)
+        node.note_cold(server, 14.0, 90.0, 0.0)
+        node.note_nodes([me], 0.0)
+        node.note_nodes([me], 30.0, (), True)
+        self.assertTrue(node.permits(server, 30.0))
+        node.note_nodes([me], 31.0, (), False)
+        self.assertFalse(node.permits(server, 31.0))
+        request = limits.ShareRequest(ids.NodeId("n1"), 1, {"s0/cold": 1})
+        self.assertEqual(node.grant(request, 31.0).granted, {})
+
     def test_the_settings_bound_the_requests(self):
         """Guards against the slack of cold upstreams used for other limits."""
         server = ids.InstanceId("s0")
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -86,6 +86,22 @@
         exchange._receive(self.make_digest(1, False, 7))
         self.assertEqual(self.balancer.count_load(_LEADER), 7)
 
+    def test_the_limits_are_told_whether_all_nodes_are_known(self):
+        """Guards against shares divided among the few nodes that are known."""
+        exchange = self.make(0.1)
+        presence = exchange._presence
+        told = []
+        with mock.patch.object(self.balancer.limits, "note_nodes") as noted:
+            exchange._compose(1)
+            presence.note_relayed_nodes({"new": True}, 10.0)
+            exchange._compose(2)
+            presence.note_list(self.entries, 10.0)
+            exchange._compose(3)
+            exchange._presence = presence_module.Presence(presence.me)
+            exchange._compose(4)
+            told = [call.args[3] for call in noted.call_args_list]
+        self.assertEqual(told, [True, False, True, False])
+
     def test_a_member_does_not_add_up_parts(self):
         exchange = self.make(0.1)
         exchange._receive(self.make_digest(0, False, 7))
