Coldness: record each entry once

Cause: every change of the configuration recorded the time of all entries again, counted from the change, so upstreams long warm became cold. An answer that said warm left no time to compare with.

Change: an entry that was read before its service was configured is recorded once, and not if an answer came after it was read. The time of answers that said warm is kept.

Result: the two new tests failed before and pass; tests.test_cold passes.

--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -42,13 +42,17 @@
     Attributes:
         born: Start of its process.
         listed_at: When its entry last changed.
-        answered_at: When an answer last said that it is cold; 0 for never.
+        answered_at: When an answer last said whether it is cold; 0 for
+            never.
+        is_applied: Whether its entry was recorded, as its service was
+            configured.
         reported_until: End of the cold time that this node last reported.
     """
 
     born: int
     listed_at: float
     answered_at: float = 0.0
+    is_applied: bool = False
     reported_until: float = 0.0
 
 
@@ -111,17 +115,25 @@
                     found.append(upstream.id)
             known = self._known.setdefault(upstream.id, _Known(0, now))
             known.born, known.listed_at = upstream.born, now
+            known.is_applied = service is not None
         return found
 
     def note_services(self, now: float) -> None:
         """Record what entries say that were read before the configuration.
 
         Failure: a node that starts reads the list first, and sends cold
-        upstreams their usual share until their entries change.
+        upstreams their usual share until their entries change. Each entry
+        is recorded once: its time would begin again at every change of the
+        configuration.
         """
         for upstream in self._fleet.all():
             service = self._find_service(upstream.service)
-            if service is None or upstream.cold_left <= 0:
+            known = self._known.get(upstream.id)
+            if service is None or known is None or known.is_applied:
+                continue
+            known.is_applied = True
+            is_answered = known.answered_at >= known.listed_at
+            if upstream.cold_left <= 0 or is_answered:
                 continue
             if not self._limits.get_cold_left(upstream.id, now):
                 self._note_entry(upstream, service, False, now)
@@ -196,7 +208,7 @@
         until = now + min(left, _LONGEST)
         self._limits.note_cold(upstream.id, service.cold_rate, until, now, now)
         known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
-        known.answered_at = now if left > 0 else 0.0
+        known.answered_at = now
         if not was_cold:
             known.reported_until = 0.0
         elif not known.reported_until:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -371,6 +371,28 @@
         self.coldness.note_services(20.5)
         self.assertAlmostEqual(self.get_left(20.5), 2.0)
 
+    def test_a_configuration_change_does_not_repeat_an_entry(self):
+        """Guards against upstreams that become cold again at each change."""
+        self.list_replicas(20.0, born=1, cold_left=2.0, tells_coldness=True)
+        self.coldness.note_services(25.0)
+        self.assertEqual(self.get_left(25.0), 0.0)
+        services, self.coldness.services = self.coldness.services, tuple
+        self.list_replicas(30.0, born=1, cold_left=3.0, tells_coldness=True)
+        self.coldness.services = services
+        self.coldness.note_services(30.5)
+        self.assertAlmostEqual(self.get_left(30.5), 3.0)
+        self.coldness.note_services(36.0)
+        self.assertEqual(self.get_left(36.0), 0.0)
+
+    def test_an_answer_that_said_warm_counts_more_than_an_older_entry(self):
+        """Guards against an entry that a change of configuration repeats."""
+        services, self.coldness.services = self.coldness.services, tuple
+        self.list_replicas(20.0, born=1, cold_left=9.0, tells_coldness=True)
+        self.coldness.services = services
+        self.answer(0.0, 20.5)
+        self.coldness.note_services(21.0)
+        self.assertEqual(self.get_left(21.0), 0.0)
+
     def test_an_instance_that_starts_is_cold_until_its_entry_says(self):
         """Guards against a new instance that gets its share of requests."""
         self.list_replicas(20.0, born=1)
