Coldness: count the retention from the end of the listing

Cause: the retention of an unlisted instance counted from the last change of its entry, mostly long ago, so an instance was forgotten at once in an outage of the store and became cold when its entry returned.

Change: the retention counts from when `expire` first finds the instance unlisted, and again after it was listed.

Result: the new test failed before (cold for 3 s) and passes; tests.test_cold passes.

--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -44,6 +44,8 @@
         listed_at: When its entry last changed.
         answered_at: When an answer last said whether it is cold; 0 for
             never.
+        unlisted_at: When it was first found to be unlisted; None while it
+            is listed.
         is_applied: Whether its entry was recorded, as its service was
             configured.
         reported_until: End of the cold time that this node last reported.
@@ -52,6 +54,7 @@
     born: int
     listed_at: float
     answered_at: float = 0.0
+    unlisted_at: float | None = None
     is_applied: bool = False
     reported_until: float = 0.0
 
@@ -224,6 +227,9 @@
     def expire(self, now: float) -> None:
         """Forget instances that left the list long ago."""
         for name, known in list(self._known.items()):
-            last = max(known.listed_at, known.answered_at)
-            if now - last > _RETENTION and self._fleet.get(name) is None:
+            if self._fleet.get(name) is not None:
+                known.unlisted_at = None
+            elif known.unlisted_at is None:
+                known.unlisted_at = now
+            elif now - known.unlisted_at > _RETENTION:
                 del self._known[name]
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -407,6 +407,26 @@
         self.list_replicas(23.0, born=2)
         self.assertEqual(self.get_left(23.0), 0.0)
 
+    def test_an_entry_that_returns_after_an_outage_is_no_start(self):
+        """Guards against instances that become cold as the store returns.
+
+        Their entries last changed long before the outage.
+        """
+        self.list_replicas(20.0, born=1)
+        for unlisted in (500.0, 540.0, 600.0):
+            self.fleet.replace([], self.revision + 1, unlisted)
+            self.revision += 1
+            self.coldness.expire(unlisted)
+            self.coldness.expire(unlisted + 10.0)
+            self.list_replicas(unlisted + 20.0, born=1)
+            self.assertEqual(self.get_left(unlisted + 20.0), 0.0)
+            self.coldness.expire(unlisted + 21.0)
+        self.fleet.replace([], self.revision + 1, 700.0)
+        self.revision += 1
+        self.coldness.expire(700.0)
+        self.coldness.expire(761.0)
+        self.assertEqual(self.coldness._known, {})
+
     def test_an_answer_counts_more_than_an_older_entry(self):
         """Guards against an entry, read late, that ends the cold time."""
         self.list_replicas(20.0, born=1, tells_coldness=True)
