--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -123,6 +123,10 @@
     share_wait: float = 0.0
 
 
+# The result where an upstream that limits its requests is wanted.
+_NONE_LIMITED = Unavailable(
+    "none limits its requests", _SATURATION_RETRY_AFTER
+)
 _ALL_FULL = Unavailable("all are full", _SATURATION_RETRY_AFTER, is_full=True)
 
 # A function that returns how many requests an upstream may have in flight.
@@ -212,6 +216,7 @@
         now: float,
         get_limit: LimitFunction | None = None,
         service_time: float = 0.0,
+        is_limited_only: bool = False,
     ) -> upstreams.Upstream | Unavailable:
         """Return the upstream for a request.
 
@@ -227,8 +232,18 @@
                 flight; None for no limit.
             service_time: Seconds that an upstream works on a request; 0
                 where it isn't known.
+            is_limited_only: Whether only upstreams that limit their requests
+                are considered.
         """
         candidates = self._list_usable(service, model, excluded, now)
+        if is_limited_only and isinstance(candidates, list):
+            candidates = [
+                one
+                for one in candidates
+                if self.limits.is_limited(one.id, now)
+            ]
+            if not candidates:
+                return _NONE_LIMITED
         found: list[upstreams.Upstream] | upstreams.Upstream | Unavailable
         found = candidates
         if isinstance(candidates, list):
@@ -241,11 +256,11 @@
             return found
         if isinstance(found, Unavailable):
             if found.is_full:
-                self._note_demand(service, model, excluded, salt, now)
+                self.note_demand(service, model, excluded, salt, now)
             return found
         if get_limit is None and self._are_slots_taken(found):
             # For the next requests: this one is sent without delay.
-            self._note_demand(service, model, excluded, salt, now)
+            self.note_demand(service, model, excluded, salt, now)
         return self._choose_usable(found, salt, service_time)
 
     def _list_roomy(
@@ -314,7 +329,7 @@
             self.count_load(one.id) >= one.slots for one in usable
         )
 
-    def _note_demand(
+    def note_demand(
         self,
         service: ids.ServiceName,
         model: str | None,
--- a/currantwall/coordination/requests/coldness.py
+++ b/currantwall/coordination/requests/coldness.py
@@ -31,6 +31,9 @@
 # Seconds for which an instance that is no longer listed is remembered. Its
 # entry returns after an outage, which is no start.
 _RETENTION = 60.0
+# Seconds by which the end of the cold time must move later to be reported.
+# Each answer moves it a little, because the time is counted from its arrival.
+_EXTENSION = 0.3
 
 
 class _Known(msgspec.Struct):
@@ -39,12 +42,21 @@
     Attributes:
         born: Start of its process.
         listed_at: When its entry last changed.
-        answered_at: When an answer last said that it is cold; 0 for never.
+        answered_at: When an answer last said whether it is cold; 0 for
+            never.
+        unlisted_at: When it was first found to be unlisted; None while it
+            is listed.
+        is_applied: Whether its entry was recorded, as its service was
+            configured.
+        reported_until: End of the cold time that this node last reported.
     """
 
     born: int
     listed_at: float
     answered_at: float = 0.0
+    unlisted_at: float | None = None
+    is_applied: bool = False
+    reported_until: float = 0.0
 
 
 class Coldness:
@@ -106,17 +118,25 @@
                     found.append(upstream.id)
             known = self._known.setdefault(upstream.id, _Known(0, now))
             known.born, known.listed_at = upstream.born, now
+            known.is_applied = service is not None
         return found
 
     def note_services(self, now: float) -> None:
         """Record what entries say that were read before the configuration.
 
         Failure: a node that starts reads the list first, and sends cold
-        upstreams their usual share until their entries change.
+        upstreams their usual share until their entries change. Each entry
+        is recorded once: its time would begin again at every change of the
+        configuration.
         """
         for upstream in self._fleet.all():
             service = self._find_service(upstream.service)
-            if service is None or upstream.cold_left <= 0:
+            known = self._known.get(upstream.id)
+            if service is None or known is None or known.is_applied:
+                continue
+            known.is_applied = True
+            is_answered = known.answered_at >= known.listed_at
+            if upstream.cold_left <= 0 or is_answered:
                 continue
             if not self._limits.get_cold_left(upstream.id, now):
                 self._note_entry(upstream, service, False, now)
@@ -133,7 +153,8 @@
         is_new = known is None or known.born != upstream.born
         left = upstream.cold_left
         if upstream.tells_coldness:
-            if left <= 0 and not is_new and self._is_outdated(known, now):
+            is_outdated = self._is_outdated(upstream.id, now)
+            if left <= 0 and not is_new and is_outdated:
                 return
         elif is_new and has_traffic:
             left = service.cold_start
@@ -143,12 +164,13 @@
             upstream.id, service.cold_rate, now + min(left, _LONGEST), now
         )
 
-    @staticmethod
-    def _is_outdated(known: _Known | None, now: float) -> bool:
-        """Return whether an answer is newer than the entry read now."""
-        if known is None or not known.answered_at:
-            return False
-        return now - known.answered_at <= _ENTRY_AGE
+    def _is_outdated(self, instance: ids.InstanceId, now: float) -> bool:
+        """Return whether an answer is newer than the entry read now.
+
+        Answers to other nodes count, which have reported them.
+        """
+        answered_at = self._limits.get_cold_answer_time(instance)
+        return now - answered_at <= _ENTRY_AGE
 
     def note_withdrawn(
         self, datacentre: ids.DatacentreName, now: float
@@ -184,20 +206,30 @@
         service = self._find_service(upstream.service)
         if service is None:
             return False
-        was_cold = self._limits.get_cold_left(upstream.id, now) > 0
-        self._limits.note_cold(
-            upstream.id, service.cold_rate, now + min(left, _LONGEST), now
-        )
+        known_until = now + self._limits.get_cold_left(upstream.id, now)
+        was_cold = known_until > now
+        until = now + min(left, _LONGEST)
+        self._limits.note_cold(upstream.id, service.cold_rate, until, now, now)
         known = self._known.setdefault(upstream.id, _Known(upstream.born, now))
-        known.answered_at = now if left > 0 else 0.0
-        changed = was_cold != (left > 0)
+        known.answered_at = now
+        if not was_cold:
+            known.reported_until = 0.0
+        elif not known.reported_until:
+            # An entry or another node's report said so.
+            known.reported_until = known_until
+        is_extended = left > 0 and until > known.reported_until + _EXTENSION
+        changed = was_cold != (left > 0) or is_extended
         if changed:
+            known.reported_until = until if left > 0 else 0.0
             self._limits.report_cold(upstream.id, now)
         return changed
 
     def expire(self, now: float) -> None:
         """Forget instances that left the list long ago."""
         for name, known in list(self._known.items()):
-            last = max(known.listed_at, known.answered_at)
-            if now - last > _RETENTION and self._fleet.get(name) is None:
+            if self._fleet.get(name) is not None:
+                known.unlisted_at = None
+            elif known.unlisted_at is None:
+                known.unlisted_at = now
+            elif now - known.unlisted_at > _RETENTION:
                 del self._known[name]
--- a/currantwall/coordination/requests/ratelimits.py
+++ b/currantwall/coordination/requests/ratelimits.py
@@ -20,9 +20,10 @@
 the arrivals of any second, over all nodes, are at most what the holders give
 out in `_BOUND_SECONDS`. The parts are such that this holds with one holder
 more than there are, and no more nodes than that take themselves for
-holders: a new node holds nothing until the others count it, one that knows
-no others takes one part only, and one that falls silent is counted for as
-long as it is known.
+holders: a new node holds nothing until the others count it, nor does one
+that has not read the list of nodes or hears of a node that it lacks; one
+that knows no others takes one part only at first, and one that falls silent
+is counted for as long as it is known.
 
 A holder's requests show what the upstream says now. Changes, and from time
 to time the present value, are reported to the other nodes with the age of
@@ -74,6 +75,16 @@
 # Most holders that a node asks at a time. It bounds the datagrams of a node
 # whose requests could use any of dozens of upstreams.
 _MAX_ASKED = 4
+# Times that a holder lets itself be asked for each request of its share.
+# Nodes that were told to ask again may have no request then, and with few
+# messages a share would lapse before the next one.
+_ASKED_PER_TOKEN = 8.0
+# Most seconds after which a node is told to ask again. The rate of an
+# upstream that becomes warm rises within about as long.
+_LONGEST_RETRY = 1.0
+# Seconds after which a node asks again one that holds no share: they know
+# different nodes, or one has not learnt the limit yet.
+_NO_HOLDER_RETRY = 0.25
 # Seconds for which a change is reported, and a value that is repeated.
 _CHANGE_REPORT_SECONDS = 2.0
 _REPEAT_REPORT_SECONDS = 1.0
@@ -116,6 +127,12 @@
         tokens: Requests that this node may send now, in fractions; at first
             as many as it may save up.
         granted: When each request that another holder granted is void.
+        next_asked_at: When the last node that was told to ask this holder
+            again does so.
+        retry_at: When to ask each other holder again.
+        answered_at: When the last answer came that said whether the
+            upstream is cold, to any node.
+        says_cold: Whether that answer said that it is.
         cold_until: When the upstream becomes warm; None if the upstream has
             named the limit in an answer.
         reported_until: Until when this node reports it.
@@ -128,8 +145,12 @@
     width: int
     holders: list[ids.NodeId]
     asked: int = 0
+    next_asked_at: float = -math.inf
+    retry_at: dict[ids.NodeId, float] = {}
     tokens: float = math.inf
     granted: list[float] = []
+    answered_at: float = -math.inf
+    says_cold: bool = False
     cold_until: float | None = None
     reported_until: float = -math.inf
 
@@ -258,6 +279,8 @@
         self._cold = _Group(me)
         # When this node became ready; None if nobody has told.
         self._ready_since: float | None = None
+        # Whether this node knows all others.
+        self._is_complete = True
         # When each node was last known, for cold upstreams.
         self._known_at: dict[ids.NodeId, float] = {}
         # Requests that found no share, by limit, and when.
@@ -331,7 +354,12 @@
         return limit
 
     def note_cold(
-        self, instance: ids.InstanceId, rate: float, until: float, now: float
+        self,
+        instance: ids.InstanceId,
+        rate: float,
+        until: float,
+        now: float,
+        answered_at: float | None = None,
     ) -> None:
         """Record that an upstream is cold, or for how much longer.
 
@@ -340,6 +368,8 @@
             rate: Requests a second that it sustains, of all nodes.
             until: When it becomes warm; its share then rises from `rate`.
             now: Monotonic time.
+            answered_at: When the answer came that says so, at any node;
+                None if no answer does.
         """
         limit = self._cold.limits.get(instance)
         if limit is None:
@@ -347,10 +377,16 @@
                 return
             limit = self._cold.add(instance, rate, now, self._most, now)
             limit.cold_until = until
+            if answered_at is not None:
+                limit.observed_at = limit.answered_at = answered_at
+                limit.says_cold = True
             return
         self._refill(limit, now)
         limit.rate = rate
-        limit.observed_at = now
+        limit.observed_at = now if answered_at is None else answered_at
+        if answered_at is not None:
+            limit.answered_at = answered_at
+            limit.says_cold = until > answered_at
         # A rise of the rate that has begun is not begun again.
         is_warm = limit.cold_until is not None and limit.cold_until <= now
         if until > now or not is_warm:
@@ -363,11 +399,22 @@
         limit = self._cold.limits.get(instance)
         observed_at = now - report.age
         if limit is not None and observed_at <= limit.observed_at:
-            return
+            # An entry read since then may be older than the answer.
+            is_warm = report.cold_left <= 0
+            if is_warm or observed_at <= limit.answered_at:
+                return
         until = observed_at + report.cold_left
-        self.note_cold(instance, report.rate or 0.0, until, now)
-        if instance in self._cold.limits:
-            self._cold.limits[instance].observed_at = observed_at
+        self.note_cold(instance, report.rate or 0.0, until, now, observed_at)
+
+    def get_cold_answer_time(self, instance: ids.InstanceId) -> float:
+        """Return when the last answer came, if it said an upstream is cold.
+
+        It may have come to another node. Minus infinity for none.
+        """
+        limit = self._cold.limits.get(instance)
+        if limit is None or not limit.says_cold:
+            return -math.inf
+        return limit.answered_at
 
     def report_cold(self, instance: ids.InstanceId, now: float) -> None:
         """Report to the other nodes what was just recorded of an upstream."""
@@ -407,6 +454,7 @@
         nodes: abc.Collection[ids.NodeId],
         now: float = 0.0,
         known: abc.Iterable[ids.NodeId] = (),
+        is_complete: bool = True,
     ) -> None:
         """Replace the nodes that take requests and hold the limits.
 
@@ -415,7 +463,11 @@
             now: Monotonic time.
             known: Further nodes that may take requests, although this node
                 does not hear them. They hold shares of cold upstreams.
+            is_complete: Whether these are all nodes that there are, as far
+                as this node can tell. It holds no share of a cold upstream
+                otherwise: others may rank before it.
         """
+        self._is_complete = is_complete
         was_ready = self._ready_since is not None
         if self._me not in nodes:
             self._ready_since = math.inf
@@ -534,6 +586,8 @@
             since = self._ready_since
             if since is None or now < since + _SETTLING_SECONDS:
                 return False
+            if not self._is_complete:
+                return False
             return limit.rank < holders
         if self._me not in self._named.nodes:
             return False
@@ -605,6 +659,9 @@
                 continue
             missing = count - self._count_tokens(limit, now)
             others = self._list_other_holders(limit)
+            others = [
+                node for node in others if limit.retry_at.get(node, now) <= now
+            ]
             parts = min(missing, len(others), _MAX_ASKED)
             for index in range(parts):
                 # In turn: one of them may be down.
@@ -645,21 +702,45 @@
         """Take what another node asks for from this node's shares.
 
         Returns:
-            The answer; None if there is nothing to grant.
+            The answer; None if nothing was asked for.
         """
-        granted = {}
+        granted: dict[str, int] = {}
+        retry_after: dict[str, float] = {}
         for key, count in request.wanted.items():
             limit = self._find(key)
-            if limit is None or not limit.applies(now):
-                continue
-            if not self._is_holder(limit, now):
+            if (
+                limit is None
+                or not limit.applies(now)
+                or not self._is_holder(limit, now)
+            ):
+                retry_after[key] = _NO_HOLDER_RETRY
                 continue
             self._refill(limit, now)
             part = min(count, math.floor(limit.tokens))
             if part > 0:
                 limit.tokens -= part
                 granted[key] = part
-        return limits.ShareGrant(request.serial, granted) if granted else None
+            if part < count:
+                retry_after[key] = self._schedule_retry(limit, now)
+        if not granted and not retry_after:
+            return None
+        return limits.ShareGrant(
+            request.serial, granted, self._me, retry_after
+        )
+
+    def _schedule_retry(self, limit: _Limit, now: float) -> float:
+        """Return the seconds after which a node asks for a share again.
+
+        The nodes are told different times, so that the messages are few and
+        come evenly while many nodes wait.
+        """
+        rate = self._compute_rate(limit, now) / self._count_holders(limit, now)
+        earliest = now + max(1.0 - limit.tokens, 0.0) / rate
+        at = max(limit.next_asked_at, earliest)
+        if at > now + _LONGEST_RETRY:
+            at = min(earliest, now + _LONGEST_RETRY)
+        limit.next_asked_at = at + 1.0 / (_ASKED_PER_TOKEN * rate)
+        return at - now
 
     def note_grant(self, grant: limits.ShareGrant, now: float) -> int:
         """Record what a holder grants; return how many requests.
@@ -669,6 +750,10 @@
         asked_at = self._asked_at.pop(grant.serial, None)
         if asked_at is None or now > asked_at + _GRANT_SECONDS:
             return 0
+        for key, delay in grant.retry_after.items():
+            limit = self._find(key)
+            if limit is not None:
+                limit.retry_at[grant.node] = now + min(delay, _LONGEST_RETRY)
         total = 0
         for key, count in grant.granted.items():
             limit = self._find(key)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,5 +1,6 @@
 """Requests to upstreams that are cold, over all nodes."""
 
+import collections
 import unittest
 
 import msgspec
@@ -229,6 +230,22 @@
         self.assertLessEqual(sum(counts[60:260]), 10 * 14 / 3 + 1)
         self.assertGreater(sum(counts[400:]), 0.8 * 10 * 14)
 
+    def test_a_node_that_does_not_know_all_others_holds_nothing(self):
+        """Guards against more holders than the bound allows.
+
+        A node whose list lacks the others takes itself for a holder.
+        """
+        me, server = ids.NodeId("me"), ids.InstanceId("s0")
+        node = ratelimits.RateLimits(me)
+        node.note_cold(server, 14.0, 90.0, 0.0)
+        node.note_nodes([me], 0.0)
+        node.note_nodes([me], 30.0, (), True)
+        self.assertTrue(node.permits(server, 30.0))
+        node.note_nodes([me], 31.0, (), False)
+        self.assertFalse(node.permits(server, 31.0))
+        request = limits.ShareRequest(ids.NodeId("n1"), 1, {"s0/cold": 1})
+        self.assertEqual(node.grant(request, 31.0).granted, {})
+
     def test_the_settings_bound_the_requests(self):
         """Guards against the slack of cold upstreams used for other limits."""
         server = ids.InstanceId("s0")
@@ -279,6 +296,27 @@
         node.note_request(server, 22.1)
         self.assertFalse(node.permits(server, 22.1))
 
+    def test_a_holder_without_a_share_is_not_asked_at_every_tick(self):
+        """Guards against thousands of messages a second to one holder.
+
+        143 nodes wait for one cold upstream, each of them at every tick.
+        """
+        fleet = ColdFleet(143, 1, 1)
+        asked = collections.Counter()
+        ask = fleet.ask
+
+        def count(name, holder, request):
+            if fleet.now >= _START + 1:
+                asked[holder] += 1
+            ask(name, holder, request)
+
+        fleet.ask = count
+        fleet.make_cold(7.0)
+        fleet.start_demand(2.0 * 143, 143)
+        fleet.run(_WARM)
+        self.assertLessEqual(max(asked.values()), 1.25 * 143 * 4)
+        self.assertGreaterEqual(fleet.compute_use(7.0), 0.8)
+
 
 class ColdnessTest(unittest.TestCase):
     def setUp(self):
@@ -333,6 +371,28 @@
         self.coldness.note_services(20.5)
         self.assertAlmostEqual(self.get_left(20.5), 2.0)
 
+    def test_a_configuration_change_does_not_repeat_an_entry(self):
+        """Guards against upstreams that become cold again at each change."""
+        self.list_replicas(20.0, born=1, cold_left=2.0, tells_coldness=True)
+        self.coldness.note_services(25.0)
+        self.assertEqual(self.get_left(25.0), 0.0)
+        services, self.coldness.services = self.coldness.services, tuple
+        self.list_replicas(30.0, born=1, cold_left=3.0, tells_coldness=True)
+        self.coldness.services = services
+        self.coldness.note_services(30.5)
+        self.assertAlmostEqual(self.get_left(30.5), 3.0)
+        self.coldness.note_services(36.0)
+        self.assertEqual(self.get_left(36.0), 0.0)
+
+    def test_an_answer_that_said_warm_counts_more_than_an_older_entry(self):
+        """Guards against an entry that a change of configuration repeats."""
+        services, self.coldness.services = self.coldness.services, tuple
+        self.list_replicas(20.0, born=1, cold_left=9.0, tells_coldness=True)
+        self.coldness.services = services
+        self.answer(0.0, 20.5)
+        self.coldness.note_services(21.0)
+        self.assertEqual(self.get_left(21.0), 0.0)
+
     def test_an_instance_that_starts_is_cold_until_its_entry_says(self):
         """Guards against a new instance that gets its share of requests."""
         self.list_replicas(20.0, born=1)
@@ -347,6 +407,26 @@
         self.list_replicas(23.0, born=2)
         self.assertEqual(self.get_left(23.0), 0.0)
 
+    def test_an_entry_that_returns_after_an_outage_is_no_start(self):
+        """Guards against instances that become cold as the store returns.
+
+        Their entries last changed long before the outage.
+        """
+        self.list_replicas(20.0, born=1)
+        for unlisted in (500.0, 540.0, 600.0):
+            self.fleet.replace([], self.revision + 1, unlisted)
+            self.revision += 1
+            self.coldness.expire(unlisted)
+            self.coldness.expire(unlisted + 10.0)
+            self.list_replicas(unlisted + 20.0, born=1)
+            self.assertEqual(self.get_left(unlisted + 20.0), 0.0)
+            self.coldness.expire(unlisted + 21.0)
+        self.fleet.replace([], self.revision + 1, 700.0)
+        self.revision += 1
+        self.coldness.expire(700.0)
+        self.coldness.expire(761.0)
+        self.assertEqual(self.coldness._known, {})
+
     def test_an_answer_counts_more_than_an_older_entry(self):
         """Guards against an entry, read late, that ends the cold time."""
         self.list_replicas(20.0, born=1, tells_coldness=True)
@@ -356,6 +436,20 @@
         self.assertTrue(self.answer(0.0, 22.0))
         self.assertEqual(self.get_left(22.0), 0.0)
 
+    def test_a_report_counts_more_than_an_older_entry(self):
+        """Guards against an entry, read late, on nodes told by others."""
+        self.list_replicas(20.0, born=1, tells_coldness=True)
+        report = limits.LimitReport(7.0, 0.3, 4.0)
+        self.limits.note_reports({"a0/cold": report}, 21.0)
+        self.list_replicas(21.5, born=1, tells_coldness=True, busy=True)
+        self.assertAlmostEqual(self.get_left(21.5), 3.2)
+        self.list_replicas(23.5, born=1, tells_coldness=True)
+        self.assertEqual(self.get_left(23.5), 0.0)
+        # A cold report that is older than an answer to this node.
+        self.answer(0.0, 23.6)
+        self.limits.note_reports({"a0/cold": report}, 23.7)
+        self.assertEqual(self.get_left(23.7), 0.0)
+
     def test_other_nodes_learn_what_an_answer_says(self):
         """Guards against nodes that learn it from the entry, seconds late."""
         self.list_replicas(20.0, born=1)
@@ -369,6 +463,18 @@
             other.get_cold_left(ids.InstanceId("a0"), 21.5), 1.5
         )
 
+    def test_other_nodes_learn_that_the_cold_time_is_extended(self):
+        """Guards against other nodes that take the upstream for warm."""
+        self.list_replicas(20.0, born=1)
+        self.assertTrue(self.answer(2.0, 21.0))
+        self.assertFalse(self.answer(2.1, 21.1))
+        self.assertFalse(self.answer(2.05, 21.2))
+        # Small steps add up to 0.5 s since the last report.
+        self.assertTrue(self.answer(2.2, 21.3))
+        self.assertTrue(self.answer(9.0, 21.4))
+        self.assertFalse(self.answer(2.0, 23.9))
+        self.assertTrue(self.limits.list_reports(23.3))
+
     def test_upstreams_return_cold_after_an_evacuation(self):
         """Guards against the usual share for upstreams that were unused."""
         self.list_replicas(20.0, born=1, tells_coldness=True)
