Evacuations: a peer that has learnt nothing ends no wait

Cause: a ready node that had learnt no revision renewed the wait of a starting node with each heartbeat, answered its fetches with 503, and so kept it from becoming ready. Any digest counted as one of a ready node.

Change: heartbeats and digests carry `informed`, whether the sender has learnt a revision; only such a ready sender renews the wait, confirms what is known and is asked. The readiness of a relay is that of its own entry in its last named nodes.

--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -52,7 +52,7 @@
         loads: Requests in flight, by upstream, summed over the nodes.
         stalled: As in a heartbeat, of all the nodes; so are `lost`,
             `slow`, `limits` and `leases`.
-        evacuations: As in a heartbeat of the relay.
+        evacuations: As in a heartbeat of the relay; so is `informed`.
     """
 
     node: presence_module.NodeEntry
@@ -70,6 +70,7 @@
     limits: dict[str, limits_module.LimitReport] = {}
     leases: dict[str, presence_module.HeldLease] = {}
     evacuations: evacuations_module.EvacuationReport | None = None
+    informed: bool = False
 
 
 class Alarm(msgspec.Struct, frozen=True, tag="alarm"):
@@ -211,6 +212,19 @@
             self._note_reports(digest.slow, last.slow if last else ())
         return True
 
+    def is_sender_ready(self, digest: Digest) -> bool:
+        """Return whether a recorded digest comes from a node that is ready.
+
+        Relays that start or were suspended send digests as well. False until
+        a digest of the relay has named its nodes.
+        """
+        digests = (
+            self._partial_digests if digest.is_part else self._total_digests
+        )
+        known = digests.get(digest.node.id)
+        nodes = known[1].nodes if known else None
+        return bool(nodes and nodes.get(digest.node.id))
+
     def _note_reports(
         self, reported: abc.Iterable[str], before: abc.Iterable[str]
     ) -> None:
@@ -341,6 +355,7 @@
             limits=aggregate.limits,
             leases=aggregate.leases,
             evacuations=own.evacuations,
+            informed=own.informed,
         )
 
     def _omit_sent_nodes(self, digest: Digest) -> Digest:
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -143,6 +143,8 @@
             the node does not read the store.
         evacuations: The evacuated data centres that the node knows; None
             if there are none and none was withdrawn lately.
+        informed: Whether the node has learnt the evacuations and can pass
+            them on to a node that has just started.
     """
 
     node: NodeEntry
@@ -159,6 +161,7 @@
     leases: dict[str, HeldLease] = {}
     store_age: float | None = None
     evacuations: evacuations_module.EvacuationReport | None = None
+    informed: bool = False
 
 
 class _Peer:
--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -127,11 +127,19 @@
             self.on_withdrawn(datacentre, now)
         return change
 
-    def note_contact(self, now: float) -> None:
-        """Record that another node, which has no news, could inform this one.
+    def note_contact(self, now: float, is_informed: bool) -> None:
+        """Record that another node, which has no news, is ready.
 
-        A node that has learnt nothing yet still has to.
+        Failure: nodes that start during an outage of the store wait for a
+        node that has learnt nothing either, and never become ready.
+
+        Args:
+            now: Time of the contact.
+            is_informed: Whether the other node has learnt the evacuations.
+                One that has not ends no wait and extends none.
         """
+        if not is_informed:
+            return
         self._heard_at = now
         if self.revision:
             self._confirm(now)
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -186,22 +186,24 @@
         self,
         node: presence_module.NodeEntry,
         is_ready: bool,
+        is_informed: bool,
         report: reports_module.EvacuationReport | None,
     ) -> None:
         """Apply another node's report; fetch it if this node needs it.
 
         Args:
             node: The other node.
-            is_ready: Whether it takes requests, and so has learnt the
-                evacuations.
+            is_ready: Whether it takes requests.
+            is_informed: Whether it has learnt the evacuations. A node that
+                nothing could inform is ready as well.
             report: Its report; None where nothing has changed lately.
         """
         if report is not None:
             self._note(report, node.id)
         if not is_ready:
             return
-        self._known.note_contact(self._clock.now())
-        if not self._known.revision and not self._fetching:
+        self._known.note_contact(self._clock.now(), is_informed)
+        if is_informed and not self._known.revision and not self._fetching:
             self._fetching = True
             eventlet.spawn_n(self._fetch_report, node)
 
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -54,7 +54,8 @@
         abort_attempts: Called with the epoch ID of a leader whose replica
             has lost a member; ends the attempts at it.
         note_evacuations: Called for each report with its sender, whether
-            that takes requests, and the evacuations that it reports.
+            that takes requests, whether it has learnt the evacuations, and
+            those that it reports.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
             [
                 presence_module.NodeEntry,
                 bool,
+                bool,
                 evacuations_module.EvacuationReport | None,
             ],
             None,
@@ -131,6 +133,7 @@
             leases=self._leases.list_leases(now),
             store_age=self._fleet_feed.get_store_age(now),
             evacuations=self._balancer.evacuations.list_reports(now),
+            informed=self._balancer.evacuations.revision > 0,
         )
         return self._relay.list_datagrams(own, now)
 
@@ -159,7 +162,7 @@
         if heartbeat.asks is not presence_module.RelayRequest.WITHOUT_LOADS:
             name = heartbeat.node.id
             self._balancer.note_loads(name, heartbeat.loads, now)
-        self._apply_report(heartbeat, now)
+        self._apply_report(heartbeat, heartbeat.ready, now)
 
     def _receive_digest(self, digest: digests.Digest, now: float) -> None:
         if not self._relay.note_digest(digest, now):
@@ -172,14 +175,22 @@
             # includes this node's own counts.
             others = _subtract_own(digest.loads, self._sent_loads)
             self._balancer.note_loads(_ALL_NODES, others, now)
-        self._apply_report(digest, now)
+        is_ready = self._relay.is_sender_ready(digest)
+        self._apply_report(digest, is_ready, now)
 
     def _apply_report(
         self,
         report: presence_module.Heartbeat | digests.Digest,
+        is_ready: bool,
         now: float,
     ) -> None:
-        """Act on all but the loads in another node's report."""
+        """Act on all but the loads in another node's report.
+
+        Args:
+            report: The report.
+            is_ready: Whether the sender takes requests.
+            now: Time of the receipt.
+        """
         self._budget.note_nodes(self._presence.count())
         self._configuration.note_peer_version(
             report.node, report.configuration
@@ -188,7 +199,7 @@
         self._leases.note_leases(report.leases, now)
         self._balancer.limits.note_reports(report.limits, now)
         self.note_evacuations(
-            report.node, _is_from_ready(report), report.evacuations
+            report.node, is_ready, report.informed, report.evacuations
         )
         self._suspect(report.stalled)
         for epoch_id in report.lost:
@@ -320,18 +331,12 @@
 def _ignore_evacuations(
     node: presence_module.NodeEntry,
     is_ready: bool,
+    is_informed: bool,
     report: evacuations_module.EvacuationReport | None,
 ) -> None:
     return
 
 
-def _is_from_ready(
-    report: presence_module.Heartbeat | digests.Digest,
-) -> bool:
-    """Return whether the sender takes requests, as all relays do."""
-    return isinstance(report, digests.Digest) or report.ready
-
-
 def _subtract_own(
     total: abc.Mapping[str, int], own: abc.Mapping[str, int]
 ) -> dict[str, int]:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -112,7 +112,7 @@
         """Guards against requests of a restarted node after the bound."""
         refusal = self.choose(self.make_balancer())
         self.assertIsInstance(refusal, balancing.Unavailable)
-        self.known.note_contact(104.0)
+        self.known.note_contact(104.0, True)
         self.assertFalse(self.known.expire(108.9))
         self.assertFalse(self.known.is_known)
 
@@ -129,9 +129,9 @@
         self.known.note_time(104.8)
         self.assertTrue(self.known.is_known)
         self.known.note_time(107.4)
-        self.known.note_contact(107.9)
+        self.known.note_contact(107.9, True)
         self.assertFalse(self.known.is_known)
-        self.known.note_contact(108.1)
+        self.known.note_contact(108.1, True)
         self.assertTrue(self.known.is_known)
 
     def test_a_change_is_reported_for_a_while_an_evacuation_always(self):
@@ -222,7 +222,9 @@
         feed = self.make_feed([refused])
         other = test_feeds.make_entry("n")
         report = reports.EvacuationReport(7, ("a",))
-        self.store.before_call = lambda: feed.note_report(other, True, report)
+        self.store.before_call = lambda: feed.note_report(
+            other, True, True, report
+        )
         self.store.limit = 4
         self.run_feed(feed)
         self.assertTrue(self.known.is_evacuated("a"))
@@ -273,6 +275,16 @@
         self.run_feed(feed)
         self.assertEqual(self.store.calls, 1)
 
+    def test_a_peer_that_has_learnt_nothing_ends_no_wait(self):
+        """Guards against nodes that wait for each other and never serve."""
+        feed = self.make_feed([test_feeds.make_list(1)])
+        other = test_feeds.make_entry("n")
+        self.clock.time = 104.0
+        with mock.patch.object(feeds.eventlet, "spawn_n") as spawn:
+            feed.note_report(other, True, False, None)
+        spawn.assert_not_called()
+        self.assertTrue(self.known.expire(105.1))
+
     def test_a_starting_node_asks_a_peer_that_is_ready(self):
         feed = self.make_feed([test_feeds.make_list(1)])
         other = test_feeds.make_entry("n")
@@ -283,10 +295,10 @@
             ),
             mock.patch.object(peers, "fetch", return_value=answer) as fetch,
         ):
-            feed.note_report(other, False, None)
+            feed.note_report(other, False, True, None)
             self.assertFalse(self.known.is_known)
-            feed.note_report(other, True, None)
-            feed.note_report(other, True, None)
+            feed.note_report(other, True, True, None)
+            feed.note_report(other, True, True, None)
         fetch.assert_called_once_with("p", peers.EVACUATIONS_PATH)
         self.assertTrue(self.known.is_evacuated("a"))
         self.assertTrue(feed.encode_report())
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -77,6 +77,27 @@
             loads={_LEADER: count},
         )
 
+    def test_the_readiness_of_a_relay_is_taken_from_its_own_entry(self):
+        """Guards against relays that start and confirm outdated evacuations.
+
+        A digest without nodes refers to those of the one before.
+        """
+        exchange = self.make(0.1)
+        exchange.note_evacuations = mock.Mock()
+        found = []
+        for serial, nodes in enumerate(
+            (None, {"n0": False}, None, {"n0": True}, None), 1
+        ):
+            digest = self.make_digest(0, False, 1, serial)
+            ready = bool(serial > 3)
+            exchange._receive(
+                msgspec.structs.replace(
+                    digest, nodes=nodes, nodes_hash=1 + ready, informed=True
+                )
+            )
+            found.append(exchange.note_evacuations.call_args.args[1:3])
+        self.assertEqual(found, [(False, True)] * 3 + [(True, True)] * 2)
+
     def test_a_member_takes_its_own_requests_out_of_the_sum(self):
         """Guards against replicas that look busiest to nodes that use them."""
         exchange = self.make(0.1)
