Evacuations: followers back off longer in an outage of the store

Cause: after a failed call every node retried within a second, about 200 calls a second from 143 nodes, each of which is paid for.

Change: as in the configuration feed, only readers and nodes that have learnt no revision, or wait for confirmation after a suspension, retry within a second; the others wait 4 to 8 s.

--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -33,6 +33,10 @@
 # evacuation is 5 s, and another reader may be answered meanwhile.
 _BACKOFF_FIRST = 0.1
 _BACKOFF_LIMIT = 1.0
+# The same on nodes for which other nodes read the store, as for the
+# configuration: their calls are paid for and would only repeat those reads.
+_FOLLOWER_BACKOFF_FIRST = 4.0
+_FOLLOWER_BACKOFF_LIMIT = 8.0
 # Seconds between two checks whether this node has to watch the store.
 _ROLE_CHECK_INTERVAL = 0.25
 # Seconds after the start within which the readers' heartbeats arrive.
@@ -78,6 +82,9 @@
         self._clock = clock
         seed = hashing.hash_text(presence.me.id)
         self._backoff = calls.Backoff(_BACKOFF_FIRST, _BACKOFF_LIMIT, seed)
+        self._follower_backoff = calls.Backoff(
+            _FOLLOWER_BACKOFF_FIRST, _FOLLOWER_BACKOFF_LIMIT, seed
+        )
         self._jitter = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
@@ -130,6 +137,7 @@
             if not self._check_outcome(changed):
                 return
             self._backoff.succeed()
+            self._follower_backoff.succeed()
             assert isinstance(changed, result.Ok)
             changes = changed.ok_value
             written = {stored.name for stored in changes.objects}
@@ -161,9 +169,23 @@
             self._reachable = False
             why = outcome.err_value.value
             self._log.write("store_lost", feed=_FEED_NAME, why=why)
-        eventlet.sleep(self._backoff.fail())
+        eventlet.sleep(self._choose_backoff().fail())
         return False
 
+    def _choose_backoff(self) -> calls.Backoff:
+        """Return the backoff to use after a failure.
+
+        Failure: in an outage every node calls the store each second. The
+        nodes that read for others are enough, unless this node has learnt
+        no revision yet, or waits for confirmation after a suspension.
+        """
+        is_urgent = (
+            not self._known.revision
+            or not self._known.is_known
+            or self._presence.is_reader(self._clock.now())
+        )
+        return self._backoff if is_urgent else self._follower_backoff
+
     def _apply(self, revision: int) -> None:
         names = self._select_names()
         report = reports_module.EvacuationReport(revision, names)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -230,6 +230,30 @@
         self.assertTrue(self.known.is_evacuated("a"))
         self.assertEqual(feed.on_change.call_count, 1)
 
+    def test_in_an_outage_only_readers_call_often(self):
+        """Guards against a paid call of every node in each second."""
+        feed = self.make_feed([result.Err(ports.StoreFailure.UNAVAILABLE)])
+        self.presence.reads_store = lambda now: True
+        waits = []
+        cases = (
+            (0, True, False),
+            (1, False, False),
+            (1, True, True),
+            (1, True, False),
+        )
+        for revision, is_known, is_reader in cases:
+            self.known.revision = revision
+            self.known.is_known = is_known
+            self.presence.is_reader = lambda now, is_reader=is_reader: (
+                is_reader
+            )
+            self.known.expire = lambda now: False
+            self.store.calls = 0
+            self.run_feed(feed)
+            waits.append(self.clock.sleeps[-1])
+        self.assertLessEqual(max(waits[:3]), 1.0)
+        self.assertGreaterEqual(waits[3], 4.0)
+
     def test_a_node_that_nobody_answers_serves_after_the_bound(self):
         refused = result.Err(ports.StoreFailure.UNAVAILABLE)
         feed = self.make_feed([refused])
