Evacuations: only reports of ready nodes confirm

Cause: a node that had been suspended, or was starting, reported what it knew, and receivers that waited for confirmation took it as current.

Change: names of such a report are applied if its revision is newer, but it neither ends nor extends the wait. A starting node that has only such a report still lists the store.

--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -90,6 +90,8 @@
         revision: int,
         datacentres: abc.Iterable[ids.DatacentreName],
         now: float,
+        *,
+        is_current: bool = True,
     ) -> Change:
         """Record the evacuations as of a revision of the store.
 
@@ -97,13 +99,17 @@
             revision: The revision; a lower one than before is ignored.
             datacentres: All evacuated data centres.
             now: Time of the report.
+            is_current: Whether the report is from the store or from a node
+                that is ready. Another node may have been suspended: its
+                names are applied, but do not end the wait for others.
 
         Returns:
             What has changed.
         """
         if self._bound is None:
             return Change()
-        self._heard_at = now
+        if is_current:
+            self._heard_at = now
         listed = frozenset(datacentres)
         if revision < self.revision:
             if listed != self._datacentres:
@@ -111,7 +117,8 @@
                 # that is still reported.
                 self._reported_until = now + _REPORT_SECONDS
             return Change()
-        self._confirm(now)
+        if is_current:
+            self._confirm(now)
         if revision == self.revision:
             return Change()
         change = Change(
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -100,7 +100,12 @@
         while True:
             if self._known.expire(self._clock.now()):
                 self._log.write("evacuations_unknown")
-            if self._known.revision and not self._reads_store():
+            # Until the first list, a revision may be one that only a node
+            # which is not ready has reported.
+            is_informed = self._known.revision and (
+                self._started or self._known.is_known
+            )
+            if is_informed and not self._reads_store():
                 eventlet.sleep(_ROLE_CHECK_INTERVAL)
                 continue
             listed = self._store.list(self._kind)
@@ -221,7 +226,7 @@
             report: Its report; None where nothing has changed lately.
         """
         if report is not None:
-            self._note(report, node.id)
+            self._note(report, node.id, is_current=is_ready)
         if not is_ready:
             return
         self._known.note_contact(self._clock.now(), is_informed)
@@ -254,11 +259,18 @@
     # -- Changes
 
     def _note(
-        self, report: reports_module.EvacuationReport, source: str
+        self,
+        report: reports_module.EvacuationReport,
+        source: str,
+        *,
+        is_current: bool = True,
     ) -> None:
         """Apply a report, and log what it changes."""
         change = self._known.note(
-            report.revision, report.datacentres, self._clock.now()
+            report.revision,
+            report.datacentres,
+            self._clock.now(),
+            is_current=is_current,
         )
         for datacentre in change.begun:
             self._log_change(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -230,6 +230,19 @@
         self.assertTrue(self.known.is_evacuated("a"))
         self.assertEqual(feed.on_change.call_count, 1)
 
+    def test_the_report_of_an_unready_node_confirms_nothing(self):
+        """Guards against state that a suspended node reports when it resumes.
+
+        Its names are applied: they may be newer.
+        """
+        feed = self.make_feed([test_feeds.make_list(1)])
+        other = test_feeds.make_entry("n")
+        for revision, is_ready in ((7, False), (7, True)):
+            report = reports.EvacuationReport(revision, ("a",))
+            feed.note_report(other, is_ready, True, report)
+            self.assertEqual(self.known.list_datacentres(), ["a"])
+            self.assertEqual(self.known.is_known, is_ready)
+
     def test_in_an_outage_only_readers_call_often(self):
         """Guards against a paid call of every node in each second."""
         feed = self.make_feed([result.Err(ports.StoreFailure.UNAVAILABLE)])
