Evacuations: do not send on an outdated choice of an upstream

Cause: a process that was suspended while it opened a connection sent the request when it resumed, after the bound of an evacuation.

Change: where evacuations are on, a request carries the time until which it may be sent, 1 s after the choice of its upstream. A later one fails as not sent, before its first byte.

Result: the new tests of test_exchanges and test_evacuations fail without the check and the deadline, and pass now; so do test_exchanges, test_evacuations.EvacuationsTest and test_purity.

--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -13,6 +13,7 @@
 """
 
 from collections import abc
+import math
 
 import msgspec
 
@@ -30,6 +31,9 @@
 # Seconds after a suspension within which reports may still be ones that
 # were received before it: heartbeats come every 0.4 s.
 _SETTLE_SECONDS = 0.6
+# Seconds after which the choice of an upstream is outdated. Opening a
+# connection takes at most 0.4 s.
+_SEND_SECONDS = 1.0
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -202,6 +206,21 @@
         """Return whether a data centre may get no requests."""
         return not self.is_known or datacentre in self._datacentres
 
+    def get_send_deadline(self, datacentre: ids.DatacentreName) -> float:
+        """Return until when a request may be sent to a chosen upstream.
+
+        Failure: a process is suspended while it opens the connection, and
+        sends the request when it resumes.
+
+        Args:
+            datacentre: Data centre of the upstream.
+        """
+        if self._bound is None:
+            return math.inf
+        if self.is_evacuated(datacentre):
+            return -math.inf
+        return self._ran_at + _SEND_SECONDS
+
     def list_datacentres(self) -> list[ids.DatacentreName]:
         """Return the evacuated data centres that are known, sorted."""
         return sorted(self._datacentres)
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -6,6 +6,7 @@
 """
 
 import http.client
+import math
 import socket
 import typing
 
@@ -71,6 +72,8 @@
             fails.
         new_connection: Whether it needs a new connection, so that a reset
             can't come from the upstream closing an idle connection.
+        send_by: Monotonic time after which it is not sent, because the
+            choice of its upstream may be outdated.
     """
 
     method: str
@@ -80,6 +83,7 @@
     attempt_id: str
     timeout: float
     new_connection: bool
+    send_by: float = math.inf
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -128,11 +132,12 @@
     """Pool of idle connections to upstreams.
 
     Attributes:
+        now: Returns the monotonic time.
         opened: Number of connections opened so far.
     """
 
     def __init__(self, now: typing.Callable[[], float]) -> None:
-        self._now = now
+        self.now = now
         self._idle: dict[ids.InstanceId, list[_Idle]] = {}
         self.opened = 0
 
@@ -152,7 +157,7 @@
         """
         while not new_connection and self._idle.get(instance):
             idle = self._idle[instance].pop()
-            if self._now() < idle.expires_at and is_quiet(idle.connection):
+            if self.now() < idle.expires_at and is_quiet(idle.connection):
                 return idle.connection
             idle.connection.close()
         connection = open_connection(address, _CONNECT_TIMEOUT)
@@ -177,11 +182,11 @@
         if keep_alive <= 0 or len(connections) >= _MAX_IDLE:
             connection.close()
             return
-        connections.append(_Idle(connection, self._now() + keep_alive))
+        connections.append(_Idle(connection, self.now() + keep_alive))
 
     def forget(self, present: typing.Container[ids.InstanceId]) -> None:
         """Close expired connections and those to upstreams that are gone."""
-        now = self._now()
+        now = self.now()
         for instance, connections in list(self._idle.items()):
             reusable = [
                 idle
@@ -261,6 +266,8 @@
             self._connection = self._connections.take(
                 self._instance, self._address, self._outbound.new_connection
             )
+            if self._connections.now() > self._outbound.send_by:
+                raise TimeoutError("the choice of the upstream is outdated")
             step = "send"
             self._send()
             step = "head"
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -190,6 +190,9 @@
             attempt_id=request.attempt_id,
             timeout=max(0.05, request.deadline - now),
             new_connection=not request.route.is_idempotent,
+            send_by=self._balancer.evacuations.get_send_deadline(
+                upstream.datacentre
+            ),
         )
         exchange = exchanges.Exchange(
             next(self._exchange_numbers),
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,5 +1,6 @@
 """Evacuation of data centres: which requests reach their upstreams."""
 
+import math
 import signal
 import socket
 import threading
@@ -134,6 +135,15 @@
         self.known.note_contact(108.1, True)
         self.assertTrue(self.known.is_known)
 
+    def test_a_choice_is_used_only_for_a_second(self):
+        """Guards against requests sent after a suspension that follows it."""
+        self.known.note(5, ["b"], 100.0)
+        self.known.note_time(101.0)
+        self.assertEqual(self.known.get_send_deadline("a"), 102.0)
+        self.assertLess(self.known.get_send_deadline("b"), 100.0)
+        unbounded = evacuations.Evacuations()
+        self.assertEqual(unbounded.get_send_deadline("a"), math.inf)
+
     def test_a_change_is_reported_for_a_while_an_evacuation_always(self):
         self.known.note(1, ["a"], 100.0)
         report = reports.EvacuationReport(1, ("a",))
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -7,6 +7,7 @@
 import eventlet
 from eventlet.green import socket as green_socket
 import eventlet.queue
+import msgspec
 import urllib3.util.connection
 
 from currantwall.protocol import names
@@ -96,12 +97,13 @@
                 break
         connection.close()
 
-    def run_exchange(self, response, is_cut=False):
+    def run_exchange(self, response, is_cut=False, outbound=_OUTBOUND):
         """Return the last message of a request and the body before it.
 
         Args:
             response: The bytes that the upstream sends.
             is_cut: Whether it closes the connection after them.
+            outbound: The request.
         """
         self.response, self.is_cut = response, is_cut
         inbox = eventlet.queue.LightQueue()
@@ -110,7 +112,7 @@
             next(self.numbers),
             _UPSTREAM,
             f"{host}:{port}",
-            _OUTBOUND,
+            outbound,
             inbox,
             self.connections,
             _NAMES,
@@ -133,6 +135,18 @@
                 self.assertEqual(body, b"hello")
         self.assertEqual(self.connections.opened, 1)
 
+    def test_a_request_whose_upstream_was_chosen_long_ago_is_not_sent(self):
+        """Failure: a process that resumes sends to an evacuated upstream.
+
+        It was suspended while its connection was being opened.
+        """
+        late = msgspec.structs.replace(
+            _OUTBOUND, send_by=timers.TimerService.now() - 0.001
+        )
+        end, _ = self.run_exchange(_SIZED, outbound=late)
+        self.assertIsInstance(end, exchanges.Failed)
+        self.assertFalse(end.may_have_sent)
+
     def test_an_ambiguous_response_fails_and_its_connection_is_closed(self):
         """Failure: part of it is taken for the next response."""
         for number, response in enumerate(_AMBIGUOUS, 1):
