Evacuations: readers detect their own suspension

Cause: only choices and heartbeats noted that the process runs.

Change: the feed notes the time before it applies an answer and before each watch, and lists again after a suspension.

--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -137,6 +137,11 @@
         """
         wait = _WATCH_TIMEOUT * (0.5 + self._jitter / 2)
         while True:
+            # A watch started after a suspension would delay the next list,
+            # which is needed for confirmation, by its whole time.
+            self._known.note_time(self._clock.now())
+            if not self._known.is_known or not self._reads_store():
+                return
             changed = self._store.watch(self._kind, since, wait)
             wait = _WATCH_TIMEOUT
             if not self._check_outcome(changed):
@@ -153,8 +158,6 @@
             self._listed = (self._listed | written) - changes.removed
             since = max(since, changes.revision)
             self._apply(since)
-            if not self._known.is_known or not self._reads_store():
-                return
 
     def _check_outcome(
         self, outcome: result.Result[ports.Listing, ports.StoreFailure]
@@ -192,6 +195,12 @@
         return self._backoff if is_urgent else self._follower_backoff
 
     def _apply(self, revision: int) -> None:
+        """Apply what the store has listed.
+
+        An answer may have waited in its socket during a suspension, and
+        then confirms nothing.
+        """
+        self._known.note_time(self._clock.now())
         names = self._select_names()
         report = reports_module.EvacuationReport(revision, names)
         self._note(report, _STORE_SOURCE)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -304,6 +304,30 @@
         self.assertTrue(self.known.is_known)
         self.assertLess(self.clock.time, 105.0)
 
+    def test_a_reader_detects_its_own_suspension(self):
+        """Guards against a whole watch before it is ready again.
+
+        Nothing else runs on the node. The answer is from before the
+        suspension or soon after it, and confirms nothing.
+        """
+        feed = self.make_feed(
+            [test_feeds.make_list(1)], [self.make_changes(1, [], [])]
+        )
+        self.known.note(1, [], 100.0)
+        self.store.limit = 2
+        watch, known = self.store.watch, []
+
+        def resume(kind, since, seconds):
+            answer = watch(kind, since, seconds)
+            self.clock.time += 10.0
+            return answer
+
+        self.store.watch = resume
+        self.store.before_call = lambda: known.append(self.known.is_known)
+        self.run_feed(feed)
+        # The list, the watch that is suspended, and the list after it.
+        self.assertEqual(known, [True, True, False])
+
     def test_only_readers_call_the_store(self):
         """Guards against a watch of every node; each call is paid for."""
         feed = self.make_feed([test_feeds.make_list(1, "a")])
