Evacuations: release partly evacuated replicas by demand

Cause: the number of open replicas to exceed was counted when a holder first saw a partly evacuated replica. A new holder, or one that had been suspended, counted the replacement too and never released the old one.

Change: a partly evacuated replica is released while the open replicas that remain meet the demand, which is at least one replica in all domains. Those of other domains with evacuated members no longer count as supply. The test of make before break sets a demand that needs the replica: its former one was met by two replicas elsewhere. The mutant follows the changed indentation.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -25,6 +25,7 @@
 """
 
 from collections import abc
+import math
 
 import msgspec
 
@@ -95,7 +96,6 @@
         self._epoch = 0
         self._layout = layout_module.Layout("")
         self._has_traffic = True
-        self._relocation = supply.Relocation()
         self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
         # The step to another model that is under way here.
         self.conversion: conversions.Conversion | None = None
@@ -256,12 +256,13 @@
         assigned: set[ids.InstanceId] = set()
         replicas = self._list_replicas()
         self._update_conversion(replicas, loads or {})
-        released = self._relocation.choose_released(
+        released = supply.choose_released(
             [
                 replica
                 for replica in replicas
                 if self._is_intact(replica) and not self._is_spare(replica)
             ],
+            self._count_required(demands),
             self.is_evacuated,
         )
         for replica in replicas:
@@ -303,6 +304,21 @@
             )
         return orders
 
+    def _count_required(
+        self, demands: abc.Mapping[str, Demand]
+    ) -> dict[str, int]:
+        """Return how many replicas of each model the demand requires here.
+
+        Those are the ones that other domains do not have, but at least one
+        in all domains together.
+        """
+        found = {}
+        for model in self._engine.models:
+            demand = demands.get(model.name, Demand(model.share, 0))
+            needed = math.ceil(demand.requests / self._engine.slots)
+            found[model.name] = max(needed, 1) - demand.replicas
+        return found
+
     def _list_replicas(self) -> list[upstreams.Replica]:
         """Return the domain's replicas, and note who leads each."""
         found = upstreams.list_replicas(
--- a/currantwall/coordination/replicas/supply.py
+++ b/currantwall/coordination/replicas/supply.py
@@ -2,8 +2,9 @@
 
 A replica whose members are in two data centres can't stay as it is when
 one of them is evacuated: its members elsewhere are to form new replicas.
-It serves until a new replica of the model is open in its place, so that a
-domain under load does not lose a replica before it has another one.
+It serves until the open replicas without evacuated members meet the demand
+for the model, so that a domain under load does not lose a replica before it
+has another one.
 """
 
 import collections
@@ -14,7 +15,7 @@
 from currantwall.state import routes
 from currantwall.state import upstreams
 
-__all__ = ["Relocation", "Supply"]
+__all__ = ["Supply", "choose_released"]
 
 Phase = upstreams.Phase
 IsEvacuated = abc.Callable[[ids.DatacentreName], bool]
@@ -32,7 +33,7 @@
         self._counts: dict[
             ids.ServiceName,
             collections.Counter[
-                tuple[str, ids.DomainName, ids.DatacentreName]
+                tuple[str, ids.DomainName, frozenset[ids.DatacentreName]]
             ],
         ] = {}
 
@@ -44,8 +45,8 @@
     ) -> dict[str, int]:
         """Return how many whole replicas each model has outside a domain.
 
-        Those of evacuated data centres are not counted: they get no
-        requests.
+        Those with a member in an evacuated data centre are not counted:
+        they get no requests, or are about to be released.
         """
         if self._generation != self._fleet.generation:
             self._generation = self._fleet.generation
@@ -55,15 +56,17 @@
                 (
                     replica.model,
                     replica.members[0].domain,
-                    replica.members[0].datacentre,
+                    frozenset(one.datacentre for one in replica.members),
                 )
                 for replica in self._fleet.list_replicas(service)
                 if replica.is_whole
             )
         found: dict[str, int] = {}
         for key, count in self._counts[service].items():
-            model, replica_domain, datacentre = key
-            if replica_domain != domain and not is_evacuated(datacentre):
+            model, replica_domain, datacentres = key
+            if replica_domain != domain and not any(
+                map(is_evacuated, datacentres)
+            ):
                 found[model] = found.get(model, 0) + count
         return found
 
@@ -116,50 +119,43 @@
         ]
 
 
-class Relocation:
-    """Chooses which partly evacuated replicas to release."""
+def choose_released(
+    replicas: abc.Sequence[upstreams.Replica],
+    required: abc.Mapping[str, int],
+    is_evacuated: IsEvacuated,
+) -> set[tuple[ids.ReplicaId, int]]:
+    """Return the partly evacuated replicas to release, by id and epoch.
 
-    def __init__(self) -> None:
-        # Open replicas of each model that has partly evacuated ones, as
-        # counted when the first of these was seen.
-        self._open_counts: dict[str, int] = {}
+    Failure: a count from the past, such as that of the replicas before the
+    evacuation, is unknown to a new holder of the domain. It would wait for
+    a replacement that is already open.
 
-    def choose_released(
-        self,
-        replicas: abc.Sequence[upstreams.Replica],
-        is_evacuated: IsEvacuated,
-    ) -> set[tuple[ids.ReplicaId, int]]:
-        """Return the replicas to release, by id and epoch.
-
-        Args:
-            replicas: The domain's intact replicas.
-            is_evacuated: Returns whether a data centre is evacuated.
-        """
-        split: dict[str, list[upstreams.Replica]] = {}
-        serving: dict[str, int] = {}
-        for replica in replicas:
-            evacuated = [
-                is_evacuated(member.datacentre) for member in replica.members
-            ]
-            if any(evacuated) and not all(evacuated):
-                split.setdefault(replica.model, []).append(replica)
-            if not evacuated[0] and _has_phase(replica, Phase.OPEN):
-                serving[replica.model] = serving.get(replica.model, 0) + 1
-        for model in self._open_counts.keys() - split.keys():
-            del self._open_counts[model]
-        released = set()
-        for model, found in split.items():
-            count = serving.get(model, 0)
-            surplus = count - self._open_counts.setdefault(model, count)
-            for replica in found:
-                is_serving = _has_phase(
-                    replica, Phase.OPEN
-                ) and not is_evacuated(replica.members[0].datacentre)
-                if is_serving and surplus <= 0:
-                    continue
-                surplus -= is_serving
-                released.add((replica.id, replica.epoch))
-        return released
+    Args:
+        replicas: The domain's intact replicas.
+        required: Open replicas that the demand requires here, by model.
+        is_evacuated: Returns whether a data centre is evacuated.
+    """
+    split: list[upstreams.Replica] = []
+    serving: collections.Counter[str] = collections.Counter()
+    for replica in replicas:
+        evacuated = [
+            is_evacuated(member.datacentre) for member in replica.members
+        ]
+        if any(evacuated) and not all(evacuated):
+            split.append(replica)
+        if not evacuated[0] and _has_phase(replica, Phase.OPEN):
+            serving[replica.model] += 1
+    released = set()
+    for replica in split:
+        is_serving = _has_phase(replica, Phase.OPEN) and not is_evacuated(
+            replica.members[0].datacentre
+        )
+        surplus = serving[replica.model] - required.get(replica.model, 1)
+        if is_serving and surplus <= 0:
+            continue
+        serving[replica.model] -= is_serving
+        released.add((replica.id, replica.epoch))
+    return released
 
 
 def _has_phase(replica: upstreams.Replica, phase: upstreams.Phase) -> bool:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -760,8 +760,8 @@
     Mutant(
         "a partly evacuated replica is released before its replacement",
         f"{_COORDINATION}/replicas/supply.py",
-        "                if is_serving and surplus <= 0:\n",
-        "                if False:\n",
+        "        if is_serving and surplus <= 0:\n",
+        "        if False:\n",
         f"{_FORMATION}"
         ".test_a_partly_evacuated_replica_is_replaced_before_its_release",
     ),
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -15,6 +15,7 @@
 from currantwall.coordination.replicas import formation
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout
+from currantwall.coordination.replicas import supply
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -354,6 +355,8 @@
     def test_a_partly_evacuated_replica_is_replaced_before_its_release(self):
         """Guards against losing a replica before the new one is open."""
         session = self.start(4)
+        # One replica is required here.
+        session.demands = {"large": formation.Demand(5.0, 0)}
         before = session.world.engines["i0"].seat.replica
         session.world.engines["i3"].datacentre = "there"
         session.planner.is_evacuated = {"there"}.__contains__
@@ -369,6 +372,36 @@
         self.assertNotEqual(seat and seat.replica, before)
         self.assertEqual(session.world.violations, [])
 
+    def test_partly_evacuated_replicas_of_other_domains_are_not_counted(self):
+        """Guards against two domains that release theirs for each other."""
+        session = self.start(4)
+        session.world.engines["i3"].datacentre = "there"
+        fleet = upstreams.Fleet()
+        listed = [one.describe() for one in session.world.engines.values()]
+        fleet.replace(listed, 1, 100.0)
+        counts = [
+            supply.Supply(fleet).count_elsewhere(
+                listed[0].service, ids.DomainName("d1"), found.__contains__
+            )
+            for found in (set(), {"there"})
+        ]
+        self.assertEqual(counts, [{"large": 1}, {}])
+
+    def test_a_partly_evacuated_replica_without_demand_is_released(self):
+        """Guards against one that stays since no other was opened lately.
+
+        A new holder of the domain finds a replica that was already formed
+        in its place.
+        """
+        session = self.start(8)
+        session.demands = {"large": formation.Demand(5.0, 0)}
+        self.assertEqual(session.count_open(), 2)
+        session.world.engines["i3"].datacentre = "there"
+        session.planner.is_evacuated = {"there"}.__contains__
+        session.run(3.0)
+        self.assertEqual(session.count_open(), 1)
+        self.assertEqual(session.world.violations, [])
+
     def test_survivors_of_two_losses_form_one_replica(self):
         """Two replicas each lose two members; one must be open again.
 
