Evacuations: give unknown evacuations a reason of their own

Cause: while a node waited to learn or confirm the evacuations, callers were told that all data centres are evacuated, and nothing was logged.

The start of the wait after a suspension is logged as evacuations_unconfirmed and counted.

Result: the new test and the extended one fail without the change and pass now; test_evacuations.EvacuationsTest, test_placing and test_purity pass.

--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -455,9 +455,13 @@
         evacuated and other data centres can form more.
         """
         if self.is_wholly_evacuated(service):
-            return Unavailable(
-                "all data centres are evacuated", _EVACUATION_RETRY_AFTER
+            # Confirmation arrives with the next heartbeats.
+            retry_after = (
+                _EVACUATION_RETRY_AFTER
+                if self.evacuations.is_known
+                else _RECOVERY_RETRY_AFTER
             )
+            return Unavailable(self.evacuations.refusal_reason, retry_after)
         is_evacuated = model is not None and any(
             self.evacuations.is_evacuated(replica.members[0].datacentre)
             for replica in self._fleet.list_serving(service, model)
--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -63,6 +63,8 @@
         generation: Counts the changes of what `is_evacuated` returns.
         on_withdrawn: Called with a data centre and the time when its
             evacuation has been withdrawn.
+        on_unconfirmed: Called with the seconds for which this node did not
+            run, when it starts to wait for confirmation.
     """
 
     def __init__(self, bound: float | None = None, now: float = 0.0) -> None:
@@ -86,6 +88,7 @@
         self.on_withdrawn: abc.Callable[[ids.DatacentreName, float], None] = (
             _ignore
         )
+        self.on_unconfirmed: abc.Callable[[float], None] = _ignore_suspension
 
     # -- Input from the store and from other nodes
 
@@ -177,6 +180,7 @@
             self.generation += 1
             self._heard_at = now
             self._confirm_from = now + _SETTLE_SECONDS
+            self.on_unconfirmed(suspended)
 
     def expire(self, now: float) -> bool:
         """End the wait for the evacuations if nothing can tell them.
@@ -206,6 +210,17 @@
         """Return whether a data centre may get no requests."""
         return not self.is_known or datacentre in self._datacentres
 
+    @property
+    def refusal_reason(self) -> str:
+        """Return why no request is sent where every data centre is excluded.
+
+        Callers and the log are not told of evacuations that nobody has
+        requested.
+        """
+        if not self.is_known:
+            return "the evacuated data centres are not known"
+        return "all data centres are evacuated"
+
     def get_send_deadline(self, datacentre: ids.DatacentreName) -> float:
         """Return until when a request may be sent to a chosen upstream.
 
@@ -244,3 +259,7 @@
 
 def _ignore(datacentre: ids.DatacentreName, now: float) -> None:
     return
+
+
+def _ignore_suspension(seconds: float) -> None:
+    return
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -268,10 +268,11 @@
         """Remove and return the requests that cannot start soon enough.
 
         These are the ones whose callers give up before a slot is free, and
-        all while every data centre is evacuated.
+        all while every data centre is evacuated or this node does not know
+        which are.
         """
         if self._balancer.is_wholly_evacuated(kind.service):
-            reason = "all data centres are evacuated"
+            reason = self._balancer.evacuations.refusal_reason
             unservable = self.backlog.list_tickets(kind, now)
         else:
             reason = "the backlog is too long"
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -75,6 +75,7 @@
         self._store = store
         self._kind = documents.evacuations_kind
         self._known = known
+        known.on_unconfirmed = self._log_suspension
         self._fleet = fleet
         self._presence = presence
         self._meter = meter
@@ -292,6 +293,12 @@
         if change:
             self.on_change()
 
+    def _log_suspension(self, seconds: float) -> None:
+        """Log and count that this node waits for confirmation."""
+        event = "evacuations_unconfirmed"
+        self._meter.add(_CHANGES_METRIC, 1, event)
+        self._log.write(event, suspended=round(seconds, 1))
+
     def _log_change(
         self,
         event: str,
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -165,6 +165,7 @@
         """Return a feed of a node that reads the store if it has to."""
         self.presence = presence_module.Presence(test_feeds.make_entry("me"))
         self.store = test_feeds.Store(lists, watches)
+        self.meter = mock.Mock()
         fleet = upstreams.Fleet()
         fleet.replace(
             [test_gateway_parts.make_upstream("a1", datacentre="a")], 1, 100.0
@@ -175,7 +176,7 @@
             self.known,
             fleet,
             self.presence,
-            mock.Mock(),
+            self.meter,
             self.log,
             self.clock,
         )
@@ -327,6 +328,10 @@
         self.run_feed(feed)
         # The list, the watch that is suspended, and the list after it.
         self.assertEqual(known, [True, True, False])
+        self.assertEqual(self.log.events, ["evacuations_unconfirmed"])
+        self.meter.add.assert_called_once_with(
+            feeds._CHANGES_METRIC, 1, "evacuations_unconfirmed"
+        )
 
     def test_only_readers_call_the_store(self):
         """Guards against a watch of every node; each call is paid for."""
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -238,6 +238,15 @@
         self.assertEqual(refusal.ticket.request, "queued")
         self.assertGreater(refusal.retry_after, 0)
 
+    def test_unknown_evacuations_are_a_reason_of_their_own(self):
+        """Guards against operators who look for an evacuation by mistake."""
+        self.placer.add(make_ticket("queued", 1.0))
+        self.balancer.evacuations = evacuations.Evacuations(5.0)
+        found = self.placer.try_place(make_ticket("a", 1.0), 1.0)
+        (refusal,) = self.placer.turn_away(_KIND, 1.0)
+        reason = "the evacuated data centres are not known"
+        self.assertEqual([found.reason, refusal.reason], [reason] * 2)
+
     def test_a_request_does_not_wait_where_no_replica_exists(self):
         self.fleet.replace([], 2, 1.0)
         found = self.placer.try_place(make_ticket("a", 1.0), 1.0)
