Evacuations: smaller reports in heartbeats

Cause: up to 64 names of 100 characters, 6.4 KB, were part of each heartbeat for as long as the store contained them.

Change: at most 12 names of 64 bytes are reported. Names without upstreams stay in the report: a data centre may get upstreams later, and of two reports with the same revision the second one is ignored.

--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -45,10 +45,12 @@
 _FETCH_INTERVAL = 0.25
 # Name of this feed in the log lines about the store.
 _FEED_NAME = "evacuations"
-# Most data centres and the longest name that are reported, so that
-# heartbeats stay small whatever the store contains.
-_MAX_DATACENTRES = 64
-_MAX_NAME_CHARACTERS = 100
+# Most data centres and the longest name that are reported: 0.8 KB in each
+# heartbeat, whatever the store contains. Names without upstreams are reported
+# too, as upstreams may start there later and nodes that list different
+# upstreams must report the same names for a revision.
+_MAX_DATACENTRES = 12
+_MAX_NAME_BYTES = 64
 # Source of a change that this node has read itself, in the log.
 _STORE_SOURCE = "store"
 _CHANGES_METRIC = "currantwall.evacuations"
@@ -212,7 +214,7 @@
         names = [
             ids.DatacentreName(name)
             for name in self._listed
-            if len(name) <= _MAX_NAME_CHARACTERS
+            if len(name.encode()) <= _MAX_NAME_BYTES
         ]
         names.sort(key=lambda name: (name not in used, name))
         return tuple(names[:_MAX_DATACENTRES])
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -333,6 +333,24 @@
             feeds._CHANGES_METRIC, 1, "evacuations_unconfirmed"
         )
 
+    def test_a_report_stays_small_whatever_the_store_contains(self):
+        """Guards against heartbeats that fill slow links.
+
+        The names of data centres with upstreams are kept.
+        """
+        names = [f"{number:0100}" for number in range(100)]
+        names += [f"{number:064}" for number in range(100)]
+        names += [chr(0x10000 + number) * 64 for number in range(100)]
+        feed = self.make_feed(
+            [test_feeds.make_list(1, "a", *names)],
+            [self.make_changes(1, [], [])],
+        )
+        self.run_feed(feed)
+        report = self.known.list_reports(self.clock.time)
+        self.assertIn("a", report.datacentres)
+        self.assertLess(len(msgspec.msgpack.encode(report)), 1000)
+        self.assertIn("evacuation_unknown_name", self.log.events)
+
     def test_only_readers_call_the_store(self):
         """Guards against a watch of every node; each call is paid for."""
         feed = self.make_feed([test_feeds.make_list(1, "a")])
