--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -13,6 +13,7 @@
 """
 
 from collections import abc
+import math
 
 import msgspec
 
@@ -30,6 +31,9 @@
 # Seconds after a suspension within which reports may still be ones that
 # were received before it: heartbeats come every 0.4 s.
 _SETTLE_SECONDS = 0.6
+# Seconds after which the choice of an upstream is outdated. Opening a
+# connection takes at most 0.4 s.
+_SEND_SECONDS = 1.0
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -59,6 +63,8 @@
         generation: Counts the changes of what `is_evacuated` returns.
         on_withdrawn: Called with a data centre and the time when its
             evacuation has been withdrawn.
+        on_unconfirmed: Called with the seconds for which this node did not
+            run, when it starts to wait for confirmation.
     """
 
     def __init__(self, bound: float | None = None, now: float = 0.0) -> None:
@@ -82,6 +88,7 @@
         self.on_withdrawn: abc.Callable[[ids.DatacentreName, float], None] = (
             _ignore
         )
+        self.on_unconfirmed: abc.Callable[[float], None] = _ignore_suspension
 
     # -- Input from the store and from other nodes
 
@@ -90,6 +97,8 @@
         revision: int,
         datacentres: abc.Iterable[ids.DatacentreName],
         now: float,
+        *,
+        is_current: bool = True,
     ) -> Change:
         """Record the evacuations as of a revision of the store.
 
@@ -97,13 +106,17 @@
             revision: The revision; a lower one than before is ignored.
             datacentres: All evacuated data centres.
             now: Time of the report.
+            is_current: Whether the report is from the store or from a node
+                that is ready. Another node may have been suspended: its
+                names are applied, but do not end the wait for others.
 
         Returns:
             What has changed.
         """
         if self._bound is None:
             return Change()
-        self._heard_at = now
+        if is_current:
+            self._heard_at = now
         listed = frozenset(datacentres)
         if revision < self.revision:
             if listed != self._datacentres:
@@ -111,7 +124,8 @@
                 # that is still reported.
                 self._reported_until = now + _REPORT_SECONDS
             return Change()
-        self._confirm(now)
+        if is_current:
+            self._confirm(now)
         if revision == self.revision:
             return Change()
         change = Change(
@@ -127,11 +141,19 @@
             self.on_withdrawn(datacentre, now)
         return change
 
-    def note_contact(self, now: float) -> None:
-        """Record that another node, which has no news, could inform this one.
+    def note_contact(self, now: float, is_informed: bool) -> None:
+        """Record that another node, which has no news, is ready.
 
-        A node that has learnt nothing yet still has to.
+        Failure: nodes that start during an outage of the store wait for a
+        node that has learnt nothing either, and never become ready.
+
+        Args:
+            now: Time of the contact.
+            is_informed: Whether the other node has learnt the evacuations.
+                One that has not ends no wait and extends none.
         """
+        if not is_informed:
+            return
         self._heard_at = now
         if self.revision:
             self._confirm(now)
@@ -158,6 +180,7 @@
             self.generation += 1
             self._heard_at = now
             self._confirm_from = now + _SETTLE_SECONDS
+            self.on_unconfirmed(suspended)
 
     def expire(self, now: float) -> bool:
         """End the wait for the evacuations if nothing can tell them.
@@ -187,6 +210,32 @@
         """Return whether a data centre may get no requests."""
         return not self.is_known or datacentre in self._datacentres
 
+    @property
+    def refusal_reason(self) -> str:
+        """Return why no request is sent where every data centre is excluded.
+
+        Callers and the log are not told of evacuations that nobody has
+        requested.
+        """
+        if not self.is_known:
+            return "the evacuated data centres are not known"
+        return "all data centres are evacuated"
+
+    def get_send_deadline(self, datacentre: ids.DatacentreName) -> float:
+        """Return until when a request may be sent to a chosen upstream.
+
+        Failure: a process is suspended while it opens the connection, and
+        sends the request when it resumes.
+
+        Args:
+            datacentre: Data centre of the upstream.
+        """
+        if self._bound is None:
+            return math.inf
+        if self.is_evacuated(datacentre):
+            return -math.inf
+        return self._ran_at + _SEND_SECONDS
+
     def list_datacentres(self) -> list[ids.DatacentreName]:
         """Return the evacuated data centres that are known, sorted."""
         return sorted(self._datacentres)
@@ -210,3 +259,7 @@
 
 def _ignore(datacentre: ids.DatacentreName, now: float) -> None:
     return
+
+
+def _ignore_suspension(seconds: float) -> None:
+    return
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -33,6 +33,10 @@
 # evacuation is 5 s, and another reader may be answered meanwhile.
 _BACKOFF_FIRST = 0.1
 _BACKOFF_LIMIT = 1.0
+# The same on nodes for which other nodes read the store, as for the
+# configuration: their calls are paid for and would only repeat those reads.
+_FOLLOWER_BACKOFF_FIRST = 4.0
+_FOLLOWER_BACKOFF_LIMIT = 8.0
 # Seconds between two checks whether this node has to watch the store.
 _ROLE_CHECK_INTERVAL = 0.25
 # Seconds after the start within which the readers' heartbeats arrive.
@@ -41,10 +45,12 @@
 _FETCH_INTERVAL = 0.25
 # Name of this feed in the log lines about the store.
 _FEED_NAME = "evacuations"
-# Most data centres and the longest name that are reported, so that
-# heartbeats stay small whatever the store contains.
-_MAX_DATACENTRES = 64
-_MAX_NAME_CHARACTERS = 100
+# Most data centres and the longest name that are reported: 0.8 KB in each
+# heartbeat, whatever the store contains. Names without upstreams are reported
+# too, as upstreams may start there later and nodes that list different
+# upstreams must report the same names for a revision.
+_MAX_DATACENTRES = 12
+_MAX_NAME_BYTES = 64
 # Source of a change that this node has read itself, in the log.
 _STORE_SOURCE = "store"
 _CHANGES_METRIC = "currantwall.evacuations"
@@ -71,6 +77,7 @@
         self._store = store
         self._kind = documents.evacuations_kind
         self._known = known
+        known.on_unconfirmed = self._log_suspension
         self._fleet = fleet
         self._presence = presence
         self._meter = meter
@@ -78,6 +85,9 @@
         self._clock = clock
         seed = hashing.hash_text(presence.me.id)
         self._backoff = calls.Backoff(_BACKOFF_FIRST, _BACKOFF_LIMIT, seed)
+        self._follower_backoff = calls.Backoff(
+            _FOLLOWER_BACKOFF_FIRST, _FOLLOWER_BACKOFF_LIMIT, seed
+        )
         self._jitter = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
@@ -93,7 +103,12 @@
         while True:
             if self._known.expire(self._clock.now()):
                 self._log.write("evacuations_unknown")
-            if self._known.revision and not self._reads_store():
+            # Until the first list, a revision may be one that only a node
+            # which is not ready has reported.
+            is_informed = self._known.revision and (
+                self._started or self._known.is_known
+            )
+            if is_informed and not self._reads_store():
                 eventlet.sleep(_ROLE_CHECK_INTERVAL)
                 continue
             listed = self._store.list(self._kind)
@@ -125,11 +140,17 @@
         """
         wait = _WATCH_TIMEOUT * (0.5 + self._jitter / 2)
         while True:
+            # A watch started after a suspension would delay the next list,
+            # which is needed for confirmation, by its whole time.
+            self._known.note_time(self._clock.now())
+            if not self._known.is_known or not self._reads_store():
+                return
             changed = self._store.watch(self._kind, since, wait)
             wait = _WATCH_TIMEOUT
             if not self._check_outcome(changed):
                 return
             self._backoff.succeed()
+            self._follower_backoff.succeed()
             assert isinstance(changed, result.Ok)
             changes = changed.ok_value
             written = {stored.name for stored in changes.objects}
@@ -140,8 +161,6 @@
             self._listed = (self._listed | written) - changes.removed
             since = max(since, changes.revision)
             self._apply(since)
-            if not self._known.is_known or not self._reads_store():
-                return
 
     def _check_outcome(
         self, outcome: result.Result[ports.Listing, ports.StoreFailure]
@@ -161,10 +180,30 @@
             self._reachable = False
             why = outcome.err_value.value
             self._log.write("store_lost", feed=_FEED_NAME, why=why)
-        eventlet.sleep(self._backoff.fail())
+        eventlet.sleep(self._choose_backoff().fail())
         return False
 
+    def _choose_backoff(self) -> calls.Backoff:
+        """Return the backoff to use after a failure.
+
+        Failure: in an outage every node calls the store each second. The
+        nodes that read for others are enough, unless this node has learnt
+        no revision yet, or waits for confirmation after a suspension.
+        """
+        is_urgent = (
+            not self._known.revision
+            or not self._known.is_known
+            or self._presence.is_reader(self._clock.now())
+        )
+        return self._backoff if is_urgent else self._follower_backoff
+
     def _apply(self, revision: int) -> None:
+        """Apply what the store has listed.
+
+        An answer may have waited in its socket during a suspension, and
+        then confirms nothing.
+        """
+        self._known.note_time(self._clock.now())
         names = self._select_names()
         report = reports_module.EvacuationReport(revision, names)
         self._note(report, _STORE_SOURCE)
@@ -175,7 +214,7 @@
         names = [
             ids.DatacentreName(name)
             for name in self._listed
-            if len(name) <= _MAX_NAME_CHARACTERS
+            if len(name.encode()) <= _MAX_NAME_BYTES
         ]
         names.sort(key=lambda name: (name not in used, name))
         return tuple(names[:_MAX_DATACENTRES])
@@ -186,22 +225,24 @@
         self,
         node: presence_module.NodeEntry,
         is_ready: bool,
+        is_informed: bool,
         report: reports_module.EvacuationReport | None,
     ) -> None:
         """Apply another node's report; fetch it if this node needs it.
 
         Args:
             node: The other node.
-            is_ready: Whether it takes requests, and so has learnt the
-                evacuations.
+            is_ready: Whether it takes requests.
+            is_informed: Whether it has learnt the evacuations. A node that
+                nothing could inform is ready as well.
             report: Its report; None where nothing has changed lately.
         """
         if report is not None:
-            self._note(report, node.id)
+            self._note(report, node.id, is_current=is_ready)
         if not is_ready:
             return
-        self._known.note_contact(self._clock.now())
-        if not self._known.revision and not self._fetching:
+        self._known.note_contact(self._clock.now(), is_informed)
+        if is_informed and not self._known.revision and not self._fetching:
             self._fetching = True
             eventlet.spawn_n(self._fetch_report, node)
 
@@ -230,11 +271,18 @@
     # -- Changes
 
     def _note(
-        self, report: reports_module.EvacuationReport, source: str
+        self,
+        report: reports_module.EvacuationReport,
+        source: str,
+        *,
+        is_current: bool = True,
     ) -> None:
         """Apply a report, and log what it changes."""
         change = self._known.note(
-            report.revision, report.datacentres, self._clock.now()
+            report.revision,
+            report.datacentres,
+            self._clock.now(),
+            is_current=is_current,
         )
         for datacentre in change.begun:
             self._log_change(
@@ -247,6 +295,12 @@
         if change:
             self.on_change()
 
+    def _log_suspension(self, seconds: float) -> None:
+        """Log and count that this node waits for confirmation."""
+        event = "evacuations_unconfirmed"
+        self._meter.add(_CHANGES_METRIC, 1, event)
+        self._log.write(event, suspended=round(seconds, 1))
+
     def _log_change(
         self,
         event: str,
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,5 +1,6 @@
 """Evacuation of data centres: which requests reach their upstreams."""
 
+import math
 import signal
 import socket
 import threading
@@ -112,7 +113,7 @@
         """Guards against requests of a restarted node after the bound."""
         refusal = self.choose(self.make_balancer())
         self.assertIsInstance(refusal, balancing.Unavailable)
-        self.known.note_contact(104.0)
+        self.known.note_contact(104.0, True)
         self.assertFalse(self.known.expire(108.9))
         self.assertFalse(self.known.is_known)
 
@@ -129,11 +130,20 @@
         self.known.note_time(104.8)
         self.assertTrue(self.known.is_known)
         self.known.note_time(107.4)
-        self.known.note_contact(107.9)
+        self.known.note_contact(107.9, True)
         self.assertFalse(self.known.is_known)
-        self.known.note_contact(108.1)
+        self.known.note_contact(108.1, True)
         self.assertTrue(self.known.is_known)
 
+    def test_a_choice_is_used_only_for_a_second(self):
+        """Guards against requests sent after a suspension that follows it."""
+        self.known.note(5, ["b"], 100.0)
+        self.known.note_time(101.0)
+        self.assertEqual(self.known.get_send_deadline("a"), 102.0)
+        self.assertLess(self.known.get_send_deadline("b"), 100.0)
+        unbounded = evacuations.Evacuations()
+        self.assertEqual(unbounded.get_send_deadline("a"), math.inf)
+
     def test_a_change_is_reported_for_a_while_an_evacuation_always(self):
         self.known.note(1, ["a"], 100.0)
         report = reports.EvacuationReport(1, ("a",))
@@ -155,6 +165,7 @@
         """Return a feed of a node that reads the store if it has to."""
         self.presence = presence_module.Presence(test_feeds.make_entry("me"))
         self.store = test_feeds.Store(lists, watches)
+        self.meter = mock.Mock()
         fleet = upstreams.Fleet()
         fleet.replace(
             [test_gateway_parts.make_upstream("a1", datacentre="a")], 1, 100.0
@@ -165,7 +176,7 @@
             self.known,
             fleet,
             self.presence,
-            mock.Mock(),
+            self.meter,
             self.log,
             self.clock,
         )
@@ -222,12 +233,51 @@
         feed = self.make_feed([refused])
         other = test_feeds.make_entry("n")
         report = reports.EvacuationReport(7, ("a",))
-        self.store.before_call = lambda: feed.note_report(other, True, report)
+        self.store.before_call = lambda: feed.note_report(
+            other, True, True, report
+        )
         self.store.limit = 4
         self.run_feed(feed)
         self.assertTrue(self.known.is_evacuated("a"))
         self.assertEqual(feed.on_change.call_count, 1)
 
+    def test_the_report_of_an_unready_node_confirms_nothing(self):
+        """Guards against state that a suspended node reports when it resumes.
+
+        Its names are applied: they may be newer.
+        """
+        feed = self.make_feed([test_feeds.make_list(1)])
+        other = test_feeds.make_entry("n")
+        for revision, is_ready in ((7, False), (7, True)):
+            report = reports.EvacuationReport(revision, ("a",))
+            feed.note_report(other, is_ready, True, report)
+            self.assertEqual(self.known.list_datacentres(), ["a"])
+            self.assertEqual(self.known.is_known, is_ready)
+
+    def test_in_an_outage_only_readers_call_often(self):
+        """Guards against a paid call of every node in each second."""
+        feed = self.make_feed([result.Err(ports.StoreFailure.UNAVAILABLE)])
+        self.presence.reads_store = lambda now: True
+        waits = []
+        cases = (
+            (0, True, False),
+            (1, False, False),
+            (1, True, True),
+            (1, True, False),
+        )
+        for revision, is_known, is_reader in cases:
+            self.known.revision = revision
+            self.known.is_known = is_known
+            self.presence.is_reader = lambda now, is_reader=is_reader: (
+                is_reader
+            )
+            self.known.expire = lambda now: False
+            self.store.calls = 0
+            self.run_feed(feed)
+            waits.append(self.clock.sleeps[-1])
+        self.assertLessEqual(max(waits[:3]), 1.0)
+        self.assertGreaterEqual(waits[3], 4.0)
+
     def test_a_node_that_nobody_answers_serves_after_the_bound(self):
         refused = result.Err(ports.StoreFailure.UNAVAILABLE)
         feed = self.make_feed([refused])
@@ -255,6 +305,52 @@
         self.assertTrue(self.known.is_known)
         self.assertLess(self.clock.time, 105.0)
 
+    def test_a_reader_detects_its_own_suspension(self):
+        """Guards against a whole watch before it is ready again.
+
+        Nothing else runs on the node. The answer is from before the
+        suspension or soon after it, and confirms nothing.
+        """
+        feed = self.make_feed(
+            [test_feeds.make_list(1)], [self.make_changes(1, [], [])]
+        )
+        self.known.note(1, [], 100.0)
+        self.store.limit = 2
+        watch, known = self.store.watch, []
+
+        def resume(kind, since, seconds):
+            answer = watch(kind, since, seconds)
+            self.clock.time += 10.0
+            return answer
+
+        self.store.watch = resume
+        self.store.before_call = lambda: known.append(self.known.is_known)
+        self.run_feed(feed)
+        # The list, the watch that is suspended, and the list after it.
+        self.assertEqual(known, [True, True, False])
+        self.assertEqual(self.log.events, ["evacuations_unconfirmed"])
+        self.meter.add.assert_called_once_with(
+            feeds._CHANGES_METRIC, 1, "evacuations_unconfirmed"
+        )
+
+    def test_a_report_stays_small_whatever_the_store_contains(self):
+        """Guards against heartbeats that fill slow links.
+
+        The names of data centres with upstreams are kept.
+        """
+        names = [f"{number:0100}" for number in range(100)]
+        names += [f"{number:064}" for number in range(100)]
+        names += [chr(0x10000 + number) * 64 for number in range(100)]
+        feed = self.make_feed(
+            [test_feeds.make_list(1, "a", *names)],
+            [self.make_changes(1, [], [])],
+        )
+        self.run_feed(feed)
+        report = self.known.list_reports(self.clock.time)
+        self.assertIn("a", report.datacentres)
+        self.assertLess(len(msgspec.msgpack.encode(report)), 1000)
+        self.assertIn("evacuation_unknown_name", self.log.events)
+
     def test_only_readers_call_the_store(self):
         """Guards against a watch of every node; each call is paid for."""
         feed = self.make_feed([test_feeds.make_list(1, "a")])
@@ -273,6 +369,16 @@
         self.run_feed(feed)
         self.assertEqual(self.store.calls, 1)
 
+    def test_a_peer_that_has_learnt_nothing_ends_no_wait(self):
+        """Guards against nodes that wait for each other and never serve."""
+        feed = self.make_feed([test_feeds.make_list(1)])
+        other = test_feeds.make_entry("n")
+        self.clock.time = 104.0
+        with mock.patch.object(feeds.eventlet, "spawn_n") as spawn:
+            feed.note_report(other, True, False, None)
+        spawn.assert_not_called()
+        self.assertTrue(self.known.expire(105.1))
+
     def test_a_starting_node_asks_a_peer_that_is_ready(self):
         feed = self.make_feed([test_feeds.make_list(1)])
         other = test_feeds.make_entry("n")
@@ -283,10 +389,10 @@
             ),
             mock.patch.object(peers, "fetch", return_value=answer) as fetch,
         ):
-            feed.note_report(other, False, None)
+            feed.note_report(other, False, True, None)
             self.assertFalse(self.known.is_known)
-            feed.note_report(other, True, None)
-            feed.note_report(other, True, None)
+            feed.note_report(other, True, True, None)
+            feed.note_report(other, True, True, None)
         fetch.assert_called_once_with("p", peers.EVACUATIONS_PATH)
         self.assertTrue(self.known.is_evacuated("a"))
         self.assertTrue(feed.encode_report())
