Layout: keep the loads of a step within the rate of the weight store

The ordinary buckets of all domains hand out the whole of loadsPerS, and the bucket of a step added half of it: 30 loads started in 5 s at 4.5 a second, where 27.75 are allowed (rate x 5 s x 1.1 + 3).

The ordinary buckets now share the part that a step leaves, from when a step is called for until 60 s after, and while a domain of this node changes. A step is called for 8 s before it begins, so the buckets are lowered for longer than the store's window of 5 s by then.

The new test failed with 30 loads and passes.

--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -179,6 +179,18 @@
         self._last_scarce, self._last_at = change.scarce, now
         return change
 
+    def may_step(self, now: float) -> bool:
+        """Return whether a step may be under way in any domain.
+
+        Steps are called for 8 s before they begin, longer than the window
+        of the weight store. Loads of a step that drained a replica may
+        follow long after the step was last called for.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return now - self._seen_at < _HORIZON_SECONDS
+
     def _note_called_for(
         self, change: layout.Change | None, now: float
     ) -> None:
--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -97,12 +97,13 @@
         self._tokens = 0.0
         self._refilled_at: float | None = None
 
-    def count(self, rate: float, domains: int, now: float) -> int:
+    def count(self, rate: float, domains: float, now: float) -> int:
         """Refill the bucket and return how many loads may start now.
 
         Args:
             rate: Loads per second that the weight store allows.
-            domains: Number of domains that share the rate.
+            domains: Number of domains that share the rate; more, also in
+                fractions, if a part of it is kept for other loads.
             now: Monotonic time.
         """
         domain_share = (rate * _WINDOW_SECONDS + _BURST_LOADS) / max(
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -476,10 +476,21 @@
         """
         if domain.planner.conversion is None:
             return 0
-        shares = round(1 / rebalancing.LOAD_RATE_SHARE)
+        shares = 1 / rebalancing.LOAD_RATE_SHARE
         rate = self._find_load_rate(domain)
         return domain.conversion_loads.count(rate, shares, now)
 
+    def _may_step(self, service: ids.ServiceName, now: float) -> bool:
+        """Return whether a step may be under way in a service's domains."""
+        review = self._reviews.get(service)
+        if review is not None and review.may_step(now):
+            return True
+        return any(
+            domain.planner.conversion is not None
+            for domain in self._domains.values()
+            if domain.service == service
+        )
+
     def _find_load_rate(self, domain: _Domain) -> float:
         """Return the loads per second that the weight store allows."""
         for service in self.services():
@@ -488,9 +499,16 @@
         return 1.0
 
     def _count_allowed_loads(self, domain: _Domain, now: float) -> int:
-        """Return how many loads of weights a domain may start now."""
+        """Return how many loads of weights a domain may start now.
+
+        While a step to another model may be under way in any domain, its
+        part of the rate is not given to other loads.
+        """
         rate = self._find_load_rate(domain)
-        allowed = domain.loads.count(rate, len(self._domains), now)
+        count = float(len(self._domains))
+        if self._may_step(domain.service, now):
+            count /= 1 - rebalancing.LOAD_RATE_SHARE
+        allowed = domain.loads.count(rate, count, now)
         if not self._balancer.has_seen_traffic:
             # The weight store's rate is not a limit before the first
             # request.
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,6 +16,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.replicas import formation
 from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.replicas import rebalancing
 from currantwall.coordination.requests import evacuations
 from currantwall.state import ids
 from currantwall.state import routes
@@ -576,6 +577,56 @@
         ]
         self.assertEqual(events.count("layout_change_begun"), 1)
 
+    def test_loads_of_a_step_and_other_loads_keep_to_the_rate(self):
+        """The weight store got 30 loads in 5 s at 4.5 a second.
+
+        Nine domains start as many loads as they may, while a step is called
+        for and one of them carries it out.
+        """
+        models = (
+            msgspec.structs.replace(_MODEL, share=0.5),
+            msgspec.structs.replace(_MODEL, name="n", share=0.5),
+        )
+        engine = msgspec.structs.replace(
+            _SERVICE.engine, models=models, loads_per_second=4.5
+        )
+        service = msgspec.structs.replace(_SERVICE, engine=engine)
+        supplies = [
+            rebalancing.DomainSupply(
+                name=ids.DomainName(f"x{model}"),
+                datacentre=ids.DatacentreName("a"),
+                replicas={model: 2},
+            )
+            for model in "mn"
+        ]
+        control = World(("n1",)).nodes["n1"].duties
+        control.services = lambda: (service,)
+        for n in range(9):
+            control._add_domain(ids.DomainName(f"x{n}"), service)
+        domains = list(control._domains.values())
+        review = control._reviews[service.name] = rebalancing.Review()
+        work = {"m": 0.2, "n": 3.0}
+        started = []
+        for step in range(300):
+            now = step * _STEP
+            if step % 10 == 0:
+                review.decide(
+                    service.name, engine, work, lambda: supplies, 0.5, now
+                )
+            if step == 80:
+                domains[0].planner.conversion = mock.Mock()
+            for domain in domains:
+                loads = control._count_allowed_loads(domain, now)
+                domain.loads.spend(loads)
+                changed = control._count_conversion_loads(domain, now)
+                domain.conversion_loads.spend(changed)
+                started += [now] * (loads + changed)
+        most = max(
+            sum(now - 5.0 < other <= now for other in started)
+            for now in started
+        )
+        self.assertLessEqual(most, 4.5 * 5 * 1.1 + 3)
+
     def list_orders(self, world):
         return [
             (order.kind.value, order.instance)
