Layout: a step keeps to loads_at_once

A step loaded as many instances at once as a replica takes, even where the operator allows fewer: the limit was raised to the model's size.

The limit of the engine now holds, and the estimate of a step's cost counts the rounds that it takes. Where it is far below the size of a replica, fewer steps are worth their loads.

The new test failed with eight loads at once where three are allowed. tests.test_layout and tests.test_formation pass (42 tests).

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -31,7 +31,6 @@
 from currantwall.coordination.replicas import conversions
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.replicas import layout as layout_module
-from currantwall.coordination.replicas import rebalancing
 from currantwall.coordination.replicas import staging
 from currantwall.coordination.replicas import supply
 from currantwall.state import ids
@@ -602,10 +601,8 @@
             bool(self._records[name].staging_model)
             for name in conversion.instances
         )
-        at_once = rebalancing.count_loads_at_once(
-            self._engine, conversion.model
-        )
-        allowed = max(0, min(allowed_loads, at_once - loading))
+        at_once = max(self._engine.loads_at_once, 1) - loading
+        allowed = max(0, min(allowed_loads, at_once))
         ready = [
             record
             for record in free
--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -31,7 +31,6 @@
     "LOAD_RATE_SHARE",
     "DomainSupply",
     "Review",
-    "count_loads_at_once",
 ]
 
 # Factor by which the measured share of a model must exceed the stated one.
@@ -362,15 +361,6 @@
 ) -> float:
     """Return the seconds until instances serve another model."""
     rate = max(engine.loads_per_second * LOAD_RATE_SHARE, 0.01)
-    rounds = math.ceil(instances / count_loads_at_once(engine, model))
+    rounds = math.ceil(instances / max(engine.loads_at_once, 1))
     loading = max(instances / rate, (rounds - 1) * model.load) + model.load
     return _DRAIN_SECONDS + loading + model.warm
-
-
-def count_loads_at_once(engine: routes.Engine, model: routes.Model) -> int:
-    """Return how many instances of a step may load at the same time.
-
-    At least as many as one replica takes, even where the operator states
-    that so many loads slow each other down: a part of them serves nothing.
-    """
-    return max(engine.loads_at_once, model.size)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -322,8 +322,8 @@
 class StepTest(unittest.TestCase):
     """Tests single steps of a domain, and what is measured."""
 
-    def start(self, surplus="large", scarce="small", drained=1):
-        world = test_formation.World(19, (surplus,), ENGINE)
+    def start(self, surplus="large", scarce="small", drained=1, world=None):
+        world = world or test_formation.World(19, (surplus,), ENGINE)
         session = test_formation.Session(world, surplus)
         session.run(5.0)
         session.change = layout.Change(
@@ -415,6 +415,28 @@
         self.assertEqual(len(list_loads(session)), 8)
         self.assertEqual(session.count_open(), 3)
 
+    def test_a_step_keeps_to_the_loads_at_once(self):
+        """A step started eight loads where the operator allows three.
+
+        More at once slow each other down. The step takes longer then, and
+        must be worth it.
+        """
+        limited = msgspec.structs.replace(ENGINE, loads_at_once=3)
+        world = test_formation.World(19, ("large",), limited)
+        session = self.start(world=world)
+        most = 0
+        for _ in range(900):
+            session.step()
+            loading = [one for one in world.engines.values() if one.staging]
+            most = max(most, len(loading))
+        self.assertEqual((most, session.count_open()), (3, 3))
+        self.assertEqual(len(list_loads(session)), 8)
+        times = [
+            rebalancing._estimate_load_seconds(engine, SMALL, 8)
+            for engine in (ENGINE, limited)
+        ]
+        self.assertGreater(times[1], times[0] + SMALL.load)
+
     def test_a_busy_replica_is_not_taken_away(self):
         """Guards against the drain of a replica that is in use."""
         session = self.start()
