Layout: protect a running step without the measured work

Instances that load were kept out of replicas, and those that a step had loaded were not loaded back, only while a review called for steps. That is unknown after a restart, after an outage of the store and in the last step: a successor joined all eight instances that loaded, and loaded some of the larger model back.

Instances that report a load now join nothing, whatever the review says; a load whose weights the instance already reports has ended. A model other than the domain's main one, whose instances grew in number within 120 s (also as a successor first sees them), is not loaded back.

The two tests of a successor now clear the scarce model; both failed (nine joins of loading instances; loads of both models) and pass. tests.test_layout, test_formation, test_staging, test_duties: 76 pass.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -24,6 +24,7 @@
 withdrawn.
 """
 
+import collections
 from collections import abc
 
 import msgspec
@@ -55,6 +56,10 @@
 _JOIN_SLACK_SECONDS = 1.5
 # Seconds for which a leader with a leaving member may finish its requests.
 _CLOSE_SECONDS = 2.0
+# Seconds after a load has ended in which further loads of the same step may
+# begin. A step must pay off within 60 s; a successor needs several more until
+# it knows the measured work.
+_STEP_SECONDS = 120.0
 # Past replicas to remember.
 _HISTORY_LIMIT = 1024
 
@@ -96,6 +101,10 @@
         self._has_traffic = True
         self._relocation = supply.Relocation()
         self.is_evacuated: abc.Callable[[ids.DatacentreName], bool] = _is_never
+        # Instances that have each model's weights, and when there last were
+        # more of them than before.
+        self._staged_counts: collections.Counter[str] = collections.Counter()
+        self._grown_at: dict[str, float] = {}
         # The step to another model that is under way here.
         self.conversion: conversions.Conversion | None = None
 
@@ -663,7 +672,7 @@
             for record in unassigned[model.name]:
                 if record.upstream.id in ordered or record.staging_model:
                     continue
-                if self._layout.scarce and record.is_loading:
+                if record.reports_load:
                     continue
                 if not self._is_warmed_up(record, model.name):
                     orders += self._plan_joins(model, [record.upstream])
@@ -676,14 +685,17 @@
 
         Failure: the holder of a domain dies while a step loads instances,
         and its successor forms a replica from them by the weights that they
-        still report. Only while the measured work calls for steps: at other
-        times few instances load, and an order to join ends the wait for an
-        order to load that was lost.
+        still report. A load that was only ordered counts while the measured
+        work calls for steps: at other times an order to join ends the wait
+        for an order to load that was lost.
         """
-        if not self._layout.scarce:
-            return records, []
-        loading = [record for record in records if record.is_loading]
-        return [one for one in records if not one.is_loading], loading
+        loading = [
+            record
+            for record in records
+            if record.reports_load
+            or (self._layout.scarce and record.staging_model)
+        ]
+        return [one for one in records if one not in loading], loading
 
     def _find_staged_model(self, record: knowledge.InstanceRecord) -> str:
         """Return the first model whose weights are on the host, or empty."""
@@ -785,10 +797,33 @@
             wanted=wanted,
             staged=staged,
             scarce=layout.scarce,
+            kept=self._list_kept(main, now),
         )
         loads = staging.choose_loads(self._engine, inventory)
         return [self._order_load(load, now) for load in loads[:allowed_loads]]
 
+    def _list_kept(self, main: routes.Model, now: float) -> frozenset[str]:
+        """Return the models that a step may still be loading here.
+
+        Failure: a node was restarted, or another took over, when a part of
+        a step's instances was loaded. It took them for stranded and loaded
+        them back. The step shows only in what the domain has staged: more
+        and more instances of a model that is not its main one.
+        """
+        counts = collections.Counter(
+            self._find_staged_model(record)
+            for record in self._records.values()
+        )
+        for name, count in counts.items():
+            if count > self._staged_counts[name]:
+                self._grown_at[name] = now
+        self._staged_counts = counts
+        return frozenset(
+            name
+            for name, grown_at in self._grown_at.items()
+            if name not in ("", main.name) and now - grown_at < _STEP_SECONDS
+        )
+
     def _count_usable(self) -> int:
         """Return how many instances may serve in replicas."""
         return sum(
--- a/currantwall/coordination/replicas/knowledge.py
+++ b/currantwall/coordination/replicas/knowledge.py
@@ -110,6 +110,9 @@
         # instance joins no replica meanwhile, at most until the given time.
         self.staging_model = ""
         self.staging_until = 0.0
+        # Sequence number with which it reported the weights that it was
+        # ordered to load. It may still call itself busy then.
+        self.loaded_sequence: int | None = None
         # Whether an order was sent whose effect no report has shown yet.
         self.is_unconfirmed = False
         # Whether the list contradicts the last report: a load has ended, or
@@ -148,11 +151,15 @@
 
         An earlier holder of the domain may have ordered the load.
         """
+        return bool(self.staging_model) or self.reports_load
+
+    @property
+    def reports_load(self) -> bool:
+        """Return whether it loads weights by its own report."""
         seat = self.upstream.seat
         is_joining = seat is not None and seat.phase is Phase.JOINING
-        return bool(self.staging_model) or (
-            self.upstream.busy and not is_joining
-        )
+        has_ended = self.upstream.sequence == self.loaded_sequence
+        return self.upstream.busy and not is_joining and not has_ended
 
     @property
     def is_usable(self) -> bool:
@@ -219,6 +226,7 @@
             )
         if record.staging_model in record.upstream.staged:
             record.staging_model = ""
+            record.loaded_sequence = record.upstream.sequence
 
     def note_failure(
         self, instance: ids.InstanceId, result: ProbeResult
--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -70,6 +70,8 @@
             weights, by model.
         scarce: Model that the measured work is short of; empty if there is
             none.
+        kept: Models of which instances may be part of a step that has not
+            ended. They are not loaded with another model.
     """
 
     main: routes.Model
@@ -84,6 +86,7 @@
     wanted: abc.Mapping[str, int] = {}
     staged: abc.Mapping[str, int] = {}
     scarce: str = ""
+    kept: abc.Set[str] = frozenset()
 
 
 class LoadBucket:
@@ -259,6 +262,7 @@
             instance
             for name, instances in inventory.idle.items()
             if name not in (model.name, inventory.scarce)
+            and name not in inventory.kept
             for instance in instances
         ]
         missing = model.size - len(inventory.idle.get(model.name, ()))
@@ -321,6 +325,7 @@
         instance
         for model in engine.models
         if model.name not in (main.name, inventory.scarce)
+        and model.name not in inventory.kept
         and not inventory.formed.get(model.name)
         for instance in inventory.idle.get(model.name, ())
         if len(inventory.idle[model.name]) < model.size
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -392,8 +392,10 @@
             # The three that wait form no replica with the spares.
             self.assertEqual(session.count_open(), 2)
             if takes_over:
+                # A successor that was restarted knows of no scarce model.
                 session.replace_planner()
                 session.change = None
+                session.scarce = ""
                 session.run(30.0)
             session.allowed_loads = 1000
             session.run(40.0)
@@ -410,6 +412,8 @@
         session.run(3.0)
         self.assertEqual(len(list_loads(session)), 8)
         session.replace_planner()
+        session.change = None
+        session.scarce = ""
         session.run(20.0)
         self.assertEqual(session.world.violations, [])
         self.assertEqual(len(list_loads(session)), 8)
