Layout: load blank instances only for the shortage, in one domain

While a model was scarce, the blank instances of every domain got it as soon as they were enough for a replica, at the same time and whatever was lacking.

The review now names one domain, the first in the order of steps that has enough blank instances, and the replicas that are lacking, less what loads already. Nothing is named while another model with work has no replica. The domain loads whole replicas up to that number; the rest of its blank instances get its own model as before.

The test of staging failed for want of the field; both new tests and tests.test_staging, test_formation, test_duties, test_layout pass.

--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -797,6 +797,7 @@
             wanted=wanted,
             staged=staged,
             scarce=layout.scarce,
+            lacking=layout.lacking,
             kept=self._list_kept(main, now),
         )
         loads = staging.choose_loads(self._engine, inventory)
--- a/currantwall/coordination/replicas/layout.py
+++ b/currantwall/coordination/replicas/layout.py
@@ -59,6 +59,7 @@
         change: The step to begin now, if the measured work requires one.
         scarce: Model that the measured work is short of, in all domains;
             empty if there is none.
+        lacking: Replicas of it to load onto blank instances of this domain.
     """
 
     main: str
@@ -66,6 +67,7 @@
     size: int = 0
     change: Change | None = None
     scarce: str = ""
+    lacking: int = 0
 
 
 def choose_mix(
--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -74,6 +74,8 @@
         replicas: Number of whole replicas, by model.
         idle: Number of instances outside of them that have the weights of a
             model, by model.
+        blank: Number of instances that have no weights and load none.
+        loading: Number of instances that have no weights and load some.
         outside: Number of instances outside of whole replicas, those that
             load weights or have none included.
         converting: Number of instances that have the weights of a model and
@@ -84,6 +86,8 @@
     datacentre: ids.DatacentreName
     replicas: abc.Mapping[str, int]
     idle: abc.Mapping[str, int] = {}
+    blank: int = 0
+    loading: int = 0
     outside: int = 0
     converting: int = 0
 
@@ -119,12 +123,16 @@
     """Decides the steps of one service's domains.
 
     Attributes:
-        scarce: Model that steps are called for; empty if there is none. It
-            is loaded onto blank instances first, also while steps wait.
+        scarce: Model that steps are called for; empty if there is none.
+        blank_domain: Domain whose blank instances are loaded with it, also
+            while steps wait; empty if there is none.
+        lacking: Replicas of it to load there.
     """
 
     def __init__(self) -> None:
         self.scarce = ""
+        self.blank_domain = ids.DomainName("")
+        self.lacking = 0
         # The step that the last reviews called for, as surplus and scarce
         # model, since when, and when it was last.
         self._called_for: tuple[str, str] | None = None
@@ -158,7 +166,7 @@
             list_age: Seconds since the list of instances was read.
             now: Monotonic time in seconds.
         """
-        change = None
+        change = state = None
         shares = workload.compute_shares(engine, work)
         is_known = bool(shares) and list_age <= _MAX_LIST_AGE_SECONDS
         if is_known and self._may_change(engine, shares):
@@ -167,12 +175,20 @@
             change = _choose_change(service, state)
         self._note_called_for(change, now)
         self.scarce = ""
-        if change is None or now - self._since < _HOLD_SECONDS:
+        self.blank_domain, self.lacking = ids.DomainName(""), 0
+        if (
+            state is None
+            or change is None
+            or now - self._since < _HOLD_SECONDS
+        ):
             return None
         is_opposite = change.surplus == self._last_scarce
         if is_opposite and now - self._last_at < _HORIZON_SECONDS:
             return None
         self.scarce = change.scarce
+        self.blank_domain, self.lacking = _choose_blank_domain(
+            service, state, change
+        )
         if not change.domain:
             return None
         self._last_scarce, self._last_at = change.scarce, now
@@ -301,6 +317,51 @@
     return candidates, drained
 
 
+def _choose_blank_domain(
+    service: ids.ServiceName, state: _State, change: layout.Change
+) -> tuple[ids.DomainName, int]:
+    """Return the domain whose blank instances get the scarce model.
+
+    Failure: replacements arrived in all domains at once, and all of them
+    were loaded with the scarce model, far more than the shortage took.
+
+    Returns:
+        The domain, empty if there is none, and how many replicas to load.
+        None are loaded while another model with work has no replica: its
+        replacements are needed.
+    """
+    nobody = ids.DomainName(""), 0
+    scarce = state.engine.find(change.scarce)
+    surplus = state.engine.find(change.surplus)
+    assert scarce is not None and surplus is not None
+    if any(
+        state.needs.get(model.name, 0.0) and not state.replicas[model.name]
+        for model in state.engine.models
+        if model is not scarce
+    ):
+        return nobody
+    # The list doesn't show what is loaded: all of it may be the scarce model.
+    pending = sum(
+        (domain.loading + domain.converting) // scarce.size
+        for domain in state.domains
+    )
+    lacking = math.ceil(state.measure_shortage(scarce, pending))
+    candidates = [
+        domain
+        for domain in state.domains
+        if domain.blank and domain.blank + domain.loading >= scarce.size
+    ]
+    if not lacking or not candidates:
+        return nobody
+    chosen = min(
+        candidates,
+        key=lambda domain: _make_order_key(
+            service, state, domain, surplus, scarce
+        ),
+    )
+    return chosen.name, lacking
+
+
 def _make_order_key(
     service: ids.ServiceName,
     state: _State,
--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -70,6 +70,7 @@
             weights, by model.
         scarce: Model that the measured work is short of; empty if there is
             none.
+        lacking: Replicas of it that blank instances here should form.
         kept: Models of which instances may be part of a step that has not
             ended. They are not loaded with another model.
     """
@@ -86,6 +87,7 @@
     wanted: abc.Mapping[str, int] = {}
     staged: abc.Mapping[str, int] = {}
     scarce: str = ""
+    lacking: int = 0
     kept: abc.Set[str] = frozenset()
 
 
@@ -183,8 +185,10 @@
     if inventory.wanted:
         found = _load_mixed_domain(engine, inventory)
     elif inventory.blank:
-        model = _choose_model(engine, inventory)
-        found = [Load(instance, model) for instance in inventory.blank]
+        found = _load_lacking(engine, inventory)
+        rest = inventory.blank[len(found) :]
+        model = _choose_model(engine, inventory, len(rest))
+        found += [Load(instance, model) for instance in rest]
     return found + _choose_conversions(engine, inventory)
 
 
@@ -215,17 +219,29 @@
     return found
 
 
-def _choose_model(
+def _load_lacking(
     engine: routes.Engine, inventory: DomainInventory
-) -> routes.Model:
-    """Return the model to load onto blank instances.
+) -> list[Load]:
+    """Return the loads of the model that the measured work is short of.
 
-    Those that are enough for a replica get the model that the measured work
-    is short of.
+    Only blank instances that complete whole replicas of it get it, together
+    with those that have or load it already, and no more than are lacking.
     """
-    measured = engine.find(inventory.scarce)
-    if measured is not None and measured.size <= len(inventory.blank):
-        return measured
+    model = engine.find(inventory.scarce)
+    if model is None or not inventory.lacking:
+        return []
+    begun = inventory.staged.get(model.name, 0) % model.size
+    replicas = (begun + len(inventory.blank)) // model.size
+    count = min(replicas, inventory.lacking) * model.size - begun
+    return [
+        Load(instance, model) for instance in inventory.blank[: max(count, 0)]
+    ]
+
+
+def _choose_model(
+    engine: routes.Engine, inventory: DomainInventory, blank: int
+) -> routes.Model:
+    """Return the model to load onto other blank instances, by their number."""
     if inventory.coverage[inventory.main.name] < _HIGH_COVERAGE:
         return inventory.main
     scarce = min(
@@ -235,7 +251,7 @@
         inventory.has_traffic
         and inventory.coverage[scarce.name] < _LOW_COVERAGE
     )
-    if is_scarce and scarce.size <= len(inventory.blank):
+    if is_scarce and scarce.size <= blank:
         return scarce
     return inventory.main
 
--- a/currantwall/coordination/replicas/supply.py
+++ b/currantwall/coordination/replicas/supply.py
@@ -106,6 +106,14 @@
                     for instance in outside.get(name, ())
                     if instance.staged and not instance.busy
                 ),
+                blank=sum(
+                    not instance.staged and not instance.busy
+                    for instance in outside.get(name, ())
+                ),
+                loading=sum(
+                    not instance.staged and instance.busy
+                    for instance in outside.get(name, ())
+                ),
                 outside=len(outside.get(name, ())),
                 converting=sum(
                     bool(instance.staged) and instance.busy
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -297,6 +297,7 @@
                 self._sizes[name],
                 domain.layout.change,
                 domain.layout.scarce,
+                domain.layout.lacking,
             )
 
     def _review_layouts(self, now: float) -> None:
@@ -334,7 +335,7 @@
             )
             for domain in self._domains.values():
                 if domain.service == service.name:
-                    _set_change(domain, change, review.scarce)
+                    _set_change(domain, change, review)
 
     def _add_domain(
         self, name: ids.DomainName, service: routes.Service
@@ -675,15 +676,19 @@
 
 
 def _set_change(
-    domain: _Domain, change: layout_module.Change | None, scarce: str
+    domain: _Domain,
+    change: layout_module.Change | None,
+    review: rebalancing.Review,
 ) -> None:
     """Set the step that a domain should begin, and the scarce model."""
+    is_first = review.blank_domain == domain.name
     is_here = change is not None and change.domain == domain.name
     is_mixed = bool(domain.layout.replicas)
     domain.layout = msgspec.structs.replace(
         domain.layout,
         change=change if is_here and not is_mixed else None,
-        scarce="" if is_mixed else scarce,
+        scarce="" if is_mixed else review.scarce,
+        lacking=review.lacking if is_first and not is_mixed else 0,
     )
 
 
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -204,6 +204,7 @@
         self.change = None
         self.loads = {}
         self.scarce = ""
+        self.lacking = 0
         # Loads of the step that may start in each round.
         self.allowed_loads = 1000
         self.main = main
@@ -250,7 +251,12 @@
             self.now,
             self.fence,
             layout.Layout(
-                self.main, self.mix, self.size, self.change, self.scarce
+                self.main,
+                self.mix,
+                self.size,
+                self.change,
+                self.scarce,
+                self.lacking,
             ),
             self.demands,
             loads=self.loads,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -160,6 +160,8 @@
             is_here = change is not None and change.domain == session.domain
             session.change = change if is_here else None
             session.scarce = node.review.scarce
+            is_first = node.review.blank_domain == session.domain
+            session.lacking = node.review.lacking if is_first else 0
             if self.has_store:
                 session.step(_STEP)
                 continue
@@ -491,6 +493,40 @@
         self.assertEqual(self.decide(2, work), "r0")
         self.assertIsNone(self.decide(1, work))
 
+    def test_blank_instances_of_one_domain_get_the_scarce_model(self):
+        """Blank instances of all domains got it, whatever was lacking.
+
+        What loads may be the scarce model. Nothing is taken from a model
+        that has no replica left.
+        """
+        work = {"large": 0.1, "small": 6.0}
+        blank = {"blank": 4}
+        found = []
+        for other, count in ((blank, 2), ({"loading": 80}, 2), (blank, 0)):
+            review = rebalancing.Review()
+            domains = [
+                rebalancing.DomainSupply(
+                    name=ids.DomainName(f"r{n}"),
+                    datacentre=ids.DatacentreName("a"),
+                    replicas={} if n < 2 else {"small": 2, "large": count},
+                    **(other if n else blank),
+                )
+                for n in range(3)
+            ]
+            for now in range(10):
+                review.decide(
+                    SERVICE,
+                    ENGINE,
+                    work,
+                    lambda listed=domains: listed,
+                    0.5,
+                    now,
+                )
+            found.append((review.blank_domain, review.lacking))
+        self.assertEqual(found[0][1], 7)
+        self.assertIn(found[0][0], ("r0", "r1", "r2"))
+        self.assertEqual(found[1:], [("", 0), ("", 0)])
+
     def test_a_model_is_not_made_as_scarce_as_the_other(self):
         """Guards against a step whose opposite would be due next."""
         self.assertIsNone(self.decide(2, {"large": 1.0, "small": 4.0}))
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -111,9 +111,22 @@
         Where they are too few for a replica they replace lost members.
         """
         blank = ("a", "b", "c")
-        loads = self.choose(blank=blank, scarce="small")
+        loads = self.choose(blank=blank, scarce="small", lacking=1)
         self.assertEqual({model for _, model in loads}, {"small"})
-        loads = self.choose(blank=blank[:2], scarce="small")
+        loads = self.choose(blank=blank[:2], scarce="small", lacking=1)
+        self.assertEqual({model for _, model in loads}, {"large"})
+
+    def test_blank_instances_get_only_what_the_shortage_takes(self):
+        """All replacements in all domains got the scarce model at once.
+
+        The shortage is given to one domain only, as a number of replicas.
+        """
+        blank = tuple("abcdefgh")
+        loads = self.choose(blank=blank, scarce="small", lacking=1)
+        models = [model for _, model in loads]
+        self.assertEqual(models.count("small"), SMALL.size)
+        self.assertEqual(models.count("large"), 8 - SMALL.size)
+        loads = self.choose(blank=blank, scarce="small", lacking=0)
         self.assertEqual({model for _, model in loads}, {"large"})
 
     def test_instances_of_the_scarce_model_are_not_loaded_back(self):
