Layout: skip the deviation rule only after a step was seen

If no holder began it, as all replicas were busy, the node left out the rule of a quarter's deviation for good, although the layout was still the stated one.

The rule is now left out once a list shows that the proposed domain gave up its replicas and loads or has more of the scarce model. The minute in which the opposite is not begun still counts from the proposal: a step may be under way while no list can be read.

The new test failed (a step at shares near the stated ones, none seen) and passes; tests.test_layout passes (22 tests).

--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -138,9 +138,12 @@
         self._called_for: tuple[str, str] | None = None
         self._since = -math.inf
         self._seen_at = -math.inf
-        # Scarce model of the last step that was decided, and when.
-        self._last_scarce = ""
+        # The last step that was decided, when, and what its domain had.
+        self._last_change: layout.Change | None = None
         self._last_at = -math.inf
+        self._last_supply: DomainSupply | None = None
+        # Whether a list has shown that such a step was begun.
+        self._has_seen_step = False
 
     def decide(
         self,
@@ -171,6 +174,7 @@
         is_known = bool(shares) and list_age <= _MAX_LIST_AGE_SECONDS
         if is_known and self._may_change(engine, shares):
             domains = list_domains()
+            self._note_step(domains)
             state = _make_state(engine, work, shares, domains)
             change = _choose_change(service, state)
         self._note_called_for(change, now)
@@ -182,7 +186,8 @@
             or now - self._since < _HOLD_SECONDS
         ):
             return None
-        is_opposite = change.surplus == self._last_scarce
+        last = self._last_change
+        is_opposite = last is not None and change.surplus == last.scarce
         if is_opposite and now - self._last_at < _HORIZON_SECONDS:
             return None
         self.scarce = change.scarce
@@ -191,9 +196,37 @@
         )
         if not change.domain:
             return None
-        self._last_scarce, self._last_at = change.scarce, now
+        self._last_change, self._last_at = change, now
+        self._last_supply = next(
+            domain for domain in state.domains if domain.name == change.domain
+        )
         return change
 
+    def _note_step(self, domains: abc.Sequence[DomainSupply]) -> None:
+        """Note whether the list shows that the last step was begun.
+
+        Failure: a step was decided but never begun, as all replicas were
+        busy. The node then left out the first rule for good, although the
+        layout was still that of the stated shares.
+        """
+        last, before = self._last_change, self._last_supply
+        if last is None or before is None:
+            return
+        for domain in domains:
+            if domain.name != last.domain:
+                continue
+            remaining = domain.replicas.get(last.surplus, 0)
+            was_drained = remaining <= last.held - last.drained
+            has_more = any(
+                now.get(last.scarce, 0) > then.get(last.scarce, 0)
+                for now, then in (
+                    (domain.replicas, before.replicas),
+                    (domain.idle, before.idle),
+                )
+            )
+            if was_drained and (domain.converting or has_more):
+                self._has_seen_step = True
+
     def may_step(self, now: float) -> bool:
         """Return whether a step may be under way in any domain.
 
@@ -226,7 +259,7 @@
         Once the layout was changed it no longer follows the stated shares,
         and has to be changed back when the work returns to them.
         """
-        if self._last_scarce:
+        if self._has_seen_step:
             return True
         total = sum(model.share for model in engine.models)
         return any(
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -537,6 +537,47 @@
         self.assertEqual(self.decide(2, work, list_age=2.0), "r0")
         self.assertIsNone(self.decide(2, work, list_age=9.0))
 
+    def test_the_stated_shares_hold_until_a_step_is_seen(self):
+        """One proposed step turned the deviation rule off for good.
+
+        The step was never begun, as every replica was busy. Then the work
+        is near the stated shares, which otherwise changes nothing.
+        """
+        for is_seen in (False, True):
+            review = rebalancing.Review()
+            begun = {"replicas": {"large": 3}, "converting": 8}
+            begun = begun if is_seen else {}
+            domains = [
+                rebalancing.DomainSupply(
+                    name=ids.DomainName(f"r{n}"),
+                    datacentre=ids.DatacentreName("a"),
+                    replicas={"small": 2} if n else {"large": 4},
+                )
+                for n in range(2)
+            ]
+            changes = []
+            for now in range(200):
+                work = {"large": 0.1, "small": 6.0}
+                if now == 10:
+                    domains[0] = msgspec.structs.replace(domains[0], **begun)
+                if now >= 14:
+                    domains[0] = msgspec.structs.replace(
+                        domains[0], converting=0
+                    )
+                    work = {"large": 2.0, "small": 4.8}
+                changes.append(
+                    review.decide(
+                        SERVICE,
+                        ENGINE,
+                        work,
+                        lambda listed=domains: listed,
+                        0.5,
+                        now,
+                    )
+                )
+            self.assertIsNotNone(changes[9])
+            self.assertEqual(any(changes[100:]), is_seen)
+
     def test_a_lost_digest_does_not_delay_a_step(self):
         """The work of all other nodes was unknown for two seconds.
 
