Layout: idle instances are used only where nothing else changes

The search for idle instances came before the check for a domain that changes, so a second domain could begin while the first one loaded or was repaired.

An unsettled domain is now found first, by instances that change or by those outside of replicas that are not idle. Only that domain may use more of its idle instances; the others wait.

The new test failed (r1 began beside r0 in both cases) and passes; tests.test_layout passes (23 tests).

--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -323,24 +323,27 @@
 ) -> tuple[list[DomainSupply], int]:
     """Return the domains that may change, and the replicas to drain there.
 
-    Idle instances are used first. While a domain has as many outside of
-    its replicas, a step is under way there or its replicas are repaired:
-    then there are no candidates.
+    Idle instances are used first. A domain in which a step is under way or
+    replicas are repaired is unsettled: other domains wait for it, and it
+    may only use more of its own idle instances. While there are several,
+    there are no candidates.
     """
     needed = scarce.size + _MIN_SPARES
-    is_unsettled = any(
-        domain.converting or domain.outside >= needed
+    unsettled = [
+        domain
         for domain in state.domains
-    )
+        if domain.converting
+        or domain.outside - domain.idle.get(surplus.name, 0) >= needed
+    ]
     idle = [
         domain
-        for domain in state.domains
+        for domain in (unsettled or state.domains)
         if domain.idle.get(surplus.name, 0) >= needed
     ]
-    if idle:
+    if idle and len(unsettled) < 2:
         return idle, 0
     drained = math.ceil(scarce.size / surplus.size)
-    if is_unsettled:
+    if unsettled or any(domain.outside >= needed for domain in state.domains):
         return [], drained
     candidates = [
         domain
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -578,6 +578,37 @@
             self.assertIsNotNone(changes[9])
             self.assertEqual(any(changes[100:]), is_seen)
 
+    def test_idle_instances_elsewhere_wait_for_a_step_to_end(self):
+        """A second domain began to change while the first one did.
+
+        Idle instances were used whatever changed elsewhere.
+        """
+        found = []
+        for changing in ({}, {"converting": 3}, {"outside": 9}):
+            review = rebalancing.Review()
+            domains = [
+                rebalancing.DomainSupply(
+                    name=ids.DomainName(f"r{n}"),
+                    datacentre=ids.DatacentreName("a"),
+                    replicas={"large": 2, "small": n},
+                    **({} if n else changing),
+                )
+                for n in range(2)
+            ]
+            idle = {"idle": {"large": 5}, "outside": 5}
+            domains[1] = msgspec.structs.replace(domains[1], **idle)
+            for now in range(10):
+                change = review.decide(
+                    SERVICE,
+                    ENGINE,
+                    {"large": 0.1, "small": 6.0},
+                    lambda listed=domains: listed,
+                    0.5,
+                    now,
+                )
+            found.append(change and change.domain)
+        self.assertEqual(found, ["r1", None, None])
+
     def test_a_lost_digest_does_not_delay_a_step(self):
         """The work of all other nodes was unknown for two seconds.
 
