Layout: a model with work keeps a replica if two holders drain at once

A step was allowed while one replica remained. Two holders with different lists could each drain one of the last two: `held` compares only the replicas of the domain itself.

A model with work now keeps one replica more than a step drains, so that a second step at the same time leaves one. A model without work keeps one, as before.

The test of the last replica now covers two replicas with work: it failed without the rule and passes.

--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -432,7 +432,11 @@
     within the horizon, and the time for which the loaded instances are out
     of service.
     """
-    if drained and state.replicas.get(surplus.name, 0) <= drained:
+    # Two holders with different lists may each drain as many replicas at the
+    # same time: a model with work must then still have one.
+    has_work = state.needs.get(surplus.name, 0.0) > 0
+    lost = 2 * drained if has_work else drained
+    if drained and state.replicas.get(surplus.name, 0) <= lost:
         return False
     instances = drained * surplus.size if drained else scarce.size
     gained = instances // scarce.size
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -518,7 +518,7 @@
     def test_a_holder_drains_a_replica_that_the_work_does_not_need(self):
         """Guards against a decision that reaches no instance.
 
-        Two domains of four; the model "n" is measured to be short.
+        Domains of six and four; the model "n" is measured to be short.
         """
         world = World(("n1", "n2"))
         models = (
@@ -533,16 +533,16 @@
                 service=_SERVICE.name,
                 address=f"e{n}:1",
                 datacentre=ids.DatacentreName("a"),
-                domain=ids.DomainName(f"d{n // 4}"),
-                staged=("mn"[n // 4],),
+                domain=ids.DomainName(f"d{n // 6}"),
+                staged=("mn"[n // 6],),
                 seat=upstreams.Seat(
-                    f"{'mn'[n // 4]}.2.r{n // 2}",
+                    f"{'mn'[n // 6]}.2.r{n // 2}",
                     1,
                     n % 2,
                     upstreams.Phase.READY if n % 2 else upstreams.Phase.OPEN,
                 ),
             )
-            for n in range(8)
+            for n in range(10)
         ]
         work = {"m": 0.2, "n": 3.0}
         for node in world.nodes.values():
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -461,11 +461,12 @@
         self.assertIs(seat.phase, upstreams.Phase.OPEN)
         self.assertNotIn((seat.replica, seat.epoch), replica)
 
-    def decide(self, count, work, seconds=9, lost=(), list_age=1.0):
+    def decide(self, count, work, seconds=9, lost=(), list_age=1.0, others=2):
         """Return the domain that a review chooses at last, or None.
 
         Args:
-            count: Replicas of the larger model; there are two of the other.
+            count: Replicas of the larger model.
+            others: Replicas of the smaller model.
             work: Replicas that are kept busy by each model's work.
             seconds: Number of reviews after the first one.
             lost: Seconds in which no work is known.
@@ -476,7 +477,7 @@
             rebalancing.DomainSupply(
                 name=ids.DomainName(f"r{n}"),
                 datacentre=ids.DatacentreName("a"),
-                replicas={"small": 2} if n else {"large": count},
+                replicas={"small": others} if n else {"large": count},
             )
             for n in range(2)
         ]
@@ -488,10 +489,17 @@
         return change and change.domain
 
     def test_the_last_replica_of_a_model_is_kept(self):
-        """Guards against a model that no replica serves."""
+        """The last replica of a model was drained by two holders.
+
+        Their lists differed, and each drained one of the two there were.
+        A model without work keeps a single one.
+        """
         work = {"large": 0.1, "small": 6.0}
-        self.assertEqual(self.decide(2, work), "r0")
+        self.assertEqual(self.decide(3, work), "r0")
+        self.assertIsNone(self.decide(2, work))
         self.assertIsNone(self.decide(1, work))
+        self.assertEqual(self.decide(2, {"small": 6.0}), "r0")
+        self.assertIsNone(self.decide(1, {"small": 6.0}))
 
     def test_blank_instances_of_one_domain_get_the_scarce_model(self):
         """Blank instances of all domains got it, whatever was lacking.
@@ -502,7 +510,7 @@
         work = {"large": 0.1, "small": 6.0}
         blank = {"blank": 4}
         found = []
-        for other, count in ((blank, 2), ({"loading": 80}, 2), (blank, 0)):
+        for other, count in ((blank, 3), ({"loading": 80}, 3), (blank, 0)):
             review = rebalancing.Review()
             domains = [
                 rebalancing.DomainSupply(
@@ -529,13 +537,14 @@
 
     def test_a_model_is_not_made_as_scarce_as_the_other(self):
         """Guards against a step whose opposite would be due next."""
-        self.assertIsNone(self.decide(2, {"large": 1.0, "small": 4.0}))
-        self.assertEqual(self.decide(2, {"large": 0.5, "small": 4.0}), "r0")
+        for large, expected in ((1.25, None), (0.6, "r0")):
+            work = {"large": large, "small": 5.0}
+            self.assertEqual(self.decide(3, work, others=5), expected)
 
     def test_no_step_is_decided_by_a_list_from_before_an_outage(self):
         work = {"large": 0.1, "small": 6.0}
-        self.assertEqual(self.decide(2, work, list_age=2.0), "r0")
-        self.assertIsNone(self.decide(2, work, list_age=9.0))
+        self.assertEqual(self.decide(3, work, list_age=2.0), "r0")
+        self.assertIsNone(self.decide(3, work, list_age=9.0))
 
     def test_the_stated_shares_hold_until_a_step_is_seen(self):
         """One proposed step turned the deviation rule off for good.
@@ -615,8 +624,8 @@
         For longer, the time that the step has been called for begins anew.
         """
         work = {"large": 0.1, "small": 6.0}
-        self.assertEqual(self.decide(2, work, lost=(4, 5)), "r0")
-        self.assertIsNone(self.decide(2, work, 12, lost=range(4, 9)))
+        self.assertEqual(self.decide(3, work, lost=(4, 5)), "r0")
+        self.assertIsNone(self.decide(3, work, 12, lost=range(4, 9)))
 
     def test_no_replica_is_drained_by_a_list_that_shows_more(self):
         """The last replica of a model was drained after an outage.
