--- a/currantwall/coordination/replicas/rebalancing.py
+++ b/currantwall/coordination/replicas/rebalancing.py
@@ -31,7 +31,6 @@
     "LOAD_RATE_SHARE",
     "DomainSupply",
     "Review",
-    "count_loads_at_once",
 ]
 
 # Factor by which the measured share of a model must exceed the stated one.
@@ -75,6 +74,8 @@
         replicas: Number of whole replicas, by model.
         idle: Number of instances outside of them that have the weights of a
             model, by model.
+        blank: Number of instances that have no weights and load none.
+        loading: Number of instances that have no weights and load some.
         outside: Number of instances outside of whole replicas, those that
             load weights or have none included.
         converting: Number of instances that have the weights of a model and
@@ -85,6 +86,8 @@
     datacentre: ids.DatacentreName
     replicas: abc.Mapping[str, int]
     idle: abc.Mapping[str, int] = {}
+    blank: int = 0
+    loading: int = 0
     outside: int = 0
     converting: int = 0
 
@@ -120,20 +123,27 @@
     """Decides the steps of one service's domains.
 
     Attributes:
-        scarce: Model that steps are called for; empty if there is none. It
-            is loaded onto blank instances first, also while steps wait.
+        scarce: Model that steps are called for; empty if there is none.
+        blank_domain: Domain whose blank instances are loaded with it, also
+            while steps wait; empty if there is none.
+        lacking: Replicas of it to load there.
     """
 
     def __init__(self) -> None:
         self.scarce = ""
+        self.blank_domain = ids.DomainName("")
+        self.lacking = 0
         # The step that the last reviews called for, as surplus and scarce
         # model, since when, and when it was last.
         self._called_for: tuple[str, str] | None = None
         self._since = -math.inf
         self._seen_at = -math.inf
-        # Scarce model of the last step that was decided, and when.
-        self._last_scarce = ""
+        # The last step that was decided, when, and what its domain had.
+        self._last_change: layout.Change | None = None
         self._last_at = -math.inf
+        self._last_supply: DomainSupply | None = None
+        # Whether a list has shown that such a step was begun.
+        self._has_seen_step = False
 
     def decide(
         self,
@@ -159,26 +169,76 @@
             list_age: Seconds since the list of instances was read.
             now: Monotonic time in seconds.
         """
-        change = None
+        change = state = None
         shares = workload.compute_shares(engine, work)
         is_known = bool(shares) and list_age <= _MAX_LIST_AGE_SECONDS
         if is_known and self._may_change(engine, shares):
             domains = list_domains()
+            self._note_step(domains)
             state = _make_state(engine, work, shares, domains)
             change = _choose_change(service, state)
         self._note_called_for(change, now)
         self.scarce = ""
-        if change is None or now - self._since < _HOLD_SECONDS:
+        self.blank_domain, self.lacking = ids.DomainName(""), 0
+        if (
+            state is None
+            or change is None
+            or now - self._since < _HOLD_SECONDS
+        ):
             return None
-        is_opposite = change.surplus == self._last_scarce
+        last = self._last_change
+        is_opposite = last is not None and change.surplus == last.scarce
         if is_opposite and now - self._last_at < _HORIZON_SECONDS:
             return None
         self.scarce = change.scarce
+        self.blank_domain, self.lacking = _choose_blank_domain(
+            service, state, change
+        )
         if not change.domain:
             return None
-        self._last_scarce, self._last_at = change.scarce, now
+        self._last_change, self._last_at = change, now
+        self._last_supply = next(
+            domain for domain in state.domains if domain.name == change.domain
+        )
         return change
 
+    def _note_step(self, domains: abc.Sequence[DomainSupply]) -> None:
+        """Note whether the list shows that the last step was begun.
+
+        Failure: a step was decided but never begun, as all replicas were
+        busy. The node then left out the first rule for good, although the
+        layout was still that of the stated shares.
+        """
+        last, before = self._last_change, self._last_supply
+        if last is None or before is None:
+            return
+        for domain in domains:
+            if domain.name != last.domain:
+                continue
+            remaining = domain.replicas.get(last.surplus, 0)
+            was_drained = remaining <= last.held - last.drained
+            has_more = any(
+                now.get(last.scarce, 0) > then.get(last.scarce, 0)
+                for now, then in (
+                    (domain.replicas, before.replicas),
+                    (domain.idle, before.idle),
+                )
+            )
+            if was_drained and (domain.converting or has_more):
+                self._has_seen_step = True
+
+    def may_step(self, now: float) -> bool:
+        """Return whether a step may be under way in any domain.
+
+        Steps are called for 8 s before they begin, longer than the window
+        of the weight store. Loads of a step that drained a replica may
+        follow long after the step was last called for.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return now - self._seen_at < _HORIZON_SECONDS
+
     def _note_called_for(
         self, change: layout.Change | None, now: float
     ) -> None:
@@ -199,7 +259,7 @@
         Once the layout was changed it no longer follows the stated shares,
         and has to be changed back when the work returns to them.
         """
-        if self._last_scarce:
+        if self._has_seen_step:
             return True
         total = sum(model.share for model in engine.models)
         return any(
@@ -263,24 +323,27 @@
 ) -> tuple[list[DomainSupply], int]:
     """Return the domains that may change, and the replicas to drain there.
 
-    Idle instances are used first. While a domain has as many outside of
-    its replicas, a step is under way there or its replicas are repaired:
-    then there are no candidates.
+    Idle instances are used first. A domain in which a step is under way or
+    replicas are repaired is unsettled: other domains wait for it, and it
+    may only use more of its own idle instances. While there are several,
+    there are no candidates.
     """
     needed = scarce.size + _MIN_SPARES
-    is_unsettled = any(
-        domain.converting or domain.outside >= needed
+    unsettled = [
+        domain
         for domain in state.domains
-    )
+        if domain.converting
+        or domain.outside - domain.idle.get(surplus.name, 0) >= needed
+    ]
     idle = [
         domain
-        for domain in state.domains
+        for domain in (unsettled or state.domains)
         if domain.idle.get(surplus.name, 0) >= needed
     ]
-    if idle:
+    if idle and len(unsettled) < 2:
         return idle, 0
     drained = math.ceil(scarce.size / surplus.size)
-    if is_unsettled:
+    if unsettled or any(domain.outside >= needed for domain in state.domains):
         return [], drained
     candidates = [
         domain
@@ -290,6 +353,51 @@
     return candidates, drained
 
 
+def _choose_blank_domain(
+    service: ids.ServiceName, state: _State, change: layout.Change
+) -> tuple[ids.DomainName, int]:
+    """Return the domain whose blank instances get the scarce model.
+
+    Failure: replacements arrived in all domains at once, and all of them
+    were loaded with the scarce model, far more than the shortage took.
+
+    Returns:
+        The domain, empty if there is none, and how many replicas to load.
+        None are loaded while another model with work has no replica: its
+        replacements are needed.
+    """
+    nobody = ids.DomainName(""), 0
+    scarce = state.engine.find(change.scarce)
+    surplus = state.engine.find(change.surplus)
+    assert scarce is not None and surplus is not None
+    if any(
+        state.needs.get(model.name, 0.0) and not state.replicas[model.name]
+        for model in state.engine.models
+        if model is not scarce
+    ):
+        return nobody
+    # The list doesn't show what is loaded: all of it may be the scarce model.
+    pending = sum(
+        (domain.loading + domain.converting) // scarce.size
+        for domain in state.domains
+    )
+    lacking = math.ceil(state.measure_shortage(scarce, pending))
+    candidates = [
+        domain
+        for domain in state.domains
+        if domain.blank and domain.blank + domain.loading >= scarce.size
+    ]
+    if not lacking or not candidates:
+        return nobody
+    chosen = min(
+        candidates,
+        key=lambda domain: _make_order_key(
+            service, state, domain, surplus, scarce
+        ),
+    )
+    return chosen.name, lacking
+
+
 def _make_order_key(
     service: ids.ServiceName,
     state: _State,
@@ -324,7 +432,11 @@
     within the horizon, and the time for which the loaded instances are out
     of service.
     """
-    if drained and state.replicas.get(surplus.name, 0) <= drained:
+    # Two holders with different lists may each drain as many replicas at the
+    # same time: a model with work must then still have one.
+    has_work = state.needs.get(surplus.name, 0.0) > 0
+    lost = 2 * drained if has_work else drained
+    if drained and state.replicas.get(surplus.name, 0) <= lost:
         return False
     instances = drained * surplus.size if drained else scarce.size
     gained = instances // scarce.size
@@ -350,15 +462,6 @@
 ) -> float:
     """Return the seconds until instances serve another model."""
     rate = max(engine.loads_per_second * LOAD_RATE_SHARE, 0.01)
-    rounds = math.ceil(instances / count_loads_at_once(engine, model))
+    rounds = math.ceil(instances / max(engine.loads_at_once, 1))
     loading = max(instances / rate, (rounds - 1) * model.load) + model.load
     return _DRAIN_SECONDS + loading + model.warm
-
-
-def count_loads_at_once(engine: routes.Engine, model: routes.Model) -> int:
-    """Return how many instances of a step may load at the same time.
-
-    At least as many as one replica takes, even where the operator states
-    that so many loads slow each other down: a part of them serves nothing.
-    """
-    return max(engine.loads_at_once, model.size)
--- a/currantwall/coordination/replicas/staging.py
+++ b/currantwall/coordination/replicas/staging.py
@@ -70,6 +70,9 @@
             weights, by model.
         scarce: Model that the measured work is short of; empty if there is
             none.
+        lacking: Replicas of it that blank instances here should form.
+        kept: Models of which instances may be part of a step that has not
+            ended. They are not loaded with another model.
     """
 
     main: routes.Model
@@ -84,6 +87,8 @@
     wanted: abc.Mapping[str, int] = {}
     staged: abc.Mapping[str, int] = {}
     scarce: str = ""
+    lacking: int = 0
+    kept: abc.Set[str] = frozenset()
 
 
 class LoadBucket:
@@ -97,12 +102,13 @@
         self._tokens = 0.0
         self._refilled_at: float | None = None
 
-    def count(self, rate: float, domains: int, now: float) -> int:
+    def count(self, rate: float, domains: float, now: float) -> int:
         """Refill the bucket and return how many loads may start now.
 
         Args:
             rate: Loads per second that the weight store allows.
-            domains: Number of domains that share the rate.
+            domains: Number of domains that share the rate; more, also in
+                fractions, if a part of it is kept for other loads.
             now: Monotonic time.
         """
         domain_share = (rate * _WINDOW_SECONDS + _BURST_LOADS) / max(
@@ -179,8 +185,10 @@
     if inventory.wanted:
         found = _load_mixed_domain(engine, inventory)
     elif inventory.blank:
-        model = _choose_model(engine, inventory)
-        found = [Load(instance, model) for instance in inventory.blank]
+        found = _load_lacking(engine, inventory)
+        rest = inventory.blank[len(found) :]
+        model = _choose_model(engine, inventory, len(rest))
+        found += [Load(instance, model) for instance in rest]
     return found + _choose_conversions(engine, inventory)
 
 
@@ -211,17 +219,29 @@
     return found
 
 
-def _choose_model(
+def _load_lacking(
     engine: routes.Engine, inventory: DomainInventory
-) -> routes.Model:
-    """Return the model to load onto blank instances.
+) -> list[Load]:
+    """Return the loads of the model that the measured work is short of.
 
-    Those that are enough for a replica get the model that the measured work
-    is short of.
+    Only blank instances that complete whole replicas of it get it, together
+    with those that have or load it already, and no more than are lacking.
     """
-    measured = engine.find(inventory.scarce)
-    if measured is not None and measured.size <= len(inventory.blank):
-        return measured
+    model = engine.find(inventory.scarce)
+    if model is None or not inventory.lacking:
+        return []
+    begun = inventory.staged.get(model.name, 0) % model.size
+    replicas = (begun + len(inventory.blank)) // model.size
+    count = min(replicas, inventory.lacking) * model.size - begun
+    return [
+        Load(instance, model) for instance in inventory.blank[: max(count, 0)]
+    ]
+
+
+def _choose_model(
+    engine: routes.Engine, inventory: DomainInventory, blank: int
+) -> routes.Model:
+    """Return the model to load onto other blank instances, by their number."""
     if inventory.coverage[inventory.main.name] < _HIGH_COVERAGE:
         return inventory.main
     scarce = min(
@@ -231,7 +251,7 @@
         inventory.has_traffic
         and inventory.coverage[scarce.name] < _LOW_COVERAGE
     )
-    if is_scarce and scarce.size <= len(inventory.blank):
+    if is_scarce and scarce.size <= blank:
         return scarce
     return inventory.main
 
@@ -258,6 +278,7 @@
             instance
             for name, instances in inventory.idle.items()
             if name not in (model.name, inventory.scarce)
+            and name not in inventory.kept
             for instance in instances
         ]
         missing = model.size - len(inventory.idle.get(model.name, ()))
@@ -320,6 +341,7 @@
         instance
         for model in engine.models
         if model.name not in (main.name, inventory.scarce)
+        and model.name not in inventory.kept
         and not inventory.formed.get(model.name)
         for instance in inventory.idle.get(model.name, ())
         if len(inventory.idle[model.name]) < model.size
