Remove the pacing of new requests; spread them over full replicas only

Change: the hold, the arrival rates and the lower share of late requests go; what stays for relayed counts is the choice by free slots while some replicas are full. Kept among organisations: the order by attained service, and the reserve where counts are not relayed.

--- a/currantwall/coordination/requests/attained.py
+++ b/currantwall/coordination/requests/attained.py
@@ -5,14 +5,11 @@
 a second. In the order of arrival it takes most slots, and the requests of
 all other organisations become late behind its own.
 
-Each node counts the cost of the requests that arrive and of those that it
-starts, by organisation, and reports the counts to the other nodes while
-requests wait. A request of an organisation that has attained more than an
-equal part of the service starts after the requests of those that have
-attained less, and leaves a part of each replica to them. What the others
-don't use it still gets. Where only a part of all new requests may be
-started (`pacing`), that part is divided among the organisations by max-min
-fairness: those that ask for less than an equal part are not reduced.
+Each node counts the cost of the requests that it starts, by organisation,
+and reports the counts to the other nodes while requests wait. A request of
+an organisation that has attained more than an equal part of the service
+starts after the requests of those that have attained less, and leaves a
+part of each replica to them. What the others don't use it still gets.
 
 The counts of one kind of request are kept in a sketch of fixed size, so
 that neither the state of a node nor its reports grow with the number of
@@ -23,7 +20,6 @@
 from collections import abc
 import math
 
-from currantwall.coordination.requests import fairness
 from currantwall.state import hashing
 from currantwall.state import ids
 
@@ -31,17 +27,12 @@
 
 # Hash values by which reports name kinds; few kinds exist.
 _KIND_HASHES = 4096
-# Names of the sketches in the keys of reports.
-_ATTAINED_NAME = "s"
-_ARRIVED_NAME = "a"
 _ROWS = 2
 _COUNTERS_PER_ROW = 64
 # Time constant, in seconds, with which attained service is forgotten:
 # several times the age of the other nodes' counts, which must still hold
 # when they arrive.
 _ATTAINED_SECONDS = 4.0
-# The same for arrivals, which change at once when a burst begins or ends.
-_ARRIVED_SECONDS = 1.5
 # Factor between two levels of attained service. Organisations of equal
 # demand differ by less.
 _LEVEL_FACTOR = 1.25
@@ -70,22 +61,21 @@
     whatever the number of counters.
     """
 
-    def __init__(self, decay: float, now: float) -> None:
-        self._decay = decay
+    def __init__(self, now: float) -> None:
         self._counts: dict[int, float] = {}
         self._started = now
 
     def add(self, index: int, seconds: float, now: float) -> None:
         elapsed = now - self._started
-        if elapsed > _MAX_EXPONENT * self._decay:
+        if elapsed > _MAX_EXPONENT * _ATTAINED_SECONDS:
             self.list_units(now)
             elapsed = 0.0
-        weight = math.exp(elapsed / self._decay)
+        weight = math.exp(elapsed / _ATTAINED_SECONDS)
         self._counts[index] = self._counts.get(index, 0.0) + seconds * weight
 
     def list_units(self, now: float) -> dict[int, int]:
         """Return the counts in whole units; drop those that are 0."""
-        factor = math.exp((self._started - now) / self._decay)
+        factor = math.exp((self._started - now) / _ATTAINED_SECONDS)
         reduced = {
             index: count * factor for index, count in self._counts.items()
         }
@@ -104,11 +94,7 @@
 class _Sketch:
     """Counters of all kinds and nodes, as one node knows them."""
 
-    def __init__(
-        self, name: str, decay: float, get_remote: abc.Callable[[str], int]
-    ) -> None:
-        self._name = name
-        self._decay = decay
+    def __init__(self, get_remote: abc.Callable[[str], int]) -> None:
         self._get_remote = get_remote
         self._counters: dict[str, _Counters] = {}
         # The keys of each kind's counters, and the sums over all nodes as of
@@ -119,7 +105,7 @@
     def _get_counters(self, kind: str, now: float) -> _Counters:
         counters = self._counters.get(kind)
         if counters is None:
-            counters = self._counters[kind] = _Counters(self._decay, now)
+            counters = self._counters[kind] = _Counters(now)
         return counters
 
     def add(
@@ -162,14 +148,14 @@
         if keys is None:
             prefix = f"/{hashing.hash_text(kind) % _KIND_HASHES:x}"
             keys = self._keys[kind] = [
-                f"{prefix}/{self._name}{index}"
+                f"{prefix}/{index}"
                 for index in range(_ROWS * _COUNTERS_PER_ROW)
             ]
         return keys
 
 
 class AttainedService:
-    """Arrivals and attained service at all nodes, as one node knows them.
+    """The attained service at all nodes, as one node knows it.
 
     All times are monotonic, in seconds. A kind is the service and model of
     requests; costs are in seconds of a replica's time.
@@ -182,25 +168,13 @@
             get_remote: Returns the sum of the other nodes' counts under
                 a key.
         """
-        self._attained = _Sketch(_ATTAINED_NAME, _ATTAINED_SECONDS, get_remote)
-        self._arrived = _Sketch(_ARRIVED_NAME, _ARRIVED_SECONDS, get_remote)
+        self._attained = _Sketch(get_remote)
         # Until when requests of each kind count as short of capacity.
         self._short_until: dict[str, float] = {}
         self._indexes: dict[ids.OrganisationName, tuple[int, ...]] = {}
 
     # -- Input
 
-    def note_arrival(
-        self,
-        kind: str,
-        organisation: ids.OrganisationName,
-        seconds: float,
-        now: float,
-    ) -> None:
-        """Record the cost of a request that has arrived."""
-        indexes = self._find_indexes(organisation)
-        self._arrived.add(kind, indexes, seconds, now)
-
     def note_start(
         self,
         kind: str,
@@ -265,33 +239,6 @@
             return 0
         return int(math.log(ratio) / math.log(_LEVEL_FACTOR))
 
-    def divide_part(
-        self,
-        kind: str,
-        organisation: ids.OrganisationName,
-        part: float,
-        now: float,
-    ) -> float:
-        """Return the part of an organisation's new requests to start.
-
-        Args:
-            kind: Kind of the requests.
-            organisation: The organisation.
-            part: Part of the requests of all organisations that may be
-                started, from 0 to 1.
-            now: Monotonic time.
-        """
-        if part >= 1.0 or not self.is_short(kind, now):
-            return part
-        largest = 0.0
-        rows = self._arrived.sum_rows(kind, now)
-        indexes = self._find_indexes(organisation)
-        for row, index in zip(rows, indexes, strict=True):
-            own = row[index % _COUNTERS_PER_ROW]
-            level = _find_fair_level(row, part)
-            largest = max(largest, min(level / own, 1.0) if own else 1.0)
-        return largest
-
     # -- Counts reported to other nodes
 
     def list_counts(self, now: float) -> dict[str, int]:
@@ -300,11 +247,4 @@
         for kind, until in self._short_until.items():
             if now < until:
                 counts.update(self._attained.list_counts(kind, now))
-                counts.update(self._arrived.list_counts(kind, now))
         return counts
-
-
-def _find_fair_level(demands: list[int], part: float) -> float:
-    """Return the most that each gets if a part of all demands is met."""
-    shares = fairness.divide(part * sum(demands), dict(enumerate(demands)), {})
-    return max(shares.values())
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -27,17 +27,17 @@
 from currantwall.coordination.replicas import workload
 from currantwall.coordination.requests import attained
 from currantwall.coordination.requests import backlog
+from currantwall.coordination.requests import capacity
 from currantwall.coordination.requests import coldness
 from currantwall.coordination.requests import evacuations
 from currantwall.coordination.requests import loads as loads_module
-from currantwall.coordination.requests import pacing
 from currantwall.coordination.requests import ratelimits
 from currantwall.coordination.requests import withdrawals
 from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import upstreams
 
-__all__ = ["RELAY_DELAY", "Balancer", "Unavailable"]
+__all__ = ["Balancer", "Unavailable"]
 
 # Seconds for which an upstream is not chosen after a failure, doubled with
 # each consecutive failure. The first is as long as the repair of a replica
@@ -71,9 +71,9 @@
 # one way and priced traffic, against about 5 ms for each further request.
 _OTHER_DATACENTRE_COST = 0.5
 # Seconds by which counts that come through relays are late.
-RELAY_DELAY = 0.7
+_RELAY_DELAY = 0.7
 # The difference of two costs at which the choice becomes clear, as a part
-# of the requests that a replica receives in `RELAY_DELAY`, and its
+# of the requests that a replica receives in `_RELAY_DELAY`, and its
 # minimum.
 _COST_SCALE_FACTOR = 0.5
 _MIN_COST_SCALE = 0.1
@@ -164,7 +164,6 @@
         coldness: Tells `limits` which upstreams are cold.
         withdrawals: Upstreams that have asked for no more requests.
         attained: Service that organisations have attained at all nodes.
-        arrivals: Arrival rates of new requests at all nodes.
         evacuations: Data centres that get no more requests.
         work: Work that arrives at this node.
     """
@@ -197,7 +196,6 @@
         self._health: dict[ids.InstanceId, _Health] = {}
         self._remote = loads_module.RemoteLoads()
         self.attained = attained.AttainedService(self._remote.get)
-        self.arrivals = pacing.ArrivalRates(self._remote.get)
         # Requests that wait at this node, by the key they are reported as.
         self.waiting: dict[str, int] = {}
         # Whether the counts of other nodes are passed on by relays.
@@ -381,11 +379,11 @@
         meanwhile, and the next counts make all nodes choose those.
         """
         free = [
-            pacing.estimate_free_slots(
+            capacity.estimate_free_slots(
                 get_limit(upstream),
                 self.count_load(upstream.id),
                 service_time,
-                RELAY_DELAY,
+                _RELAY_DELAY,
             )
             for upstream in candidates
         ]
@@ -521,69 +519,6 @@
             share_wait=_SHARE_SECONDS if may_wait else 0.0,
         )
 
-    def compute_started_part(
-        self,
-        service: ids.ServiceName,
-        model: str,
-        kind: str,
-        get_limit: LimitFunction,
-        service_time: float,
-        now: float,
-    ) -> float:
-        """Return the part of a model's new requests that may be started.
-
-        Args:
-            service: Service of the replicas.
-            model: Their model.
-            kind: The key of arrival rates.
-            get_limit: Returns the requests that a replica can run at once.
-            service_time: Seconds that a request takes.
-            now: Monotonic time.
-        """
-        free = self._estimate_free_slots(
-            service, model, get_limit, service_time, now
-        )
-        arrivals = self.arrivals.sum_rates(kind, now) * RELAY_DELAY
-        return min(free / arrivals, 1.0) if arrivals > 0 else 1.0
-
-    def estimate_spare_slots(
-        self,
-        service: ids.ServiceName,
-        model: str,
-        kind: str,
-        get_limit: LimitFunction,
-        service_time: float,
-        now: float,
-    ) -> float:
-        """Return the free slots of a model that new requests don't take.
-
-        The arguments are those of `compute_started_part`.
-        """
-        free = self._estimate_free_slots(
-            service, model, get_limit, service_time, now
-        )
-        arrivals = self.arrivals.sum_rates(kind, now) * RELAY_DELAY
-        return max(free - arrivals, 0.0)
-
-    def _estimate_free_slots(
-        self,
-        service: ids.ServiceName,
-        model: str,
-        get_limit: LimitFunction,
-        service_time: float,
-        now: float,
-    ) -> float:
-        """Return the slots that are or become free within `RELAY_DELAY`."""
-        return sum(
-            pacing.estimate_free_slots(
-                get_limit(upstream),
-                self.count_load(upstream.id),
-                service_time,
-                RELAY_DELAY,
-            )
-            for upstream in self._list_open(service, model, now)
-        )
-
     def _list_open(
         self, service: ids.ServiceName, model: str, now: float
     ) -> list[upstreams.Upstream]:
@@ -676,7 +611,7 @@
         mean = sum(self.count_load(upstream.id) for upstream in usable) / len(
             usable
         )
-        unseen = mean * min(RELAY_DELAY / service_time, 1.0)
+        unseen = mean * min(_RELAY_DELAY / service_time, 1.0)
         first, second = (
             self._compute_cost(upstream, salt)[0] for upstream in sampled
         )
@@ -941,7 +876,7 @@
         counts |= self.waiting
         counts |= self.attained.list_counts(now)
         counts |= self.work.list_counts(now)
-        return counts | self.arrivals.list_counts(now)
+        return counts
 
     def measure_work(
         self, service: ids.ServiceName, model: str, now: float
--- a/currantwall/coordination/requests/capacity.py
+++ b/currantwall/coordination/requests/capacity.py
@@ -15,6 +15,7 @@
     "estimate_answer_time",
     "estimate_cost",
     "estimate_first_event_time",
+    "estimate_free_slots",
     "estimate_pass_time",
 ]
 
@@ -26,13 +27,6 @@
 # requests take every slot: the counts of many gateways differ a little,
 # and one of them always sees a free slot.
 _LATE_SHARE = 0.85
-# The same where counts come through relays. They are nearly as old as a
-# request lasts, and a replica receives some requests more or fewer in that
-# time than on average: twice the square root of nine is about a third of
-# 17 slots. With a smaller reserve, late requests and those in time together
-# overran the replicas, and both waited in the engines' queues for as long
-# as the load of late requests lasted.
-_RELAYED_LATE_SHARE = 0.65
 
 
 def estimate_pass_time(
@@ -101,28 +95,35 @@
     return (prompt * timing.read_token + answer * step) * pace
 
 
-def adjust_limit(
-    limit: int,
-    late: bool,
-    is_over_share: bool = False,
-    are_counts_relayed: bool = False,
-) -> int:
+def adjust_limit(limit: int, leaves_reserve: bool) -> int:
     """Return the requests in flight below which one more may be sent.
 
     Args:
         limit: Requests that the replica can serve at once.
-        late: Whether the request to be sent is late in any case.
-        is_over_share: Whether its organisation has attained more than its
-            share while capacity is short.
-        are_counts_relayed: Whether the counts of other gateways are passed
-            on by relays.
+        leaves_reserve: Whether the request leaves a part of the replica to
+            others: it is late in any case, or its organisation has
+            attained more than its share while capacity is short.
     """
-    if late or is_over_share:
-        share = _RELAYED_LATE_SHARE if are_counts_relayed else _LATE_SHARE
-        return max(1, int(limit * share))
+    if leaves_reserve:
+        return max(1, int(limit * _LATE_SHARE))
     return limit + _PREFETCHED_REQUESTS
 
 
+def estimate_free_slots(
+    limit: int, load: int, service_time: float, age: float
+) -> float:
+    """Return the slots of a replica that are or soon become free.
+
+    Args:
+        limit: Requests that the replica can run at once.
+        load: Requests that it runs or holds by the counts.
+        service_time: Seconds that a request takes.
+        age: Seconds by which the counts are late.
+    """
+    ended = min(load, limit) * min(age / service_time, 1.0)
+    return max(limit - load + ended, 0.0)
+
+
 def compute_limit(
     engine: routes.Engine, model: str, gap: float, slowness: float = 1.0
 ) -> int:
--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -17,7 +17,6 @@
 from currantwall.coordination.requests import backlog as backlog_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import capacity
-from currantwall.coordination.requests import pacing
 from currantwall.state import upstreams
 
 __all__ = ["Placement", "Placer", "Refusal"]
@@ -40,14 +39,6 @@
 _USUAL_PAUSE_FACTOR = 1.5
 
 
-# The result for a new request that must wait although a slot seems free.
-_WAITS_FOR_OTHERS = balancing.Unavailable(
-    "requests at other gateways take the free slots",
-    _DEFAULT_SERVICE_TIME,
-    is_full=True,
-)
-
-
 def _estimate_usual_pause(ticket: Ticket) -> float:
     """Return the mean pause above which a replica is slow, in seconds."""
     timing = ticket.engine.timing
@@ -118,69 +109,11 @@
         """
         self._set_initial_estimate(ticket)
         self._note_remote_waiting(ticket.kind, now)
-        self._note_arrival(ticket, now)
         found = self._choose(ticket, now)
         if isinstance(found, balancing.Unavailable):
             return found
-        is_shared = not self._balancer.limits.is_limited(found.id, now)
-        if is_shared and not self._may_start(ticket, now):
-            return _WAITS_FOR_OTHERS
         return self._assign(ticket, found, now)
 
-    def _note_arrival(self, ticket: Ticket, now: float) -> None:
-        """Count a new request where its gateway may have to hold it back."""
-        if not self._balancer.are_counts_relayed or self.is_late(ticket, now):
-            return
-        key = backlog_module.format_count_key(ticket.kind)
-        self._balancer.arrivals.note_arrival(key, now)
-        if ticket.organisation:
-            self._attained.note_arrival(
-                key, ticket.organisation, ticket.cost, now
-            )
-
-    def _may_start(self, ticket: Ticket, now: float) -> bool:
-        """Return whether a new request may take a slot that seems free."""
-        if not self._balancer.are_counts_relayed:
-            return True
-        key = backlog_module.format_count_key(ticket.kind)
-        if self.is_late(ticket, now):
-            waiting = self._balancer.count_all_waiting(key)
-            return waiting < self._count_free_slots(ticket, now)
-        part = self._balancer.compute_started_part(
-            ticket.kind.service,
-            ticket.kind.model,
-            key,
-            self._make_limit_function(ticket, now),
-            _estimate_service_time(ticket),
-            now,
-        )
-        if ticket.organisation:
-            part = self._attained.divide_part(
-                key, ticket.organisation, part, now
-            )
-        return pacing.is_started(part, ticket.request)
-
-    def _count_free_slots(self, ticket: Ticket, now: float) -> float:
-        """Return the slots of all replicas that a waiting request may take.
-
-        Where counts are relayed, these are the slots that become free while
-        the counts are on their way, but for those that new requests take.
-        """
-        get_limit = self._make_limit_function(ticket, now)
-        kind = ticket.kind
-        if not self._balancer.are_counts_relayed:
-            return self._balancer.count_free_slots(
-                kind.service, kind.model, get_limit, now
-            )
-        return self._balancer.estimate_spare_slots(
-            kind.service,
-            kind.model,
-            backlog_module.format_count_key(kind),
-            get_limit,
-            _estimate_service_time(ticket),
-            now,
-        )
-
     def add(self, ticket: Ticket) -> None:
         """Add a request to the backlog."""
         self.backlog.add(ticket)
@@ -209,9 +142,6 @@
 
     def replace_ended(self, now: float) -> list[Placement]:
         """Assign the slot of an ended request to a waiting one, if any."""
-        if self._balancer.are_counts_relayed:
-            # The slot is counted among those that new requests take.
-            return []
         for kind in self.backlog.list_kinds():
             for ticket in self.backlog.list_tickets(kind, now):
                 found = self._choose(ticket, now)
@@ -288,14 +218,17 @@
         """Return the slots that this gateway may fill now, in fractions."""
         if not tickets:
             return 0.0
-        free = self._count_free_slots(tickets[0], now)
+        free = self._balancer.count_free_slots(
+            kind.service,
+            kind.model,
+            self._make_limit_function(tickets[0], now),
+            now,
+        )
         others = self._balancer.count_remote_waiting(
             backlog_module.format_count_key(kind)
         )
         share = backlog_module.divide_slots(free, len(tickets), others)
-        relayed = self._balancer.are_counts_relayed
-        age = balancing.RELAY_DELAY if relayed else _COUNT_AGE
-        credit = self._credit.get(kind, 0.0) + share * TICK / age
+        credit = self._credit.get(kind, 0.0) + share * TICK / _COUNT_AGE
         return min(credit, float(len(tickets)))
 
     def turn_away(self, kind: Kind, now: float) -> list[Refusal]:
@@ -355,6 +288,17 @@
         key = backlog_module.format_count_key(ticket.kind)
         return self._attained.find_level(key, ticket.organisation, now)
 
+    def _may_reserve(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a request leaves slots to other organisations.
+
+        Where counts are relayed, none does: they are too old to tell that
+        the reserved slots are needed, and the requests that leave them
+        become late.
+        """
+        if self._balancer.are_counts_relayed:
+            return False
+        return self._find_level(ticket, now) > 0
+
     def _publish_counts(self) -> None:
         """Update the counts of waiting requests that the balancer reports."""
         counts = self.backlog.list_counts()
@@ -384,16 +328,14 @@
     ) -> balancing.LimitFunction:
         """Return a function that gives each replica's limit for a request."""
         late = self.backlog.is_late(ticket, now)
-        relayed = self._balancer.are_counts_relayed
-        # Where counts are relayed, `_may_start` divides the slots.
-        is_over_share = not relayed and self._find_level(ticket, now) > 0
+        is_over_share = self._may_reserve(ticket, now)
         usual = _estimate_usual_pause(ticket)
 
         def compute_limit(slowness: float) -> int:
             limit = capacity.compute_limit(
                 ticket.engine, ticket.kind.model, ticket.gap, slowness
             )
-            return capacity.adjust_limit(limit, late, is_over_share, relayed)
+            return capacity.adjust_limit(limit, late or is_over_share)
 
         # Computed once for all replicas that are not slow.
         usual_limit = compute_limit(1.0)
