--- a/currantwall/coordination/requests/placing.py
+++ b/currantwall/coordination/requests/placing.py
@@ -67,11 +67,13 @@
 
     Attributes:
         in_time: Whether the first event is expected to be in time.
+        level: How far its organisation was over its share; 0 if it wasn't.
     """
 
     ticket: Ticket
     upstream: upstreams.Upstream
     in_time: bool
+    level: int = 0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -264,6 +266,7 @@
     ) -> Placement:
         """Assign a slot and count it as taken."""
         late = self.backlog.is_late(ticket, now)
+        level = self._find_level(ticket, now)
         self._balancer.begin(upstream.id, now)
         if ticket.organisation:
             self._attained.note_start(
@@ -273,7 +276,7 @@
                 now,
             )
         self.backlog.note_start(ticket.kind, late, now)
-        return Placement(ticket, upstream, not late)
+        return Placement(ticket, upstream, not late, level)
 
     def _note_remote_waiting(self, kind: Kind, now: float) -> None:
         """Note that capacity is short if requests wait at any node."""
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -27,6 +27,7 @@
 __all__ = ["Queue"]
 
 _WAITED = "currantwall.requests.waited"
+_OVER_SHARE = "currantwall.requests.over_share"
 # Most routes whose longest caller timeout is remembered.
 _MAX_ROUTES = 4096
 
@@ -257,12 +258,16 @@
             waiting.request.inbox.put(requests.Placed(upstream))
             waited = self._now() - ticket.arrived
             self._meter.observe(_WAITED, waited, ticket.kind.model)
+            if placement.level:
+                self._meter.add(_OVER_SHARE, 1, ticket.kind.model)
             self._log.write(
                 "placed",
                 request=waiting.request.attempt_id,
                 upstream=upstream.id,
                 waited=round(waited, 4),
                 in_time=placement.in_time,
+                organisation=ticket.organisation,
+                over_share=placement.level,
                 expected_first=round(
                     self._placer.backlog.estimate_first_event(ticket.kind), 4
                 ),
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -157,6 +157,25 @@
         self.assertEqual(account.find_level("pool/m", name, 1.0), 0)
         self.assertEqual(account.list_counts(1.0), {})
 
+    def test_a_placement_says_that_its_organisation_is_over_its_share(self):
+        """Guards against a log that hides why a request waited."""
+        fleet = upstreams.Fleet()
+        fleet.replace([make_leader(0)], 1, 0.0)
+        balancer = balancing.Balancer(fleet, ids.DatacentreName("here"))
+        placer = placing.Placer(balancer)
+        levels = {}
+        for name, count in (("small", 1), ("large", 5)):
+            for number in range(count):
+                ticket = make_ticket(
+                    f"{name}{number}",
+                    organisation=ids.OrganisationName(name),
+                    cost=0.1,
+                )
+                balancer.attained.note_waiting("pool/m", 0.0)
+                levels[name] = placer.try_place(ticket, 0.1 * number).level
+        self.assertEqual(levels["small"], 0)
+        self.assertGreater(levels["large"], 0)
+
     def test_reports_do_not_grow_with_the_number_of_organisations(self):
         """Guards against heartbeats of several kilobytes per organisation."""
         account = attained.AttainedService(lambda _: 0)
