--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -5,6 +5,7 @@
 for the caller to disconnect and for a timeout at once.
 """
 
+import enum
 import http.client
 import math
 import socket
@@ -29,6 +30,7 @@
     "End",
     "Exchange",
     "Failed",
+    "Framing",
     "HELD",
     "Head",
     "MISDIRECTED",
@@ -93,6 +95,14 @@
     send_by: float = math.inf
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 class Head(msgspec.Struct, frozen=True):
     """Status and headers of an answer."""
 
@@ -100,6 +110,11 @@
     status: int
     headers: urllib3.HTTPHeaderDict
 
+    @property
+    def framing(self) -> Framing:
+        """Return what marks the end of the body."""
+        return _find_framing(self.headers)
+
 
 class Data(msgspec.Struct, frozen=True):
     """Part of the body of an answer."""
@@ -375,8 +390,7 @@
             return
         if connection.sock.is_ambiguous:
             return
-        is_delimited = response.chunked or "content-length" in response.headers
-        if not is_delimited:
+        if _find_framing(response.headers) is Framing.CLOSE:
             return
         if response.headers.get(self._names.attempt) != (
             self._outbound.attempt_id
@@ -387,6 +401,14 @@
         self._connections.give_back(self._instance, connection, keep_alive)
 
 
+def _find_framing(headers: urllib3.HTTPHeaderDict) -> Framing:
+    if "transfer-encoding" in headers:
+        return Framing.CHUNKS
+    if "content-length" in headers:
+        return Framing.LENGTH
+    return Framing.CLOSE
+
+
 def is_quiet(connection: urllib3.connection.HTTPConnection) -> bool:
     """Return whether nothing has arrived on an idle connection.
 
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -156,6 +156,7 @@
         sent_at: Monotonic time at which it was started.
         last_message_at: Monotonic time of the upstream's last message.
         is_ended: Whether it no longer counts as in progress.
+        rest: Bytes of a stream's body after its last complete event.
     """
 
     upstream: upstreams.Upstream
@@ -164,3 +165,9 @@
     last_message_at: float
     head: exchanges.Head | None = None
     is_ended: bool = False
+    rest: int = 0
+
+    @property
+    def framing(self) -> exchanges.Framing | None:
+        """Return how its answer ends, None if there is no answer."""
+        return self.head.framing if self.head is not None else None
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -543,6 +543,8 @@
             pause=round(request.longest_pause, 4),
             sends=request.progress.sends,
             spent=round(spent, 4),
+            framing=current.framing.value if current.framing else None,
+            rest=current.rest,
             version=request.version,
             list_age=round(self.fleet_age(now), 3),
         )
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -209,6 +209,7 @@
                     yield b"".join(event.data for event in new_events)
                     self._note_written(request, current)
                 if ended:
+                    current.rest = len(splitter.rest)
                     if splitter.rest:
                         yield splitter.rest
                     return
