Test streams that neither a length nor chunks delimit

The stand-in server can now close a stream without length and chunks in order, inside an event or before the first one; the gateway answers like this today: 200, complete framing, `id: 1\ndata: cut-0 ` as the body.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -11,14 +11,19 @@
     /long/             a fifth of a second, which no gateway takes for a stall
     /bulk400/          a stream of 400 (or another number of) events of
                        1 KiB, without pauses, of any server
-    /unframed/         an answer without a length, ended by the close
+    /unframed/         an answer without length or chunks, ended by the close
     /torn/             as unframed, reset in the middle
+    /cut3/             an unframed stream that is closed inside the event
+                       after the third (or another number), unless it is
+                       resumed
+    /empty/            an unframed stream that is closed before its first
+                       event, unless it is resumed
     /busy/, /busy-ID/  refused before it runs; only by the server ID
     /error/            status 500
     /mute/             an answer without the server's signature
 
-Other streams are those of engines; only plain services answer as unframed,
-torn or error.
+Other streams are those of engines; only plain services answer as torn or
+error.
 
 ``/control/runs`` returns the requests that it ran, ``/control/arrivals`` the
 time of each request that reached it. ``/control/headers`` takes a JSON object
@@ -52,6 +57,7 @@
 
 _BULK_PATH = re.compile(r"/bulk(\d+)/")
 _RESET_PATH = re.compile(r"/reset(\d+)/")
+_CUT_PATH = re.compile(r"/cut(\d+)/")
 # Seconds between two writes of the server's entry.
 _HEARTBEAT_INTERVAL = 0.3
 # Events of a stream, and seconds between two of them.
@@ -250,9 +256,10 @@
             )
         if self._domain:
             headers.append(("Content-Type", "text/event-stream"))
-            return Reply(
-                status=200, headers=headers, body=self._stream(inbound, run)
-            )
+            events = self._stream(inbound, run)
+            if _is_unframed(inbound.path):
+                _write_unframed_stream(inbound, headers, events)
+            return Reply(status=200, headers=headers, body=events)
         return self._answer(inbound, headers)
 
     def _answer(
@@ -272,9 +279,7 @@
     ) -> typing.NoReturn:
         """Write an answer without a length, ended by a close or a reset."""
         client = inbound.client
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
-        head = f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
-        client.sendall(head + body[:5])
+        client.sendall(_make_head(headers) + body[:5])
         if "/torn/" in inbound.path:
             _reset_connection(client)
         client.sendall(body[5:])
@@ -370,6 +375,41 @@
     raise ConnectionAbortedError("connection reset by the stand-in")
 
 
+def _is_unframed(path: str) -> bool:
+    """Return whether a stream has neither a length nor chunks."""
+    is_cut = _CUT_PATH.search(path) is not None
+    return is_cut or "/unframed/" in path or "/empty/" in path
+
+
+def _make_head(headers: list[tuple[str, str]]) -> bytes:
+    """Return the head of an answer with neither a length nor chunks."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+
+
+def _write_unframed_stream(
+    inbound: ingress.Inbound,
+    headers: list[tuple[str, str]],
+    events: abc.Iterator[bytes],
+) -> typing.NoReturn:
+    """Write a stream that the end of its connection ends.
+
+    A stream that the path has cut ends inside an event, in order.
+    """
+    client = inbound.client
+    is_first = "Last-Event-Id" not in inbound.headers
+    match = _CUT_PATH.search(inbound.path)
+    client.sendall(_make_head(headers))
+    if "/empty/" not in inbound.path or not is_first:
+        for number, event in enumerate(events):
+            if match is not None and is_first and number == int(match[1]):
+                client.sendall(event[:-3])
+                break
+            client.sendall(event)
+    client.shutdown(socket.SHUT_RDWR)
+    raise ConnectionAbortedError("answer written without the server")
+
+
 def _stream_bulk(inbound: ingress.Inbound, count: int) -> abc.Iterator[bytes]:
     """Yield events of one size as fast as they are taken."""
     first = int(inbound.headers.get("Last-Event-Id", "0")) + 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -232,6 +232,55 @@
                     continue
         self.assertEqual(len(self.list_runs("once-2")), 1)
 
+    def test_a_stream_without_chunks_is_passed_on_whole(self):
+        answer = self.send("POST", "/once/unframed/x", attempt="bare-1")
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, make_events("bare-1", range(1, 7)))
+
+    def test_a_stream_that_ends_inside_an_event_is_resumed(self):
+        """Guards against half an event that ends a complete answer.
+
+        The stream has neither a length nor chunks, and its connection is
+        closed in order.
+        """
+        for count in (0, 3, 5):
+            attempt = f"cut-{count}"
+            answer = self.send(
+                "POST", f"/stream/cut{count}/x", attempt=attempt
+            )
+            self.assertTrue(answer.whole)
+            self.assertEqual(answer.body, make_events(attempt, range(1, 7)))
+            self.assertEqual(len(self.list_runs(attempt)), 2)
+
+    def test_a_stream_that_ends_inside_an_event_ends_unfinished(self):
+        """Guards against framing it as complete where it can't be resumed."""
+        answer = self.send("POST", "/once/cut3/x", attempt="cut-once")
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, make_events("cut-once", range(1, 4)))
+        self.assertEqual(len(self.list_runs("cut-once")), 1)
+
+    def test_a_stream_that_ends_before_its_first_event_is_no_answer(self):
+        """Guards against an empty answer that is framed as complete."""
+        for path in ("cut0", "empty"):
+            attempt = f"none-{path}"
+            answer = self.send("POST", f"/once/{path}/x", attempt=attempt)
+            self.assertEqual((answer.status, answer.whole), (502, True))
+            self.assertEqual(len(self.list_runs(attempt)), 1)
+
+    def test_a_stream_cut_for_a_caller_without_chunks_ends_with_a_reset(self):
+        """Guards against half an answer that an orderly end completes."""
+        host, _, port = self.fleet.fronts["g1"].partition(":")
+        head = (
+            f"POST /once/cut3/x HTTP/1.0\r\nHost: {gateways.HOST}\r\n"
+            f"Authorization: Bearer {gateways.KEY}\r\nX-Model: m\r\n"
+            "X-Attempt-Id: cut-reset\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port)), 20) as raw:
+            raw.sendall(head.encode())
+            with self.assertRaises(ConnectionResetError):
+                while raw.recv(65_536):
+                    continue
+
     def test_a_callers_own_resumption_is_passed_on(self):
         headers = {"Last-Event-Id": "4"}
         answer = self.send(
