Streams: one that ends inside an event has been broken off

Cause: an answer with neither a length nor chunks ends with its connection. Transport reported an orderly close as the end of the body, and the stream then passed on what followed the last event and closed the chunked answer. An upstream that crashes may close in order.

Change: attempts.is_cut_off decides whether a stream that has ended is incomplete: inside an event, or without any event and without a length or chunks. Such an end is the failure of the attempt: the stream is resumed elsewhere after its last event where its route allows that, and breaks off or is answered 502 otherwise. A partial event never reaches a caller. An event boundary without framing still counts as the end; nothing tells it from one.

--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -24,6 +24,7 @@
     "decide",
     "choose_ending",
     "find_lateness",
+    "is_cut_off",
 ]
 
 # Most attempts of one request, including those that certainly did not run.
@@ -150,6 +151,20 @@
     return None
 
 
+def is_cut_off(
+    is_inside_event: bool, has_events: bool, is_delimited: bool
+) -> bool:
+    """Return whether a stream that has ended was broken off.
+
+    Args:
+        is_inside_event: Whether it ended inside an event.
+        has_events: Whether the caller has got an event.
+        is_delimited: Whether a length or chunks mark its end. Without,
+            an upstream that dies may end it in order.
+    """
+    return is_inside_event or not (has_events or is_delimited)
+
+
 def get_answer_timeout(route: routes.Route) -> float | None:
     """Return the seconds after which a whole answer counts as stalled.
 
--- a/currantwall/protocol/events.py
+++ b/currantwall/protocol/events.py
@@ -39,6 +39,11 @@
         """Return the bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun that is not complete."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> list[Event]:
         """Add data to the buffer; return the events that it completes."""
         self._buffer += data
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -81,7 +81,10 @@
         splitter = events.Splitter()
         plain_body: list[bytes] | None = None
         while True:
-            message = self._receive_message(request, current, None)
+            is_plain = plain_body is not None
+            message = self._receive_message(
+                request, current, None if is_plain else splitter, None
+            )
             if message is None:
                 return None
             if isinstance(message, exchanges.Head):
@@ -117,10 +120,37 @@
             else:
                 return splitter, [], True
 
+    @staticmethod
+    def _check_end(
+        request: requests.Request,
+        current: requests.Attempt,
+        splitter: events.Splitter | None,
+        message: typing.Any,
+    ) -> typing.Any:
+        """Return a message, or the failure of a stream that was cut off."""
+        if splitter is None or not isinstance(message, exchanges.End):
+            return message
+        current.rest = len(splitter.rest)
+        if not attempts.is_cut_off(
+            splitter.is_inside_event,
+            request.progress.started or bool(request.last_event),
+            current.framing is not exchanges.Framing.CLOSE,
+        ):
+            return message
+        backlog = request.inbound.backlog
+        is_held = backlog is not None and backlog.was_held
+        return exchanges.Failed(
+            current.exchange.number,
+            True,
+            exchanges.HELD if is_held else "body",
+            f"ended with {current.rest} bytes of an event",
+        )
+
     def _receive_message(
         self,
         request: requests.Request,
         current: requests.Attempt,
+        splitter: events.Splitter | None,
         stall_timeout: float | None,
     ) -> typing.Any:
         """Return the next message of a stream, None if it failed.
@@ -128,6 +158,8 @@
         Args:
             request: The request.
             current: The attempt that is in progress.
+            splitter: Splits its body into events; None if the answer is
+                no event stream.
             stall_timeout: Seconds of silence that count as a stall; None
                 before the first event, for which the route's timeout holds.
         """
@@ -161,6 +193,7 @@
             if not probe_requested:
                 until = min(until, max(silent_since + probe_delay, now))
             message = self._sender.receive_message(request, current, until)
+            message = self._check_end(request, current, splitter, message)
             if isinstance(message, exchanges.Failed):
                 self._sender.fail_interrupted(request, current, message)
                 return None
@@ -209,13 +242,12 @@
                     yield b"".join(event.data for event in new_events)
                     self._note_written(request, current)
                 if ended:
-                    current.rest = len(splitter.rest)
                     if splitter.rest:
                         yield splitter.rest
                     return
                 previous = current.last_message_at
                 message = self._receive_message(
-                    request, current, attempts.STALL_TIMEOUT
+                    request, current, splitter, attempts.STALL_TIMEOUT
                 )
                 if message is None:
                     current, splitter, ready, ended = self._resume(request)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,11 +52,27 @@
 _BUDGET = "tests.test_buffering.BudgetTest"
 _FEEDS = "tests.test_feeds"
 _EVACUATIONS = "tests.test_evacuations"
+_GATEWAY = "tests.test_gateway.PathTest"
 _FORMATION = "tests.test_formation.FormationTest"
 _PLACING = "tests.test_placing"
 _SHARES = "tests.test_limits.SharesTest"
 _WITHDRAWALS = "tests.test_withdrawals"
 MUTANTS = (
+    Mutant(
+        "a stream that ends inside an event counts as complete",
+        f"{_COORDINATION}/requests/attempts.py",
+        "    return is_inside_event or not (has_events or is_delimited)\n",
+        "    return not (has_events or is_delimited)\n",
+        f"{_GATEWAY}.test_a_stream_that_ends_inside_an_event_is_resumed",
+    ),
+    Mutant(
+        "a stream that ends before its first event counts as complete",
+        f"{_COORDINATION}/requests/attempts.py",
+        "    return is_inside_event or not (has_events or is_delimited)\n",
+        "    return is_inside_event\n",
+        f"{_GATEWAY}"
+        ".test_a_stream_that_ends_before_its_first_event_is_no_answer",
+    ),
     Mutant(
         "every node holds a share of every limit",
         f"{_COORDINATION}/requests/ratelimits.py",
