Interface: an answer that a reset ends is not complete

Callers of the product's own interface got half of a service's or an engine's answer with status 200 and a Content-Length of its own.

Change: both use sockets.ResetAwareConnection.

tests.test_exchanges.CallTest failed before (Ok(StoredAnswer(status=200, body=b'half of an '))) and passes; test_exchanges, test_sockets and test_gateway.PathTest pass (51).

--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -239,7 +239,7 @@
         timeout: Timeout of the connect in seconds.
     """
     host, _, port = address.rpartition(":")
-    connection = urllib3.connection.HTTPConnection(
+    connection = sockets.ResetAwareConnection(
         host,
         int(port),
         timeout=timeout,
@@ -249,7 +249,6 @@
         ],
     )
     connection.connect()
-    connection.sock = sockets.ResetAwareSocket(connection.sock)
     return connection
 
 
--- a/currantwall/transport/sockets.py
+++ b/currantwall/transport/sockets.py
@@ -9,8 +9,9 @@
 import typing
 
 from eventlet.greenio import base as greenio
+import urllib3.connection
 
-__all__ = ["ResetAwareSocket"]
+__all__ = ["ResetAwareConnection", "ResetAwareSocket"]
 
 
 class ResetAwareSocket(greenio.GreenSocket):
@@ -54,3 +55,12 @@
             raise ConnectionAbortedError(
                 errno.ECONNABORTED, "reset by peer"
             ) from error
+
+
+class ResetAwareConnection(urllib3.connection.HTTPConnection):
+    """A connection whose answer fails if the peer resets it."""
+
+    def connect(self) -> None:
+        """Connect to the peer."""
+        super().connect()
+        self.sock = ResetAwareSocket(self.sock)
--- a/currantwall/transport/upstreams.py
+++ b/currantwall/transport/upstreams.py
@@ -17,6 +17,7 @@
 from currantwall.state import instances
 from currantwall.state import settings as settings_module
 from currantwall.transport import coordinator
+from currantwall.transport import sockets
 from currantwall.transport import timers
 
 __all__ = ["Call", "Stream", "Upstreams"]
@@ -137,18 +138,11 @@
         self._settings = settings
         self._clock = clock
         self._tell = tell
-        self._pool = urllib3.PoolManager(
-            num_pools=_MAX_POOLS,
-            maxsize=_MAX_CONNECTIONS,
-            retries=False,
-            block=False,
-        )
+        self._pool = _make_pool(_MAX_POOLS, _MAX_CONNECTIONS)
         # Probes and orders have connections of their own, so that they
         # don't wait for requests, and so that a broken connection of a
         # request does not count against the instance.
-        self._probe_pool = urllib3.PoolManager(
-            num_pools=_MAX_POOLS, maxsize=2, retries=False, block=False
-        )
+        self._probe_pool = _make_pool(_MAX_POOLS, 2)
 
     # -- Actions
 
@@ -228,7 +222,7 @@
         timeout = urllib3.Timeout(
             connect=call.connect_timeout, read=call.timeout
         )
-        pool = self._make_pool() if call.new_connection else self._pool
+        pool = _make_pool(1, 1) if call.new_connection else self._pool
         try:
             response = pool.request(
                 call.method,
@@ -272,9 +266,26 @@
             homes.StoredAnswer(stream.status, stream.headers, body)
         )
 
-    @staticmethod
-    def _make_pool() -> urllib3.PoolManager:
-        return urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = sockets.ResetAwareConnection
+
+
+def _make_pool(upstream_count: int, connections: int) -> urllib3.PoolManager:
+    """Return a pool of connections whose answers fail if they are reset.
+
+    Args:
+        upstream_count: Most upstreams to which connections are kept.
+        connections: Most connections kept for each.
+    """
+    pool = urllib3.PoolManager(
+        num_pools=upstream_count,
+        maxsize=connections,
+        retries=False,
+        block=False,
+    )
+    pool.pool_classes_by_scheme = {"http": _ConnectionPool}
+    return pool
 
 
 def _drop_hop_headers(response: urllib3.BaseHTTPResponse) -> Headers:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,6 +1,8 @@
 """Tests of requests to upstreams whose responses are framed badly."""
 
 import itertools
+import socket
+import struct
 import unittest
 from unittest import mock
 
@@ -8,12 +10,14 @@
 from eventlet.green import socket as green_socket
 import eventlet.queue
 import msgspec
+import result
 import urllib3.util.connection
 
 from currantwall.protocol import names
 from currantwall.state import ids
 from currantwall.transport import exchanges
 from currantwall.transport import timers
+from currantwall.transport import upstreams
 
 _UPSTREAM = ids.InstanceId("u")
 _ATTEMPT = "X-Attempt"
@@ -173,5 +177,43 @@
                 self.assertTrue(b"hello".startswith(body))
 
 
+class CallTest(unittest.TestCase):
+    def test_an_answer_that_a_reset_ends_is_not_whole(self):
+        """Guards against half of an undelimited answer as the whole one.
+
+        eventlet reports a reset as the orderly end of the data.
+        """
+        listener = green_socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.addCleanup(listener.close)
+
+        def answer():
+            connection = listener.accept()[0]
+            connection.recv(65_536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf of an ")
+            # The answer is read before the reset discards it.
+            eventlet.sleep(0.1)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.close()
+
+        task = eventlet.spawn(answer)
+        self.addCleanup(task.kill)
+        host, port = listener.getsockname()
+        with (
+            mock.patch.object(urllib3.util.connection, "socket", green_socket),
+            eventlet.Timeout(20),
+        ):
+            calls = upstreams.Upstreams(
+                mock.Mock(), timers.TimerService(), mock.Mock()
+            )
+            call = upstreams.Call(
+                address=f"{host}:{port}", path="/", body=b"1"
+            )
+            fetched = calls.fetch(call)
+        self.assertIsInstance(fetched, result.Err, fetched)
+
+
 if __name__ == "__main__":
     unittest.main()
