Chats: a stream cut inside an event breaks its caller's connection

On the product's own interface, an engine's stream with neither a length nor chunks that was cut inside an event was completed with an error event, which became a part of the half event: the caller read it as an answer, and the framing was complete.

tests.test_exchanges.ChatStreamTest fails on the code before (the error event is appended); test_exchanges and test_sockets.UpstreamTest pass (15).

--- a/currantwall/transport/chats.py
+++ b/currantwall/transport/chats.py
@@ -23,7 +23,7 @@
 from currantwall.transport import splice
 from currantwall.transport import upstreams
 
-__all__ = ["ChatHandlers"]
+__all__ = ["ChatHandlers", "EndedInsideEvent", "forward_chunks"]
 
 Response = http_protocol.Response
 _CHAT_PATH = "/v1/chat/completions"
@@ -31,6 +31,7 @@
 # Bytes of a stream's end that are kept: enough to find the last event in,
 # however the stream was split into chunks.
 _TAIL_SIZE = 64
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _PRIORITY_HEADER = "Currantwall-Priority"
 # Most bytes of a prompt's first message that are hashed.
 _PREFIX_SIZE = 1024
@@ -56,6 +57,14 @@
     outcome: result.Result[upstreams.Stream, errors.CallError]
 
 
+class EndedInsideEvent(Exception):  # noqa: N818
+    """A stream was cut where no error event may follow."""
+
+    def __init__(self, error: errors.CallError) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
 class ChatHandlers(server.Handlers):
     """Answers chat completions."""
 
@@ -235,10 +244,14 @@
             if stream.is_chunked and request.client and first:
                 failure = self._splice(request.client, route, stream)
             else:
-                failure = yield from _forward_chunks(route, chunks, first)
+                failure = yield from forward_chunks(route, chunks, first)
         except upstreams.StreamCut as cut:
             failure = cut.error
             yield http_protocol.make_event("stream_cut", str(failure))
+        except EndedInsideEvent as cut:
+            # The server closes the connection without the last chunk.
+            failure = cut.error
+            raise
         finally:
             stream.close()
             self._callers.end_attempt(route, failure)
@@ -270,22 +283,31 @@
     return xxhash.xxh3_64_intdigest(bytes(chat.messages[0])[:_PREFIX_SIZE])
 
 
-def _forward_chunks(
+def forward_chunks(
     route: routing.Route, chunks: abc.Iterator[bytes], first: bytes
 ) -> abc.Generator[bytes, None, errors.CallError | None]:
     """Yield the chunks of a stream; return how it failed, if it did.
 
     A stream without its last event ends with an error event.
+
+    Raises:
+        EndedInsideEvent: The stream ends inside an event, which an error
+            event would become a part of.
     """
     tail = first[-_TAIL_SIZE:]
-    for chunk in chunks:
-        tail = (tail + chunk)[-_TAIL_SIZE:]
-        yield chunk
-    if _DONE_EVENT in tail:
-        return None
     failure = errors.CallError(
         errors.Step.BODY, route.address, errors.Failure.TRUNCATED
     )
+    try:
+        for chunk in chunks:
+            tail = (tail + chunk)[-_TAIL_SIZE:]
+            yield chunk
+        if _DONE_EVENT in tail:
+            return None
+    except upstreams.StreamCut as cut:
+        failure = cut.error
+    if tail and not tail.endswith(_EVENT_ENDS):
+        raise EndedInsideEvent(failure)
     yield http_protocol.make_event("stream_cut", str(failure))
     return failure
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -15,6 +15,7 @@
 
 from currantwall.protocol import names
 from currantwall.state import ids
+from currantwall.transport import chats
 from currantwall.transport import exchanges
 from currantwall.transport import timers
 from currantwall.transport import upstreams
@@ -177,6 +178,22 @@
                 self.assertTrue(b"hello".startswith(body))
 
 
+class ChatStreamTest(unittest.TestCase):
+    def forward(self, *chunks):
+        """Forward a stream without chunks; return what the caller gets."""
+        route = mock.Mock(address="10.0.0.1:80")
+        return b"".join(chats.forward_chunks(route, iter(chunks), b""))
+
+    def test_an_error_event_does_not_become_part_of_half_an_event(self):
+        """Guards against an error that the caller reads as an answer."""
+        with self.assertRaises(chats.EndedInsideEvent):
+            self.forward(b"data: 1\n\n", b"data: {")
+        whole = b"data: 1\n\ndata: [DONE]\n\n"
+        self.assertEqual(self.forward(whole), whole)
+        cut = self.forward(b"data: 1\n\n")
+        self.assertIn(b"\n\nevent: error\n", cut)
+
+
 class CallTest(unittest.TestCase):
     def test_an_answer_that_a_reset_ends_is_not_whole(self):
         """Guards against half of an undelimited answer as the whole one.
