Serve through a peer while a node has no path to upstreams

Cause: a node took each failed connection as the failure of the upstream it was for. It tried three others that it could not reach either, refused, and avoided all of them; as the holder of a domain it reported sound replicas as lost, which ended streams on every other node; the directory kept naming it.

Change: a failed attempt or probe first has the node check its own path, by connections to up to four upstreams with little in common (coordination/requests/paths, transport/paths). If none opens, the path is lost until three checks in a row succeed. Meanwhile - requests go by way of a peer that has a path, which does one exchange with the upstream that the sender has chosen; its frames end with an explicit end, so a peer that dies never completes an answer, - no upstream is blamed, what was held against them is forgiven, stalls and losses are not reported, and leases lapse to a node with a path, - heartbeats and digests tell the others, and the directory leaves the node out while over a third of the nodes have a path, - a request is refused at once if no node has one.

The three tests of tests.test_partitions failed before and pass.

--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -45,6 +45,7 @@
         nodes: Live nodes, and whether they take requests; None if they
             are the same as in the last digest that named them.
         nodes_hash: Hash of `nodes`.
+        pathless: Nodes that can open no connection to an upstream.
         configuration: Version in force at the relay.
         instances: Revision of the list of instances at the relay.
         store_age: Seconds since the store last answered the relay; None
@@ -60,6 +61,7 @@
     is_part: bool
     nodes: dict[str, bool] | None = None
     nodes_hash: int = 0
+    pathless: tuple[str, ...] = ()
     configuration: int = 0
     instances: int = 0
     store_age: float | None = None
@@ -100,6 +102,7 @@
 
     def __init__(self) -> None:
         self.nodes: dict[str, bool] = {}
+        self.pathless: set[str] = set()
         self.loads: dict[str, int] = {}
         self.stalled: dict[str, None] = {}
         self.lost: dict[str, None] = {}
@@ -107,6 +110,11 @@
         self.limits: dict[str, limits_module.LimitReport] = {}
         self.leases: dict[str, presence_module.HeldLease] = {}
 
+    def add_node(self, heartbeat: presence_module.Heartbeat) -> None:
+        self.nodes[heartbeat.node.id] = heartbeat.ready
+        if not heartbeat.has_path:
+            self.pathless.add(heartbeat.node.id)
+
     def add_loads(self, loads: abc.Mapping[str, int]) -> None:
         for name, count in loads.items():
             self.loads[name] = self.loads.get(name, 0) + count
@@ -172,7 +180,10 @@
         client = self._clients.get(heartbeat.node.id)
         self._clients[heartbeat.node.id] = _Client(heartbeat, now)
         last = client.heartbeat if client else None
-        changed = last is not None and heartbeat.ready != last.ready
+        changed = last is not None and (
+            (heartbeat.ready, heartbeat.has_path)
+            != (last.ready, last.has_path)
+        )
         self._note_reports(heartbeat.lost, last.lost if last else ())
         self._note_reports(heartbeat.slow, last.slow if last else ())
         self._urgent = self._urgent or changed
@@ -206,7 +217,7 @@
             if last is not None and last.nodes is not None:
                 dropped = last.nodes.keys() - nodes.keys()
                 self._presence.note_dropped_nodes(dropped, now)
-            self._presence.note_relayed_nodes(nodes, now)
+            self._presence.note_relayed_nodes(nodes, digest.pathless, now)
         if digest.is_part:
             self._note_reports(digest.lost, last.lost if last else ())
             self._note_reports(digest.slow, last.slow if last else ())
@@ -303,13 +314,13 @@
             now: Monotonic time.
         """
         aggregate = _Aggregate()
-        aggregate.nodes[own.node.id] = own.ready
+        aggregate.add_node(own)
         if with_loads:
             aggregate.add_loads(own.loads)
         aggregate.add_reports(own)
         for client in self._list_clients(now):
             heartbeat = client.heartbeat
-            aggregate.nodes[heartbeat.node.id] = heartbeat.ready
+            aggregate.add_node(heartbeat)
             if heartbeat.asks is RelayRequest.FULL:
                 aggregate.add_loads(heartbeat.loads)
             aggregate.add_reports(heartbeat, now - client.last_heard)
@@ -325,6 +336,7 @@
                 del self._partial_digests[digest.node.id]
                 continue
             aggregate.nodes |= digest.nodes or {}
+            aggregate.pathless |= set(digest.pathless)
             aggregate.add_loads(digest.loads)
             aggregate.add_reports(digest, now - at)
         return aggregate
@@ -345,6 +357,7 @@
             is_part=is_part,
             nodes=aggregate.nodes,
             nodes_hash=hashing.hash_text(names),
+            pathless=tuple(sorted(aggregate.pathless)),
             configuration=own.configuration,
             instances=own.instances,
             store_age=own.store_age,
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -145,6 +145,7 @@
             if there are none and none was withdrawn lately.
         informed: Whether the node has learnt the evacuations and can pass
             them on to a node that has just started.
+        has_path: Whether the node can open connections to upstreams.
     """
 
     node: NodeEntry
@@ -162,6 +163,7 @@
     store_age: float | None = None
     evacuations: evacuations_module.EvacuationReport | None = None
     informed: bool = False
+    has_path: bool = True
 
 
 class _Peer:
@@ -176,6 +178,7 @@
         # Since when it has been asked to relay without being heard.
         self.asked_since: float | None = None
         self.ready = False
+        self.has_path = True
         self.instances_revision = 0
         self.is_listed = False
 
@@ -188,8 +191,10 @@
 
     def __init__(self, me: NodeEntry) -> None:
         self.me = me
-        # Whether this node takes requests.
+        # Whether this node takes requests, and whether it can open
+        # connections to upstreams.
         self.ready = False
+        self.has_path = True
         # Whether a digest names a node whose entry is not known here.
         self.has_unknown_nodes = False
         self._has_list = False
@@ -254,6 +259,7 @@
         peer.last_heard = now
         peer.asked_since = None
         peer.ready = heartbeat.ready
+        peer.has_path = heartbeat.has_path
         peer.instances_revision = heartbeat.instances
         self._note_store_age(heartbeat.store_age, now)
         return True
@@ -284,15 +290,25 @@
         self._note_store_age(store_age, now)
 
     def note_relayed_nodes(
-        self, nodes: abc.Mapping[str, bool], now: float
+        self,
+        nodes: abc.Mapping[str, bool],
+        pathless: abc.Container[str],
+        now: float,
     ) -> None:
-        """Record nodes that a relay hears, and whether they are ready."""
+        """Record nodes that a relay hears.
+
+        Args:
+            nodes: The nodes, and whether they are ready.
+            pathless: Those that can open no connection to an upstream.
+            now: Monotonic time.
+        """
         for name, ready in nodes.items():
             peer = self._peers.get(ids.NodeId(name))
             if peer is not None:
                 peer.last_heard = now
                 peer.asked_since = None
                 peer.ready = ready
+                peer.has_path = name not in pathless
             elif name != self.me.id:
                 self.has_unknown_nodes = True
 
@@ -322,6 +338,7 @@
             peer.heartbeat = None
             peer.last_heard = None
             peer.ready = False
+            peer.has_path = True
         return peer
 
     def _replace_entry(self, peer: _Peer, entry: NodeEntry) -> None:
@@ -354,6 +371,14 @@
             if peer.ready and self._is_alive(peer, now)
         ]
 
+    def list_with_path(self, now: float) -> list[NodeEntry]:
+        """Return the other nodes that are ready and reach upstreams."""
+        return [
+            peer.entry
+            for peer in self._peers.values()
+            if peer.ready and peer.has_path and self._is_alive(peer, now)
+        ]
+
     def list_members(self, now: float) -> list[ids.NodeId]:
         """Return the nodes that take requests, this one included."""
         members = [node.id for node in self.list_ready(now)]
@@ -362,7 +387,8 @@
     def rank(self, duty: str, now: float) -> list[ids.NodeId]:
         """Return the nodes that are ready, the preferred ones first.
 
-        This node is always one of them, ready or not.
+        This node is always one of them, ready or not. If some nodes reach
+        upstreams, others that don't are left out; this one comes last then.
 
         Nodes of large capacity are preferred: the holder of a domain
         probes each of its 37 instances up to five times a second while it
@@ -372,7 +398,14 @@
             duty: Key of the duty; each key has an order of its own.
             now: Monotonic time.
         """
-        nodes = [*self.list_ready(now), self.me]
+        able = self.list_with_path(now)
+        if able and not self.has_path:
+            return [*self._rank_nodes(duty, able), self.me.id]
+        nodes = able or self.list_ready(now)
+        return self._rank_nodes(duty, [*nodes, self.me])
+
+    @staticmethod
+    def _rank_nodes(duty: str, nodes: list[NodeEntry]) -> list[ids.NodeId]:
         threshold = (
             max(node.capacity for node in nodes) * _PREFERRED_CAPACITY_RATIO
         )
@@ -380,12 +413,15 @@
         others = [node.id for node in nodes if node.capacity < threshold]
         return rendezvous.rank(duty, preferred) + rendezvous.rank(duty, others)
 
-    def is_live(self, node: ids.NodeId, now: float) -> bool:
-        """Return whether a node takes requests; always true of this one."""
+    def may_probe(self, node: ids.NodeId, now: float) -> bool:
+        """Return whether a node takes requests and reaches upstreams.
+
+        This node is assumed to take requests.
+        """
         peer = self._peers.get(node)
         if peer is None:
-            return node == self.me.id
-        return peer.ready and self._is_alive(peer, now)
+            return node == self.me.id and self.has_path
+        return peer.ready and peer.has_path and self._is_alive(peer, now)
 
     def is_isolated(self, now: float) -> bool:
         """Return whether other nodes are known but none is alive and ready.
--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -67,6 +67,9 @@
 
     # No connection was made, so nothing of the request was sent.
     UNREACHED = "unreached"
+    # This node or the peer that forwards has no path to any upstream, so
+    # nothing of the request was sent.
+    NO_PATH = "no_path"
     # The upstream says that it did not run the request.
     NOT_RUN = "not_run"
     # Another server answered at the address, or an instance that no longer
@@ -84,6 +87,7 @@
         """Return whether the upstream may have acted on the request."""
         return self not in (
             Failure.UNREACHED,
+            Failure.NO_PATH,
             Failure.NOT_RUN,
             Failure.MISDIRECTED,
         )
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -146,6 +146,8 @@
             maxlen=_MAX_LOST
         )
         self.ejected_until = 0.0
+        # When it was last ejected for a failed request.
+        self.failed_at = -math.inf
         # Mean seconds from one event of its streams to the next, and the
         # time of the last update.
         self.mean_pause = 0.0
@@ -783,8 +785,24 @@
         seconds = _BASE_EJECTION_SECONDS * 2 ** (
             health.consecutive_failures - 1
         )
+        health.failed_at = now
         self._eject(upstream, now + min(seconds, _MAX_EJECTION_SECONDS))
 
+    def forgive_failures(self, since: float) -> None:
+        """Choose upstreams again that were ejected for failed requests.
+
+        Failure: a node loses its path to all upstreams, and each failed
+        connection was counted against the upstream.
+
+        Args:
+            since: Monotonic time from which failures are forgiven.
+        """
+        for health in self._health.values():
+            if health.failed_at >= since:
+                health.ejected_until = 0.0
+                health.consecutive_failures = 0
+                health.failure_rate = 0.0
+
     def note_lost_answer(self, instance: ids.InstanceId, now: float) -> None:
         """Note a plain service's answer that was missing or incomplete.
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -22,8 +22,11 @@
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
 from currantwall.coordination.requests import evacuations as evacuations_module
+from currantwall.coordination.requests import paths as paths_module
 from currantwall.protocol import names as names_module
+from currantwall.protocol import peerexchanges as peer_protocol
 from currantwall.state import gateway
+from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import advisories
@@ -40,6 +43,8 @@
 from currantwall.transport import listeners
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import news
+from currantwall.transport import paths as path_checks
+from currantwall.transport import peerexchanges
 from currantwall.transport import peers
 from currantwall.transport import ports
 from currantwall.transport import queues
@@ -57,6 +62,8 @@
 # Seconds between two checks of the requests in flight during a stop, and
 # before a failed task is run again.
 _POLL_INTERVAL = 0.05
+# Bytes of a forwarded request beyond the caller's headers and body.
+_PEER_OVERHEAD = 65_536
 # Seconds between two checks of whether a node that starts can serve.
 _START_POLL_INTERVAL = 0.01
 
@@ -109,6 +116,33 @@
             settings.repeat_window,
         )
         self._connections = exchanges.Connections(self._now)
+        self._peer_connections = exchanges.Connections(self._now)
+        own_entry = presence_module.NodeEntry(
+            id=settings.node,
+            datacentre=settings.datacentre,
+            front=settings.front,
+            heartbeats=settings.heartbeats,
+            peer=settings.peer,
+            incarnation=time.time_ns() // 1000,
+            capacity=settings.capacity,
+        )
+        self._presence = presence_module.Presence(own_entry)
+        self._paths = paths_module.Paths(self._presence)
+        self._checks = path_checks.PathChecks(
+            self._paths, self._fleet, self._connections, self._meter, self._log
+        )
+        self._connections.on_opened = self._checks.note_opened
+        self._checks.on_lost = lambda: self._balancer.forgive_failures(
+            self._paths.reached_at
+        )
+        self._peer_exchanges = peerexchanges.PeerExchanges(
+            self._paths,
+            self._checks,
+            self._fleet,
+            self._connections,
+            names,
+            self._meter,
+        )
         self._queue = queues.Queue(
             self._balancer, names, self._meter, self._log, self._now
         )
@@ -123,7 +157,10 @@
         self._sender = sending.Sender(
             self._balancer,
             self._budget,
+            self._paths,
+            self._checks,
             self._connections,
+            self._peer_connections,
             self._queue,
             self._advisories,
             names,
@@ -135,16 +172,6 @@
         self._forwarder = forwarding.Forwarder(
             self._sender, self._meter, self._log
         )
-        own_entry = presence_module.NodeEntry(
-            id=settings.node,
-            datacentre=settings.datacentre,
-            front=settings.front,
-            heartbeats=settings.heartbeats,
-            peer=settings.peer,
-            incarnation=time.time_ns() // 1000,
-            capacity=settings.capacity,
-        )
-        self._presence = presence_module.Presence(own_entry)
         self._configuration = configurations.ConfigurationFeed(
             self._store,
             documents,
@@ -187,6 +214,8 @@
             self._clock,
         )
         self._duties.services = self._list_services
+        self._duties.verify_path = self._checks.verify
+        self._duties.is_cut_off = self._paths.is_cut_off
         self._duties.evacuations = self._evacuations
         self._balancer.coldness.services = self._list_services
         self._evacuations.on_withdrawn = self._balancer.coldness.note_withdrawn
@@ -209,6 +238,7 @@
             )
             self._front.buffers = self._buffers
             self._connections.is_bounded = True
+            self._peer_connections.is_bounded = True
 
     def _make_news(self) -> news.NewsExchange:
         """Create the news exchange and connect its callbacks."""
@@ -227,6 +257,7 @@
         made.is_ready = lambda: self._is_ready
         made.abort_attempts = self._sender.abort_attempts
         self._sender.on_probe_requested = made.report_stall
+        self._checks.on_change = made.announce_path
         self._advisories.on_limit_changed = made.announce_limits
         self._queue.on_high_load = made.report_high_load
         self._duties.on_loss = made.announce_loss
@@ -258,11 +289,13 @@
             eventlet.spawn_n(self._supervise, self._buffers.run)
         self._front_task = ingress.start_server(self._listener, self._front)
         for address, handler in self._get_handlers().items():
-            ingress.start_server(
-                ingress.listen(address), self._make_ingress(handler)
-            )
+            made = self._make_ingress(handler)
+            if address == settings.peer:
+                made.limits = self._get_peer_limits
+            ingress.start_server(ingress.listen(address), made)
         tasks = [
             self._log.run,
+            self._checks.run,
             self._news.run_receiver,
             self._news.run_sender,
             self._news.run_shares,
@@ -330,6 +363,12 @@
         table = self._forwarder.table
         return table.configuration.limits if table else routes.Limits()
 
+    def _get_peer_limits(self) -> routes.Limits:
+        """Return the limits on requests of peers, which contain callers'."""
+        limits = self._get_limits()
+        size = limits.header_bytes + limits.body_bytes + _PEER_OVERHEAD
+        return routes.Limits(body_bytes=size)
+
     def _list_services(self) -> abc.Iterable[routes.Service]:
         table = self._forwarder.table
         return table.services if table else ()
@@ -354,9 +393,7 @@
         then refuses their requests. It answers 503 instead, and the
         callers ask another node.
         """
-        nodes = self._presence.list_ready(self._now())
-        if self._is_ready:
-            nodes.append(self._presence.me)
+        nodes = self._paths.list_named(self._now(), self._is_ready)
         if not nodes:
             return ingress.Reply(status=503, headers=[], body=b"")
         addresses = directory.choose_addresses(nodes, inbound.caller)
@@ -364,11 +401,14 @@
         return _answer_json(self._documents.encode_addresses(addresses, ttl))
 
     def _answer_peer(self, inbound: ingress.Inbound) -> ingress.Reply:
-        """Return the configuration, the evacuations or changed instances.
+        """Answer a request of a peer.
 
-        A request for the configuration or the evacuations gets 503 while
-        they are not known.
+        It is for the configuration, the evacuations or changed instances,
+        or for an exchange with an upstream. A request for the configuration
+        or the evacuations gets 503 while they are not known.
         """
+        if inbound.path == peer_protocol.PATH:
+            return self._peer_exchanges.serve(inbound)
         if inbound.path == peers.INSTANCES_PATH:
             since = peers.parse_since(inbound.target)
             changes = self._fleet_feed.list_changes(since)
@@ -398,6 +438,10 @@
             present = {upstream.id for upstream in self._fleet.all()}
             self._connections.forget(present)
             self._sender.forget(present)
+            known = {node.id for node in self._presence.list_peers()}
+            self._peer_connections.forget(
+                {ids.InstanceId(node) for node in known}
+            )
 
     # -- Signals
 
@@ -425,6 +469,10 @@
             self._front_task.kill()
             self._front_task = None
             self._forwarder.is_stopping = True
+            self._peer_exchanges.is_stopping = True
+
+    def _count_in_flight(self) -> int:
+        return self._front.in_flight + self._peer_exchanges.in_flight
 
     def _stop(self) -> None:
         """Shut down gracefully.
@@ -445,10 +493,10 @@
         while self._now() < exit_deadline:
             if self._now() >= drain_end:
                 self._close_front()
-                if not self._front.in_flight:
+                if not self._count_in_flight():
                     break
             eventlet.sleep(_POLL_INTERVAL)
-        self._log.write("stopped", in_flight=self._front.in_flight)
+        self._log.write("stopped", in_flight=self._count_in_flight())
         self._log.flush()
         os._exit(0)
 
--- /dev/null
+++ b/currantwall/protocol/peerexchanges.py
@@ -0,0 +1,125 @@
+"""Messages of a request that a peer forwards to an upstream.
+
+The sender posts an `ExchangeRequest`. The answer's body is a sequence of
+frames, each a length of four bytes and a message in MessagePack: a head, parts
+of the body, and an end or a failure. An answer without one of the latter is
+incomplete, whatever ended it.
+"""
+
+from collections import abc
+import struct
+
+import msgspec
+
+__all__ = [
+    "PATH",
+    "BodyEnd",
+    "BodyPart",
+    "ExchangeFailed",
+    "ExchangeRequest",
+    "Frame",
+    "FrameReader",
+    "ResponseHead",
+    "encode_frame",
+]
+
+PATH = "/exchanges"
+_LENGTH = struct.Struct("!I")
+# Most bytes of one frame; upstreams are read in smaller parts.
+_MAX_FRAME_BYTES = 1_048_576
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class ExchangeRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request and the upstream that it is for.
+
+    Attributes:
+        instance: Id of the upstream.
+        address: Its host and port.
+        target: Path and query, byte for byte as the caller sent them.
+        attempt_id: Id of the request, which the answer must repeat before
+            its connection is used again.
+        timeout: Seconds without a byte after which it fails.
+        new_connection: Whether it needs a new connection.
+        send_within: Seconds after which it may not be sent any more; None
+            for no limit.
+    """
+
+    instance: str
+    address: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes | None
+    attempt_id: str
+    timeout: float
+    new_connection: bool
+    send_within: float | None = None
+
+
+class ResponseHead(msgspec.Struct, frozen=True, tag="head"):
+    """Status and headers of the upstream's answer."""
+
+    status: int
+    headers: Headers
+
+
+class BodyPart(msgspec.Struct, frozen=True, tag="part"):
+    """Part of the body."""
+
+    data: bytes
+
+
+class BodyEnd(msgspec.Struct, frozen=True, tag="end"):
+    """The body is complete."""
+
+
+class ExchangeFailed(msgspec.Struct, frozen=True, tag="failed"):
+    """The exchange broke off.
+
+    Attributes:
+        may_have_sent: Whether part of the request may have reached the
+            upstream.
+        step: What failed.
+        detail: The error.
+    """
+
+    may_have_sent: bool
+    step: str
+    detail: str
+
+
+Frame = ResponseHead | BodyPart | BodyEnd | ExchangeFailed
+_DECODER = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return a frame with its length."""
+    data = msgspec.msgpack.encode(frame)
+    return _LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Splits bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> abc.Iterator[Frame]:
+        """Yield the frames that the data completes.
+
+        Raises:
+            ValueError: A frame is too long or malformed.
+        """
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer)
+            if length > _MAX_FRAME_BYTES:
+                raise ValueError(f"frame of {length} bytes")
+            end = _LENGTH.size + length
+            if len(self._buffer) < end:
+                return
+            frame = self._buffer[_LENGTH.size : end]
+            self._buffer = self._buffer[end:]
+            yield _DECODER.decode(frame)
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -139,8 +139,8 @@
         return self._find_prober(lease, now) == self._presence.me.id
 
     def _find_prober(self, lease: DomainLease, now: float) -> ids.NodeId:
-        """Return the last holder if it is live, else the first-ranked."""
-        if self._presence.is_live(lease.holder, now):
+        """Return the last holder if it may probe, else the first-ranked."""
+        if self._presence.may_probe(lease.holder, now):
             return lease.holder
         return self._presence.rank(f"domain:{lease.name}", now)[0]
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -109,6 +109,10 @@
         on_slow: Called with the leader's epoch ID when a member slows down
             its replica.
         on_report: Called with each instance as it has reported itself.
+        verify_path: Returns whether this node has a path to upstreams, by
+            connections that were opened after a time.
+        is_cut_off: Returns whether other nodes have a path and this one
+            has none.
         services: Returns the configured services.
         evacuations: Data centres in which no replicas are formed.
         follows_work: Whether domains change by the measured work. Without
@@ -154,6 +158,8 @@
         self.on_report: abc.Callable[[upstreams.Upstream], None] = (
             _ignore_report
         )
+        self.verify_path: abc.Callable[[float], bool] = _is_true
+        self.is_cut_off: abc.Callable[[float], bool] = _is_false
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
         self.evacuations = evacuations_module.Evacuations()
         self.follows_work = True
@@ -175,6 +181,12 @@
         """
         self._update_domains(now)
         self._review_layouts(now)
+        if self.is_cut_off(now):
+            # Leases lapse without renewal; the successor reaches the
+            # instances.
+            for domain in self._domains.values():
+                domain.is_probed = False
+            return
         self._leases.refresh(now)
         for domain in self._domains.values():
             if self._leases.tick(domain.lease, now):
@@ -577,13 +589,15 @@
         upstream: upstreams.Upstream,
         new_connection: bool,
     ) -> None:
+        started = self._clock.now()
         try:
             found = self._engines.report(upstream, new_connection)
         finally:
             domain.probes_in_flight.discard(upstream.id)
         self._meter.add("currantwall.probes", 1)
-        now = self._clock.now()
         if isinstance(found, knowledge.ProbeResult):
+            if not self.verify_path(started):
+                return
             known = domain.planner.knowledge.instances.get(upstream.id)
             if known is not None and not known.missed:
                 # Repeat the probe at once after a first miss, and at the
@@ -600,7 +614,7 @@
                 )
                 self._report_loss(domain, upstream)
         else:
-            domain.planner.knowledge.note_report(found, now)
+            domain.planner.knowledge.note_report(found, self._clock.now())
             self.on_report(found)
             self._report_pace(domain, found)
 
@@ -696,6 +710,14 @@
     return
 
 
+def _is_true(_: float) -> bool:
+    return True
+
+
+def _is_false(_: float) -> bool:
+    return False
+
+
 def _ignore_report(_: upstreams.Upstream) -> None:
     return
 
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -29,12 +29,14 @@
     "Data",
     "End",
     "Exchange",
+    "FAILURES",
     "Failed",
     "Framing",
     "HELD",
     "Head",
     "MISDIRECTED",
     "Outbound",
+    "PEER",
     "is_quiet",
     "open_connection",
     "read_keep_alive",
@@ -44,6 +46,8 @@
 MISDIRECTED = 421
 # Step of an exchange that failed after its upstream was kept waiting.
 HELD = "held"
+# Step of an exchange whose forwarding peer failed.
+PEER = "peer"
 _select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
@@ -67,6 +71,14 @@
 # takes them within the time for which an upstream may be kept waiting.
 _BOUNDED_READ_SIZE = 16_384
 
+# What an exchange may raise.
+FAILURES = (
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
+    http.client.HTTPException,
+)
+
 Headers = list[tuple[str, str]]
 
 
@@ -137,7 +149,8 @@
             upstream.
         step: What failed: connect, send, head or body; `verdict` if the
             gateway aborted the attempt because its replica lost a member;
-            `HELD` if the upstream was kept waiting by the caller.
+            `HELD` if the upstream was kept waiting by the caller; `PEER`
+            if the peer that forwarded the request failed.
     """
 
     exchange: int
@@ -157,6 +170,7 @@
     Attributes:
         now: Returns the monotonic time.
         opened: Number of connections opened so far.
+        on_opened: Called when a new connection is open.
         is_bounded: Whether the buffers of new connections are bounded.
     """
 
@@ -164,6 +178,7 @@
         self.now = now
         self._idle: dict[ids.InstanceId, list[_Idle]] = {}
         self.opened = 0
+        self.on_opened: typing.Callable[[], None] = _ignore
         self.is_bounded = False
 
     def take(
@@ -185,13 +200,33 @@
             if self.now() < idle.expires_at and is_quiet(idle.connection):
                 return idle.connection
             idle.connection.close()
-        connection = open_connection(address, _CONNECT_TIMEOUT)
+        return self.open(address, _CONNECT_TIMEOUT)
+
+    def open(
+        self, address: str, timeout: float
+    ) -> urllib3.connection.HTTPConnection:
+        """Return a new connection.
+
+        Args:
+            address: Host and port.
+            timeout: Timeout of the connect in seconds.
+
+        Raises:
+            OSError: The connection failed.
+            urllib3.exceptions.HTTPError: The same, found by urllib3.
+        """
+        connection = open_connection(address, timeout)
         connection.response_class = responses.StrictResponse
         if self.is_bounded:
             buffers.limit_receiving(connection.sock)
         self.opened += 1
+        self.on_opened()
         return connection
 
+    def clear(self) -> None:
+        """Close all idle connections."""
+        self.forget(())
+
     def give_back(
         self,
         instance: ids.InstanceId,
@@ -305,12 +340,7 @@
             self._read_body(response)
             self._finish(response)
             self._put(End(self.number))
-        except (
-            urllib3.exceptions.HTTPError,
-            OSError,
-            ValueError,
-            http.client.HTTPException,
-        ) as error:
+        except FAILURES as error:
             self._close()
             detail = f"{type(error).__name__}: {error}"
             if self._backlog is not None and self._backlog.was_held:
@@ -400,6 +430,10 @@
         self._connections.give_back(self._instance, connection, keep_alive)
 
 
+def _ignore() -> None:
+    return
+
+
 def _find_framing(headers: urllib3.HTTPHeaderDict) -> Framing:
     if "transfer-encoding" in headers:
         return Framing.CHUNKS
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -135,6 +135,7 @@
             store_age=self._fleet_feed.get_store_age(now),
             evacuations=self._balancer.evacuations.list_reports(now),
             informed=self._balancer.evacuations.revision > 0,
+            has_path=self._presence.has_path,
         )
         return self._relay.list_datagrams(own, now)
 
@@ -215,9 +216,13 @@
     def report_stall(self, instance: ids.InstanceId) -> None:
         """Have a stalled upstream probed by the node that probes its domain.
 
+        Does nothing while this node has no path to upstreams.
+
         Args:
             instance: The upstream.
         """
+        if not self._presence.has_path:
+            return
         self._stalled[instance] = self._now() + _URGENT_REPORT_TTL
         self._duties.suspect(instance)
         if self._presence.is_full_mesh:
@@ -273,6 +278,10 @@
         """Report the limits that upstreams have changed, without delay."""
         self._heartbeats.send_soon()
 
+    def announce_path(self) -> None:
+        """Report a lost path to upstreams, or its return, without delay."""
+        self._heartbeats.send_soon()
+
     def announce_evacuations(self) -> None:
         """Report a changed set of evacuated data centres, without delay.
 
--- /dev/null
+++ b/currantwall/transport/peerexchanges.py
@@ -0,0 +1,294 @@
+"""Requests to upstreams by way of a peer.
+
+A node that has no path to upstreams sends each request to a peer that has
+one. The peer does nothing but one exchange with the upstream that the sender
+has chosen; the sender decides on retries and limits, as for its own
+exchanges.
+"""
+
+from collections import abc
+import contextlib
+import itertools
+import math
+import socket
+import typing
+
+import eventlet
+import eventlet.hubs
+import eventlet.queue
+import msgspec
+import urllib3
+
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import paths as paths_module
+from currantwall.protocol import names as names_module
+from currantwall.protocol import peerexchanges
+from currantwall.state import ids
+from currantwall.state import upstreams
+from currantwall.transport import exchanges
+from currantwall.transport import ingress
+from currantwall.transport import metrics as metrics_module
+from currantwall.transport import paths as path_checks
+
+__all__ = ["PeerExchange", "PeerExchanges"]
+
+_FORWARDED = "currantwall.exchanges.forwarded"
+_READ_SIZE = 65_536
+# Messages of an upstream above which it is not read: a sender whose caller
+# reads slowly must not fill the memory of its peers.
+_INBOX_LIMIT = 4
+
+
+class _Cancelled(msgspec.Struct, frozen=True):
+    """Message: the sender has closed its connection."""
+
+
+class PeerExchange(exchanges.Exchange):
+    """An exchange that a peer carries out."""
+
+    def __init__(
+        self, peer: presence_module.NodeEntry, *options: typing.Any
+    ) -> None:
+        """Start the exchange.
+
+        Args:
+            peer: The peer.
+            options: Arguments of `Exchange`; the connections are those to
+                peers.
+        """
+        self._peer = peer
+        super().__init__(*options)
+
+    def _run(self) -> None:
+        try:
+            self._connection = self._connections.take(
+                ids.InstanceId(self._peer.id),
+                self._peer.peer,
+                self._outbound.new_connection,
+            )
+            response = self._post()
+            self._read_frames(response)
+        except exchanges.FAILURES as error:
+            detail = f"{self._peer.id}: {type(error).__name__}: {error}"
+            self._put(
+                exchanges.Failed(
+                    self.number, self._may_have_sent, exchanges.PEER, detail
+                )
+            )
+        finally:
+            # Also reached when the task is killed.
+            self._close()
+
+    def _post(self) -> urllib3.BaseHTTPResponse:
+        """Send the request to the peer and return its answer's head."""
+        connection, outbound = self._connection, self._outbound
+        assert connection is not None
+        connection.timeout = outbound.timeout
+        connection.sock.settimeout(outbound.timeout)
+        left = outbound.send_by - self._connections.now()
+        body = msgspec.msgpack.encode(
+            peerexchanges.ExchangeRequest(
+                instance=self._instance,
+                address=self._address,
+                method=outbound.method,
+                target=outbound.target,
+                headers=outbound.headers,
+                body=outbound.body,
+                attempt_id=outbound.attempt_id,
+                timeout=outbound.timeout,
+                new_connection=outbound.new_connection,
+                send_within=None if left == math.inf else left,
+            )
+        )
+        self._may_have_sent = True
+        connection.request(
+            "POST", peerexchanges.PATH, body=body, preload_content=False
+        )
+        response = connection.getresponse()
+        if response.status != 200:
+            self._may_have_sent = False
+            raise OSError(f"status {response.status}")
+        return response
+
+    def _read_frames(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Turn the frames into messages, up to the last one.
+
+        Raises:
+            OSError: The answer ends without an end or a failure.
+        """
+        reader = peerexchanges.FrameReader()
+        while True:
+            data = response.read1(_READ_SIZE, decode_content=False)
+            if not data:
+                raise OSError("its answer is incomplete")
+            for frame in reader.feed(data):
+                if isinstance(frame, peerexchanges.ResponseHead):
+                    headers = urllib3.HTTPHeaderDict(frame.headers)
+                    self._put(
+                        exchanges.Head(self.number, frame.status, headers)
+                    )
+                elif isinstance(frame, peerexchanges.BodyPart):
+                    self._put_data(frame.data)
+                else:
+                    self._finish_frames(response)
+                    self._put(self._make_last(frame))
+                    return
+
+    def _finish_frames(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Keep the connection, if nothing follows the last frame."""
+        connection = self._connection
+        if response.read1(1, decode_content=False) or connection is None:
+            return
+        if connection.sock is None or connection.sock.is_ambiguous:
+            return
+        self._connection = None
+        self._connections.give_back(
+            ids.InstanceId(self._peer.id),
+            connection,
+            exchanges.read_keep_alive(response.headers),
+        )
+
+    def _make_last(
+        self, frame: peerexchanges.BodyEnd | peerexchanges.ExchangeFailed
+    ) -> exchanges.End | exchanges.Failed:
+        if isinstance(frame, peerexchanges.BodyEnd):
+            return exchanges.End(self.number)
+        step = frame.step
+        if self._backlog is not None and self._backlog.was_held:
+            step = exchanges.HELD
+        return exchanges.Failed(
+            self.number, frame.may_have_sent, step, frame.detail
+        )
+
+
+class PeerExchanges:
+    """Carries out the exchanges that peers ask for.
+
+    Attributes:
+        in_flight: Number of exchanges in progress.
+        is_stopping: Whether new ones are refused because the process is
+            about to end.
+    """
+
+    def __init__(
+        self,
+        paths: paths_module.Paths,
+        checks: path_checks.PathChecks,
+        fleet: upstreams.Fleet,
+        connections: exchanges.Connections,
+        names: names_module.HeaderNames,
+        meter: metrics_module.Metrics,
+    ) -> None:
+        self._paths = paths
+        self._checks = checks
+        self._fleet = fleet
+        self._connections = connections
+        self._names = names
+        self._meter = meter
+        self._numbers = itertools.count(1)
+        self.in_flight = 0
+        self.is_stopping = False
+
+    def serve(self, inbound: ingress.Inbound) -> ingress.Reply:
+        """Return the frames of an exchange, 503 if it was not begun."""
+        try:
+            asked = msgspec.msgpack.decode(
+                inbound.body, type=peerexchanges.ExchangeRequest
+            )
+        except msgspec.MsgspecError:
+            return ingress.Reply(status=400, headers=[], body=b"")
+        listed = self._fleet.get(ids.InstanceId(asked.instance))
+        is_known = listed is not None and listed.address == asked.address
+        if self.is_stopping or self._paths.is_lost or not is_known:
+            return ingress.Reply(status=503, headers=[], body=b"")
+        return ingress.Reply(
+            status=200, headers=[], body=self._exchange(asked, inbound.client)
+        )
+
+    def _exchange(
+        self, asked: peerexchanges.ExchangeRequest, client: typing.Any
+    ) -> abc.Iterator[bytes]:
+        """Yield the frames of one exchange."""
+        self._meter.add(_FORWARDED, 1)
+        started = self._connections.now()
+        inbox = eventlet.queue.LightQueue(_INBOX_LIMIT)
+        exchange = exchanges.Exchange(
+            next(self._numbers),
+            ids.InstanceId(asked.instance),
+            asked.address,
+            exchanges.Outbound(
+                method=asked.method,
+                target=asked.target,
+                headers=asked.headers,
+                body=asked.body,
+                attempt_id=asked.attempt_id,
+                timeout=asked.timeout,
+                new_connection=asked.new_connection,
+                send_by=started
+                + (
+                    math.inf
+                    if asked.send_within is None
+                    else asked.send_within
+                ),
+            ),
+            inbox,
+            self._connections,
+            self._names,
+        )
+        watcher = eventlet.spawn(_watch_sender, client, inbox)
+        self.in_flight += 1
+        try:
+            while True:
+                message = inbox.get()
+                if isinstance(message, _Cancelled):
+                    return
+                yield peerexchanges.encode_frame(
+                    self._make_frame(message, started)
+                )
+                if isinstance(message, exchanges.End | exchanges.Failed):
+                    return
+        finally:
+            self.in_flight -= 1
+            watcher.kill()
+            exchange.cancel()
+
+    def _make_frame(
+        self, message: typing.Any, started: float
+    ) -> peerexchanges.Frame:
+        if isinstance(message, exchanges.Head):
+            return peerexchanges.ResponseHead(
+                message.status, tuple(message.headers.iteritems())
+            )
+        if isinstance(message, exchanges.Data):
+            return peerexchanges.BodyPart(message.data)
+        if isinstance(message, exchanges.End):
+            return peerexchanges.BodyEnd()
+        step = message.step
+        if not message.may_have_sent and not self._checks.verify(started):
+            # This node has lost its path too; the upstream may be well.
+            step = exchanges.PEER
+        return peerexchanges.ExchangeFailed(
+            message.may_have_sent, step, message.detail
+        )
+
+
+def _watch_sender(
+    client: typing.Any, inbox: eventlet.queue.LightQueue
+) -> None:
+    """Put a message into the inbox when the sender disconnects.
+
+    If the inbox is full, the task that empties it is writing and notices.
+    """
+    sock = getattr(client, "fd", client)
+    while True:
+        try:
+            eventlet.hubs.trampoline(sock.fileno(), read=True)
+            if sock.recv(1, socket.MSG_PEEK):
+                return
+        except BlockingIOError:
+            continue
+        except (OSError, ValueError):
+            pass
+        with contextlib.suppress(eventlet.queue.Full):
+            inbox.put(_Cancelled(), block=False)
+        return
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from currantwall.coordination.requests import attempts
+from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
@@ -156,6 +157,8 @@
         sent_at: Monotonic time at which it was started.
         last_message_at: Monotonic time of the upstream's last message.
         is_ended: Whether it no longer counts as in progress.
+        peer: The node that forwards it; None if it goes to the upstream
+            directly.
         rest: Bytes of a stream's body after its last complete event.
     """
 
@@ -165,6 +168,7 @@
     last_message_at: float
     head: exchanges.Head | None = None
     is_ended: bool = False
+    peer: ids.NodeId | None = None
     rest: int = 0
 
     @property
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -14,9 +14,11 @@
 import eventlet.queue
 import urllib3
 
+from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
+from currantwall.coordination.requests import paths as paths_module
 from currantwall.protocol import names as names_module
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -25,6 +27,8 @@
 from currantwall.transport import ingress
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
+from currantwall.transport import paths as path_checks
+from currantwall.transport import peerexchanges
 from currantwall.transport import queues
 from currantwall.transport import requests
 
@@ -42,6 +46,11 @@
 # Seconds subtracted from the caller's remaining time before it is sent to
 # an upstream, which must never be given more time than the caller has.
 _BUDGET_MARGIN = 0.004
+# Failures that a node without a path to any upstream sees.
+_PATH_FAILURES = (Failure.UNREACHED, Failure.STALLED, Failure.LOST)
+# Refusal while no node has a path, and seconds until the caller may retry.
+_NO_PATH = "no path to any upstream"
+_NO_PATH_RETRY_AFTER = 0.5
 # Ranks by which an engine admits requests, from 0 (first) to 9.
 _RANK_RESUMED = 1
 _RANK_IN_TIME = 4
@@ -78,7 +87,10 @@
         self,
         balancer: balancing.Balancer,
         budget: budgets.RepeatBudget,
+        paths: paths_module.Paths,
+        checks: path_checks.PathChecks,
         connections: exchanges.Connections,
+        peer_connections: exchanges.Connections,
         queue: queues.Queue,
         advisories: advisories_module.Advisories,
         names: names_module.HeaderNames,
@@ -94,7 +106,10 @@
         )
         self._balancer = balancer
         self._budget = budget
+        self._paths = paths
+        self._checks = checks
         self._connections = connections
+        self._peer_connections = peer_connections
         self._queue = queue
         self._advisories = advisories
         self._meter = meter
@@ -135,6 +150,9 @@
         Raises:
             requests.Refused: No upstream can take the request.
         """
+        if self._paths.is_lost and not self._paths.is_cut_off(self.now()):
+            # No other node has a path either.
+            raise self.make_refusal(request, _NO_PATH, _NO_PATH_RETRY_AFTER)
         if request.model is not None and not request.progress.runs:
             return self._send_queued(request)
         started = self.now()
@@ -194,16 +212,12 @@
                 upstream.datacentre
             ),
         )
-        exchange = exchanges.Exchange(
-            next(self._exchange_numbers),
-            upstream.id,
-            upstream.address,
-            outbound,
-            request.inbox,
-            self._connections,
-            self.names,
-            inbound.backlog,
-        )
+        peer = None
+        if self._paths.is_lost:
+            peer = self._paths.choose_peer(
+                f"{request.attempt_id}{request.progress.sends}", now
+            )
+        exchange = self._make_exchange(request, upstream, outbound, peer)
         active = self._active.setdefault(upstream.epoch_id, {})
         active[exchange.number] = request.inbox
         return requests.Attempt(
@@ -211,6 +225,31 @@
             exchange=exchange,
             sent_at=now,
             last_message_at=now,
+            peer=peer.id if peer is not None else None,
+        )
+
+    def _make_exchange(
+        self,
+        request: requests.Request,
+        upstream: upstreams.Upstream,
+        outbound: exchanges.Outbound,
+        peer: presence_module.NodeEntry | None,
+    ) -> exchanges.Exchange:
+        """Start an exchange, by way of a peer if there is one."""
+        number = next(self._exchange_numbers)
+        options = (upstream.id, upstream.address, outbound, request.inbox)
+        backlog = request.inbound.backlog
+        if peer is None:
+            return exchanges.Exchange(
+                number, *options, self._connections, self.names, backlog
+            )
+        return peerexchanges.PeerExchange(
+            peer,
+            number,
+            *options,
+            self._peer_connections,
+            self.names,
+            backlog,
         )
 
     def note_first(
@@ -328,22 +367,18 @@
         Raises:
             requests.Refused: The request is not retried.
         """
-        now = self.now()
         current.exchange.cancel()
         self.end_attempt(current)
+        has_path = self._has_path(current, failure)
+        if failure is Failure.UNREACHED and not has_path:
+            failure = Failure.NO_PATH
+        now = self.now()
         if failure.may_have_run:
             request.progress.runs += 1
-        if failure is Failure.NOT_RUN:
-            self._balancer.note_refusal(current.upstream, now)
-        elif failure is Failure.MISDIRECTED:
-            self._balancer.note_misdirected(current.upstream, now)
-        else:
-            avoid = failure in (Failure.UNREACHED, Failure.STALLED)
-            self._balancer.note_failure(current.upstream, now, avoid)
-        if failure is Failure.LOST and current.upstream.seat is None:
-            self._balancer.note_lost_answer(current.upstream.id, now)
-        if failure is Failure.STALLED or failure is Failure.UNREACHED:
-            self.on_probe_requested(current.upstream.id)
+        if failure is Failure.NO_PATH:
+            request.tried.discard(current.upstream.epoch_id)
+        elif has_path:
+            self._note_failure(current.upstream, failure, now)
         verdict = attempts.decide(request.route, failure, request.progress)
         if verdict is Verdict.REPEAT_PAID and not self._budget.take(
             request.service.name, now
@@ -359,6 +394,7 @@
             if current.upstream.seat
             else None,
             failure=failure.value,
+            peer=current.peer,
             why=why,
             after=round(now - current.sent_at, 4),
             list_age=round(self.fleet_age(now), 3),
@@ -367,6 +403,30 @@
         if verdict is Verdict.GIVE_UP:
             raise self.make_refusal(request, why, 0.3)
 
+    def _has_path(self, current: requests.Attempt, failure: Failure) -> bool:
+        """Return whether a failed attempt may count against its upstream."""
+        if failure is Failure.NO_PATH:
+            return False
+        if current.peer is not None or failure not in _PATH_FAILURES:
+            return True
+        return self._checks.verify(current.last_message_at)
+
+    def _note_failure(
+        self, upstream: upstreams.Upstream, failure: Failure, now: float
+    ) -> None:
+        """Count a failure against its upstream."""
+        if failure is Failure.NOT_RUN:
+            self._balancer.note_refusal(upstream, now)
+        elif failure is Failure.MISDIRECTED:
+            self._balancer.note_misdirected(upstream, now)
+        else:
+            avoid = failure in (Failure.UNREACHED, Failure.STALLED)
+            self._balancer.note_failure(upstream, now, avoid)
+        if failure is Failure.LOST and upstream.seat is None:
+            self._balancer.note_lost_answer(upstream.id, now)
+        if failure in (Failure.STALLED, Failure.UNREACHED):
+            self.on_probe_requested(upstream.id)
+
     def make_refusal(
         self, request: requests.Request, why: str, retry_after: float
     ) -> requests.Refused:
@@ -465,6 +525,10 @@
             request.progress.runs += 1
             raise self.make_refusal(request, "its caller reads slowly", 0.0)
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
+        if failed.step == exchanges.PEER and current.peer is not None:
+            self._paths.avoid_peer(current.peer, self.now())
+            if not failed.may_have_sent:
+                failure = Failure.NO_PATH
         why = f"{failed.step}: {failed.detail}"
         self.fail_attempt(request, current, failure, why)
 
@@ -543,6 +607,7 @@
             pause=round(request.longest_pause, 4),
             sends=request.progress.sends,
             spent=round(spent, 4),
+            peer=current.peer,
             framing=current.framing.value if current.framing else None,
             rest=current.rest,
             version=request.version,
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -241,7 +241,7 @@
     def test_an_unlisted_node_is_reported_as_unknown(self):
         presence = self.net.nodes["a-30"].presence
         self.assertFalse(presence.has_unknown_nodes)
-        presence.note_relayed_nodes({"a-new": True}, self.net.now)
+        presence.note_relayed_nodes({"a-new": True}, (), self.net.now)
         self.assertTrue(presence.has_unknown_nodes)
 
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -114,7 +114,7 @@
         told = []
         with mock.patch.object(self.balancer.limits, "note_nodes") as noted:
             exchange._compose(1)
-            presence.note_relayed_nodes({"new": True}, 10.0)
+            presence.note_relayed_nodes({"new": True}, (), 10.0)
             exchange._compose(2)
             presence.note_list(self.entries, 10.0)
             exchange._compose(3)
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -128,7 +128,8 @@
         others = sorted(self.fleet.fronts[name] for name in ("g2", "g3"))
 
         def is_left_out():
-            self.send("GET", "/safe/x", gateway="g1")
+            # Such a request needs a new connection.
+            self.send("POST", "/unsafe/x", b"1", gateway="g1")
             return self.list_addresses() == others
 
         fleet_module.wait_until(is_left_out, _TIMEOUT, "a shorter list")
