Test and soak partitions: peers that end, callers that leave, all nodes cut

Unit tests of a node's own path and of exchanges by way of a peer, tests with processes for a peer that ends in the middle of a stream, a caller that leaves and a partition of every node, reports of a lost path over relays, leases and losses of a holder without a path.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -110,6 +110,7 @@
             },
             store_age=self._get_store_age(now),
             evacuations=self.evacuations.list_reports(now),
+            has_path=self.presence.has_path,
         )
         return self.relay.list_datagrams(own, now)
 
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -4,6 +4,7 @@
 gateway has a machine of its own.
 """
 
+from collections import abc
 import pathlib
 import sys
 import typing
@@ -105,6 +106,32 @@
         """Return the command that starts a gateway."""
         return [sys.executable, str(PROGRAM)]
 
+    def wrap_command(self, name: str, *command: str) -> list[str]:
+        """Return the command of a gateway that can be partitioned."""
+        path = str(self._get_partition_path(name))
+        return [sys.executable, "-m", "standins.partition", path, *command]
+
+    def partition(
+        self, name: str, addresses: abc.Iterable[str], fault: str
+    ) -> None:
+        """Have a gateway's new connections to some addresses fail.
+
+        Args:
+            name: The gateway; its command is that of `wrap_command`.
+            addresses: The addresses, as HOST:PORT.
+            fault: How they fail: "refuse" or "hang".
+        """
+        lines = "\n".join((fault, *addresses))
+        path = self._get_partition_path(name)
+        path.write_text(lines, encoding="utf-8")
+
+    def end_partition(self, name: str) -> None:
+        """Have all connections of a gateway succeed again."""
+        self._get_partition_path(name).unlink(missing_ok=True)
+
+    def _get_partition_path(self, name: str) -> pathlib.Path:
+        return self.path / f"{name}.partition"
+
     def get_store(self, name: str) -> str:
         """Return the address under which a process reaches the store."""
         return self.addresses[_STORE_NAME]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -35,6 +35,8 @@
     LIMIT_UPSTREAM = "limit_upstream"
     REFUSE_UPSTREAM = "refuse_upstream"
     LEAVE_UPSTREAM = "leave_upstream"
+    # New connections of a gateway to all servers fail.
+    PARTITION_GATEWAY = "partition_gateway"
 
 
 # Relative frequency of each kind.
@@ -79,6 +81,9 @@
 )
 # Most seconds between two servers that ask something in their answers.
 _MAX_ADVISORY_PAUSE = 4.0
+# Most seconds between two partitions, and the longest that one lasts.
+_MAX_PARTITION_PAUSE = 6.0
+_MAX_PARTITION = 6.0
 # How a link may fail: the values of `proxy.Mode` but for passing.
 _LINK_MODES = ("delayed", "silent", "one_way", "resetting")
 # Seconds before the first disturbance, and at most between the starts of
@@ -100,8 +105,8 @@
         kind: What is done.
         lasts: Duration in seconds; kinds without one ignore it.
         target: Process that it affects; empty if the kind has no choice.
-        way: Value of the `proxy.Mode` in which a link fails; only kinds
-            that cut links use it.
+        way: Value of the `proxy.Mode` in which a link fails, or how the
+            new connections of a partitioned gateway fail.
     """
 
     at: float
@@ -146,6 +151,7 @@
         in_series = rng.random() < _SERIES_SHARE
         at += rng.uniform(0.0, _MAX_SERIES_PAUSE if in_series else _MAX_PAUSE)
     disturbances += _plan_advisories(seed, seconds, upstreams)
+    disturbances += _plan_partitions(seed, seconds, gateways)
     return sorted(disturbances, key=lambda disturbance: disturbance.at)
 
 
@@ -167,3 +173,26 @@
         disturbances.append(Disturbance(at, kind, lasts, target))
         at += rng.uniform(0.0, _MAX_ADVISORY_PAUSE)
     return disturbances
+
+
+def _plan_partitions(
+    seed: int, seconds: float, gateways: abc.Sequence[str]
+) -> list[Disturbance]:
+    """Return when gateways lose their path to all servers.
+
+    Most times it is one gateway, sometimes it is all of them. The random
+    numbers are its own, as those of `_plan_advisories` are.
+    """
+    rng = random.Random(f"{seed}/partitions")
+    disturbances = []
+    at = _START_DELAY + rng.uniform(0.0, _MAX_PARTITION_PAUSE)
+    while at < seconds:
+        lasts = rng.uniform(_MIN_DURATION, _MAX_PARTITION)
+        way = rng.choice(("refuse", "hang"))
+        count = rng.choice((1, 1, 1, 2, len(gateways)))
+        for target in rng.sample(gateways, min(count, len(gateways))):
+            disturbances.append(
+                Disturbance(at, Kind.PARTITION_GATEWAY, lasts, target, way)
+            )
+        at += rng.uniform(0.0, _MAX_PARTITION_PAUSE)
+    return disturbances
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -365,8 +365,8 @@
                     f"{attempt.id} {attempt.target}: "
                     f"no answer, {attempt.failure}"
                 )
-            is_reset_asked = (
-                "reset" in attempt.target or "torn" in attempt.target
+            is_reset_asked = any(
+                fault in attempt.target for fault in ("reset", "torn", "/cut")
             )
             is_timed_out = attempt.ended >= attempt.began + _DEADLINE
             is_cut = (
--- a/soak/site.py
+++ b/soak/site.py
@@ -3,7 +3,6 @@
 import contextlib
 import pathlib
 import signal
-import sys
 import time
 import typing
 
@@ -115,9 +114,9 @@
         skew = self._clock_skews.pop(name, 0.0)
         program = str(gateways_module.PROGRAM)
         if not skew:
-            return [sys.executable, program]
+            return self.wrap_command(name, program)
         wrapper = str(_ROOT / "soak" / "skewed.py")
-        return [sys.executable, wrapper, str(skew), program]
+        return self.wrap_command(name, wrapper, str(skew), program)
 
     def launch_gateway(self, name: str) -> None:
         """Start a gateway and record it."""
@@ -295,6 +294,15 @@
         self._kill_process(disturbance.target, "drained")
         self.launch_upstream(disturbance.target)
 
+    def _partition_gateway(self, disturbance: plan_module.Disturbance) -> None:
+        name = disturbance.target
+        self.record_event("partitioned", name)
+        addresses = [link.address for link in self.links.values()]
+        self.partition(name, addresses, disturbance.way)
+        eventlet.sleep(disturbance.lasts)
+        self.end_partition(name)
+        self.record_event("mended", name)
+
     def _say(self, name: str, **headers: str) -> None:
         """Set the headers of a server's answers, unless it is down."""
         with contextlib.suppress(urllib3.exceptions.HTTPError):
--- a/standins/partition.py
+++ b/standins/partition.py
@@ -1,8 +1,8 @@
 """Runs a program that is partitioned from the addresses in a file.
 
-``python -m standins.partition FILE PROGRAM`` runs a Python program. While the
-file exists, its first line says how new connections to the addresses in the
-other lines fail: ``refuse``, or ``hang`` until their timeout.
+``python -m standins.partition FILE PROGRAM [ARGUMENT ...]`` runs a Python
+program. While the file exists, its first line says how new connections to the
+addresses in the other lines fail: ``refuse``, or ``hang`` until their timeout.
 """
 
 import errno
@@ -48,7 +48,7 @@
         return connect(address, timeout, *options, **named)
 
     urllib3.util.connection.create_connection = create_connection
-    sys.argv = [program]
+    sys.argv = sys.argv[2:]
     runpy.run_path(program, run_name="__main__")
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -54,6 +54,7 @@
 _EVACUATIONS = "tests.test_evacuations"
 _GATEWAY = "tests.test_gateway.PathTest"
 _FORMATION = "tests.test_formation.FormationTest"
+_PARTITIONS = "tests.test_partitions.PartitionTest"
 _PLACING = "tests.test_placing"
 _SHARES = "tests.test_limits.SharesTest"
 _WITHDRAWALS = "tests.test_withdrawals"
@@ -65,6 +66,48 @@
         "    return not (has_events or is_delimited)\n",
         f"{_GATEWAY}.test_a_stream_that_ends_inside_an_event_is_resumed",
     ),
+    Mutant(
+        "a node blames upstreams that it can't reach itself",
+        f"{_COORDINATION}/requests/paths.py",
+        "            self.is_lost = True\n",
+        "            pass\n",
+        f"{_PARTITIONS}.test_first_attempts_are_served_by_way_of_a_peer",
+    ),
+    Mutant(
+        "a holder reports losses that it can't know of",
+        "currantwall/transport/duties.py",
+        "            if not self.verify_path(started):\n"
+        "                return\n",
+        "",
+        f"{_PARTITIONS}.test_sound_replicas_are_not_reported_as_lost",
+    ),
+    Mutant(
+        "a single connection finds a lost path again",
+        f"{_COORDINATION}/requests/paths.py",
+        "        elif self._successes >= _CHECKS_TO_FIND:\n",
+        "        else:\n",
+        "tests.test_paths.PathsTest"
+        ".test_a_single_connection_does_not_bring_a_lost_path_back",
+    ),
+    Mutant(
+        "an answer ends with its peer",
+        "currantwall/transport/peerexchanges.py",
+        '                raise OSError("its answer is incomplete")\n',
+        "                self._put(exchanges.End(self.number))\n"
+        "                return\n",
+        "tests.test_paths.PeerExchangeTest"
+        ".test_an_answer_whose_peer_ends_is_not_complete",
+    ),
+    Mutant(
+        "requests go by way of peers without a path",
+        f"{_COORDINATION}/requests/paths.py",
+        "            for node in self._presence.list_with_path(now)\n"
+        "            if self",
+        "            for node in self._presence.list_ready(now)\n"
+        "            if self",
+        "tests.test_paths.PathsTest"
+        ".test_requests_go_by_way_of_peers_with_a_path_only",
+    ),
     Mutant(
         "a stream that ends before its first event counts as complete",
         f"{_COORDINATION}/requests/attempts.py",
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -152,6 +152,20 @@
         ]
         self.assertGreaterEqual(len(informed), 140)
 
+    def test_a_lost_path_is_reported_to_all(self):
+        """Guards against requests by way of a node without a path.
+
+        Only two relays hear the node itself.
+        """
+        for has_path, expected in ((False, 0), (True, 140)):
+            self.net.nodes["a-30"].presence.has_path = has_path
+            self.net.run(2.0)
+            informed = 0
+            for node in self.net.list_live():
+                able = node.presence.list_with_path(self.net.now)
+                informed += "a-30" in [entry.id for entry in able]
+            self.assertEqual(informed, expected)
+
     def list_evacuated(self):
         """Return the different sets of evacuated data centres that are known.
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -146,7 +146,10 @@
         """Receive a heartbeat from another node."""
         other.serial += 1
         heartbeat = presence_module.Heartbeat(
-            node=other.entry, serial=other.serial, ready=True
+            node=other.entry,
+            serial=other.serial,
+            ready=True,
+            has_path=other.presence.has_path,
         )
         self.presence.note_heartbeat(heartbeat, self.world.now())
 
@@ -448,6 +451,33 @@
         for node in self.world.nodes.values():
             self.assertEqual(node.engines.orders, [])
 
+    def test_a_holder_without_a_path_reports_no_losses(self):
+        """Guards against sound replicas that all nodes avoid as lost.
+
+        The holder is partitioned from all instances, not from the nodes.
+        """
+        (holder,) = self.world.list_holders()
+        cut = self.world.nodes[holder]
+        cut.engines.silent = True
+        cut.duties.verify_path = lambda since: False
+        cut.duties.suspect(ids.InstanceId("e1"))
+        self.world.run(1.0)
+        self.assertEqual(self.reported_losses, [])
+
+    def test_a_holder_without_a_path_is_succeeded(self):
+        """Guards against a domain whose holder reaches no instance."""
+        (holder,) = self.world.list_holders()
+        cut = self.world.nodes[holder]
+        cut.duties.is_cut_off = lambda now: True
+        cut.presence.has_path = False
+        self.world.run(4.0)
+        (successor,) = self.world.list_holders()
+        self.assertNotEqual(successor, holder)
+        cut.duties.is_cut_off = lambda now: False
+        cut.presence.has_path = True
+        self.world.run(2.0)
+        self.assertEqual(self.world.list_holders(), [successor])
+
     def test_a_node_without_heartbeats_of_others_reports_no_losses(self):
         """Guards against losses reported by a node that is cut off.
 
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -3,16 +3,20 @@
 The store, the callers and the other gateways reach them all the while.
 """
 
-import sys
+import http.client
+import time
 import unittest
 
 import msgspec
+import urllib3
 
 from bench import fleet as fleet_module
 from bench import gateways
 from tests import test_gateway
 
 _TIMEOUT = 60.0
+# Seconds in which a slow stream produces all its events.
+_SLOW_STREAM_SECONDS = 3.0
 _ENGINES = ("e1", "e2", "e3", "e4")
 _APPS = ("a1", "a2")
 _NODES = ("g1", "g2", "g3")
@@ -22,25 +26,18 @@
     """Gateways that can each be partitioned from all upstreams."""
 
     def make_command(self, name):
-        return [
-            sys.executable,
-            "-m",
-            "standins.partition",
-            str(self.path / f"{name}.partition"),
-            str(gateways.PROGRAM),
-        ]
+        return self.wrap_command(name, str(gateways.PROGRAM))
 
     def cut(self, *names, fault="refuse"):
         """Partition gateways from all upstreams."""
         addresses = [self.addresses[name] for name in (*_ENGINES, *_APPS)]
-        text = "\n".join((fault, *addresses))
         for name in names:
-            (self.path / f"{name}.partition").write_text(text)
+            self.partition(name, addresses, fault)
 
     def heal(self, *names):
         """End the partition of gateways."""
         for name in names:
-            (self.path / f"{name}.partition").unlink(missing_ok=True)
+            self.end_partition(name)
 
 
 class PartitionTest(test_gateway.GatewayCase):
@@ -78,10 +75,17 @@
         )
 
     def list_addresses(self):
-        """Return the addresses that the last gateway sends callers to."""
+        """Return the addresses that the last gateway sends callers to.
+
+        Returns:
+            The addresses; none if it is starting.
+        """
         url = f"http://{self.fleet.directories[_NODES[-1]]}/"
-        data = self.fleet.http.request("GET", url).data
-        return msgspec.json.decode(data)["addresses"]
+        try:
+            data = self.fleet.http.request("GET", url).data
+        except urllib3.exceptions.HTTPError:
+            return []
+        return msgspec.json.decode(data)["addresses"] if data else []
 
     def check_served(self, name, kind):
         """Check that first attempts of all kinds of request are served."""
@@ -122,6 +126,78 @@
         for name in _NODES:
             self.assertNotIn("instance_lost", self.fleet.read_log(name))
 
+    def test_what_no_node_can_serve_is_refused_at_once(self):
+        """Guards against holding requests that cannot be served."""
+        self.fleet.cut(*_NODES, fault="hang")
+
+        def is_refused_at_once():
+            answer = self.send("POST", "/unsafe/x", b"1", attempt="none-1")
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+            return b"no path" in answer.body
+
+        fleet_module.wait_until(is_refused_at_once, _TIMEOUT, "a refusal")
+        self.assertEqual(self.list_runs("none-1"), [])
+
+    def test_a_stream_outlives_the_peer_that_forwards_it(self):
+        """Guards against half a stream that is framed as complete.
+
+        Both peers end while streams are under way; one returns.
+        """
+        self.fleet.cut("g1")
+        self.check_served("g1", "warm")
+        kinds = ("stream", "once")
+        connections = {}
+        for kind in kinds:
+            connections[kind] = self.open(f"/{kind}/slow/x", f"peer-{kind}")
+        responses = {
+            kind: connection.getresponse()
+            for kind, connection in connections.items()
+        }
+        for response in responses.values():
+            response.read1(10)
+        for name in ("g2", "g3"):
+            self.fleet.kill(name)
+            self.addCleanup(self.fleet.start_gateway, name)
+        for kind in kinds:
+            with self.assertRaises(http.client.IncompleteRead):
+                responses[kind].read()
+            connections[kind].close()
+
+    def test_work_ends_when_the_caller_of_a_partitioned_node_leaves(self):
+        """Guards against upstreams that work for callers that are gone."""
+        self.fleet.cut("g1")
+        self.check_served("g1", "leave-warm")
+        connection = self.open("/stream/slow/x", "leave-1")
+        response = connection.getresponse()
+        response.read1(10)
+        response.close()
+        connection.close()
+        fleet_module.wait_until(
+            lambda: '"leave-1"' in self.fleet.read_log("g1"),
+            _TIMEOUT,
+            "its end",
+        )
+        (before,) = self.list_runs("leave-1")
+        time.sleep(_SLOW_STREAM_SECONDS)
+        (after,) = self.list_runs("leave-1")
+        # The server notices at its first write and stops at the second.
+        self.assertLessEqual(after["events"], before["events"] + 2)
+        self.assertLess(after["events"], 6)
+
+    def open(self, target, attempt):
+        """Send a request to the first gateway; return its connection."""
+        host, _, port = self.fleet.fronts["g1"].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        headers = {
+            "Host": gateways.HOST,
+            "X-Attempt-Id": attempt,
+            "X-Model": "m",
+            "Authorization": f"Bearer {gateways.KEY}",
+        }
+        connection.request("POST", target, b"", headers)
+        return connection
+
     def test_callers_are_sent_to_nodes_that_reach_upstreams(self):
         """Guards against a directory that names partitioned nodes."""
         self.fleet.cut("g1")
