Mutants: test the verdict of a holder without a path by itself

The test with processes passes without the guard: its nodes find their lost path by requests before they probe. tests.test_duties notices the mutant.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -79,7 +79,7 @@
         "            if not self.verify_path(started):\n"
         "                return\n",
         "",
-        f"{_PARTITIONS}.test_sound_replicas_are_not_reported_as_lost",
+        f"{_DUTIES}.ProbeTest.test_a_holder_without_a_path_reports_no_losses",
     ),
     Mutant(
         "a single connection finds a lost path again",
