--- a/currantwall/cli/explanations.py
+++ b/currantwall/cli/explanations.py
@@ -41,6 +41,8 @@
     "duty_lost",
     "store_lost",
     "store_regained",
+    "path_lost",
+    "path_found",
     "configuration_applied",
     "started",
     "stopping",
