Refuse as not run what was not sent by its deadline

A booking whose connection to its upstream hung until its time was up was answered 504, which promises nothing: its caller could not try again, though no upstream had received it.

Change: it counts if part of the request may have been sent.

The new test in tests.test_partitions failed before (504 instead of 503) and passes; test_gateway.PathTest passes (26).

--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -313,6 +313,11 @@
         self._may_have_sent = False
         self._task = eventlet.spawn(self._run)
 
+    @property
+    def may_have_sent(self) -> bool:
+        """Return whether part of the request may have been sent."""
+        return self._may_have_sent
+
     def cancel(self) -> None:
         """Stop the task and close the connection to the upstream."""
         self._task.kill()
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -500,10 +500,22 @@
         if self.now() < request.deadline:
             self.fail_attempt(request, current, Failure.STALLED, "silent")
             return
+        raise self.end_timed_out(request, current)
+
+    def end_timed_out(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> requests.Refused:
+        """End an attempt at the request's deadline; return the error.
+
+        Failure: the connection to the upstream hangs until the deadline. A
+        caller that is told that its booking may have run can't repeat it,
+        though nothing was sent.
+        """
         current.exchange.cancel()
         self.end_attempt(current)
-        request.progress.runs += 1
-        raise self.make_refusal(request, "time is up", 0.0)
+        if current.exchange.may_have_sent:
+            request.progress.runs += 1
+        return self.make_refusal(request, "time is up", 0.0)
 
     def fail_interrupted(
         self,
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -73,12 +73,8 @@
         while True:
             message = self._sender.receive_message(request, current, until)
             if message is None:
-                is_timed_out = self._sender.now() >= request.deadline - 0.002
-                request.progress.runs += 1 if is_timed_out else 0
-                if is_timed_out:
-                    current.exchange.cancel()
-                    self._sender.end_attempt(current)
-                    raise self._sender.make_refusal(request, "time is up", 0.0)
+                if self._sender.now() >= request.deadline - 0.002:
+                    raise self._sender.end_timed_out(request, current)
                 self._sender.fail_attempt(
                     request, current, Failure.STALLED, "no answer"
                 )
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -139,6 +139,22 @@
         fleet_module.wait_until(is_refused_at_once, _TIMEOUT, "a refusal")
         self.assertEqual(self.list_runs("none-1"), [])
 
+    def test_a_request_that_was_not_sent_in_time_is_refused_as_not_run(self):
+        """Guards against a 504 for a booking that no upstream received.
+
+        Its time is up while the connection to its upstream hangs.
+        """
+        self.fleet.cut("g1", fault="hang")
+        answer = self.send(
+            "POST",
+            "/unsafe/x",
+            b"1",
+            headers={"X-Deadline-Ms": "200"},
+            attempt="unsent-1",
+        )
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.list_runs("unsent-1"), [])
+
     def test_a_stream_outlives_the_peer_that_forwards_it(self):
         """Guards against half a stream that is framed as complete.
 
