--- a/currantwall/coordination/requests/paths.py
+++ b/currantwall/coordination/requests/paths.py
@@ -40,14 +40,10 @@
     """What is known of this node's path to upstreams, and of peers' paths.
 
     All times are monotonic, in seconds.
-
-    Attributes:
-        is_lost: Whether this node can open no connection to an upstream.
     """
 
     def __init__(self, presence: presence_module.Presence) -> None:
         self._presence = presence
-        self.is_lost = False
         self._reached_at = -math.inf
         # Successful checks in a row while the path is lost.
         self._successes = 0
@@ -61,6 +57,11 @@
 
     # -- This node's path
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether this node can open no connection to an upstream."""
+        return not self._presence.has_path
+
     def note_reached(self, now: float) -> None:
         """Note a new connection to an upstream."""
         self._reached_at = now
@@ -74,10 +75,9 @@
         before = self.is_lost
         self._successes = self._successes + 1 if has_reached else 0
         if not has_reached:
-            self.is_lost = True
+            self._presence.has_path = False
         elif self._successes >= _CHECKS_TO_FIND:
-            self.is_lost = False
-        self._presence.has_path = not self.is_lost
+            self._presence.has_path = True
         return self.is_lost is not before
 
     def is_proven(self, since: float) -> bool:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -69,7 +69,7 @@
     Mutant(
         "a node blames upstreams that it can't reach itself",
         f"{_COORDINATION}/requests/paths.py",
-        "            self.is_lost = True\n",
+        "            self._presence.has_path = False\n",
         "            pass\n",
         f"{_PARTITIONS}.test_first_attempts_are_served_by_way_of_a_peer",
     ),
