--- a/currantwall/coordination/requests/paths.py
+++ b/currantwall/coordination/requests/paths.py
@@ -127,17 +127,18 @@
         """Return the peer to send a request by way of, None if none can.
 
         Peers of this data centre are preferred if at least as many of them
-        have a path as have none.
+        have a path as have none. One that is avoided is better than none.
 
         Args:
             salt: Text that is hashed to spread requests over the peers.
             now: Monotonic time.
         """
+        able = self._presence.list_with_path(now)
         able = [
             node
-            for node in self._presence.list_with_path(now)
+            for node in able
             if self._avoided.get(node.id, -math.inf) <= now
-        ]
+        ] or able
         here = self._presence.me.datacentre
         local = [node for node in able if node.datacentre == here]
         ready = [
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -36,7 +36,7 @@
 _READ_SIZE = 65_536
 # Messages of an upstream above which it is not read: a sender whose caller
 # reads slowly must not fill the memory of its peers.
-_INBOX_LIMIT = 4
+_INBOX_LIMIT = 2
 
 
 class _Cancelled(msgspec.Struct, frozen=True):
