Paths: check the own one when a peer has lost its path

Beside load (load average 22), tests.test_partitions answered a booking 504 instead of 503 once while all nodes were cut: each peer that was asked to forward it found out by that request, a second each, and the deadline passed.

Change: a node checks its path once when a peer reports that its own is lost, and the second half of a check starts after 0.1 s, not after the first half has timed out. Tests with sockets share one base, tests with processes the check that work ends.

--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -379,6 +379,13 @@
             if peer.ready and peer.has_path and self._is_alive(peer, now)
         ]
 
+    def count_pathless(self, now: float) -> int:
+        """Return how many other nodes are alive and reach no upstream."""
+        return sum(
+            not peer.has_path and self._is_alive(peer, now)
+            for peer in self._peers.values()
+        )
+
     def list_members(self, now: float) -> list[ids.NodeId]:
         """Return the nodes that take requests, this one included."""
         members = [node.id for node in self.list_ready(now)]
--- a/currantwall/coordination/requests/paths.py
+++ b/currantwall/coordination/requests/paths.py
@@ -47,6 +47,8 @@
         self._reached_at = -math.inf
         # Successful checks in a row while the path is lost.
         self._successes = 0
+        # Peers without a path when this node's was last checked for that.
+        self._pathless = 0
         # Until when peers are avoided.
         self._avoided: dict[ids.NodeId, float] = {}
 
@@ -80,6 +82,18 @@
             self._presence.has_path = True
         return self.is_lost is not before
 
+    def is_check_due(self, now: float) -> bool:
+        """Return whether to check the path without a failure.
+
+        Failure: several nodes are cut together, and one that has sent
+        nothing since is asked to forward what it can't.
+        """
+        before, self._pathless = (
+            self._pathless,
+            self._presence.count_pathless(now),
+        )
+        return self.is_lost or self._pathless > before
+
     def is_proven(self, since: float) -> bool:
         """Return whether a connection was opened after a time."""
         return not self.is_lost and self._reached_at >= since
--- a/currantwall/transport/paths.py
+++ b/currantwall/transport/paths.py
@@ -22,6 +22,8 @@
 _CHECK_TIMEOUT = 0.3
 # Connections that a check opens at once; most checks need no more.
 _CHECKED_AT_ONCE = 2
+# Seconds without an answer after which more are opened.
+_NEXT_DELAY = 0.1
 # Seconds between two checks while the path is lost.
 _CHECK_INTERVAL = 0.25
 # Seconds for which a connection that a check has opened is kept for reuse.
@@ -85,12 +87,13 @@
         return bool(self._running.wait())
 
     def run(self) -> None:
-        """Repeat the check while the path is lost; does not return."""
+        """Check the path when that is due; does not return."""
         while True:
             eventlet.sleep(
                 _CONFIRM_INTERVAL if self._is_returning else _CHECK_INTERVAL
             )
-            if self._paths.is_lost and self._running is None:
+            is_due = self._paths.is_check_due(self._now())
+            if is_due and self._running is None:
                 self._running = eventlet.event.Event()
                 self._check(self._running)
 
@@ -113,16 +116,22 @@
         )
         if not chosen:
             return True
-        started = self._now()
+        results = eventlet.queue.LightQueue()
+        pending = 0
         for index in range(0, len(chosen), _CHECKED_AT_ONCE):
-            results = eventlet.queue.LightQueue()
             tried = chosen[index : index + _CHECKED_AT_ONCE]
+            pending += len(tried)
             for upstream in tried:
                 eventlet.spawn_n(self._try_one, upstream, results)
-            for _ in tried:
-                if results.get() or self._paths.is_proven(started):
+            while pending:
+                try:
+                    reached = results.get(timeout=_NEXT_DELAY)
+                except eventlet.queue.Empty:
+                    break
+                pending -= 1
+                if reached:
                     return True
-        return False
+        return any(results.get() for _ in range(pending))
 
     def _try_one(
         self,
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -74,7 +74,7 @@
 _EXTRA = (_SIZED + b"x", _SIZED + _SIZED, _CHUNKED + b"\r\n")
 
 
-class ExchangeTest(unittest.TestCase):
+class SocketCase(unittest.TestCase):
     def setUp(self):
         # Stands in for the patches of a whole process (transport/green).
         patch = mock.patch.object(
@@ -82,18 +82,32 @@
         )
         patch.start()
         self.addCleanup(patch.stop)
-        self.listener = green_socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
-        self.listener.listen()
-        self.addCleanup(self.listener.close)
-        task = eventlet.spawn(self.accept)
-        self.addCleanup(task.kill)
+        timeout = eventlet.Timeout(20)
+        self.addCleanup(timeout.cancel)
         self.connections = exchanges.Connections(timers.TimerService.now)
-        self.numbers = itertools.count(1)
 
-    def accept(self):
-        while True:
-            eventlet.spawn(self.answer, self.listener.accept()[0])
+    def listen(self, answer):
+        """Serve connections by a function; return the address."""
+        listener = green_socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.addCleanup(listener.close)
+
+        def accept():
+            while True:
+                eventlet.spawn(answer, listener.accept()[0])
+
+        task = eventlet.spawn(accept)
+        self.addCleanup(task.kill)
+        host, port = listener.getsockname()
+        return f"{host}:{port}"
+
+
+class ExchangeTest(SocketCase):
+    def setUp(self):
+        super().setUp()
+        self.address = self.listen(self.answer)
+        self.numbers = itertools.count(1)
 
     def answer(self, connection):
         while connection.recv(65_536):
@@ -112,24 +126,22 @@
         """
         self.response, self.is_cut = response, is_cut
         inbox = eventlet.queue.LightQueue()
-        host, port = self.listener.getsockname()
         exchanges.Exchange(
             next(self.numbers),
             _UPSTREAM,
-            f"{host}:{port}",
+            self.address,
             outbound,
             inbox,
             self.connections,
             _NAMES,
         )
         body = b""
-        with eventlet.Timeout(20):
-            while True:
-                message = inbox.get()
-                if isinstance(message, exchanges.End | exchanges.Failed):
-                    return message, body
-                if isinstance(message, exchanges.Data):
-                    body += message.data
+        while True:
+            message = inbox.get()
+            if isinstance(message, exchanges.End | exchanges.Failed):
+                return message, body
+            if isinstance(message, exchanges.Data):
+                body += message.data
 
     def test_a_clear_response_is_read_and_its_connection_reused(self):
         """Failure: strictness costs a new connection for each request."""
@@ -194,19 +206,14 @@
         self.assertIn(b"\n\nevent: error\n", cut)
 
 
-class CallTest(unittest.TestCase):
+class CallTest(SocketCase):
     def test_an_answer_that_a_reset_ends_is_not_whole(self):
         """Guards against half of an undelimited answer as the whole one.
 
         eventlet reports a reset as the orderly end of the data.
         """
-        listener = green_socket.socket()
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        self.addCleanup(listener.close)
 
-        def answer():
-            connection = listener.accept()[0]
+        def answer(connection):
             connection.recv(65_536)
             connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf of an ")
             # The answer is read before the reset discards it.
@@ -215,21 +222,11 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             connection.close()
 
-        task = eventlet.spawn(answer)
-        self.addCleanup(task.kill)
-        host, port = listener.getsockname()
-        with (
-            mock.patch.object(urllib3.util.connection, "socket", green_socket),
-            eventlet.Timeout(20),
-        ):
-            calls = upstreams.Upstreams(
-                mock.Mock(), timers.TimerService(), mock.Mock()
-            )
-            call = upstreams.Call(
-                address=f"{host}:{port}", path="/", body=b"1"
-            )
-            fetched = calls.fetch(call)
-        self.assertIsInstance(fetched, result.Err, fetched)
+        calls = upstreams.Upstreams(
+            mock.Mock(), timers.TimerService(), mock.Mock()
+        )
+        call = upstreams.Call(address=self.listen(answer), path="/", body=b"1")
+        self.assertIsInstance(calls.fetch(call), result.Err)
 
 
 if __name__ == "__main__":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -138,6 +138,39 @@
         found = self.fleet.list_runs(*_ENGINES, *_APPS)
         return [run for run in found if run["attempt"] == attempt]
 
+    def open(self, target, attempt):
+        """Send a request and return its connection before the answer."""
+        host, _, port = self.fleet.fronts["g1"].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        headers = {
+            "Host": gateways.HOST,
+            "X-Attempt-Id": attempt,
+            "X-Model": "m",
+            "Authorization": f"Bearer {gateways.KEY}",
+        }
+        connection.request("POST", target, b"", headers)
+        return connection
+
+    def check_work_ends(self, attempt):
+        """Check that a stream's server stops once its caller has left."""
+        connection = self.open("/stream/slow/x", attempt)
+        response = connection.getresponse()
+        response.read1(10)
+        response.close()
+        connection.close()
+        fleet_module.wait_until(
+            lambda: f'"{attempt}"' in self.fleet.read_log("g1"),
+            _TIMEOUT,
+            "its end",
+        )
+        (before,) = self.list_runs(attempt)
+        self.assertLess(before["events"], 6)
+        time.sleep(_SLOW_STREAM_SECONDS)
+        (after,) = self.list_runs(attempt)
+        # The server notices at its first write and stops at the second.
+        self.assertLessEqual(after["events"], before["events"] + 2)
+        self.assertLess(after["events"], 6)
+
 
 class PathTest(GatewayCase):
     def test_a_request_arrives_byte_for_byte(self):
@@ -219,17 +252,7 @@
 
         The answer to a caller with HTTP/1.0 ends with its connection.
         """
-        host, _, port = self.fleet.fronts["g1"].partition(":")
-        head = (
-            f"POST /once/reset3/x HTTP/1.0\r\nHost: {gateways.HOST}\r\n"
-            f"Authorization: Bearer {gateways.KEY}\r\nX-Model: m\r\n"
-            "X-Attempt-Id: once-2\r\n\r\n"
-        )
-        with socket.create_connection((host, int(port)), 20) as raw:
-            raw.sendall(head.encode())
-            with self.assertRaises(ConnectionResetError):
-                while raw.recv(65_536):
-                    continue
+        self.check_reset("/once/reset3/x", "once-2")
         self.assertEqual(len(self.list_runs("once-2")), 1)
 
     def test_a_stream_without_chunks_is_passed_on_whole(self):
@@ -269,11 +292,15 @@
 
     def test_a_stream_cut_for_a_caller_without_chunks_ends_with_a_reset(self):
         """Guards against half an answer that an orderly end completes."""
+        self.check_reset("/once/cut3/x", "cut-reset")
+
+    def check_reset(self, target, attempt):
+        """Check that an answer to a caller without chunks is reset."""
         host, _, port = self.fleet.fronts["g1"].partition(":")
         head = (
-            f"POST /once/cut3/x HTTP/1.0\r\nHost: {gateways.HOST}\r\n"
+            f"POST {target} HTTP/1.0\r\nHost: {gateways.HOST}\r\n"
             f"Authorization: Bearer {gateways.KEY}\r\nX-Model: m\r\n"
-            "X-Attempt-Id: cut-reset\r\n\r\n"
+            f"X-Attempt-Id: {attempt}\r\n\r\n"
         )
         with socket.create_connection((host, int(port)), 20) as raw:
             raw.sendall(head.encode())
@@ -567,23 +594,7 @@
 
         The caller closes its connection after the first event.
         """
-        connection = self.open("/stream/slow/x", "leave-1")
-        response = connection.getresponse()
-        response.read1(10)
-        response.close()
-        connection.close()
-        fleet_module.wait_until(
-            lambda: '"leave-1"' in self.fleet.read_log("g1"),
-            _TIMEOUT,
-            "its end",
-        )
-        (before,) = self.list_runs("leave-1")
-        self.assertLess(before["events"], 6)
-        time.sleep(_SLOW_STREAM_SECONDS)
-        (after,) = self.list_runs("leave-1")
-        # The server notices at its first write and stops at the second.
-        self.assertLessEqual(after["events"], before["events"] + 2)
-        self.assertLess(after["events"], 6)
+        self.check_work_ends("leave-1")
 
     def test_work_ends_when_the_caller_disconnects_before_the_answer(self):
         """Guards against slots that are held for callers that are gone."""
@@ -633,19 +644,6 @@
                 return msgspec.json.decode(text)
         return None
 
-    def open(self, target, attempt):
-        """Send a request and return its connection before the answer."""
-        host, _, port = self.fleet.fronts["g1"].partition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=20)
-        headers = {
-            "Host": gateways.HOST,
-            "X-Attempt-Id": attempt,
-            "X-Model": "m",
-            "Authorization": f"Bearer {gateways.KEY}",
-        }
-        connection.request("POST", target, b"", headers)
-        return connection
-
     def test_a_stop_cuts_off_no_request(self):
         """Guards against streams that break in a planned stop."""
         connection = self.open("/stream/x", "stop-1")
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -4,7 +4,6 @@
 """
 
 import http.client
-import time
 import unittest
 
 import msgspec
@@ -15,8 +14,6 @@
 from tests import test_gateway
 
 _TIMEOUT = 60.0
-# Seconds in which a slow stream produces all its events.
-_SLOW_STREAM_SECONDS = 3.0
 _ENGINES = ("e1", "e2", "e3", "e4")
 _APPS = ("a1", "a2")
 _NODES = ("g1", "g2", "g3")
@@ -184,35 +181,7 @@
         """Guards against upstreams that work for callers that are gone."""
         self.fleet.cut("g1")
         self.check_served("g1", "leave-warm")
-        connection = self.open("/stream/slow/x", "leave-1")
-        response = connection.getresponse()
-        response.read1(10)
-        response.close()
-        connection.close()
-        fleet_module.wait_until(
-            lambda: '"leave-1"' in self.fleet.read_log("g1"),
-            _TIMEOUT,
-            "its end",
-        )
-        (before,) = self.list_runs("leave-1")
-        time.sleep(_SLOW_STREAM_SECONDS)
-        (after,) = self.list_runs("leave-1")
-        # The server notices at its first write and stops at the second.
-        self.assertLessEqual(after["events"], before["events"] + 2)
-        self.assertLess(after["events"], 6)
-
-    def open(self, target, attempt):
-        """Send a request to the first gateway; return its connection."""
-        host, _, port = self.fleet.fronts["g1"].partition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=20)
-        headers = {
-            "Host": gateways.HOST,
-            "X-Attempt-Id": attempt,
-            "X-Model": "m",
-            "Authorization": f"Bearer {gateways.KEY}",
-        }
-        connection.request("POST", target, b"", headers)
-        return connection
+        self.check_work_ends("leave-1")
 
     def test_callers_are_sent_to_nodes_that_reach_upstreams(self):
         """Guards against a directory that names partitioned nodes."""
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -8,7 +8,7 @@
 from eventlet.green import socket as green_socket
 import eventlet.queue
 import msgspec
-import urllib3.util.connection
+import urllib3
 
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
@@ -103,6 +103,14 @@
         self.assertTrue(self.paths.is_cut_off(10.0))
         self.assertEqual(self.choose(), {"b1"})
 
+    def test_a_lost_path_of_a_peer_has_the_own_one_checked_once(self):
+        """Guards against a node that learns by a request that it is cut."""
+        self.hear("a2")
+        self.assertFalse(self.paths.is_check_due(10.0))
+        self.hear("a2", has_path=False)
+        due = [self.paths.is_check_due(10.0) for _ in range(2)]
+        self.assertEqual(due, [True, False])
+
     def test_a_peer_that_could_not_forward_is_avoided(self):
         self.hear("a2")
         self.hear("a3")
@@ -157,21 +165,13 @@
             self.assertEqual(found.id, expected)
 
 
-class SocketCase(unittest.TestCase):
+class SocketCase(test_exchanges.SocketCase):
     def setUp(self):
-        # Stands in for the patches of a whole process (transport/green).
-        patch = mock.patch.object(
-            urllib3.util.connection, "socket", green_socket
-        )
-        patch.start()
-        self.addCleanup(patch.stop)
-        timeout = eventlet.Timeout(20)
-        self.addCleanup(timeout.cancel)
+        super().setUp()
         self.now = timers.TimerService.now
         self.presence = presence_module.Presence(make_node("a1"))
         self.paths = paths_module.Paths(self.presence)
         self.fleet = upstreams.Fleet()
-        self.connections = exchanges.Connections(self.now)
         self.checks = path_checks.PathChecks(
             self.paths,
             self.fleet,
@@ -181,22 +181,6 @@
         )
         self.connections.on_opened = self.checks.note_opened
 
-    def listen(self, answer):
-        """Serve connections by a function; return the address."""
-        listener = green_socket.socket()
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        self.addCleanup(listener.close)
-
-        def accept():
-            while True:
-                eventlet.spawn(answer, listener.accept()[0])
-
-        task = eventlet.spawn(accept)
-        self.addCleanup(task.kill)
-        host, port = listener.getsockname()
-        return f"{host}:{port}"
-
     def list_upstreams(self, *addresses):
         self.fleet.replace(
             [
