--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
     "bench.digests",
     "bench.logs",
     "bench.nodes",
+    "bench.partitions",
 )
 
 
