Interface: no chunk sizes in streams to callers without chunks

A caller with HTTP/1.0 got the sizes of the engine's chunks as a part of the stream, between the events.

Cause: found while looking for ends of streams over HTTP/1.0; bytes were spliced from the engine's socket, chunks and all, whatever the caller reads. Change: only to callers with HTTP/1.1.

The new test in tests.test_sockets failed before and passes; UpstreamTest 9 tests pass.

--- a/currantwall/transport/server.py
+++ b/currantwall/transport/server.py
@@ -44,7 +44,8 @@
     Attributes:
         path_params: Named groups that the route's pattern matched.
         target: Path with its query, as signed.
-        client: The caller's socket, for handlers that write to it directly.
+        client: The caller's socket, for handlers that write chunks to it
+            directly; None if the caller can't read chunks.
     """
 
     method: str
@@ -279,6 +280,8 @@
 def _find_socket(
     environ: dict[str, typing.Any],
 ) -> socket.socket | None:
+    if environ["SERVER_PROTOCOL"] == "HTTP/1.0":
+        return None
     green = environ["eventlet.input"].get_socket()
     return getattr(green, "fd", green)
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -156,6 +156,27 @@
         wanted = ["a ", "b ", "c "] * 17
         self.assertEqual(wanted[:50], tokens)
 
+    def test_stream_to_a_caller_without_chunks_has_no_chunk_sizes(
+        self,
+    ) -> None:
+        # Failure: an HTTP/1.0 caller reads the sizes of the engine's chunks
+        # as a part of the answer.
+        chat = {"model": "counter", "messages": [{"content": "a b c"}]}
+        body = msgspec.json.encode({**chat, "stream": True})
+        host, _, port = self.fleet.addresses["e1"].partition(":")
+        head = (
+            "POST /v1/chat/completions HTTP/1.0\r\nHost: e1\r\n"
+            f"Authorization: Bearer shop-token\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port)), _WAIT) as sock:
+            sock.sendall(head.encode() + body)
+            data = b"".join(iter(lambda: sock.recv(65_536), b""))
+        events = data.partition(b"\r\n\r\n")[2].split(b"\n\n")
+        self.assertEqual(b"data: [DONE]", events[-2])
+        for event in events[:-1]:
+            self.assertTrue(event.startswith(b"data: "), event)
+
     def test_shedding_engine_is_not_asked_again(self) -> None:
         # One overloaded engine refuses requests and the other answers. If
         # both refuse, the caller gets a Retry-After immediately.
