--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -438,9 +438,11 @@
             present = {upstream.id for upstream in self._fleet.all()}
             self._connections.forget(present)
             self._sender.forget(present)
-            known = {node.id for node in self._presence.list_peers()}
             self._peer_connections.forget(
-                {ids.InstanceId(node) for node in known}
+                {
+                    ids.InstanceId(node.id)
+                    for node in self._presence.list_peers()
+                }
             )
 
     # -- Signals
--- a/currantwall/transport/paths.py
+++ b/currantwall/transport/paths.py
@@ -26,10 +26,10 @@
 _NEXT_DELAY = 0.1
 # Seconds between two checks while the path is lost.
 _CHECK_INTERVAL = 0.25
-# Seconds for which a connection that a check has opened is kept for reuse.
-_KEEP_ALIVE = 2.0
 # The same after one has succeeded.
 _CONFIRM_INTERVAL = 0.1
+# Seconds for which a connection that a check has opened is kept for reuse.
+_KEEP_ALIVE = 2.0
 _PATH_LOST = "currantwall.path.lost"
 
 
