Peers: no waiter left in a queue when a sender disconnects

Cause: the task that watches a sender put its message without blocking and was killed before the queue served it. Change: it puts the message only if there is room.

tests.test_node lists the modules that a gateway loads; it runs requests.paths now.

--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -7,7 +7,6 @@
 """
 
 from collections import abc
-import contextlib
 import itertools
 import math
 import socket
@@ -289,6 +288,8 @@
             continue
         except (OSError, ValueError):
             pass
-        with contextlib.suppress(eventlet.queue.Full):
-            inbox.put(_Cancelled(), block=False)
+        # A put that does not block leaves a waiter behind if its task is
+        # killed, and the queue fails when it serves that.
+        if not inbox.full():
+            inbox.put(_Cancelled())
         return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -38,6 +38,7 @@
         "requests.coldness",
         "requests.evacuations",
         "requests.loads",
+        "requests.paths",
         "requests.placing",
         "requests.ratelimits",
         "requests.withdrawals",
