--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -310,7 +310,7 @@
             mock.Mock(),
         )
 
-    def ask(self, address, client=None):
+    def ask(self, address, client=None, send_within=None):
         """Ask for an exchange with the first upstream."""
         asked = protocol.ExchangeRequest(
             instance="s0",
@@ -322,6 +322,7 @@
             attempt_id="1",
             timeout=5.0,
             new_connection=True,
+            send_within=send_within,
         )
         return self.served.serve(
             ingress.Inbound(
@@ -394,25 +395,10 @@
 
     def test_a_request_that_came_too_late_is_not_sent(self):
         """Guards against a request to a data centre that is evacuated."""
-        asked = protocol.ExchangeRequest(
-            instance="s0",
-            address="127.0.0.1:1",
-            method="GET",
-            target="/",
-            headers=(),
-            body=None,
-            attempt_id="1",
-            timeout=5.0,
-            new_connection=False,
-            send_within=-0.1,
-        )
         address = self.listen(lambda connection: connection.recv(1))
         self.list_upstreams(address)
         _, client = self.connect()
-        asked = msgspec.structs.replace(asked, address=address)
-        (failed,) = self.read_frames(
-            mock.Mock(body=self.served._exchange(asked, client))
-        )
+        (failed,) = self.read_frames(self.ask(address, client, -0.1))
         self.assertFalse(failed.may_have_sent)
         self.assertIn("outdated", failed.detail)
 
