--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -501,6 +501,28 @@
         self.assertEqual(process.stdout.readline(), b"listens\n")
         socket.create_connection((host, int(port)), 20).close()
 
+    def test_a_reload_while_a_node_starts_does_not_end_it(self):
+        """Guards against a node that a SIGHUP kills while it starts.
+
+        It listens already and is loading its libraries.
+        """
+        self.fleet.kill("g2")
+        self.fleet.start_gateway("g2")
+        host, _, port = self.fleet.fronts["g2"].partition(":")
+
+        def is_listening():
+            try:
+                socket.create_connection((host, int(port)), 20).close()
+            except ConnectionRefusedError:
+                return False
+            return True
+
+        fleet_module.wait_until(is_listening, _TIMEOUT, "its listener")
+        self.fleet.send_signal("g2", signal.SIGHUP)
+        fleet_module.wait_until(
+            lambda: self.is_serving("g2"), _TIMEOUT, "g2 again"
+        )
+
     def test_a_node_without_configuration_sends_no_caller_to_itself(self):
         """Guards against a new node that refuses callers sent by itself.
 
