Soak: stand-ins say in answers without a length what they say in others

Cause: of the check, not of the product. The first answer to that gateway had neither a length nor chunks, and the stand-in wrote it without the headers that a test has it add, so the gateway had not been told. Change: it adds them. The partitioned program ignores SIGHUP as the gateway does.

--- a/standins/partition.py
+++ b/standins/partition.py
@@ -8,12 +8,11 @@
 import errno
 import pathlib
 import runpy
+import signal
 import sys
 import time
 import typing
 
-import urllib3.util.connection
-
 __all__ = ["main"]
 
 
@@ -28,6 +27,10 @@
 
 def main() -> None:
     """Run the program of the command line."""
+    # As the program does from its first line on.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import urllib3.util.connection
+
     path = pathlib.Path(sys.argv[1])
     program = sys.argv[2]
     connect = urllib3.util.connection.create_connection
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -258,6 +258,7 @@
             headers.append(("Content-Type", "text/event-stream"))
             events = self._stream(inbound, run)
             if _is_unframed(inbound.path):
+                headers += self._extra_headers
                 _write_unframed_stream(inbound, headers, events)
             return Reply(status=200, headers=headers, body=events)
         return self._answer(inbound, headers)
@@ -268,6 +269,7 @@
         status = 500 if "/error/" in inbound.path else 200
         body = f"{inbound.method} {inbound.target} ".encode() + inbound.body
         if "/unframed/" in inbound.path or "/torn/" in inbound.path:
+            headers += self._extra_headers
             self._write_unframed(inbound, headers, body)
         return Reply(status=status, headers=headers, body=body)
 
