--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -49,10 +49,13 @@
 
 class GatewayCase(unittest.TestCase):
     fleet: gateways.Gateways
+    # Creates the fleet, and the names of its gateways.
+    make_fleet = gateways.Gateways
+    nodes = ("g1", "g2")
 
     @classmethod
     def setUpClass(cls):
-        cls.fleet = gateways.Gateways()
+        cls.fleet = cls.make_fleet()
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start_platform()
         fleet_module.wait_until(cls.is_store_running, _TIMEOUT, "store")
@@ -61,9 +64,9 @@
         for name in _APPS:
             cls.fleet.start_upstream(name, "app")
         cls.fleet.put_configuration()
-        for name in ("g1", "g2"):
+        for name in cls.nodes:
             cls.fleet.start_gateway(name)
-        for name in ("g1", "g2"):
+        for name in cls.nodes:
             fleet_module.wait_until(
                 lambda name=name: cls.fleet.is_ready(name), _TIMEOUT, name
             )
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -38,23 +38,8 @@
 
 
 class PartitionTest(test_gateway.GatewayCase):
-    @classmethod
-    def setUpClass(cls):
-        cls.fleet = _Partitions()
-        cls.addClassCleanup(cls.fleet.stop)
-        cls.fleet.start_platform()
-        fleet_module.wait_until(cls.is_store_running, _TIMEOUT, "store")
-        for name in _ENGINES:
-            cls.fleet.start_upstream(name, "pool", "d0", "m")
-        for name in _APPS:
-            cls.fleet.start_upstream(name, "app")
-        cls.fleet.put_configuration()
-        for name in _NODES:
-            cls.fleet.start_gateway(name)
-        for name in _NODES:
-            fleet_module.wait_until(
-                lambda name=name: cls.is_serving(name), _TIMEOUT, name
-            )
+    make_fleet = _Partitions
+    nodes = _NODES
 
     def setUp(self):
         self.addCleanup(self.heal)
