Log the shared parts of a failed attempt's prompt and whether it had begun

`attempt_failed` now has `parts`, all parts of the prompt but the last one, and `begun`, the seconds since the attempt's first event, null before it.

--- a/currantwall/protocol/names.py
+++ b/currantwall/protocol/names.py
@@ -22,6 +22,8 @@
         seal: Upstream's signature of its answer.
         model: Model that a request asks for.
         tokens: Tokens of a request's prompt and, at most, of its answer.
+        prompt: Parts of a request's prompt, in order, as ID:TOKENS entries
+            separated by commas.
         last_event: Id of the last event that a caller got of a stream.
         load: Number of requests in progress at an upstream.
         faulty: Replica member that prevented a request from running.
@@ -39,6 +41,7 @@
     seal: str
     model: str
     tokens: str
+    prompt: str
     last_event: str
     load: str
     faulty: str
--- a/currantwall/state/ids.py
+++ b/currantwall/state/ids.py
@@ -19,6 +19,7 @@
     "KeyText",
     "NodeId",
     "OrganisationName",
+    "PartId",
     "ProfileName",
     "ReplicaId",
     "ServiceName",
@@ -34,6 +35,7 @@
 KeyText = typing.NewType("KeyText", str)
 NodeId = typing.NewType("NodeId", str)
 OrganisationName = typing.NewType("OrganisationName", str)
+PartId = typing.NewType("PartId", str)
 ProfileName = typing.NewType("ProfileName", str)
 ReplicaId = typing.NewType("ReplicaId", str)
 ServiceName = typing.NewType("ServiceName", str)
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -149,6 +149,9 @@
             inbox=eventlet.queue.LightQueue(_INBOX_LIMIT),
             progress=attempts.Progress(),
             tried=set(),
+            parts=requests.parse_shared_parts(
+                inbound.headers.get(self._names.prompt, "")
+            ),
             last_event=inbound.headers.get(self._names.last_event, ""),
         )
 
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -21,11 +21,15 @@
     "Rejected",
     "Request",
     "StreamAborted",
+    "parse_shared_parts",
     "parse_token_usage",
 ]
 
 # Digits of a number of tokens that are read.
 _MAX_DIGITS = 9
+# Most shared parts of a prompt that are considered, and the longest id.
+_MAX_PARTS = 64
+_MAX_PART_LENGTH = 64
 
 
 class Disconnected(msgspec.Struct, frozen=True):
@@ -87,6 +91,7 @@
         inbox: Receives the messages of its attempts, of the queue and of
             the task that watches the caller.
         tried: Upstreams that it was sent to, by `Upstream.epoch_id`.
+        parts: Shared parts of its prompt, in order.
         last_event: Id of the last event that the caller has received.
         watcher: Task that notices when the caller disconnects.
         first_event_after: Seconds until the caller got the first event;
@@ -107,6 +112,7 @@
     inbox: eventlet.queue.LightQueue
     progress: attempts.Progress
     tried: set[str]
+    parts: tuple[ids.PartId, ...] = ()
     last_event: str = ""
     watcher: typing.Any = None
     disconnected: bool = False
@@ -150,12 +156,30 @@
     return int(prompt[:_MAX_DIGITS]), int(answer[:_MAX_DIGITS])
 
 
+def parse_shared_parts(value: str) -> tuple[ids.PartId, ...]:
+    """Return the parts of a prompt that other requests may share.
+
+    That is all but the last one, which is the request's own.
+
+    Args:
+        value: The parts in order, as ID:TOKENS entries separated by commas.
+    """
+    names = [entry.partition(":")[0].strip() for entry in value.split(",")]
+    shared = names[:-1][:_MAX_PARTS]
+    return tuple(
+        ids.PartId(name.lower())
+        for name in shared
+        if 0 < len(name) <= _MAX_PART_LENGTH
+    )
+
+
 class Attempt(msgspec.Struct, kw_only=True):
     """One attempt at one upstream.
 
     Attributes:
         sent_at: Monotonic time at which it was started.
         last_message_at: Monotonic time of the upstream's last message.
+        begun_at: Monotonic time of its first event; None before.
         is_ended: Whether it no longer counts as in progress.
         peer: The node that forwards it; None if it goes to the upstream
             directly.
@@ -166,6 +190,7 @@
     exchange: exchanges.Exchange
     sent_at: float
     last_message_at: float
+    begun_at: float | None = None
     head: exchanges.Head | None = None
     is_ended: bool = False
     peer: ids.NodeId | None = None
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -255,7 +255,8 @@
     def note_first(
         self, request: requests.Request, current: requests.Attempt
     ) -> None:
-        """Record how long an attempt's first event took."""
+        """Record an attempt's first event and how long it took."""
+        current.begun_at = current.last_message_at
         self._queue.note_first(
             request, current.last_message_at - current.sent_at
         )
@@ -397,6 +398,10 @@
             peer=current.peer,
             why=why,
             after=round(now - current.sent_at, 4),
+            begun=None
+            if current.begun_at is None
+            else round(now - current.begun_at, 4),
+            parts=request.parts,
             list_age=round(self.fleet_age(now), 3),
             verdict=verdict.value,
         )
