Test: a part of a prompt that crashes servers, which fails

The stand-in engine crashes while it answers a prompt with such a part: its connections close, nothing listens for a second, and it starts again without a seat.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -25,6 +25,11 @@
 Other streams are those of engines; only plain services answer as torn or
 error.
 
+An engine crashes while it writes an answer to a prompt with a shared part
+``bad2``, after two events (or another number, 0 included): all its connections
+close, nothing listens for a second, and it starts again with nothing but its
+weights on the host.
+
 ``/control/runs`` returns the requests that it ran, ``/control/arrivals`` the
 time of each request that reached it. ``/control/headers`` takes a JSON object
 of headers that it then adds to all of its answers, ``/control/pause`` a number
@@ -41,10 +46,12 @@
 import re
 import socket
 import struct
+import sys
 import time
 import typing
 
 import eventlet
+import eventlet.patcher
 import msgspec
 import typer
 import urllib3
@@ -55,11 +62,18 @@
 
 __all__ = ["main"]
 
+_time = eventlet.patcher.original("time")
 _BULK_PATH = re.compile(r"/bulk(\d+)/")
 _RESET_PATH = re.compile(r"/reset(\d+)/")
 _CUT_PATH = re.compile(r"/cut(\d+)/")
+# A part of a prompt that crashes engines; the last part never does.
+_CRASHING_PART = re.compile(r"(?:^|,)bad(\d)\w*:\d+,")
+# Seconds until a crashed engine starts again.
+_CRASH_TIME = 1.0
 # Seconds between two writes of the server's entry.
 _HEARTBEAT_INTERVAL = 0.3
+# Descriptors that are closed in a crash.
+_MAX_FILES = 4096
 # Events of a stream, and seconds between two of them.
 _EVENT_COUNT = 6
 _EVENT_GAP = 0.02
@@ -295,7 +309,11 @@
         attempt = inbound.headers.get("X-Attempt-Id", "")
         first = int(inbound.headers.get("Last-Event-Id", "0")) + 1
         match = _RESET_PATH.search(inbound.path)
+        prompt = inbound.headers.get("X-Prompt-Prefix", "")
+        crashing = _CRASHING_PART.search(prompt)
         for number in range(first, _EVENT_COUNT + 1):
+            if crashing is not None and number == first + int(crashing[1]):
+                self._crash(attempt)
             is_reset = match is not None and number == int(match[1]) + 1
             if is_reset and first == 1:
                 yield b"id: 9"
@@ -308,6 +326,14 @@
             run["events"] = number
             yield f"id: {number}\ndata: {attempt} {number}\n\n".encode()
 
+    def _crash(self, attempt: str) -> typing.NoReturn:
+        """End as a process that crashes, and start again later."""
+        self._write_record("crash", attempt=attempt)
+        os.closerange(sys.stderr.fileno() + 1, _MAX_FILES)
+        # No other task may run on the closed descriptors.
+        _time.sleep(_CRASH_TIME)
+        os.execv(sys.executable, sys.orig_argv)
+
     # -- Orders
 
     def _handle_order(self, order: dict[str, typing.Any]) -> Reply:
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,87 @@
+"""End-to-end tests of prompts with a part that crashes servers."""
+
+import itertools
+import unittest
+
+import msgspec
+
+from bench import fleet as fleet_module
+from bench import gateways
+from tests import test_gateway
+
+_TIMEOUT = 60.0
+_NODES = ("g1", "g2", "g3")
+# Requests with the part that are sent, and how many of them may reach a
+# server: those of five crashes, and three later ones.
+_SENT = 12
+_MAX_RUNS = 8
+_numbers = itertools.count(1)
+
+
+class _RecordedFleet(gateways.Gateways):
+    """Servers whose runs can be read after they have crashed."""
+
+    def start_upstream(self, name, service, domain="", staged="", *options):
+        record = f"--record={self.path / name}.record"
+        super().start_upstream(name, service, domain, staged, record, *options)
+
+    def count_runs(self, prefix):
+        """Return how often requests ran whose ids begin with a prefix."""
+        lines = []
+        for path in self.path.glob("*.record"):
+            lines += map(msgspec.json.decode, path.read_bytes().splitlines())
+        return sum(
+            line["what"] == "run" and line["run"]["attempt"].startswith(prefix)
+            for line in lines
+        )
+
+
+class CrashingPartTest(test_gateway.GatewayCase):
+    make_fleet = _RecordedFleet
+    nodes = _NODES
+
+    def send_prompt(self, attempt, part, gateway):
+        """Send a request whose prompt begins with a part of all others."""
+        number = next(_numbers)
+        prompt = f"5c1e07a2:40,{part}:250,{number:08x}:600"
+        return self.send(
+            "POST",
+            "/stream/x",
+            b"",
+            gateway=gateway,
+            attempt=f"{attempt}-{number}",
+            headers={"X-Prompt-Prefix": prompt},
+        )
+
+    def await_served(self, gateway):
+        """Send sound requests until one is served."""
+        fleet_module.wait_until(
+            lambda: self.send_prompt("sound", "0a", gateway).status == 200,
+            _TIMEOUT,
+            "a sound request",
+        )
+
+    def test_a_part_that_crashes_servers_is_kept_from_them(self):
+        """Guards against requests that crash one server after the other.
+
+        No two are alike, and each gateway gets some of them; the crash
+        comes before the first event or after some.
+        """
+        for part in ("bad0", "bad2"):
+            nodes = itertools.cycle(_NODES)
+            answers = []
+            for _ in range(_SENT):
+                node = next(nodes)
+                self.await_served(node)
+                answers.append(self.send_prompt(part, part, node))
+            self.assertLessEqual(self.fleet.count_runs(part), _MAX_RUNS)
+            for answer in answers[-len(_NODES) :]:
+                self.assertEqual(answer.status, 503)
+                self.assertGreater(float(answer.headers["Retry-After"]), 3.0)
+            for node in _NODES:
+                answer = self.send_prompt("shared", "0a", node)
+                self.assertEqual((answer.status, answer.whole), (200, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
