--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "bench.surge",
     "bench.peers",
     "bench.digests",
+    "bench.crashes",
     "bench.logs",
     "bench.nodes",
     "bench.partitions",
--- a/bench/digests.py
+++ b/bench/digests.py
@@ -14,6 +14,7 @@
 from currantwall.coordination.peers import digests
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import evacuations
+from currantwall.coordination.requests import quarantine
 from currantwall.state import ids
 from currantwall.state import limits
 
@@ -71,6 +72,7 @@
         remote_loads: Requests in flight by upstream, from the newest total
             digest.
         evacuations: The evacuated data centres that it knows.
+        quarantine: The parts of prompts that it keeps from upstreams.
     """
 
     def __init__(self, entry: presence_module.NodeEntry) -> None:
@@ -89,6 +91,7 @@
         self.heard_limits: dict[str, tuple[float | None, float]] = {}
         self.remote_loads: dict[str, int] = {}
         self.evacuations = evacuations.Evacuations(_EVACUATION_BOUND)
+        self.quarantine = quarantine.Quarantine()
         self.sent = 0
         self.received = 0
         self.bytes_sent = 0
@@ -111,6 +114,7 @@
             store_age=self._get_store_age(now),
             evacuations=self.evacuations.list_reports(now),
             has_path=self.presence.has_path,
+            parts=self.quarantine.make_reports(now),
         )
         return self.relay.list_datagrams(own, now)
 
@@ -142,6 +146,7 @@
         has_news = report is not None and bool(
             self.evacuations.note(report.revision, report.datacentres, now)
         )
+        self.quarantine.apply_reports(message.parts, now)
         for name in message.lost:
             self.heard_lost.setdefault(name, now)
         for name in message.slow:
--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -16,10 +16,12 @@
 import msgspec
 
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import quarantine
 from currantwall.state import evacuations as evacuations_module
 from currantwall.state import hashing
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
+from currantwall.state import quarantines
 
 __all__ = ["Alarm", "Datagram", "Digest", "Relay"]
 
@@ -54,6 +56,7 @@
         stalled: As in a heartbeat, of all the nodes; so are `lost`,
             `slow`, `limits` and `leases`.
         evacuations: As in a heartbeat of the relay; so is `informed`.
+        parts: As in a heartbeat, of all the nodes.
     """
 
     node: presence_module.NodeEntry
@@ -73,6 +76,7 @@
     leases: dict[str, presence_module.HeldLease] = {}
     evacuations: evacuations_module.EvacuationReport | None = None
     informed: bool = False
+    parts: quarantines.PartReports | None = None
 
 
 class Alarm(msgspec.Struct, frozen=True, tag="alarm"):
@@ -109,6 +113,7 @@
         self.slow: dict[str, None] = {}
         self.limits: dict[str, limits_module.LimitReport] = {}
         self.leases: dict[str, presence_module.HeldLease] = {}
+        self.parts: quarantines.PartReports | None = None
 
     def add_node(self, heartbeat: presence_module.Heartbeat) -> None:
         self.nodes[heartbeat.node.id] = heartbeat.ready
@@ -133,6 +138,7 @@
             known_limit = self.limits.get(upstream)
             if known_limit is None or aged.age < known_limit.age:
                 self.limits[upstream] = aged
+        self.parts = quarantine.merge_reports(self.parts, message.parts, age)
         self.stalled.update(dict.fromkeys(message.stalled))
         self.lost.update(dict.fromkeys(message.lost))
         self.slow.update(dict.fromkeys(message.slow))
@@ -186,6 +192,10 @@
         )
         self._note_reports(heartbeat.lost, last.lost if last else ())
         self._note_reports(heartbeat.slow, last.slow if last else ())
+        self._note_reports(
+            _list_part_reports(heartbeat.parts),
+            _list_part_reports(last.parts if last else None),
+        )
         self._urgent = self._urgent or changed
 
     def note_digest(self, digest: Digest, now: float) -> bool:
@@ -221,6 +231,10 @@
         if digest.is_part:
             self._note_reports(digest.lost, last.lost if last else ())
             self._note_reports(digest.slow, last.slow if last else ())
+            self._note_reports(
+                _list_part_reports(digest.parts),
+                _list_part_reports(last.parts if last else None),
+            )
         return True
 
     def is_sender_ready(self, digest: Digest) -> bool:
@@ -369,6 +383,7 @@
             leases=aggregate.leases,
             evacuations=own.evacuations,
             informed=own.informed,
+            parts=aggregate.parts,
         )
 
     def _omit_sent_nodes(self, digest: Digest) -> Digest:
@@ -381,6 +396,19 @@
         return msgspec.structs.replace(digest, nodes=None)
 
 
+def _list_part_reports(
+    parts: quarantines.PartReports | None,
+) -> list[str]:
+    """Return a text for each report that other nodes wait for."""
+    if parts is None:
+        return []
+    return [
+        *(f"crash {crash.upstream}" for crash in parts.crashes),
+        *(f"quarantined {part}" for part in parts.quarantined),
+        *(f"survived {part}" for part in parts.survived),
+    ]
+
+
 def _is_outdated(digest: Digest, last: Digest) -> bool:
     """Return whether a digest is no newer than the last one."""
     if digest.node.incarnation != last.node.incarnation:
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -22,6 +22,7 @@
 from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
+from currantwall.state import quarantines
 from currantwall.state import rendezvous
 
 __all__ = [
@@ -146,6 +147,7 @@
         informed: Whether the node has learnt the evacuations and can pass
             them on to a node that has just started.
         has_path: Whether the node can open connections to upstreams.
+        parts: What the node reports of parts of prompts.
     """
 
     node: NodeEntry
@@ -164,6 +166,7 @@
     evacuations: evacuations_module.EvacuationReport | None = None
     informed: bool = False
     has_path: bool = True
+    parts: quarantines.PartReports | None = None
 
 
 class _Peer:
--- /dev/null
+++ b/currantwall/coordination/requests/quarantine.py
@@ -0,0 +1,631 @@
+"""Keeps prompt parts that crash upstreams away from them.
+
+Failure: one part of a prompt crashes each upstream that begins to answer
+it. Callers send ever new requests with that part to all nodes, each of
+them is repeated at another upstream, and one replica ends after the other.
+
+An upstream that crashes takes all its requests with it, so a single crash
+does not tell which of them caused it. Suspects are the requests that it had
+just begun. A part is quarantined once it was among the suspects of several
+crashes with no survival in between: a request with that part which an
+upstream went on answering, or answered whole, clears it. Most parts of a
+suspect are shared with requests that survive all the time.
+
+Each node decides by itself, from the crashes and the survivals that all
+nodes report. Reports are idempotent, so they may come late, twice and in
+any order.
+"""
+
+from collections import abc
+import math
+import typing
+
+import msgspec
+
+from currantwall.state import ids
+from currantwall.state import quarantines
+
+__all__ = ["Exposure", "Quarantine", "merge_reports"]
+
+PartId = ids.PartId
+
+# Seconds after its first event from which a request is no suspect of a
+# crash. Upstreams crash within 0.2 s of the first event.
+_SURVIVAL_SECONDS = 1.0
+# Seconds between two records of the survival of one request.
+_SURVIVAL_INTERVAL = 0.2
+# Crashes without a survival in between after which a part is quarantined
+# that is new, and after which any other is. A part is no longer new once an
+# upstream has survived it. One whose suspects are all repeats of the same
+# request is treated likewise: such repeats follow the request that crashes
+# upstreams from one to the next.
+_CRASHES = 3
+_CRASHES_OF_OTHERS = 5
+_OWNERS = 2
+# Crashes within so many seconds of each other count once: a loss of power
+# ends many upstreams at the same moment.
+_SAME_MOMENT = 0.1
+# Reports within so many seconds of each other are about the same crash of
+# an upstream; it takes longer to start again.
+_SAME_CRASH = 1.5
+# Seconds for which crashes are remembered, and the most that are.
+_CRASH_TTL = 600.0
+_MAX_CRASHES = 512
+# Most suspects of one crash that are remembered.
+_MAX_SUSPECTS = 64
+# Seconds until a request with a quarantined part is tried. Each trial that
+# does not clear the part doubles them.
+_FIRST_TRIAL_DELAY = 60.0
+_MAX_TRIAL_DELAY = 3600.0
+# Seconds after which a part is forgotten that could have been tried.
+_FORGET_SECONDS = 3600.0
+# Most quarantined parts; a full set takes 3 KB of each heartbeat.
+_MAX_QUARANTINED = 64
+# Most parts whose last survival is remembered.
+_MAX_SURVIVALS = 4096
+# Seconds for which a crash or a survival is reported.
+_REPORT_SECONDS = 2.0
+# Most crashes, crashes of one moment, suspects of a crash, and survivals in
+# one report. Of many upstreams that end together a few tell as much as all.
+_MAX_REPORTED = 16
+_MAX_REPORTED_TOGETHER = 3
+_MAX_REPORTED_SUSPECTS = 32
+
+
+class Exposure(msgspec.Struct, kw_only=True, eq=False):
+    """One attempt, and whether its upstream survived it.
+
+    Attributes:
+        upstream: The upstream.
+        suspect: The request, as it is reported if the upstream crashes.
+        begun_at: Monotonic time of the first event; None before.
+        last_at: Monotonic time of the last event.
+        noted_at: Monotonic time at which its survival was last recorded.
+        is_answered: Whether the answer is complete.
+    """
+
+    upstream: ids.InstanceId
+    suspect: quarantines.Suspect
+    begun_at: float | None = None
+    last_at: float = 0.0
+    noted_at: float = 0.0
+    is_answered: bool = False
+
+    @property
+    def has_survived(self) -> bool:
+        """Return whether the upstream went on with the answer."""
+        begun_at = self.begun_at
+        return (
+            begun_at is not None
+            and self.last_at - begun_at >= _SURVIVAL_SECONDS
+        )
+
+
+class _Crash:
+    """One crash of an upstream and its suspects."""
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.suspects: dict[quarantines.Suspect, None] = {}
+        # Owners of the suspects with each part, and its place in prompts.
+        self.owners: dict[PartId, set[str]] = {}
+        self.positions: dict[PartId, int] = {}
+
+    def add(self, suspects: abc.Iterable[quarantines.Suspect]) -> list[PartId]:
+        """Add suspects; return the parts of those that are new."""
+        added: list[PartId] = []
+        for suspect in suspects:
+            if suspect in self.suspects or (
+                len(self.suspects) >= _MAX_SUSPECTS
+            ):
+                continue
+            self.suspects[suspect] = None
+            for position, part in enumerate(suspect.parts):
+                self.owners.setdefault(part, set()).add(suspect.owner)
+                self.positions[part] = position
+                added.append(part)
+        return added
+
+
+class _Verdict:
+    """A quarantined part."""
+
+    def __init__(self, crashed_at: float, trials: int, next_trial: float):
+        self.crashed_at = crashed_at
+        self.trials = trials
+        # Monotonic time from which a request may be tried.
+        self.next_trial = next_trial
+
+
+class _Rank(typing.NamedTuple):
+    """A key that is greater for a likelier cause.
+
+    Attributes:
+        is_new: Whether no upstream has survived the part.
+        has_owners: Whether several different requests had it.
+        position: Place of the part in prompts; of two parts that are always
+            together, the later one is in fewer other requests.
+    """
+
+    is_new: bool
+    has_owners: bool
+    position: int
+
+
+class _Evidence(msgspec.Struct, frozen=True):
+    """The crashes that speak against a part.
+
+    Attributes:
+        moments: Number of crashes that did not happen together.
+        rank: How likely the part is their cause.
+    """
+
+    moments: int
+    rank: _Rank
+
+    @property
+    def is_sufficient(self) -> bool:
+        is_likely = self.rank.is_new and self.rank.has_owners
+        return self.moments >= (_CRASHES if is_likely else _CRASHES_OF_OTHERS)
+
+
+class Quarantine:
+    """The parts that are kept from upstreams, and the evidence for it.
+
+    All times are monotonic, in seconds.
+
+    Attributes:
+        on_quarantined: Called with each part that is quarantined.
+        on_cleared: Called with each part that is no longer quarantined.
+    """
+
+    def __init__(self) -> None:
+        self._exposures: dict[int, Exposure] = {}
+        self._crashes: dict[ids.InstanceId, _Crash] = {}
+        # The same, by the parts of their suspects.
+        self._by_part: dict[PartId, dict[ids.InstanceId, _Crash]] = {}
+        self._survivals: dict[PartId, float] = {}
+        self._verdicts: dict[PartId, _Verdict] = {}
+        # What this node has seen itself and reports, and until when.
+        self._own_crashes: dict[ids.InstanceId, tuple[float, _Crash]] = {}
+        self._refuted: dict[PartId, float] = {}
+        self.on_quarantined: abc.Callable[[PartId], None] = _ignore
+        self.on_cleared: abc.Callable[[PartId], None] = _ignore
+
+    # -- Requests
+
+    def find_retry_after(
+        self, parts: abc.Iterable[PartId], now: float
+    ) -> float | None:
+        """Return the seconds until a request with these parts may be tried.
+
+        Returns:
+            None if it may be sent now.
+        """
+        delays = [
+            self._verdicts[part].next_trial - now
+            for part in parts
+            if part in self._verdicts
+        ]
+        longest = max(delays, default=0.0)
+        return longest if longest > 0 else None
+
+    def expose(
+        self,
+        upstream: ids.InstanceId,
+        suspect: quarantines.Suspect,
+        now: float,
+    ) -> Exposure:
+        """Record an attempt that is being sent.
+
+        One with a quarantined part is a trial, which all nodes wait for.
+        """
+        exposure = Exposure(upstream=upstream, suspect=suspect)
+        self._exposures[id(exposure)] = exposure
+        for part in suspect.parts:
+            verdict = self._verdicts.get(part)
+            if verdict is not None:
+                verdict.trials += 1
+                verdict.next_trial = now + _get_trial_delay(verdict.trials)
+        return exposure
+
+    def note_event(self, exposure: Exposure, now: float) -> None:
+        """Record that an event of the answer has arrived."""
+        if exposure.begun_at is None:
+            exposure.begun_at = now
+        exposure.last_at = now
+        if (
+            exposure.has_survived
+            and now - exposure.noted_at >= _SURVIVAL_INTERVAL
+        ):
+            exposure.noted_at = now
+            self._note_survivals(exposure, now)
+
+    def end(self, exposure: Exposure, is_answered: bool) -> None:
+        """Record the end of an attempt.
+
+        Args:
+            exposure: The attempt.
+            is_answered: Whether its answer is known to be complete.
+        """
+        exposure.is_answered = is_answered
+        if exposure.has_survived:
+            self._note_survivals(exposure, exposure.last_at)
+        if exposure.has_survived or not is_answered:
+            self._exposures.pop(id(exposure), None)
+
+    def is_suspected(self, parts: abc.Iterable[PartId]) -> bool:
+        """Return whether one more crash may have a part quarantined."""
+        return any(self._weigh(part).moments >= _CRASHES - 1 for part in parts)
+
+    # -- Crashes and survivals
+
+    def note_own_crash(
+        self, exposure: Exposure, at: float, now: float
+    ) -> None:
+        """Record that the upstream of one of this node's attempts crashed.
+
+        Args:
+            exposure: The attempt, which had not survived.
+            at: When it was broken off.
+            now: The present time.
+        """
+        suspects = (exposure.suspect,)
+        for key, other in list(self._exposures.items()):
+            # Answered whole just before the crash, which proves nothing.
+            if other.upstream == exposure.upstream and other.is_answered:
+                del self._exposures[key]
+        _, own = self._own_crashes.get(exposure.upstream, (0.0, _Crash(at)))
+        if abs(own.at - at) > _SAME_CRASH:
+            own = _Crash(at)
+        own.add(suspects)
+        self._own_crashes[exposure.upstream] = now + _REPORT_SECONDS, own
+        self._note_crash(exposure.upstream, at, suspects, now)
+
+    def _note_crash(
+        self,
+        upstream: ids.InstanceId,
+        at: float,
+        suspects: abc.Iterable[quarantines.Suspect],
+        now: float,
+    ) -> None:
+        crash = self._crashes.get(upstream)
+        if crash is None or abs(crash.at - at) > _SAME_CRASH:
+            if crash is not None and crash.at > at:
+                return
+            self._forget_crash(upstream)
+            crash = self._crashes[upstream] = _Crash(at)
+            while len(self._crashes) > _MAX_CRASHES:
+                self._forget_crash(next(iter(self._crashes)))
+        added = crash.add(suspects)
+        for part in added:
+            self._by_part.setdefault(part, {})[upstream] = crash
+            verdict = self._verdicts.get(part)
+            if verdict is not None:
+                verdict.crashed_at = max(verdict.crashed_at, crash.at)
+        self._refute(added, now)
+        self._judge(added, now)
+
+    def _forget_crash(self, upstream: ids.InstanceId) -> None:
+        crash = self._crashes.pop(upstream, None)
+        for part in crash.owners if crash else ():
+            with_part = self._by_part[part]
+            del with_part[upstream]
+            if not with_part:
+                del self._by_part[part]
+
+    def _note_survivals(self, exposure: Exposure, at: float) -> None:
+        for part in exposure.suspect.parts:
+            self._note_survival(part, at)
+
+    def _note_survival(self, part: PartId, at: float) -> None:
+        at = max(at, self._survivals.pop(part, at))
+        self._survivals[part] = at
+        while len(self._survivals) > _MAX_SURVIVALS:
+            del self._survivals[next(iter(self._survivals))]
+        verdict = self._verdicts.get(part)
+        if verdict is not None and at > verdict.crashed_at:
+            self._refuted[part] = at + _REPORT_SECONDS
+            del self._verdicts[part]
+            self.on_cleared(part)
+
+    def _find_survival(self, part: PartId) -> float:
+        """Return when an upstream last survived a part; 0 if none is known."""
+        return self._survivals.get(part, 0.0)
+
+    def _refute(self, parts: abc.Iterable[PartId], now: float) -> None:
+        """Report the survival of parts that others may quarantine."""
+        for part in parts:
+            is_suspected = len(self._by_part[part]) >= _CRASHES - 1
+            if is_suspected and self._find_survival(part):
+                self._refuted[part] = now + _REPORT_SECONDS
+
+    # -- Verdicts
+
+    def _weigh(self, part: PartId) -> _Evidence:
+        """Return the evidence against a part since its last survival.
+
+        A crash is explained by another part that is quarantined, unless
+        that is the less likely cause.
+        """
+        survival = self._find_survival(part)
+        rank = self._rank(part)
+        causes = {
+            other
+            for other in self._verdicts
+            if other != part and self._rank(other) >= rank
+        }
+        moments = _count_moments(
+            crash.at
+            for crash in self._by_part.get(part, {}).values()
+            if crash.at > survival and causes.isdisjoint(crash.owners)
+        )
+        return _Evidence(moments, rank)
+
+    def _judge(self, parts: abc.Iterable[PartId], now: float) -> None:
+        """Quarantine the parts against which the evidence is sufficient.
+
+        The most likely cause comes first, since it explains the crashes of
+        the requests that were broken off together with it.
+        """
+        open_parts = {
+            part
+            for part in parts
+            if part not in self._verdicts
+            and len(self._by_part[part]) >= _CRASHES
+        }
+        while True:
+            weighed = {part: self._weigh(part) for part in open_parts}
+            guilty = {
+                part: evidence
+                for part, evidence in weighed.items()
+                if evidence.is_sufficient
+            }
+            if not guilty:
+                return
+            part = max(guilty, key=lambda one: guilty[one].rank)
+            open_parts.discard(part)
+            crashed_at = max(
+                crash.at for crash in self._by_part[part].values()
+            )
+            self._impose(part, crashed_at, 0, now + _FIRST_TRIAL_DELAY)
+            self._release_explained(part)
+
+    def _impose(
+        self, part: PartId, crashed_at: float, trials: int, next_trial: float
+    ) -> None:
+        while len(self._verdicts) >= _MAX_QUARANTINED:
+            oldest = min(
+                self._verdicts, key=lambda one: self._verdicts[one].crashed_at
+            )
+            del self._verdicts[oldest]
+            self.on_cleared(oldest)
+        self._verdicts[part] = _Verdict(crashed_at, trials, next_trial)
+        self.on_quarantined(part)
+
+    def _release_explained(self, cause: PartId) -> None:
+        """Release parts whose crashes another part explains better.
+
+        Failure: a request follows the one that crashes upstreams from one
+        upstream to the next, and its parts are quarantined first.
+        """
+        for part in list(self._verdicts):
+            if part != cause and self._is_explained_by(part, cause):
+                del self._verdicts[part]
+                self.on_cleared(part)
+
+    def _is_explained_by(self, part: PartId, cause: PartId) -> bool:
+        """Return whether another part is the likelier cause of all crashes.
+
+        The crashes that are the evidence against a part, that is.
+        """
+        survival = self._find_survival(part)
+        crashes = [
+            crash
+            for crash in self._by_part.get(part, {}).values()
+            if crash.at > survival
+        ]
+        if not all(cause in crash.owners for crash in crashes):
+            return False
+        return bool(crashes) and self._rank(cause) > self._rank(part)
+
+    def _rank(self, part: PartId) -> _Rank:
+        crashes = self._by_part.get(part, {}).values()
+        owners = {owner for crash in crashes for owner in crash.owners[part]}
+        return _Rank(
+            not self._find_survival(part),
+            len(owners) >= _OWNERS,
+            max((crash.positions[part] for crash in crashes), default=0),
+        )
+
+    def restore(self, part: PartId, trials: int, now: float) -> None:
+        """Quarantine a part that an earlier process had quarantined."""
+        if part not in self._verdicts:
+            delay = _get_trial_delay(trials)
+            self._impose(part, now, trials, now + delay)
+
+    def expire(self, now: float) -> None:
+        """Remove what is too old to matter."""
+        for upstream, crash in list(self._crashes.items()):
+            if now - crash.at > _CRASH_TTL:
+                self._forget_crash(upstream)
+        for part, verdict in list(self._verdicts.items()):
+            if now - verdict.next_trial > _FORGET_SECONDS:
+                del self._verdicts[part]
+                self.on_cleared(part)
+
+    # -- Reports
+
+    def list_quarantined(self) -> dict[PartId, int]:
+        """Return the quarantined parts and the number of trials of each."""
+        return {
+            part: verdict.trials for part, verdict in self._verdicts.items()
+        }
+
+    def make_reports(self, now: float) -> quarantines.PartReports | None:
+        """Return what this node reports; None if that is nothing."""
+        self._settle_answered(now)
+        self._own_crashes = {
+            upstream: item
+            for upstream, item in self._own_crashes.items()
+            if item[0] > now
+        }
+        self._refuted = {
+            part: until for part, until in self._refuted.items() if until > now
+        }
+        crashes = [
+            quarantines.CrashReport(
+                upstream,
+                round(now - crash.at, 3),
+                tuple(crash.suspects)[:_MAX_REPORTED_SUSPECTS],
+            )
+            for upstream, (_, crash) in self._own_crashes.items()
+        ]
+        reports = quarantines.PartReports(
+            _choose_crashes(crashes),
+            {
+                part: quarantines.QuarantineReport(
+                    round(now - verdict.crashed_at, 3),
+                    round(verdict.next_trial - now, 3),
+                    verdict.trials,
+                )
+                for part, verdict in self._verdicts.items()
+            },
+            {
+                part: round(now - self._find_survival(part), 3)
+                for part in list(self._refuted)[-_MAX_REPORTED:]
+            },
+        )
+        return reports if reports != _NOTHING else None
+
+    def _settle_answered(self, now: float) -> None:
+        """Record the survival of answers that ended some time ago."""
+        for key, exposure in list(self._exposures.items()):
+            begun_at = exposure.begun_at
+            if not exposure.is_answered or begun_at is None:
+                continue
+            if now - begun_at >= _SURVIVAL_SECONDS:
+                del self._exposures[key]
+                self._note_survivals(exposure, exposure.last_at)
+
+    def apply_reports(
+        self, reports: quarantines.PartReports | None, now: float
+    ) -> None:
+        """Act on another node's reports."""
+        if reports is None:
+            return
+        for part, age in reports.survived.items():
+            if now - age > self._survivals.get(part, 0.0):
+                self._note_survival(part, now - age)
+        for crash in reports.crashes:
+            at = now - crash.age
+            self._note_crash(crash.upstream, at, crash.suspects, now)
+        for part, report in reports.quarantined.items():
+            self._apply_verdict(part, report, now)
+
+    def _apply_verdict(
+        self, part: PartId, report: quarantines.QuarantineReport, now: float
+    ) -> None:
+        crashed_at = now - report.crash_age
+        if self._find_survival(part) > crashed_at:
+            self._refuted[part] = now + _REPORT_SECONDS
+            return
+        verdict = self._verdicts.get(part)
+        if verdict is None:
+            is_current = report.remaining > -_FORGET_SECONDS
+            causes = [
+                cause
+                for cause in self._verdicts
+                if self._is_explained_by(part, cause)
+            ]
+            if is_current and not causes:
+                next_trial = now + report.remaining
+                self._impose(part, crashed_at, report.trials, next_trial)
+            return
+        verdict.crashed_at = max(verdict.crashed_at, crashed_at)
+        if report.trials > verdict.trials:
+            verdict.trials = report.trials
+            verdict.next_trial = now + report.remaining
+
+
+def merge_reports(
+    known: quarantines.PartReports | None,
+    added: quarantines.PartReports | None,
+    age: float,
+) -> quarantines.PartReports | None:
+    """Return the reports of several nodes as one.
+
+    Args:
+        known: The reports so far.
+        added: The reports of another node.
+        age: Seconds since these were received.
+    """
+    if added is None:
+        return known
+    known = known or _NOTHING
+    crashes = {crash.upstream: crash for crash in known.crashes}
+    for crash in added.crashes:
+        first = crashes.get(crash.upstream)
+        suspects = dict.fromkeys(first.suspects if first else ())
+        suspects |= dict.fromkeys(crash.suspects)
+        crashes[crash.upstream] = quarantines.CrashReport(
+            crash.upstream,
+            crash.age + age,
+            tuple(suspects)[:_MAX_REPORTED_SUSPECTS],
+        )
+    quarantined = dict(known.quarantined)
+    for part, report in added.quarantined.items():
+        aged = quarantines.QuarantineReport(
+            report.crash_age + age, report.remaining - age, report.trials
+        )
+        other = quarantined.get(part)
+        if other is None or aged.trials > other.trials:
+            quarantined[part] = aged
+    survived = {
+        part: survival_age + age
+        for part, survival_age in added.survived.items()
+    }
+    for part, survival_age in known.survived.items():
+        survived[part] = min(survival_age, survived.get(part, survival_age))
+    return quarantines.PartReports(
+        _choose_crashes(crashes.values()),
+        dict(list(quarantined.items())[:_MAX_QUARANTINED]),
+        dict(list(survived.items())[:_MAX_REPORTED]),
+    )
+
+
+def _choose_crashes(
+    crashes: abc.Iterable[quarantines.CrashReport],
+) -> tuple[quarantines.CrashReport, ...]:
+    """Return the newest crashes, and not too many of any moment."""
+    chosen: list[quarantines.CrashReport] = []
+    for crash in sorted(crashes, key=lambda one: one.age):
+        earlier = chosen[-_MAX_REPORTED_TOGETHER:]
+        is_crowded = len(earlier) == _MAX_REPORTED_TOGETHER and (
+            crash.age - earlier[0].age <= _SAME_MOMENT
+        )
+        if not is_crowded and len(chosen) < _MAX_REPORTED:
+            chosen.append(crash)
+    return tuple(chosen)
+
+
+def _count_moments(times: abc.Iterable[float]) -> int:
+    """Return the number of times, those within a moment counted once."""
+    count = 0
+    last = -math.inf
+    for at in sorted(times):
+        if at - last > _SAME_MOMENT:
+            count += 1
+            last = at
+    return count
+
+
+def _get_trial_delay(trials: int) -> float:
+    return min(_FIRST_TRIAL_DELAY * 2.0 ** min(trials, 16), _MAX_TRIAL_DELAY)
+
+
+_NOTHING = quarantines.PartReports()
+
+
+def _ignore(_: PartId) -> None:
+    return
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -23,6 +23,7 @@
 from currantwall.coordination.requests import budgets
 from currantwall.coordination.requests import evacuations as evacuations_module
 from currantwall.coordination.requests import paths as paths_module
+from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.protocol import names as names_module
 from currantwall.protocol import peerexchanges as peer_protocol
 from currantwall.state import gateway
@@ -32,6 +33,7 @@
 from currantwall.transport import advisories
 from currantwall.transport import buffers
 from currantwall.transport import configurations
+from currantwall.transport import crashes as crashes_module
 from currantwall.transport import domainleases
 from currantwall.transport import duties
 from currantwall.transport import evacuations as evacuation_feeds
@@ -154,6 +156,16 @@
             self._log,
             self._now,
         )
+        self._crashes = crashes_module.Crashes(
+            quarantine_module.Quarantine(),
+            self._connections,
+            self._meter,
+            self._log,
+            self._now,
+        )
+        self._crashes.on_quarantined = lambda part: self._queue.reject_part(
+            part, crashes_module.REASON
+        )
         self._sender = sending.Sender(
             self._balancer,
             self._budget,
@@ -163,6 +175,7 @@
             self._peer_connections,
             self._queue,
             self._advisories,
+            self._crashes,
             names,
             self._meter,
             self._log,
@@ -251,6 +264,7 @@
             self._fleet_feed,
             self._leases,
             self._duties,
+            self._crashes.quarantine,
             self._meter,
             self._clock,
         )
@@ -258,6 +272,7 @@
         made.abort_attempts = self._sender.abort_attempts
         self._sender.on_probe_requested = made.report_stall
         self._checks.on_change = made.announce_path
+        self._crashes.on_change = made.announce_parts
         self._advisories.on_limit_changed = made.announce_limits
         self._queue.on_high_load = made.report_high_load
         self._duties.on_loss = made.announce_loss
@@ -438,6 +453,7 @@
             present = {upstream.id for upstream in self._fleet.all()}
             self._connections.forget(present)
             self._sender.forget(present)
+            self._crashes.expire()
             self._peer_connections.forget(
                 {
                     ids.InstanceId(node.id)
--- /dev/null
+++ b/currantwall/transport/crashes.py
@@ -0,0 +1,226 @@
+"""Finds crashes of upstreams, and refuses the requests that cause them.
+
+`coordination.requests.quarantine` decides which parts of prompts are kept
+from upstreams. This module records the attempts for it, checks whether an
+upstream that broke off an answer has crashed, and carries its decisions out.
+"""
+
+from collections import abc
+
+import eventlet
+import eventlet.event
+
+from currantwall.coordination.requests import quarantine as quarantine_module
+from currantwall.state import ids
+from currantwall.state import upstreams
+from currantwall.transport import exchanges
+from currantwall.transport import journal
+from currantwall.transport import metrics as metrics_module
+from currantwall.transport import requests
+
+__all__ = ["REASON", "Crashes"]
+
+# Text of the answer to a request with a quarantined part.
+REASON = "a part of the prompt crashes upstreams"
+# Timeout of the connection that tells whether an upstream has crashed, in
+# seconds, and how long its result holds for other attempts.
+_CHECK_TIMEOUT = 0.3
+_CHECK_TTL = 0.5
+_CRASHES = "currantwall.crashes"
+_QUARANTINED = "currantwall.parts.quarantined"
+_CLEARED = "currantwall.parts.cleared"
+_REFUSED = "currantwall.parts.refused"
+
+
+class _Check:
+    """A check whether an upstream has crashed."""
+
+    def __init__(self, started: float) -> None:
+        self.started = started
+        self.result = eventlet.event.Event()
+
+
+class Crashes:
+    """Records attempts and their ends for the quarantine.
+
+    Attributes:
+        quarantine: The quarantined parts.
+        on_change: Called when there is something to report to other nodes.
+        on_quarantined: Called with each part that is quarantined.
+    """
+
+    def __init__(
+        self,
+        quarantine: quarantine_module.Quarantine,
+        connections: exchanges.Connections,
+        meter: metrics_module.Metrics,
+        log: journal.Journal,
+        now: abc.Callable[[], float],
+    ) -> None:
+        self.quarantine = quarantine
+        self._connections = connections
+        self._meter = meter
+        self._log = log
+        self._now = now
+        self._checks: dict[ids.InstanceId, _Check] = {}
+        # The attempts in progress that have shared parts.
+        self._attempts: dict[int, tuple[requests.Request, requests.Attempt]]
+        self._attempts = {}
+        self.on_change: abc.Callable[[], None] = _ignore
+        self.on_quarantined: abc.Callable[[ids.PartId], None] = _ignore_part
+        quarantine.on_quarantined = self._note_quarantined
+        quarantine.on_cleared = self._note_cleared
+
+    # -- Requests
+
+    def check(self, request: requests.Request) -> None:
+        """Check that a request may be sent to an upstream.
+
+        Raises:
+            requests.Refused: A part of its prompt is quarantined. The
+                status is 503 if the request has not run, else 502.
+        """
+        retry_after = self.quarantine.find_retry_after(
+            request.prompt.parts, self._now()
+        )
+        if retry_after is None:
+            return
+        self._meter.add(_REFUSED, 1)
+        status = 502 if request.progress.runs else 503
+        raise requests.Refused(status, REASON, retry_after, is_lasting=True)
+
+    def begin(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> None:
+        """Record an attempt that is being sent."""
+        if request.prompt.parts:
+            current.exposure = self.quarantine.expose(
+                current.upstream.id, request.prompt, current.sent_at
+            )
+            self._attempts[current.exchange.number] = request, current
+
+    def note_data(self, current: requests.Attempt) -> None:
+        """Record that a part of the answer has arrived."""
+        if current.exposure is not None:
+            self.quarantine.note_event(
+                current.exposure, current.last_message_at
+            )
+
+    def end(self, current: requests.Attempt, is_answered: bool) -> None:
+        """Record the end of an attempt.
+
+        Args:
+            current: The attempt.
+            is_answered: Whether its answer is known to be complete.
+        """
+        if current.exposure is not None:
+            self.quarantine.end(current.exposure, is_answered)
+            self._attempts.pop(current.exchange.number, None)
+
+    # -- Crashes
+
+    def note_break(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> None:
+        """Report a crash if that is why an attempt was broken off.
+
+        Waits for the result if it decides whether the request is repeated.
+        """
+        exposure = current.exposure
+        if exposure is None or exposure.has_survived:
+            return
+        at = self._now()
+        if self.quarantine.is_suspected(request.prompt.parts):
+            self._report_crash(exposure, current, at)
+        else:
+            eventlet.spawn_n(self._report_crash, exposure, current, at)
+
+    def _report_crash(
+        self,
+        exposure: quarantine_module.Exposure,
+        current: requests.Attempt,
+        at: float,
+    ) -> None:
+        # The peer that forwards an attempt has a path to the upstream.
+        if current.peer is None and not self.has_crashed(current.upstream):
+            return
+        self._meter.add(_CRASHES, 1)
+        self._log.write(
+            "upstream_crashed",
+            upstream=current.upstream.id,
+            attempt=current.exchange.number,
+            after=round(at - current.sent_at, 4),
+            parts=exposure.suspect.parts,
+        )
+        self.quarantine.note_own_crash(exposure, at, self._now())
+        self.on_change()
+
+    def has_crashed(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether nothing listens at an upstream's address.
+
+        Failure: a connection is reset, or an upstream breaks off a single
+        answer, and that is taken for a crash.
+        """
+        now = self._now()
+        check = self._checks.get(upstream.id)
+        if check is None or now - check.started > _CHECK_TTL:
+            check = self._checks[upstream.id] = _Check(now)
+            eventlet.spawn_n(self._run_check, upstream, check)
+        return bool(check.result.wait())
+
+    def _run_check(self, upstream: upstreams.Upstream, check: _Check) -> None:
+        has_crashed = True
+        try:
+            self._connections.open(upstream.address, _CHECK_TIMEOUT).close()
+            has_crashed = False
+        except exchanges.FAILURES:
+            # What the check is for.
+            return
+        finally:
+            check.result.send(has_crashed)
+
+    # -- Decisions
+
+    def _note_quarantined(self, part: ids.PartId) -> None:
+        self._meter.add(_QUARANTINED, 1)
+        self._log.write("part_quarantined", part=part)
+        self._abort_attempts(part)
+        self.on_quarantined(part)
+        self.on_change()
+
+    def _abort_attempts(self, part: ids.PartId) -> None:
+        """End the attempts with a part that have not begun to be answered.
+
+        Failure: requests that wait at upstreams crash them one by one.
+        """
+        for number, (request, current) in list(self._attempts.items()):
+            if part not in request.prompt.parts or request.inbox.full():
+                continue
+            if current.exposure is None or current.exposure.begun_at is None:
+                failed = exchanges.Failed(
+                    number, True, exchanges.QUARANTINE, REASON
+                )
+                request.inbox.put(failed)
+
+    def _note_cleared(self, part: ids.PartId) -> None:
+        self._meter.add(_CLEARED, 1)
+        self._log.write("part_cleared", part=part)
+        self.on_change()
+
+    # -- Removal of outdated state
+
+    def expire(self) -> None:
+        """Remove what is too old to matter."""
+        now = self._now()
+        self.quarantine.expire(now)
+        for instance, check in list(self._checks.items()):
+            if now - check.started > _CHECK_TTL:
+                del self._checks[instance]
+
+
+def _ignore() -> None:
+    return
+
+
+def _ignore_part(_: ids.PartId) -> None:
+    return
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -37,6 +37,7 @@
     "MISDIRECTED",
     "Outbound",
     "PEER",
+    "QUARANTINE",
     "is_quiet",
     "open_connection",
     "read_keep_alive",
@@ -48,6 +49,8 @@
 HELD = "held"
 # Step of an exchange whose forwarding peer failed.
 PEER = "peer"
+# Step of an exchange that was ended because its request crashes upstreams.
+QUARANTINE = "quarantine"
 _select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
@@ -150,7 +153,8 @@
         step: What failed: connect, send, head or body; `verdict` if the
             gateway aborted the attempt because its replica lost a member;
             `HELD` if the upstream was kept waiting by the caller; `PEER`
-            if the peer that forwarded the request failed.
+            if the peer that forwarded the request failed; `QUARANTINE` if
+            its request crashes upstreams.
     """
 
     exchange: int
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -95,7 +95,8 @@
             request.watcher.kill()
             remaining = request.deadline - self._sender.now()
             max_retry_after = max(0.05, remaining * _MAX_RETRY_AFTER_SHARE)
-            refusal.retry_after = min(refusal.retry_after, max_retry_after)
+            if not refusal.is_lasting:
+                refusal.retry_after = min(refusal.retry_after, max_retry_after)
             return self._refuse(refusal, attempt_id, request.route.name)
         except BaseException:
             request.watcher.kill()
@@ -149,7 +150,7 @@
             inbox=eventlet.queue.LightQueue(_INBOX_LIMIT),
             progress=attempts.Progress(),
             tried=set(),
-            parts=requests.parse_shared_parts(
+            prompt=requests.parse_prompt(
                 inbound.headers.get(self._names.prompt, "")
             ),
             last_event=inbound.headers.get(self._names.last_event, ""),
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -12,6 +12,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
+from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
@@ -68,6 +69,7 @@
         instances: fleets.FleetFeed,
         leases: domainleases.DomainLeases,
         domain_duties: duties.Duties,
+        quarantine: quarantine_module.Quarantine,
         meter: metrics_module.Metrics,
         clock: timers.TimerService,
     ) -> None:
@@ -78,6 +80,7 @@
         self._fleet_feed = instances
         self._leases = leases
         self._duties = domain_duties
+        self._quarantine = quarantine
         self._now = clock.now
         self._meter = meter
         self._relay = digests.Relay(presence)
@@ -136,6 +139,7 @@
             evacuations=self._balancer.evacuations.list_reports(now),
             informed=self._balancer.evacuations.revision > 0,
             has_path=self._presence.has_path,
+            parts=self._quarantine.make_reports(now),
         )
         return self._relay.list_datagrams(own, now)
 
@@ -204,6 +208,7 @@
             report.node, is_ready, report.informed, report.evacuations
         )
         self._suspect(report.stalled)
+        self._quarantine.apply_reports(report.parts, now)
         for epoch_id in report.lost:
             self._note_loss(epoch_id, now)
         for epoch_id in report.slow:
@@ -290,6 +295,10 @@
         """
         self._heartbeats.send_soon()
 
+    def announce_parts(self) -> None:
+        """Report a crash, or a part of a prompt, without delay."""
+        self._heartbeats.send_soon()
+
     def announce_configuration(self) -> None:
         """Announce a newer configuration at once, so that others fetch it."""
         self._heartbeats.send_soon()
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -276,6 +276,22 @@
             )
             self.on_high_load()
 
+    def reject_part(self, part: ids.PartId, reason: str) -> None:
+        """Reject the waiting requests whose prompts have a part.
+
+        Failure: requests that can't be served wait until their deadline.
+
+        Args:
+            part: The part.
+            reason: Text of the answer.
+        """
+        for ticket, waiting in list(self._waiting.items()):
+            if part in waiting.request.prompt.parts:
+                del self._waiting[ticket]
+                self._placer.remove(ticket)
+                message = requests.Rejected(0.0, reason)
+                waiting.request.inbox.put(message)
+
     def _notify_rejected(self, kind: backlog.Kind) -> None:
         """Reject the requests that will get no slot in time."""
         for refusal in self._placer.turn_away(kind, self._now()):
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from currantwall.coordination.requests import attempts
+from currantwall.coordination.requests import quarantine
 from currantwall.state import ids
+from currantwall.state import quarantines
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
@@ -21,7 +23,7 @@
     "Rejected",
     "Request",
     "StreamAborted",
-    "parse_shared_parts",
+    "parse_prompt",
     "parse_token_usage",
 ]
 
@@ -30,6 +32,7 @@
 # Most shared parts of a prompt that are considered, and the longest id.
 _MAX_PARTS = 64
 _MAX_PART_LENGTH = 64
+_NO_PROMPT = quarantines.Suspect("", ())
 
 
 class Disconnected(msgspec.Struct, frozen=True):
@@ -69,15 +72,21 @@
         status: Status of the answer.
         reason: Text of the answer.
         retry_after: Seconds after which the caller should retry.
+        is_lasting: Whether a retry within the caller's deadline is useless.
     """
 
     def __init__(
-        self, status: int, reason: str, retry_after: float = 0.0
+        self,
+        status: int,
+        reason: str,
+        retry_after: float = 0.0,
+        is_lasting: bool = False,
     ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
         self.retry_after = retry_after
+        self.is_lasting = is_lasting
 
 
 class Request(msgspec.Struct, kw_only=True):
@@ -91,7 +100,7 @@
         inbox: Receives the messages of its attempts, of the queue and of
             the task that watches the caller.
         tried: Upstreams that it was sent to, by `Upstream.epoch_id`.
-        parts: Shared parts of its prompt, in order.
+        prompt: The parts of its prompt.
         last_event: Id of the last event that the caller has received.
         watcher: Task that notices when the caller disconnects.
         first_event_after: Seconds until the caller got the first event;
@@ -112,7 +121,7 @@
     inbox: eventlet.queue.LightQueue
     progress: attempts.Progress
     tried: set[str]
-    parts: tuple[ids.PartId, ...] = ()
+    prompt: quarantines.Suspect = _NO_PROMPT
     last_event: str = ""
     watcher: typing.Any = None
     disconnected: bool = False
@@ -156,21 +165,20 @@
     return int(prompt[:_MAX_DIGITS]), int(answer[:_MAX_DIGITS])
 
 
-def parse_shared_parts(value: str) -> tuple[ids.PartId, ...]:
-    """Return the parts of a prompt that other requests may share.
-
-    That is all but the last one, which is the request's own.
+def parse_prompt(value: str) -> quarantines.Suspect:
+    """Return the parts of a prompt; the last one is the request's own.
 
     Args:
         value: The parts in order, as ID:TOKENS entries separated by commas.
     """
     names = [entry.partition(":")[0].strip() for entry in value.split(",")]
-    shared = names[:-1][:_MAX_PARTS]
-    return tuple(
+    owner = names.pop()[:_MAX_PART_LENGTH]
+    parts = tuple(
         ids.PartId(name.lower())
-        for name in shared
+        for name in names[:_MAX_PARTS]
         if 0 < len(name) <= _MAX_PART_LENGTH
     )
+    return quarantines.Suspect(owner, parts)
 
 
 class Attempt(msgspec.Struct, kw_only=True):
@@ -184,6 +192,8 @@
         peer: The node that forwards it; None if it goes to the upstream
             directly.
         rest: Bytes of a stream's body after its last complete event.
+        exposure: What tells whether the upstream survives its prompt; None
+            if that has no part which other requests share.
     """
 
     upstream: upstreams.Upstream
@@ -195,6 +205,7 @@
     is_ended: bool = False
     peer: ids.NodeId | None = None
     rest: int = 0
+    exposure: quarantine.Exposure | None = None
 
     @property
     def framing(self) -> exchanges.Framing | None:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -23,6 +23,7 @@
 from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import advisories as advisories_module
+from currantwall.transport import crashes as crashes_module
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
 from currantwall.transport import journal
@@ -93,6 +94,7 @@
         peer_connections: exchanges.Connections,
         queue: queues.Queue,
         advisories: advisories_module.Advisories,
+        crashes: crashes_module.Crashes,
         names: names_module.HeaderNames,
         meter: metrics_module.Metrics,
         log: journal.Journal,
@@ -112,6 +114,7 @@
         self._peer_connections = peer_connections
         self._queue = queue
         self._advisories = advisories
+        self._crashes = crashes
         self._meter = meter
         self._log = log
         self._exchange_numbers = itertools.count(1)
@@ -148,8 +151,9 @@
                 request that is queued first.
 
         Raises:
-            requests.Refused: No upstream can take the request.
+            requests.Refused: No upstream can or may take the request.
         """
+        self._crashes.check(request)
         if self._paths.is_lost and not self._paths.is_cut_off(self.now()):
             # No other node has a path either.
             raise self.make_refusal(request, _NO_PATH, _NO_PATH_RETRY_AFTER)
@@ -166,6 +170,7 @@
                 now,
             )
             if isinstance(chosen, upstreams.Upstream):
+                self._crashes.check(request)
                 self._balancer.begin(chosen.id, now)
                 return self._start_attempt(request, chosen, now)
             deadline = min(
@@ -188,7 +193,14 @@
         except requests.CallerDisconnected:
             raise self.make_refusal(request, "the caller left", 0.0) from None
         if isinstance(chosen, balancing.Unavailable):
+            self._crashes.check(request)
             raise self.make_refusal(request, chosen.reason, chosen.retry_after)
+        try:
+            self._crashes.check(request)
+        except requests.Refused:
+            self._balancer.end(chosen.id)
+            self._queue.note_end(chosen)
+            raise
         return self._start_attempt(request, chosen, self.now())
 
     def _start_attempt(
@@ -220,13 +232,15 @@
         exchange = self._make_exchange(request, upstream, outbound, peer)
         active = self._active.setdefault(upstream.epoch_id, {})
         active[exchange.number] = request.inbox
-        return requests.Attempt(
+        attempt = requests.Attempt(
             upstream=upstream,
             exchange=exchange,
             sent_at=now,
             last_message_at=now,
             peer=peer.id if peer is not None else None,
         )
+        self._crashes.begin(request, attempt)
+        return attempt
 
     def _make_exchange(
         self,
@@ -335,13 +349,20 @@
             return _RANK_LATE
         return _RANK_IN_TIME
 
-    def end_attempt(self, current: requests.Attempt) -> None:
+    def end_attempt(
+        self, current: requests.Attempt, is_answered: bool = False
+    ) -> None:
         """Remove an attempt from the counts of attempts in progress.
 
         Further calls have no effect.
+
+        Args:
+            current: The attempt.
+            is_answered: Whether its answer is known to be complete.
         """
         if not current.is_ended:
             current.is_ended = True
+            self._crashes.end(current, is_answered)
             self._balancer.end(current.upstream.id)
             epoch_id = current.upstream.epoch_id
             active = self._active.get(epoch_id, {})
@@ -380,6 +401,8 @@
             request.tried.discard(current.upstream.epoch_id)
         elif has_path:
             self._note_failure(current.upstream, failure, now)
+            if failure is Failure.LOST:
+                self._crashes.note_break(request, current)
         verdict = attempts.decide(request.route, failure, request.progress)
         if verdict is Verdict.REPEAT_PAID and not self._budget.take(
             request.service.name, now
@@ -401,7 +424,7 @@
             begun=None
             if current.begun_at is None
             else round(now - current.begun_at, 4),
-            parts=request.parts,
+            parts=request.prompt.parts,
             list_age=round(self.fleet_age(now), 3),
             verdict=verdict.value,
         )
@@ -473,10 +496,13 @@
                 return None
             if isinstance(message, requests.Disconnected):
                 raise requests.CallerDisconnected
-            if isinstance(message, exchanges.Data):
+            is_data = isinstance(message, exchanges.Data)
+            if is_data:
                 request.note_taken(len(message.data))
             if message.exchange == current.exchange.number:
                 current.last_message_at = self.now()
+                if is_data:
+                    self._crashes.note_data(current)
                 self._last_message_times[current.upstream.id] = (
                     current.last_message_at
                 )
@@ -541,6 +567,11 @@
             self.end_attempt(current)
             request.progress.runs += 1
             raise self.make_refusal(request, "its caller reads slowly", 0.0)
+        if failed.step == exchanges.QUARANTINE:
+            current.exchange.cancel()
+            self.end_attempt(current)
+            request.progress.runs += 1
+            raise self.make_refusal(request, failed.detail, 0.0)
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
         if failed.step == exchanges.PEER and current.peer is not None:
             self._paths.avoid_peer(current.peer, self.now())
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -268,7 +268,8 @@
             raise
         finally:
             request.watcher.kill()
-            self._sender.end_attempt(current)
+            is_delimited = current.framing is not exchanges.Framing.CLOSE
+            self._sender.end_attempt(current, bool(status) and is_delimited)
             if status:
                 self._sender.note_success(current)
             self._sender.note_answer(request, current, status)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -13,6 +13,7 @@
 from currantwall.coordination.peers import digests
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
+from currantwall.coordination.requests import quarantine
 from currantwall.state import ids
 from currantwall.state import limits
 from currantwall.state import upstreams
@@ -53,6 +54,7 @@
                 mock.Mock(changed=1, get_store_age=lambda now: None),
                 mock.Mock(list_leases=lambda now: {}),
                 mock.Mock(),
+                quarantine.Quarantine(),
                 mock.Mock(),
                 clock,
             )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -40,6 +40,7 @@
         "requests.loads",
         "requests.paths",
         "requests.placing",
+        "requests.quarantine",
         "requests.ratelimits",
         "requests.withdrawals",
     )
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,321 @@
+"""Which parts of prompts are kept from servers, and for how long.
+
+`bench.crashes` replays requests, crashes and the nodes' reports in virtual
+time.
+"""
+
+import time
+import unittest
+
+import msgspec
+
+from bench import crashes
+from currantwall.coordination.requests import quarantine
+from currantwall.state import ids
+from currantwall.state import quarantines
+
+CAUSE = crashes.CAUSE
+SYSTEM_PROMPT = crashes.SYSTEM_PROMPT
+_OTHER = ids.PartId("7d31")
+
+
+def make_suspect(owner, *parts):
+    return quarantines.Suspect(owner, parts or (SYSTEM_PROMPT, CAUSE))
+
+
+class EvidenceTest(unittest.TestCase):
+    def setUp(self):
+        self.quarantine = quarantine.Quarantine()
+
+    def crash(self, at, upstream, *suspects):
+        """Crash an upstream under some requests that it has just begun."""
+        for suspect in suspects:
+            exposure = self.expose(at, upstream, suspect)
+            self.quarantine.end(exposure, False)
+            self.quarantine.note_own_crash(exposure, at, at)
+
+    def crash_thrice(self, *parts):
+        for n in range(3):
+            self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}", *parts))
+
+    def expose(self, at, upstream, suspect):
+        return self.quarantine.expose(ids.InstanceId(upstream), suspect, at)
+
+    def survive(self, at, suspect, upstream="i9"):
+        """Have an upstream answer a request for more than a second."""
+        exposure = self.expose(at, upstream, suspect)
+        self.quarantine.note_event(exposure, at)
+        self.quarantine.note_event(exposure, at + 1.1)
+        return exposure
+
+    def list_quarantined(self):
+        return set(self.quarantine.list_quarantined())
+
+    def find_retry_after(self, at, *parts):
+        return self.quarantine.find_retry_after(parts, at)
+
+    def test_a_part_that_crashes_three_upstreams_is_quarantined(self):
+        """Guards against blaming the part that all prompts begin with."""
+        self.crash_thrice()
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+        self.assertAlmostEqual(self.find_retry_after(12.0, CAUSE), 60.0)
+        self.assertIsNone(self.find_retry_after(12.0, SYSTEM_PROMPT, _OTHER))
+
+    def test_a_part_that_a_request_survived_is_not_quarantined(self):
+        """Guards against blaming a request that was broken off by chance."""
+        for n in range(8):
+            self.crash(10.0 + 3 * n, f"i{n}", make_suspect(f"r{n}"))
+            self.survive(11.0 + 3 * n, make_suspect(f"s{n}"))
+        self.assertEqual(self.list_quarantined(), set())
+
+    def test_an_answer_just_before_a_crash_is_no_survival(self):
+        """Guards against a cause that is cleared by an answer in time."""
+        for n in range(3):
+            exposure = self.expose(10.0 + n, f"i{n}", make_suspect(f"a{n}"))
+            self.quarantine.note_event(exposure, 10.0 + n)
+            self.quarantine.end(exposure, True)
+            self.crash(10.1 + n, f"i{n}", make_suspect(f"r{n}"))
+            self.quarantine.make_reports(11.9 + n)
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+
+    def test_an_answer_just_before_a_crash_is_not_blamed(self):
+        """Guards against blaming requests that were answered whole."""
+        for n in range(8):
+            exposure = self.expose(
+                10.0 + n, f"i{n}", make_suspect("a", _OTHER)
+            )
+            self.quarantine.note_event(exposure, 10.0 + n)
+            self.quarantine.end(exposure, True)
+            self.crash(10.1 + n, f"i{n}", make_suspect(f"r{n}"))
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+
+    def test_a_whole_answer_is_a_survival(self):
+        """Guards against short answers that never clear their parts."""
+        self.crash_thrice()
+        exposure = self.expose(12.5, "i9", make_suspect("r9", _OTHER, CAUSE))
+        self.quarantine.note_event(exposure, 12.6)
+        self.quarantine.end(exposure, True)
+        self.quarantine.make_reports(13.0)
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+        self.quarantine.make_reports(13.7)
+        self.assertEqual(self.list_quarantined(), set())
+
+    def test_repeats_of_one_request_are_not_blamed_for_three_crashes(self):
+        """Guards against a request that follows the cause of the crashes."""
+        for n in range(4):
+            self.crash(10.0 + n, f"i{n}", make_suspect("same", _OTHER))
+        self.assertEqual(self.list_quarantined(), set())
+        self.crash(15.0, "i5", make_suspect("same", _OTHER))
+        self.assertEqual(self.list_quarantined(), {_OTHER})
+
+    def test_upstreams_that_end_together_count_once(self):
+        """Guards against blaming new prompts for a loss of power."""
+        for n in range(9):
+            self.crash(10.0 + n / 100, f"i{n}", make_suspect(f"r{n}", _OTHER))
+        self.assertEqual(self.list_quarantined(), set())
+
+    def test_a_part_that_turned_bad_is_quarantined_after_five_crashes(self):
+        """Guards against trust in what a part did long ago."""
+        self.survive(5.0, make_suspect("old"))
+        self.quarantine.end(self.survive(5.0, make_suspect("old")), True)
+        for n in range(5):
+            self.assertEqual(self.list_quarantined(), set())
+            self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}"))
+        self.assertIn(CAUSE, self.list_quarantined())
+
+    def test_a_part_that_the_cause_explains_is_released(self):
+        """Guards against a sound part that was blamed first."""
+        report = quarantines.QuarantineReport(0.5, 60.0, 0)
+        self.quarantine.apply_reports(
+            quarantines.PartReports(quarantined={_OTHER: report}), 10.0
+        )
+        self.assertEqual(self.list_quarantined(), {_OTHER})
+        for n in range(3):
+            follower = make_suspect("same", _OTHER)
+            self.crash(10.0 + n, f"i{n}", follower, make_suspect(f"r{n}"))
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+
+    def test_one_request_is_tried_after_a_delay_that_doubles(self):
+        """Guards against parts that are blamed wrongly for ever."""
+        self.crash_thrice()
+        self.assertIsNone(self.find_retry_after(73.0, CAUSE))
+        exposure = self.expose(73.0, "i8", make_suspect("t1"))
+        self.assertAlmostEqual(self.find_retry_after(73.0, CAUSE), 120.0)
+        self.quarantine.end(exposure, False)
+        self.quarantine.note_own_crash(exposure, 73.1, 73.1)
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+        self.survive(200.0, make_suspect("t2"))
+        self.assertEqual(self.list_quarantined(), set())
+
+    def test_what_is_remembered_is_bounded(self):
+        """Guards against callers that send ever new parts."""
+        for n in range(3000):
+            part = ids.PartId(f"part-{n // 3}")
+            self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}", part))
+            self.survive(10.5 + n, make_suspect(f"s{n}", ids.PartId(f"s{n}")))
+        reports = self.quarantine.make_reports(3010.0)
+        size = len(msgspec.msgpack.encode(reports))
+        self.assertLessEqual(len(self.list_quarantined()), 64)
+        self.assertLess(size, 6000)
+        self.assertLessEqual(len(self.quarantine._crashes), 512)
+
+    def test_many_crashes_at_once_take_little_time(self):
+        """Guards against a node that stands still after a loss of power."""
+        reports = [
+            quarantines.PartReports(
+                tuple(
+                    quarantines.CrashReport(
+                        ids.InstanceId(f"i{number}-{n}"),
+                        0.0,
+                        tuple(
+                            make_suspect(f"r{number}-{n}-{k}", SYSTEM_PROMPT)
+                            for k in range(10)
+                        ),
+                    )
+                    for n in range(16)
+                )
+            )
+            for number in range(30)
+        ]
+        started = time.process_time()
+        for index, report in enumerate(reports):
+            self.quarantine.apply_reports(report, 10.0 + index / 1000)
+        self.assertLess(time.process_time() - started, 2.0)
+
+
+class ReportsTest(unittest.TestCase):
+    def setUp(self):
+        self.nodes = [quarantine.Quarantine() for _ in range(3)]
+
+    def exchange(self, now):
+        for sender in self.nodes:
+            reports = sender.make_reports(now)
+            for receiver in self.nodes:
+                if receiver is not sender:
+                    receiver.apply_reports(reports, now)
+
+    def crash(self, node, upstream, at, owner):
+        guard = self.nodes[node]
+        exposure = guard.expose(upstream, make_suspect(owner), at)
+        guard.end(exposure, False)
+        guard.note_own_crash(exposure, at, at)
+
+    def count_quarantined(self):
+        return sum(CAUSE in node.list_quarantined() for node in self.nodes)
+
+    def test_crashes_that_different_nodes_saw_add_up(self):
+        """Guards against nodes that each need crashes of their own."""
+        for n in range(3):
+            self.crash(n, f"i{n}", 10.0 + n, f"r{n}")
+            self.exchange(10.1 + n)
+        self.assertEqual(self.count_quarantined(), 3)
+
+    def test_reports_that_come_twice_or_late_count_once(self):
+        """Guards against one crash that is counted for each message."""
+        self.crash(0, "i0", 10.0, "r0")
+        for at in (10.1, 10.5, 10.9, 11.3, 11.7):
+            self.exchange(at)
+        self.crash(1, "i1", 11.8, "r1")
+        self.exchange(11.9)
+        self.assertEqual(self.count_quarantined(), 0)
+
+    def test_a_node_that_starts_learns_what_is_quarantined(self):
+        """Guards against a restart after which servers crash again."""
+        self.test_crashes_that_different_nodes_saw_add_up()
+        self.nodes[0] = quarantine.Quarantine()
+        self.exchange(40.0)
+        self.assertEqual(self.count_quarantined(), 3)
+
+    def test_a_survival_at_one_node_clears_a_part_at_all(self):
+        """Guards against nodes that tell each other of a cleared part."""
+        self.test_crashes_that_different_nodes_saw_add_up()
+        guard = self.nodes[1]
+        exposure = guard.expose(ids.InstanceId("i8"), make_suspect("t"), 80.0)
+        guard.note_event(exposure, 80.1)
+        guard.note_event(exposure, 81.2)
+        for at in (81.3, 81.7, 85.0, 90.0):
+            self.exchange(at)
+        self.assertEqual(self.count_quarantined(), 0)
+
+    def test_one_node_tries_for_all(self):
+        """Guards against a server that ends for each node's own trial."""
+        self.test_crashes_that_different_nodes_saw_add_up()
+        self.nodes[2].expose(ids.InstanceId("i8"), make_suspect("t"), 80.0)
+        self.exchange(80.1)
+        for node in self.nodes:
+            self.assertGreater(node.find_retry_after([CAUSE], 80.1), 100.0)
+
+    def test_merged_reports_keep_what_each_node_saw(self):
+        """Guards against a relay that drops the cause from a crash."""
+        merged = None
+        for n, age in enumerate((0.0, 0.4)):
+            report = quarantines.PartReports(
+                (quarantines.CrashReport("i0", 0.1, (make_suspect(f"r{n}"),)),)
+            )
+            merged = quarantine.merge_reports(merged, report, age)
+        (crash,) = merged.crashes
+        self.assertEqual([one.owner for one in crash.suspects], ["r0", "r1"])
+
+
+class ReplayTest(unittest.TestCase):
+    def replay(self, seconds=8.0, cause_rate=3.0, **options):
+        replay = crashes.Replay(7, 3, 54, 6, **options)
+        replay.start_callers(60.0, seconds, SYSTEM_PROMPT)
+        if cause_rate:
+            replay.start_callers(cause_rate, seconds, SYSTEM_PROMPT, CAUSE)
+        return replay
+
+    def test_few_servers_end_and_sound_requests_are_served(self):
+        """Guards against servers that end one after the other."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                replay = self.replay(seed=seed)
+                replay.run(10.0)
+                self.assertEqual(replay.late_runs, 0)
+                self.assertLessEqual(len(replay.crashes), 12)
+                self.assertEqual(replay.list_quarantined(), {CAUSE})
+                self.assertEqual(
+                    sum(
+                        replay.refused[int(replay.net.now) - n] for n in (3, 4)
+                    ),
+                    0,
+                )
+
+    def test_rare_requests_with_the_part_are_found_too(self):
+        """Guards against evidence that is forgotten between two crashes."""
+        replay = self.replay(30.0, 0.2)
+        replay.run(30.0)
+        self.assertEqual(replay.late_runs, 0)
+        self.assertLessEqual(len(replay.crashes), 6)
+
+    def test_sound_requests_are_not_blamed_for_losses_of_power(self):
+        """Guards against refusing sound requests after many servers ended."""
+        replay = self.replay(cause_rate=0.0)
+        for n in range(1, 8):
+            for server in list(replay._in_progress)[n * 6 : n * 6 + 6]:
+                replay.after(float(n), replay.crash, server)
+        replay.run(8.0)
+        self.assertEqual(replay.list_quarantined(), set())
+
+    def test_half_of_the_nodes_start_again(self):
+        """Guards against nodes that forget the part when they restart."""
+        replay = self.replay(12.0)
+        names = list(replay.net.nodes)
+        replay.after(5.0, replay.restart, *names[::2])
+        replay.after(9.0, replay.restart, *names[1::2])
+        replay.run(12.0)
+        self.assertEqual(replay.late_runs, 0)
+
+    def test_all_nodes_of_a_large_fleet_learn_of_it_through_relays(self):
+        """Guards against nodes that learn late what others have seen."""
+        replay = crashes.Replay(16, 3, 120, 2)
+        replay.start_callers(80.0, 7.0, SYSTEM_PROMPT)
+        replay.start_callers(3.0, 7.0, SYSTEM_PROMPT, CAUSE)
+        replay.run(7.0)
+        self.assertEqual(replay.late_runs, 0)
+        for node in replay.net.nodes.values():
+            self.assertEqual(set(node.quarantine.list_quarantined()), {CAUSE})
+
+
+if __name__ == "__main__":
+    unittest.main()
