Keep quarantined parts in the store over a restart of all nodes

Nodes learn of quarantined parts from each other.

The readers of the store list the parts once when they start and pass them on in heartbeats; two nodes write each change. A stored part counts as older than any survival that a node knows of, so that an entry which could not be removed is cleared by the first of them.

--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -439,10 +439,13 @@
         )
 
     def restore(self, part: PartId, trials: int, now: float) -> None:
-        """Quarantine a part that an earlier process had quarantined."""
-        if part not in self._verdicts:
+        """Quarantine a part that an earlier process had quarantined.
+
+        Any survival that a node knows of clears it.
+        """
+        if part not in self._verdicts and not self._find_survival(part):
             delay = _get_trial_delay(trials)
-            self._impose(part, now, trials, now + delay)
+            self._impose(part, 0.0, trials, now + delay)
 
     def expire(self, now: float) -> None:
         """Remove what is too old to matter."""
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -49,6 +49,7 @@
 from currantwall.transport import peerexchanges
 from currantwall.transport import peers
 from currantwall.transport import ports
+from currantwall.transport import quarantines
 from currantwall.transport import queues
 from currantwall.transport import registrations
 from currantwall.transport import sending
@@ -166,6 +167,13 @@
         self._crashes.on_quarantined = lambda part: self._queue.reject_part(
             part, crashes_module.REASON
         )
+        self._quarantine_feed = quarantines.QuarantineFeed(
+            self._store,
+            self._crashes.quarantine,
+            self._presence,
+            self._log,
+            self._clock,
+        )
         self._sender = sending.Sender(
             self._balancer,
             self._budget,
@@ -317,6 +325,7 @@
             self._configuration.run,
             self._fleet_feed.run,
             self._nodes_feed.run,
+            self._quarantine_feed.run,
             self._duties.run,
             self._queue.run,
             self._open_front,
--- /dev/null
+++ b/currantwall/transport/quarantines.py
@@ -0,0 +1,122 @@
+"""Keeps the quarantined parts of prompts in the platform's store.
+
+Failure: all nodes restart at once, and servers have to crash again before
+the nodes know which part crashes them. A few nodes read the stored parts
+when they start; the others learn of them from heartbeats. For each part two
+nodes write what has changed.
+"""
+
+import eventlet
+import msgspec
+import result
+
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import quarantine as quarantine_module
+from currantwall.state import ids
+from currantwall.transport import journal
+from currantwall.transport import ports
+from currantwall.transport import timers
+
+__all__ = ["KIND", "QuarantineFeed", "StoredPart"]
+
+KIND = "currantwall-parts"
+# Seconds between two checks whether there is something to read or write.
+_CHECK_INTERVAL = 0.25
+# The same after a call has failed, or while other nodes write the changes.
+_RETRY_INTERVAL = 2.0
+# Nodes that write the changes of a part.
+_WRITERS = 2
+
+
+class StoredPart(msgspec.Struct, frozen=True):
+    """A quarantined part, stored under its id.
+
+    Attributes:
+        trials: Number of requests with it that were tried.
+    """
+
+    trials: int = 0
+
+
+class QuarantineFeed:
+    """Reads the quarantined parts at the start, and writes the changes."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        quarantine: quarantine_module.Quarantine,
+        presence: presence_module.Presence,
+        log: journal.Journal,
+        clock: timers.TimerService,
+    ) -> None:
+        self._store = store
+        self._quarantine = quarantine
+        self._presence = presence
+        self._log = log
+        self._now = clock.now
+        self._has_read = False
+        # The parts and trials that are known to be stored.
+        self._stored: dict[ids.PartId, int] = {}
+
+    def run(self) -> None:
+        """Follow the quarantine forever."""
+        while True:
+            eventlet.sleep(self.update())
+
+    def update(self) -> float:
+        """Read or write what is due; return the seconds until the next."""
+        now = self._now()
+        is_read_due = not self._has_read and (
+            self._presence.knows_all_nodes and self._presence.is_reader(now)
+        )
+        if is_read_due and not self._read():
+            return _RETRY_INTERVAL
+        current = self._quarantine.list_quarantined()
+        if current == self._stored:
+            return _CHECK_INTERVAL
+        is_written = True
+        for part in current.keys() | self._stored.keys():
+            if current.get(part) != self._stored.get(part):
+                is_written &= self._write(part, current.get(part))
+        return _CHECK_INTERVAL if is_written else _RETRY_INTERVAL
+
+    def _read(self) -> bool:
+        """Read the stored parts; return whether that succeeded."""
+        listed = self._store.list(KIND)
+        if isinstance(listed, result.Err):
+            return False
+        self._has_read = True
+        now = self._now()
+        for stored in listed.ok_value.objects:
+            part = ids.PartId(stored.name)
+            try:
+                trials = msgspec.json.decode(
+                    stored.value, type=StoredPart
+                ).trials
+            except msgspec.MsgspecError as error:
+                self._log.write("part_unreadable", part=part, why=str(error))
+                continue
+            self._stored[part] = trials
+            self._quarantine.restore(part, trials, now)
+        return True
+
+    def _write(self, part: ids.PartId, trials: int | None) -> bool:
+        """Store a part, or remove it; return whether that is done.
+
+        Args:
+            part: The part.
+            trials: Its trials; None if it is no longer quarantined.
+        """
+        ranking = self._presence.rank(f"part:{part}", self._now())
+        if self._presence.me.id not in ranking[:_WRITERS]:
+            return False
+        if trials is None:
+            self._store.delete(KIND, part)
+            self._stored.pop(part, None)
+            return True
+        value = msgspec.json.encode(StoredPart(trials))
+        outcome = self._store.put(KIND, part, value, None)
+        if isinstance(outcome, result.Err):
+            return False
+        self._stored[part] = trials
+        return True
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -25,6 +25,11 @@
         record = f"--record={self.path / name}.record"
         super().start_upstream(name, service, domain, staged, record, *options)
 
+    def is_quarantined(self, node, part):
+        """Return whether a gateway's last process has quarantined a part."""
+        log = self.read_log(node).rpartition('"started"')[2]
+        return f'"part": "{part}", "event": "part_quarantined"' in log
+
     def count_runs(self, prefix):
         """Return how often requests ran whose ids begin with a prefix."""
         lines = []
@@ -81,6 +86,27 @@
             for node in _NODES:
                 answer = self.send_prompt("shared", "0a", node)
                 self.assertEqual((answer.status, answer.whole), (200, True))
+        self.check_restart("bad2")
+
+    def check_restart(self, part):
+        """Check that the part is known after all gateways have restarted."""
+        before = self.fleet.count_runs(part)
+        for node in _NODES:
+            self.fleet.kill(node)
+        for node in _NODES:
+            self.fleet.start_gateway(node)
+        for node in _NODES:
+            fleet_module.wait_until(
+                lambda node=node: (
+                    self.fleet.is_ready(node)
+                    and self.fleet.is_quarantined(node, part)
+                ),
+                _TIMEOUT,
+                node,
+            )
+            self.assertEqual(self.send_prompt(part, part, node).status, 503)
+            self.await_served(node)
+        self.assertEqual(self.fleet.count_runs(part), before)
 
 
 if __name__ == "__main__":
