Refuse quarantined parts where a request is forwarded for a peer

The node that chooses an upstream checks the parts of a prompt. One without a path may also hear few heartbeats, and a peer that knows of the part would send its request on.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -138,11 +138,19 @@
         self._checks.on_lost = lambda: self._balancer.forgive_failures(
             self._paths.reached_at
         )
+        self._crashes = crashes_module.Crashes(
+            quarantine_module.Quarantine(),
+            self._connections,
+            self._meter,
+            self._log,
+            self._now,
+        )
         self._peer_exchanges = peerexchanges.PeerExchanges(
             self._paths,
             self._checks,
             self._fleet,
             self._connections,
+            self._crashes,
             names,
             self._meter,
         )
@@ -157,13 +165,6 @@
             self._log,
             self._now,
         )
-        self._crashes = crashes_module.Crashes(
-            quarantine_module.Quarantine(),
-            self._connections,
-            self._meter,
-            self._log,
-            self._now,
-        )
         self._crashes.on_quarantined = lambda part: self._queue.reject_part(
             part, crashes_module.REASON
         )
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -24,10 +24,12 @@
 from currantwall.protocol import peerexchanges
 from currantwall.state import ids
 from currantwall.state import upstreams
+from currantwall.transport import crashes as crashes_module
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import paths as path_checks
+from currantwall.transport import requests
 
 __all__ = ["PeerExchange", "PeerExchanges"]
 
@@ -175,11 +177,13 @@
         checks: path_checks.PathChecks,
         fleet: upstreams.Fleet,
         connections: exchanges.Connections,
+        crashes: crashes_module.Crashes,
         names: names_module.HeaderNames,
         meter: metrics_module.Metrics,
     ) -> None:
         self._paths = paths
         self._checks = checks
+        self._crashes = crashes
         self._fleet = fleet
         self._connections = connections
         self._names = names
@@ -200,10 +204,29 @@
         is_known = listed is not None and listed.address == asked.address
         if self.is_stopping or self._paths.is_lost or not is_known:
             return ingress.Reply(status=503, headers=[], body=b"")
+        if self._is_quarantined(asked):
+            refused = peerexchanges.ExchangeFailed(
+                False, exchanges.QUARANTINE, crashes_module.REASON
+            )
+            frame = peerexchanges.encode_frame(refused)
+            return ingress.Reply(status=200, headers=[], body=iter((frame,)))
         return ingress.Reply(
             status=200, headers=[], body=self._exchange(asked, inbound.client)
         )
 
+    def _is_quarantined(self, asked: peerexchanges.ExchangeRequest) -> bool:
+        """Return whether a request is kept from upstreams.
+
+        Failure: a node that hears from few others sends one by way of a
+        peer that knows better.
+        """
+        headers = urllib3.HTTPHeaderDict(asked.headers)
+        prompt = requests.parse_prompt(headers.get(self._names.prompt, ""))
+        delay = self._crashes.quarantine.find_retry_after(
+            prompt.parts, self._connections.now()
+        )
+        return delay is not None
+
     def _exchange(
         self, asked: peerexchanges.ExchangeRequest, client: typing.Any
     ) -> abc.Iterator[bytes]:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -52,6 +52,9 @@
 # Refusal while no node has a path, and seconds until the caller may retry.
 _NO_PATH = "no path to any upstream"
 _NO_PATH_RETRY_AFTER = 0.5
+# Seconds until the caller may retry after a refusal by a peer that knows of
+# a quarantined part which this node has not heard of yet.
+_QUARANTINE_RETRY_AFTER = 1.0
 # Ranks by which an engine admits requests, from 0 (first) to 9.
 _RANK_RESUMED = 1
 _RANK_IN_TIME = 4
@@ -512,6 +515,19 @@
                     )
                 return message
 
+    def is_ended_by_crash(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> bool:
+        """Return whether a crash has ended an answer without framing.
+
+        Failure: the upstream crashes between two events, its connection is
+        closed in order, and half a stream looks complete. One that can't
+        be resumed is taken as it is: its upstream may have been stopped.
+        """
+        if not self.may_retry(request) or current.peer is not None:
+            return False
+        return self._crashes.has_crashed(current.upstream)
+
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
         route = request.route
@@ -570,8 +586,11 @@
         if failed.step == exchanges.QUARANTINE:
             current.exchange.cancel()
             self.end_attempt(current)
-            request.progress.runs += 1
-            raise self.make_refusal(request, failed.detail, 0.0)
+            request.progress.runs += failed.may_have_sent
+            self._crashes.check(request)
+            raise self.make_refusal(
+                request, failed.detail, _QUARANTINE_RETRY_AFTER
+            )
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
         if failed.step == exchanges.PEER and current.peer is not None:
             self._paths.avoid_peer(current.peer, self.now())
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -13,9 +13,11 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import paths as paths_module
+from currantwall.coordination.requests import quarantine
 from currantwall.protocol import peerexchanges as protocol
 from currantwall.state import ids
 from currantwall.state import upstreams
+from currantwall.transport import crashes
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
 from currantwall.transport import paths as path_checks
@@ -301,23 +303,31 @@
 class PeerExchangesTest(SocketCase):
     def setUp(self):
         super().setUp()
+        self.crashes = crashes.Crashes(
+            quarantine.Quarantine(),
+            self.connections,
+            mock.Mock(),
+            mock.Mock(),
+            self.connections.now,
+        )
         self.served = peerexchanges.PeerExchanges(
             self.paths,
             self.checks,
             self.fleet,
             self.connections,
+            self.crashes,
             _NAMES,
             mock.Mock(),
         )
 
-    def ask(self, address, client=None, send_within=None):
+    def ask(self, address, client=None, send_within=None, headers=()):
         """Ask for an exchange with the first upstream."""
         asked = protocol.ExchangeRequest(
             instance="s0",
             address=address,
             method="GET",
             target="/",
-            headers=(("Host", "h"),),
+            headers=(("Host", "h"), *headers),
             body=None,
             attempt_id="1",
             timeout=5.0,
@@ -367,6 +377,16 @@
         self.served.is_stopping = True
         self.assertEqual(self.ask("127.0.0.1:1").status, 503)
 
+    def test_a_quarantined_part_is_not_forwarded(self):
+        """Guards against a sender that has not heard of the part."""
+        self.list_upstreams("127.0.0.1:1")
+        self.crashes.quarantine.restore(ids.PartId("c4"), 0, self.now())
+        prompt = ((_NAMES.prompt, "5c:40,c4:2,01:3"),)
+        reply = self.ask("127.0.0.1:1", headers=prompt)
+        (failed,) = self.read_frames(reply)
+        self.assertEqual(failed.step, exchanges.QUARANTINE)
+        self.assertFalse(failed.may_have_sent)
+
     def test_a_peer_that_has_lost_its_path_blames_no_upstream(self):
         self.list_upstreams("127.0.0.1:1")
         _, client = self.connect()
