Resume an unframed stream that a crash ends between two events

An answer with neither a length nor chunks ends with its connection. The check that tells a crash from a broken connection now decides it: if nothing listens at the upstream any more, the stream is resumed. One that can't be resumed is taken as it is.

The test fails without the check: three of six events, framed as complete.

--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -120,8 +120,8 @@
             else:
                 return splitter, [], True
 
-    @staticmethod
     def _check_end(
+        self,
         request: requests.Request,
         current: requests.Attempt,
         splitter: events.Splitter | None,
@@ -131,11 +131,15 @@
         if splitter is None or not isinstance(message, exchanges.End):
             return message
         current.rest = len(splitter.rest)
-        if not attempts.is_cut_off(
+        is_delimited = current.framing is not exchanges.Framing.CLOSE
+        is_cut_off = attempts.is_cut_off(
             splitter.is_inside_event,
             request.progress.started or bool(request.last_event),
-            current.framing is not exchanges.Framing.CLOSE,
-        ):
+            is_delimited,
+        )
+        if not is_cut_off and not is_delimited:
+            is_cut_off = self._sender.is_ended_by_crash(request, current)
+        if not is_cut_off:
             return message
         backlog = request.inbound.backlog
         is_held = backlog is not None and backlog.was_held
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -45,13 +45,13 @@
     make_fleet = _RecordedFleet
     nodes = _NODES
 
-    def send_prompt(self, attempt, part, gateway):
+    def send_prompt(self, attempt, part, gateway, target="/stream/x"):
         """Send a request whose prompt begins with a part of all others."""
         number = next(_numbers)
         prompt = f"5c1e07a2:40,{part}:250,{number:08x}:600"
         return self.send(
             "POST",
-            "/stream/x",
+            target,
             b"",
             gateway=gateway,
             attempt=f"{attempt}-{number}",
@@ -88,6 +88,16 @@
                 self.assertEqual((answer.status, answer.whole), (200, True))
         self.check_restart("bad2")
 
+    def test_a_crash_between_two_events_does_not_complete_a_stream(self):
+        """Guards against half a stream whose end nothing else marks."""
+        self.await_served("g1")
+        answer = self.send_prompt(
+            "unframed", "bad3", "g1", target="/stream/unframed/x"
+        )
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        # The engine that resumes it writes the last three, and lives on.
+        self.assertEqual(answer.body.count(b"id: "), 6)
+
     def check_restart(self, part):
         """Check that the part is known after all gateways have restarted."""
         before = self.fleet.count_runs(part)
