Demand more crashes of a part that others follow in prompts

Two parts that crash servers, one crash and two, had the system prompt that both begin with quarantined: it was in three crashes, and none of the few sound requests had survived for a second. tests.test_crashes then waited 60 s for a sound request, each run with both of its tests.

Three crashes are enough only for the last shared part of a prompt; other parts need five, as those that have survived before, and a request with such a part is tried after 10 s instead of 60.

--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -35,10 +35,11 @@
 # Seconds between two records of the survival of one request.
 _SURVIVAL_INTERVAL = 0.2
 # Crashes without a survival in between after which a part is quarantined
-# that is new, and after which any other is. A part is no longer new once an
-# upstream has survived it. One whose suspects are all repeats of the same
-# request is treated likewise: such repeats follow the request that crashes
-# upstreams from one to the next.
+# that is a likely cause, and after which any other is. A likely cause is new:
+# no upstream has survived it yet. Its suspects are not all repeats of one
+# request, since those follow the request that crashes upstreams from one to
+# the next. It is the last shared part of a prompt; earlier ones are in more
+# requests, and blaming them wrongly does the most harm.
 _CRASHES = 3
 _CRASHES_OF_OTHERS = 5
 _OWNERS = 2
@@ -54,8 +55,10 @@
 # Most suspects of one crash that are remembered.
 _MAX_SUSPECTS = 64
 # Seconds until a request with a quarantined part is tried. Each trial that
-# does not clear the part doubles them.
+# does not clear the part doubles them. The first trial of a part that many
+# other requests may share comes early.
 _FIRST_TRIAL_DELAY = 60.0
+_EARLY_TRIAL_DELAY = 10.0
 _MAX_TRIAL_DELAY = 3600.0
 # Seconds after which a part is forgotten that could have been tried.
 _FORGET_SECONDS = 3600.0
@@ -107,9 +110,10 @@
     def __init__(self, at: float) -> None:
         self.at = at
         self.suspects: dict[quarantines.Suspect, None] = {}
-        # Owners of the suspects with each part, and its place in prompts.
+        # By part: owners of the suspects with it, and the smallest number
+        # of shared parts that follow it in their prompts.
         self.owners: dict[PartId, set[str]] = {}
-        self.positions: dict[PartId, int] = {}
+        self.followers: dict[PartId, int] = {}
 
     def add(self, suspects: abc.Iterable[quarantines.Suspect]) -> list[PartId]:
         """Add suspects; return the parts of those that are new."""
@@ -120,9 +124,10 @@
             ):
                 continue
             self.suspects[suspect] = None
-            for position, part in enumerate(suspect.parts):
+            for count, part in enumerate(reversed(suspect.parts)):
                 self.owners.setdefault(part, set()).add(suspect.owner)
-                self.positions[part] = position
+                fewest = self.followers.get(part, count)
+                self.followers[part] = min(fewest, count)
                 added.append(part)
         return added
 
@@ -143,13 +148,19 @@
     Attributes:
         is_new: Whether no upstream has survived the part.
         has_owners: Whether several different requests had it.
-        position: Place of the part in prompts; of two parts that are always
-            together, the later one is in fewer other requests.
+        followers: Minus the number of shared parts that follow the part. Of
+            two parts that are always together, the later one is in fewer
+            other requests.
     """
 
     is_new: bool
     has_owners: bool
-    position: int
+    followers: int
+
+    @property
+    def is_likely(self) -> bool:
+        """Return whether a few crashes are enough."""
+        return self.is_new and self.has_owners and not self.followers
 
 
 class _Evidence(msgspec.Struct, frozen=True):
@@ -165,8 +176,8 @@
 
     @property
     def is_sufficient(self) -> bool:
-        is_likely = self.rank.is_new and self.rank.has_owners
-        return self.moments >= (_CRASHES if is_likely else _CRASHES_OF_OTHERS)
+        needed = _CRASHES if self.rank.is_likely else _CRASHES_OF_OTHERS
+        return self.moments >= needed
 
 
 class Quarantine:
@@ -388,7 +399,9 @@
             crashed_at = max(
                 crash.at for crash in self._by_part[part].values()
             )
-            self._impose(part, crashed_at, 0, now + _FIRST_TRIAL_DELAY)
+            is_likely = guilty[part].rank.is_likely
+            delay = _FIRST_TRIAL_DELAY if is_likely else _EARLY_TRIAL_DELAY
+            self._impose(part, crashed_at, 0, now + delay)
             self._release_explained(part)
 
     def _impose(
@@ -435,7 +448,7 @@
         return _Rank(
             not self._find_survival(part),
             len(owners) >= _OWNERS,
-            max((crash.positions[part] for crash in crashes), default=0),
+            -max((crash.followers[part] for crash in crashes), default=0),
         )
 
     def restore(self, part: PartId, trials: int, now: float) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -123,6 +123,22 @@
             self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}"))
         self.assertIn(CAUSE, self.list_quarantined())
 
+    def test_two_causes_are_told_from_what_they_share(self):
+        """Guards against blaming the part that both have in common."""
+        for n, cause in enumerate(("c1", "c2", "c2", "c1", "c2", "c1")):
+            suspect = make_suspect(f"r{n}", SYSTEM_PROMPT, ids.PartId(cause))
+            self.crash(10.0 + n, f"i{n}", suspect)
+        self.assertEqual(self.list_quarantined(), {"c1", "c2"})
+
+    def test_a_shared_part_is_tried_early(self):
+        """Guards against refusing most requests for a minute."""
+        for n in range(5):
+            cause = ids.PartId(f"c{n}")
+            suspect = make_suspect(f"r{n}", SYSTEM_PROMPT, cause)
+            self.crash(10.0 + n, f"i{n}", suspect)
+        self.assertEqual(self.list_quarantined(), {SYSTEM_PROMPT})
+        self.assertIsNone(self.find_retry_after(24.1, SYSTEM_PROMPT))
+
     def test_a_part_that_the_cause_explains_is_released(self):
         """Guards against a sound part that was blamed first."""
         report = quarantines.QuarantineReport(0.5, 60.0, 0)
