Tell a crash by the upstream's report; soak and check crashing prompts

The soak sends requests with two parts that crash engines, and checks that few of them run some seconds after the fifth crash.

The suspect with the most shared parts decides now. Requests to plain services have no prompt.

--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -31,7 +31,7 @@
 
 # Seconds after its first event from which a request is no suspect of a
 # crash. Upstreams crash within 0.2 s of the first event.
-_SURVIVAL_SECONDS = 1.0
+_SURVIVAL_SECONDS = 0.5
 # Seconds between two records of the survival of one request.
 _SURVIVAL_INTERVAL = 0.2
 # Crashes without a survival in between after which a part is quarantined
@@ -110,7 +110,7 @@
     def __init__(self, at: float) -> None:
         self.at = at
         self.suspects: dict[quarantines.Suspect, None] = {}
-        # By part: owners of the suspects with it, and the smallest number
+        # By part: owners of the suspects with it, and the largest number
         # of shared parts that follow it in their prompts.
         self.owners: dict[PartId, set[str]] = {}
         self.followers: dict[PartId, int] = {}
@@ -126,8 +126,8 @@
             self.suspects[suspect] = None
             for count, part in enumerate(reversed(suspect.parts)):
                 self.owners.setdefault(part, set()).add(suspect.owner)
-                fewest = self.followers.get(part, count)
-                self.followers[part] = min(fewest, count)
+                most = self.followers.get(part, count)
+                self.followers[part] = max(most, count)
                 added.append(part)
         return added
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -138,8 +138,10 @@
         self._checks.on_lost = lambda: self._balancer.forgive_failures(
             self._paths.reached_at
         )
+        engines = make_engines(self._connections)
         self._crashes = crashes_module.Crashes(
             quarantine_module.Quarantine(),
+            engines,
             self._connections,
             self._meter,
             self._log,
@@ -228,7 +230,7 @@
         )
         self._duties = duties.Duties(
             self._leases,
-            make_engines(self._connections),
+            engines,
             self._fleet,
             self._balancer,
             self._log,
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -16,16 +16,17 @@
 from currantwall.transport import exchanges
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
+from currantwall.transport import ports
 from currantwall.transport import requests
 
 __all__ = ["REASON", "Crashes"]
 
 # Text of the answer to a request with a quarantined part.
 REASON = "a part of the prompt crashes upstreams"
-# Timeout of the connection that tells whether an upstream has crashed, in
-# seconds, and how long its result holds for other attempts.
-_CHECK_TIMEOUT = 0.3
-_CHECK_TTL = 0.5
+# Timeout of a connection to an upstream that has no reports, in seconds.
+_CONNECT_TIMEOUT = 0.2
+# Seconds for which an upstream that has crashed counts as such.
+_CRASHED_TTL = 0.5
 _CRASHES = "currantwall.crashes"
 _QUARANTINED = "currantwall.parts.quarantined"
 _CLEARED = "currantwall.parts.cleared"
@@ -39,6 +40,17 @@
         self.started = started
         self.result = eventlet.event.Event()
 
+    def may_tell(self, since: float) -> bool:
+        """Return whether its result may hold for a later attempt.
+
+        Args:
+            since: Monotonic time at which the attempt was broken off.
+        """
+        if self.started >= since or not self.result.ready():
+            return True
+        is_recent = since - self.started <= _CRASHED_TTL
+        return is_recent and bool(self.result.wait())
+
 
 class Crashes:
     """Records attempts and their ends for the quarantine.
@@ -52,12 +64,14 @@
     def __init__(
         self,
         quarantine: quarantine_module.Quarantine,
+        engines: ports.Engines,
         connections: exchanges.Connections,
         meter: metrics_module.Metrics,
         log: journal.Journal,
         now: abc.Callable[[], float],
     ) -> None:
         self.quarantine = quarantine
+        self._engines = engines
         self._connections = connections
         self._meter = meter
         self._log = log
@@ -156,28 +170,50 @@
         self.on_change()
 
     def has_crashed(self, upstream: upstreams.Upstream) -> bool:
-        """Return whether nothing listens at an upstream's address.
+        """Return whether an upstream has ended, or started again since.
 
         Failure: a connection is reset, or an upstream breaks off a single
         answer, and that is taken for a crash.
         """
-        now = self._now()
-        check = self._checks.get(upstream.id)
-        if check is None or now - check.started > _CHECK_TTL:
-            check = self._checks[upstream.id] = _Check(now)
-            eventlet.spawn_n(self._run_check, upstream, check)
-        return bool(check.result.wait())
+        since = self._now()
+        while True:
+            check = self._checks.get(upstream.id)
+            if check is None or not check.may_tell(since):
+                check = self._checks[upstream.id] = _Check(self._now())
+                eventlet.spawn_n(self._run_check, upstream, check)
+            has_crashed = bool(check.result.wait())
+            # An upstream that was alive before may have crashed since.
+            if has_crashed or check.started >= since:
+                return has_crashed
+
+    def is_ended_by_crash(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether a crash has ended an answer without framing.
+
+        Failure: the upstream crashes between two events, its connection is
+        closed in order, and half a stream looks complete. A leaving
+        upstream, which ends soon, has completed it.
+        """
+        return not upstream.leaving and self.has_crashed(upstream)
 
     def _run_check(self, upstream: upstreams.Upstream, check: _Check) -> None:
-        has_crashed = True
+        is_alive = False
         try:
-            self._connections.open(upstream.address, _CHECK_TIMEOUT).close()
-            has_crashed = False
+            is_alive = self._is_alive(upstream)
+        finally:
+            check.result.send(not is_alive)
+
+    def _is_alive(self, upstream: upstreams.Upstream) -> bool:
+        if upstream.domain:
+            found = self._engines.report(upstream, True)
+            return isinstance(found, upstreams.Upstream) and (
+                not upstream.born or found.born == upstream.born
+            )
+        try:
+            self._connections.open(upstream.address, _CONNECT_TIMEOUT).close()
         except exchanges.FAILURES:
             # What the check is for.
-            return
-        finally:
-            check.result.send(has_crashed)
+            return False
+        return True
 
     # -- Decisions
 
@@ -214,7 +250,7 @@
         now = self._now()
         self.quarantine.expire(now)
         for instance, check in list(self._checks.items()):
-            if now - check.started > _CHECK_TTL:
+            if check.result.ready() and now - check.started > _CRASHED_TTL:
                 del self._checks[instance]
 
 
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -135,8 +135,10 @@
         if caller_timeout is not None:
             timeout = min(timeout, caller_timeout)
         model = None
+        prompt = ""
         if service.engine is not None:
             model = inbound.headers.get(self._names.model, "")
+            prompt = inbound.headers.get(self._names.prompt, "")
         return requests.Request(
             inbound=inbound,
             attempt_id=attempt_id,
@@ -150,9 +152,7 @@
             inbox=eventlet.queue.LightQueue(_INBOX_LIMIT),
             progress=attempts.Progress(),
             tried=set(),
-            prompt=requests.parse_prompt(
-                inbound.headers.get(self._names.prompt, "")
-            ),
+            prompt=requests.parse_prompt(prompt),
             last_event=inbound.headers.get(self._names.last_event, ""),
         )
 
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -259,11 +259,15 @@
         )
         watcher = eventlet.spawn(_watch_sender, client, inbox)
         self.in_flight += 1
+        framing: exchanges.Framing | None = None
         try:
             while True:
                 message = inbox.get()
                 if isinstance(message, _Cancelled):
                     return
+                if isinstance(message, exchanges.Head):
+                    framing = message.framing
+                message = self._check_end(asked, framing, message)
                 yield peerexchanges.encode_frame(
                     self._make_frame(message, started)
                 )
@@ -274,6 +278,28 @@
             watcher.kill()
             exchange.cancel()
 
+    def _check_end(
+        self,
+        asked: peerexchanges.ExchangeRequest,
+        framing: exchanges.Framing | None,
+        message: typing.Any,
+    ) -> typing.Any:
+        """Return a message, or the failure of an answer that a crash ended.
+
+        Only this node can tell: the sender has no path to the upstream.
+        """
+        is_open_end = framing is exchanges.Framing.CLOSE and isinstance(
+            message, exchanges.End
+        )
+        upstream = self._fleet.get(ids.InstanceId(asked.instance))
+        if not is_open_end or upstream is None or not upstream.domain:
+            return message
+        if not self._crashes.is_ended_by_crash(upstream):
+            return message
+        return exchanges.Failed(
+            message.exchange, True, "body", "ended by a crash"
+        )
+
     def _make_frame(
         self, message: typing.Any, started: float
     ) -> peerexchanges.Frame:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -515,18 +515,14 @@
                     )
                 return message
 
-    def is_ended_by_crash(
-        self, request: requests.Request, current: requests.Attempt
-    ) -> bool:
-        """Return whether a crash has ended an answer without framing.
+    def is_ended_by_crash(self, current: requests.Attempt) -> bool:
+        """Return whether a crash has ended a stream without framing.
 
-        Failure: the upstream crashes between two events, its connection is
-        closed in order, and half a stream looks complete. One that can't
-        be resumed is taken as it is: its upstream may have been stopped.
+        The peer that forwards an attempt finds out by itself.
         """
-        if not self.may_retry(request) or current.peer is not None:
-            return False
-        return self._crashes.has_crashed(current.upstream)
+        return current.peer is None and self._crashes.is_ended_by_crash(
+            current.upstream
+        )
 
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -138,7 +138,7 @@
             is_delimited,
         )
         if not is_cut_off and not is_delimited:
-            is_cut_off = self._sender.is_ended_by_crash(request, current)
+            is_cut_off = self._sender.is_ended_by_crash(current)
         if not is_cut_off:
             return message
         backlog = request.inbound.backlog
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -46,6 +46,10 @@
     (1, "POST", "/unsafe/busy/x"),
     (1, "POST", "/unsafe/error/x"),
 )
+# Parts of prompts that crash the stand-in servers, and seconds between two
+# requests with one of them.
+_CRASHING_PARTS = ("bad0", "bad2")
+_MEAN_CRASH_PAUSE = 0.5
 _request_numbers = itertools.count(1)
 
 
@@ -66,6 +70,7 @@
         abandoned: Whether the caller closed its connection before the
             answer ended.
         seal: Signature of the server that answered.
+        part: Part of the prompt that crashes servers; empty for none.
     """
 
     id: str
@@ -83,6 +88,7 @@
     seal: str = ""
     answer: bytes = b""
     retry_after: str = ""
+    part: str = ""
     failure: str = ""
 
     @property
@@ -138,7 +144,18 @@
         self._resolved_at = time.monotonic()
         self._addresses = addresses
 
-    def send(self, method: str, target: str, address: str = "") -> Attempt:
+    def run_crashing(self) -> None:
+        """Send requests that crash servers until stopped."""
+        while not self.stopped:
+            self._resolve()
+            if self._addresses:
+                part = self._random.choice(_CRASHING_PARTS)
+                self.send("POST", "/stream/x", part=part)
+            eventlet.sleep(self._random.uniform(0.0, 2 * _MEAN_CRASH_PAUSE))
+
+    def send(
+        self, method: str, target: str, address: str = "", part: str = ""
+    ) -> Attempt:
         """Send one request and record its answer or failure."""
         address = address or self._random.choice(self._addresses)
         name = self._site.find_gateway(address)
@@ -150,6 +167,7 @@
             gateway=name,
             process=self._site.processes[name],
             began=time.monotonic(),
+            part=part,
         )
         self.attempts.append(attempt)
         is_abandoned = self._random.randrange(_REQUESTS_PER_ABANDONED) == 0
@@ -192,6 +210,7 @@
             "X-Attempt-Id": attempt.id,
             "X-Deadline-Ms": str(int(_REQUEST_DEADLINE * 1000)),
             "X-Model": "m",
+            "X-Prompt-Prefix": _make_prompt(attempt),
         }
         body = attempt.body or None
         connection.request(attempt.method, attempt.target, body, headers)
@@ -211,6 +230,12 @@
             self._close_connection(address)
 
 
+def _make_prompt(attempt: Attempt) -> str:
+    """Return a prompt that shares its first part with all others."""
+    middle = f"{attempt.part}:250," if attempt.part else ""
+    return f"5c1e07a2:40,{middle}{attempt.id}:600"
+
+
 def _read_parts(
     response: http.client.HTTPResponse,
 ) -> abc.Iterator[bytes]:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -36,6 +36,12 @@
 # Seconds that callers give a request, and within which it has its answer.
 _DEADLINE = 3.0
 _ANSWER_TIME = _DEADLINE + 2.0
+# Crashes, seconds after the last of them, and requests that may still run
+# then with the part that causes them. The platform allows three seconds; the
+# rest is tolerance for a busy machine.
+_CRASHES = 5
+_QUARANTINE_TIME = 5.0
+_MAX_LATE_RUNS = 3
 _checks: list[abc.Callable[["Observed"], abc.Iterable[str]]] = []
 
 
@@ -67,6 +73,15 @@
                 if line["what"] == "run":
                     yield name, line
 
+    def list_crashes(self) -> list[tuple[float, str, str]]:
+        """Return the crashes of servers, in the form of the history."""
+        return [
+            (line["at"], "crashed", name)
+            for name, lines in self.records.items()
+            for line in lines
+            if line["what"] == "crash"
+        ]
+
     def count_runs(self) -> dict[str, int]:
         """Return the number of runs of each attempt, by its id."""
         counts: dict[str, int] = {}
@@ -270,15 +285,17 @@
             last_seat = line["seat"]
     ends = [
         when
-        for when, what, name in observed.history
-        if name == leader and what in ("killed", "drained") and when <= at
+        for when, what, name in (*observed.history, *observed.list_crashes())
+        if name == leader
+        and what in ("killed", "drained", "crashed")
+        and when <= at
     ]
     starts = [
         line["at"]
         for line in observed.records[leader]
         if line["what"] == "start" and line["at"] <= at
     ]
-    if ends and ends[-1] > starts[-1]:
+    if ends and max(ends) > starts[-1]:
         return False
     return (
         last_seat is not None
@@ -405,7 +422,7 @@
         and attempt.began - _CUT_WINDOW <= when <= attempt.ended
         and (what, name) != ("stopping", gateway)
         and what not in ("stopped", "reloaded", "started")
-        for when, what, name in observed.history
+        for when, what, name in (*observed.history, *observed.list_crashes())
     )
 
 
@@ -427,3 +444,35 @@
                 f"{attempt.id} {attempt.target}: "
                 f"{spent:.1f} s, {attempt.failure}"
             )
+
+
+@register
+def check_quarantine(observed: Observed) -> abc.Iterator[str]:
+    """Check that parts which crash servers are kept from them.
+
+    Some seconds after the fifth crash a few more requests with the part may
+    run, and those that gateways send which were disturbed until then.
+    """
+    attempts = {attempt.id: attempt for attempt in observed.attempts}
+    for part in sorted({attempt.part for attempt in attempts.values()} - {""}):
+        crashes = sorted(
+            line["at"]
+            for lines in observed.records.values()
+            for line in lines
+            if line["what"] == "crash"
+            and attempts[line["attempt"]].part == part
+        )
+        if len(crashes) < _CRASHES:
+            continue
+        since = crashes[_CRASHES - 1] + _QUARANTINE_TIME
+        late = [
+            line["run"]["attempt"]
+            for _, line in observed.list_runs()
+            if line["at"] > since
+            and attempts[line["run"]["attempt"]].part == part
+            and observed.is_calm(
+                attempts[line["run"]["attempt"]].gateway, since, line["at"]
+            )
+        ]
+        if len(late) > _MAX_LATE_RUNS:
+            yield f"{part}: {len(crashes)} crashes, late runs {late}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,17 +46,19 @@
         prober = callers_module.Caller(seed, site)
         tasks = [eventlet.spawn(caller.run) for caller in callers]
         tasks.append(eventlet.spawn(_probe, prober, site))
+        crasher = callers_module.Caller(seed * 1000 + _CALLER_COUNT, site)
+        tasks.append(eventlet.spawn(crasher.run_crashing))
         violations = _play_plan(seed, seconds, site)
         last = callers_module.Caller(seed, site)
         violations += _recover(last, site)
-        for caller in (*callers, prober):
+        for caller in (*callers, prober, crasher):
             caller.stopped = True
         for task in tasks:
             task.wait()
         attempts = [
             attempt for caller in callers for attempt in caller.attempts
         ]
-        attempts += prober.attempts + last.attempts
+        attempts += prober.attempts + last.attempts + crasher.attempts
         observed = promises.Observed(
             attempts,
             {
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -196,6 +196,7 @@
         if path == "/currantwall/report":
             report = {"seq": self._order_count, "staged": self._staged}
             report |= {"domain": self._domain, "group": self._group}
+            report["born"] = self._started_ms
             return _answer_json(200, report)
         if path == "/currantwall/order":
             return self._handle_order(msgspec.json.decode(inbound.body))
--- /dev/null
+++ b/tests/test_crash_checks.py
@@ -0,0 +1,84 @@
+"""How a node tells a crash from a connection that broke."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+import msgspec
+
+from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.requests import quarantine
+from currantwall.transport import crashes
+from currantwall.transport import timers
+from tests import test_gateway_parts
+
+
+class _Engines:
+    """Engines that answer each report after a while."""
+
+    def __init__(self):
+        self.is_alive = True
+        self.born = 1
+        self.count = 0
+
+    def report(self, upstream, new_connection):
+        self.count += 1
+        is_alive, born = self.is_alive, self.born
+        eventlet.sleep(0.02)
+        if not is_alive:
+            return knowledge.ProbeResult.REFUSED
+        return msgspec.structs.replace(upstream, born=born)
+
+
+class CrashChecksTest(unittest.TestCase):
+    def setUp(self):
+        self.engines = _Engines()
+        self.crashes = crashes.Crashes(
+            quarantine.Quarantine(),
+            self.engines,
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
+            timers.TimerService.now,
+        )
+        self.upstream = test_gateway_parts.make_upstream(
+            "e1", domain="d0", born=1
+        )
+
+    def has_crashed(self):
+        return self.crashes.has_crashed(self.upstream)
+
+    def test_a_broken_connection_is_no_crash(self):
+        """Guards against blaming requests for resets of connections."""
+        self.assertFalse(self.has_crashed())
+
+    def test_an_upstream_that_has_started_again_has_crashed(self):
+        """Guards against a restart that is faster than the check."""
+        self.engines.born = 2
+        self.assertTrue(self.has_crashed())
+
+    def test_a_check_from_before_the_crash_proves_nothing(self):
+        """Guards against half a stream that counts as complete.
+
+        Another attempt was checked a moment before, or is being checked.
+        """
+        running = eventlet.spawn(self.has_crashed)
+        eventlet.sleep(0.01)
+        self.engines.is_alive = False
+        self.assertTrue(self.has_crashed())
+        self.assertFalse(running.wait())
+        self.engines.is_alive = True
+        self.crashes._checks.clear()
+        self.assertFalse(self.has_crashed())
+        self.engines.is_alive = False
+        self.assertTrue(self.has_crashed())
+
+    def test_many_broken_attempts_take_few_checks(self):
+        """Guards against a report for each attempt at an upstream."""
+        tasks = [eventlet.spawn(self.has_crashed) for _ in range(20)]
+        self.assertEqual({task.wait() for task in tasks}, {False})
+        self.assertLessEqual(self.engines.count, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -305,6 +305,7 @@
         super().setUp()
         self.crashes = crashes.Crashes(
             quarantine.Quarantine(),
+            mock.Mock(),
             self.connections,
             mock.Mock(),
             mock.Mock(),
