Quarantine: count each crash of an upstream that keeps its id

Found when reading the change: crashes were kept by upstream, so the second crash of one replaced the first, and a part that ends the same two upstreams again and again was in two crashes for ever. They are now kept one by one. An attempt whose stream ended without an event was never forgotten. Both have a test that fails without the change.

--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -107,7 +107,8 @@
 class _Crash:
     """One crash of an upstream and its suspects."""
 
-    def __init__(self, at: float) -> None:
+    def __init__(self, upstream: ids.InstanceId, at: float) -> None:
+        self.upstream = upstream
         self.at = at
         self.suspects: dict[quarantines.Suspect, None] = {}
         # By part: owners of the suspects with it, and the largest number
@@ -192,9 +193,11 @@
 
     def __init__(self) -> None:
         self._exposures: dict[int, Exposure] = {}
-        self._crashes: dict[ids.InstanceId, _Crash] = {}
-        # The same, by the parts of their suspects.
-        self._by_part: dict[PartId, dict[ids.InstanceId, _Crash]] = {}
+        # All crashes, the last one of each upstream, and those with suspects
+        # that have a part. The values of the first and third are unused.
+        self._crashes: dict[_Crash, None] = {}
+        self._last_crashes: dict[ids.InstanceId, _Crash] = {}
+        self._by_part: dict[PartId, dict[_Crash, None]] = {}
         self._survivals: dict[PartId, float] = {}
         self._verdicts: dict[PartId, _Verdict] = {}
         # What this node has seen itself and reports, and until when.
@@ -262,7 +265,8 @@
         exposure.is_answered = is_answered
         if exposure.has_survived:
             self._note_survivals(exposure, exposure.last_at)
-        if exposure.has_survived or not is_answered:
+        is_settled = exposure.has_survived or exposure.begun_at is None
+        if is_settled or not is_answered:
             self._exposures.pop(id(exposure), None)
 
     def is_suspected(self, parts: abc.Iterable[PartId]) -> bool:
@@ -286,12 +290,14 @@
             # Answered whole just before the crash, which proves nothing.
             if other.upstream == exposure.upstream and other.is_answered:
                 del self._exposures[key]
-        _, own = self._own_crashes.get(exposure.upstream, (0.0, _Crash(at)))
+        upstream = exposure.upstream
+        new = _Crash(upstream, at)
+        _, own = self._own_crashes.get(upstream, (0.0, new))
         if abs(own.at - at) > _SAME_CRASH:
-            own = _Crash(at)
+            own = new
         own.add(suspects)
-        self._own_crashes[exposure.upstream] = now + _REPORT_SECONDS, own
-        self._note_crash(exposure.upstream, at, suspects, now)
+        self._own_crashes[upstream] = now + _REPORT_SECONDS, own
+        self._note_crash(upstream, at, suspects, now)
 
     def _note_crash(
         self,
@@ -300,28 +306,35 @@
         suspects: abc.Iterable[quarantines.Suspect],
         now: float,
     ) -> None:
-        crash = self._crashes.get(upstream)
-        if crash is None or abs(crash.at - at) > _SAME_CRASH:
-            if crash is not None and crash.at > at:
-                return
-            self._forget_crash(upstream)
-            crash = self._crashes[upstream] = _Crash(at)
-            while len(self._crashes) > _MAX_CRASHES:
-                self._forget_crash(next(iter(self._crashes)))
+        crash = self._last_crashes.get(upstream)
+        if crash is None or at - crash.at > _SAME_CRASH:
+            crash = self._add_crash(upstream, at)
+        elif crash.at - at > _SAME_CRASH:
+            # A late report of an earlier crash.
+            return
         added = crash.add(suspects)
         for part in added:
-            self._by_part.setdefault(part, {})[upstream] = crash
+            self._by_part.setdefault(part, {})[crash] = None
             verdict = self._verdicts.get(part)
             if verdict is not None:
                 verdict.crashed_at = max(verdict.crashed_at, crash.at)
         self._refute(added, now)
         self._judge(added, now)
 
-    def _forget_crash(self, upstream: ids.InstanceId) -> None:
-        crash = self._crashes.pop(upstream, None)
-        for part in crash.owners if crash else ():
+    def _add_crash(self, upstream: ids.InstanceId, at: float) -> _Crash:
+        while len(self._crashes) >= _MAX_CRASHES:
+            self._forget_crash(next(iter(self._crashes)))
+        crash = self._last_crashes[upstream] = _Crash(upstream, at)
+        self._crashes[crash] = None
+        return crash
+
+    def _forget_crash(self, crash: _Crash) -> None:
+        del self._crashes[crash]
+        if self._last_crashes.get(crash.upstream) is crash:
+            del self._last_crashes[crash.upstream]
+        for part in crash.owners:
             with_part = self._by_part[part]
-            del with_part[upstream]
+            del with_part[crash]
             if not with_part:
                 del self._by_part[part]
 
@@ -368,7 +381,7 @@
         }
         moments = _count_moments(
             crash.at
-            for crash in self._by_part.get(part, {}).values()
+            for crash in self._by_part.get(part, {})
             if crash.at > survival and causes.isdisjoint(crash.owners)
         )
         return _Evidence(moments, rank)
@@ -396,9 +409,7 @@
                 return
             part = max(guilty, key=lambda one: guilty[one].rank)
             open_parts.discard(part)
-            crashed_at = max(
-                crash.at for crash in self._by_part[part].values()
-            )
+            crashed_at = max(crash.at for crash in self._by_part[part])
             is_likely = guilty[part].rank.is_likely
             delay = _FIRST_TRIAL_DELAY if is_likely else _EARLY_TRIAL_DELAY
             self._impose(part, crashed_at, 0, now + delay)
@@ -435,7 +446,7 @@
         survival = self._find_survival(part)
         crashes = [
             crash
-            for crash in self._by_part.get(part, {}).values()
+            for crash in self._by_part.get(part, {})
             if crash.at > survival
         ]
         if not all(cause in crash.owners for crash in crashes):
@@ -443,7 +454,7 @@
         return bool(crashes) and self._rank(cause) > self._rank(part)
 
     def _rank(self, part: PartId) -> _Rank:
-        crashes = self._by_part.get(part, {}).values()
+        crashes = self._by_part.get(part, {})
         owners = {owner for crash in crashes for owner in crash.owners[part]}
         return _Rank(
             not self._find_survival(part),
@@ -462,9 +473,9 @@
 
     def expire(self, now: float) -> None:
         """Remove what is too old to matter."""
-        for upstream, crash in list(self._crashes.items()):
+        for crash in list(self._crashes):
             if now - crash.at > _CRASH_TTL:
-                self._forget_crash(upstream)
+                self._forget_crash(crash)
         for part, verdict in list(self._verdicts.items()):
             if now - verdict.next_trial > _FORGET_SECONDS:
                 del self._verdicts[part]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -108,6 +108,22 @@
         self.crash(15.0, "i5", make_suspect("same", _OTHER))
         self.assertEqual(self.list_quarantined(), {_OTHER})
 
+    def test_an_upstream_that_crashes_again_counts_again(self):
+        """Guards against a small fleet whose servers keep their ids."""
+        for n in range(3):
+            self.crash(10.0 + 3 * n, "i0", make_suspect(f"r{n}"))
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+
+    def test_attempts_that_have_ended_are_forgotten(self):
+        """Guards against memory that grows with each request."""
+        for n in range(10):
+            exposure = self.expose(10.0 + n, "i0", make_suspect(f"r{n}"))
+            if n % 3:
+                self.quarantine.note_event(exposure, 10.0 + n)
+            self.quarantine.end(exposure, n % 2 == 0)
+        self.quarantine.make_reports(30.0)
+        self.assertEqual(self.quarantine._exposures, {})
+
     def test_upstreams_that_end_together_count_once(self):
         """Guards against blaming new prompts for a loss of power."""
         for n in range(9):
