Soak: a configuration may drop a route; mutants of the quarantine

Its log shows the 404 0.15 s after it had applied version 5, which holds the routes of versions 3 to 5 only: three versions came within 0.11 s, and the probe was on its way. A 404 is allowed from the moment at which a version without the route is being written; the check stays as it was otherwise.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from soak import callers
+from soak import site
 
 __all__ = ["Observed", "check_all"]
 
@@ -54,7 +55,8 @@
         attempts: The requests of all callers.
         records: Lines of each server's record file, by its name.
         history: Time, event and process of what was done. The process is
-            empty for the store; a `configured` event has the version.
+            empty for the store; `configuring` and `configured` events have
+            the version.
         acknowledged: When the store acknowledged each version, or when a
             newer one replaced it before.
         end: When the run ended.
@@ -323,6 +325,8 @@
             if version > newest:
                 seen[attempt.process] = (attempt.ended, version)
             continue
+        if _is_dropped(observed, version, attempt.ended):
+            continue
         if version == newest and attempt.began > ended + 0.25:
             yield (
                 f"{attempt.id}: {attempt.process} "
@@ -338,6 +342,16 @@
             )
 
 
+def _is_dropped(observed: Observed, version: int, at: float) -> bool:
+    """Return whether a newer version may have dropped a version's route."""
+    return any(
+        what == "configuring"
+        and int(name) >= version + site.KEPT_VERSIONS
+        and when <= at
+        for when, what, name in observed.history
+    )
+
+
 @register
 def check_leaving(observed: Observed) -> abc.Iterator[str]:
     """A draining server gets no new requests after some seconds."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,7 +15,7 @@
 from soak import plan as plan_module
 from soak import proxy as proxy_module
 
-__all__ = ["Site"]
+__all__ = ["KEPT_VERSIONS", "Site"]
 
 Kind = plan_module.Kind
 Mode = proxy_module.Mode
@@ -30,7 +30,7 @@
 _DRAIN_TIME = 2.5
 _READY_TIMEOUT = 60.0
 # Number of newest versions whose own routes are in the configuration.
-_KEPT_VERSIONS = 3
+KEPT_VERSIONS = 3
 # Requests a second that a limited server takes, seconds beyond a
 # disturbance's own for which it says so, and the pause of refusals.
 _LIMIT = 0.5
@@ -53,7 +53,8 @@
         store_links: Proxy of each process to the store.
         links: Proxy in front of each server.
         history: Time, event and process of what was done. The process is
-            empty for the store; a `configured` event has the version.
+            empty for the store; `configuring` and `configured` events have
+            the version.
         acknowledged: When the store acknowledged each version, or when a
             newer one replaced it before.
         newest: The newest version written, acknowledged or not.
@@ -151,8 +152,9 @@
         """
         self.newest += 1
         number = self.newest
+        self.record_event("configuring", str(number))
         routes = gateways_module.make_configuration(number)["routes"]
-        first = max(1, number - _KEPT_VERSIONS + 1)
+        first = max(1, number - KEPT_VERSIONS + 1)
         for version in range(first, number + 1):
             prefix = f"/v{version}/"
             routes.append(dict(routes[2], name=prefix, pathPrefix=prefix))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -56,6 +56,9 @@
 _FORMATION = "tests.test_formation.FormationTest"
 _PARTITIONS = "tests.test_partitions.PartitionTest"
 _PLACING = "tests.test_placing"
+_QUARANTINE = f"{_COORDINATION}/requests/quarantine.py"
+_EVIDENCE = "tests.test_quarantine.EvidenceTest"
+_REPORTS = "tests.test_quarantine.ReportsTest"
 _SHARES = "tests.test_limits.SharesTest"
 _WITHDRAWALS = "tests.test_withdrawals"
 MUTANTS = (
@@ -838,6 +841,70 @@
         f"{_BUDGET}"
         ".test_the_slowest_callers_are_closed_when_the_budget_is_used",
     ),
+    Mutant(
+        "a survival does not clear the parts of a prompt",
+        _QUARANTINE,
+        "            if crash.at > survival and causes",
+        "            if causes",
+        f"{_EVIDENCE}.test_a_part_that_a_request_survived_is_not_quarantined",
+    ),
+    Mutant(
+        "repeats of one request have its parts quarantined early",
+        _QUARANTINE,
+        "        return self.is_new and self.has_owners and not",
+        "        return self.is_new and not",
+        f"{_EVIDENCE}"
+        ".test_repeats_of_one_request_are_not_blamed_for_three_crashes",
+    ),
+    Mutant(
+        "a part that is shared by most prompts is quarantined early",
+        _QUARANTINE,
+        "self.has_owners and not self.followers",
+        "self.has_owners",
+        f"{_EVIDENCE}.test_two_causes_are_told_from_what_they_share",
+    ),
+    Mutant(
+        "upstreams that end together count as many crashes",
+        _QUARANTINE,
+        "        if at - last > _SAME_MOMENT:\n",
+        "        if at > last:\n",
+        f"{_EVIDENCE}.test_upstreams_that_end_together_count_once",
+    ),
+    Mutant(
+        "requests that were answered whole are suspects",
+        _QUARANTINE,
+        "        suspects = (exposure.suspect,)\n",
+        "        suspects = tuple(\n"
+        "            other.suspect\n"
+        "            for other in [*self._exposures.values(), exposure]\n"
+        "            if other.upstream == exposure.upstream\n"
+        "        )\n",
+        f"{_EVIDENCE}.test_an_answer_just_before_a_crash_is_not_blamed",
+    ),
+    Mutant(
+        "each node tries a quarantined part by itself",
+        _QUARANTINE,
+        "            verdict.trials = report.trials\n"
+        "            verdict.next_trial = now + report.remaining\n",
+        "            verdict.trials = report.trials\n",
+        f"{_REPORTS}.test_one_node_tries_for_all",
+    ),
+    Mutant(
+        "nodes tell each other of a part that was cleared",
+        _QUARANTINE,
+        "        if self._find_survival(part) > crashed_at:\n",
+        "        if False:\n",
+        f"{_REPORTS}.test_a_survival_at_one_node_clears_a_part_at_all",
+    ),
+    Mutant(
+        "a check from before a crash tells that there was none",
+        "currantwall/transport/crashes.py",
+        "            if has_crashed or check.started >= since:\n"
+        "                return has_crashed\n",
+        "            return has_crashed\n",
+        "tests.test_crash_checks.CrashChecksTest"
+        ".test_a_check_from_before_the_crash_proves_nothing",
+    ),
     Mutant(
         "a pause of the process counts against callers",
         f"{_COORDINATION}/requests/buffering.py",
