Test what partitions.md says of peers that stop; name the stream tests

The design says that a peer which stops finishes what it forwards, and no test showed it: one that may run only once now does, with both peers stopping while the stream is under way. It held on the code as it was. A mutant that exits without waiting for forwarded exchanges is noticed; it was not while the stream ended within the time in which a stopping gateway takes requests.

test_a_stream_outlives_the_peer_that_forwards_it checked that streams are broken off when both peers have ended, and is named so; its checks are the same. A new test under the old promise: a resumable stream is whole after either of two peers has ended.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -101,6 +101,13 @@
         "tests.test_paths.PeerExchangeTest"
         ".test_an_answer_whose_peer_ends_is_not_complete",
     ),
+    Mutant(
+        "a peer that stops ends what it forwards",
+        "currantwall/gateway.py",
+        "self._front.in_flight + self._peer_exchanges.in_flight\n",
+        "self._front.in_flight\n",
+        f"{_PARTITIONS}.test_a_peer_that_stops_finishes_what_it_forwards",
+    ),
     Mutant(
         "requests go by way of peers without a path",
         f"{_COORDINATION}/requests/paths.py",
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -4,6 +4,8 @@
 """
 
 import http.client
+import itertools
+import signal
 import unittest
 
 import msgspec
@@ -17,6 +19,11 @@
 _ENGINES = ("e1", "e2", "e3", "e4")
 _APPS = ("a1", "a2")
 _NODES = ("g1", "g2", "g3")
+# Seconds of grace of all gateways, and of those that stop during a stream of
+# three seconds: they take requests in the first part of it.
+_GRACE = 8.0
+_SHORT_GRACE = 5.5
+_numbers = itertools.count(1)
 
 
 class _Partitions(gateways.Gateways):
@@ -137,30 +144,72 @@
         self.assertEqual(answer.status, 503)
         self.assertEqual(self.list_runs("unsent-1"), [])
 
-    def test_a_stream_outlives_the_peer_that_forwards_it(self):
-        """Guards against half a stream that is framed as complete.
-
-        Both peers end while streams are under way; one returns.
-        """
+    def open_streams(self, *kinds):
+        """Return answers of slow streams that peers forward, by kind."""
         self.fleet.cut("g1")
-        self.check_served("g1", "warm")
-        kinds = ("stream", "once")
-        connections = {}
+        self.number = next(_numbers)
+        self.check_served("g1", f"warm{self.number}")
+        responses = {}
         for kind in kinds:
-            connections[kind] = self.open(f"/{kind}/slow/x", f"peer-{kind}")
-        responses = {
-            kind: connection.getresponse()
-            for kind, connection in connections.items()
+            attempt = f"peer-{kind}-{self.number}"
+            connection = self.open(f"/{kind}/slow/x", attempt)
+            self.addCleanup(connection.close)
+            responses[kind] = connection.getresponse()
+        self.begun = {
+            kind: response.read1(10) for kind, response in responses.items()
         }
-        for response in responses.values():
-            response.read1(10)
+        return responses
+
+    def check_complete(self, kind, response):
+        attempt = f"peer-{kind}-{self.number}"
+        events = test_gateway.make_events(attempt, range(1, 7))
+        self.assertEqual(self.begun[kind] + response.read(), events)
+
+    def test_streams_whose_peers_have_all_ended_are_broken_off(self):
+        """Guards against half a stream that is framed as complete."""
+        responses = self.open_streams("stream", "once")
         for name in ("g2", "g3"):
             self.fleet.kill(name)
             self.addCleanup(self.fleet.start_gateway, name)
-        for kind in kinds:
+        for response in responses.values():
             with self.assertRaises(http.client.IncompleteRead):
-                responses[kind].read()
-            connections[kind].close()
+                response.read()
+
+    def test_a_stream_outlives_a_peer_that_forwards_it(self):
+        """Guards against streams that end with one of several peers."""
+        for name in ("g2", "g3"):
+            responses = self.open_streams("stream")
+            self.fleet.kill(name)
+            self.check_complete("stream", responses["stream"])
+            self.fleet.start_gateway(name)
+            self.heal()
+
+    def test_a_peer_that_stops_finishes_what_it_forwards(self):
+        """Guards against a planned stop that cuts streams of other nodes.
+
+        Such a stream may run only once, so that no other peer resumes it.
+        It lasts longer than a stopping peer takes new requests.
+        """
+        peers = ("g2", "g3")
+        for name in peers:
+            self.fleet.kill(name)
+            self.restart_with_grace(name, _SHORT_GRACE)
+            self.addCleanup(self.restart_with_grace, name, _GRACE)
+        self.heal()
+        responses = self.open_streams("once")
+        for name in peers:
+            self.fleet.send_signal(name, signal.SIGTERM)
+        self.check_complete("once", responses["once"])
+        for name in peers:
+            self.assertEqual(self.fleet.wait(name, _TIMEOUT), 0)
+
+    def restart_with_grace(self, name, seconds):
+        """Start a gateway with another grace period."""
+        path = self.fleet.path / f"{name}.json"
+        settings = msgspec.json.decode(path.read_bytes())
+        settings["bounds"]["graceS"] = seconds
+        path.write_bytes(msgspec.json.encode(settings))
+        self.fleet.start_gateway(name)
 
     def test_work_ends_when_the_caller_of_a_partitioned_node_leaves(self):
         """Guards against upstreams that work for callers that are gone."""
