--- a/soak/site.py
+++ b/soak/site.py
@@ -229,9 +229,12 @@
         self._kill_gateway(disturbance)
 
     def _kill_all_gateways(self, disturbance: plan_module.Disturbance) -> None:
-        killed = [name for name in self.gateways if name not in self._down]
-        for name in killed:
-            self._kill_process(name, "killed")
+        killed = []
+        for name in self.gateways:
+            # Checked one by one: others may end while this task waits.
+            if name not in self._down:
+                killed.append(name)
+                self._kill_process(name, "killed")
         eventlet.sleep(min(disturbance.lasts, 1.0))
         for name in killed:
             self.launch_gateway(name)
