Readers: read the queues of upstreams once fast callers have their answers

What an upstream sends to a fast caller is unread for a moment.

The callers that read at once now get their answers, and none asks again, before the last reading; it counts every connection, as before.

--- a/bench/readers.py
+++ b/bench/readers.py
@@ -308,12 +308,23 @@
                     self.add(number, _TICK_SECONDS)
                 self._serve_slow()
                 self._sample()
+        self._finish_fast()
         self._sample()
         for key in list(self._selector.get_map().values()):
             key.data.socket.close()
         self._selector.close()
         self._read_rest()
 
+    def _finish_fast(self) -> None:
+        """Serve the callers that read at once until they have answers.
+
+        What an upstream sends them is unread for a moment.
+        """
+        end = time.monotonic() + _REST_SECONDS
+        while self._selector.get_map() and time.monotonic() < end:
+            for key, _ in self._selector.select(0.05):
+                self._serve_fast(key.data)
+
     def _read_rest(self) -> None:
         """Let the slow callers read at once, so that their answers end."""
         end = time.monotonic() + _REST_SECONDS
