--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -49,10 +49,10 @@
     """One request; it crashes servers if it has the part `CAUSE`."""
 
     def __init__(
-        self, node: network.Node, suspect: quarantines.Suspect, length: float
+        self, node: network.Node, prompt: quarantines.Prompt, length: float
     ) -> None:
         self.node = node
-        self.suspect = suspect
+        self.prompt = prompt
         self.length = length
         self.attempts = 0
         self.exposure: quarantine.Exposure | None = None
@@ -60,7 +60,7 @@
 
     @property
     def is_cause(self) -> bool:
-        return CAUSE in self.suspect.parts
+        return CAUSE in self.prompt.parts
 
 
 class Replay:
@@ -166,15 +166,15 @@
 
     def _arrive(self, parts: tuple[ids.PartId, ...]) -> None:
         node = self._random.choice(list(self.net.nodes.values()))
-        suspect = quarantines.Suspect(f"{next(self._numbers):x}", parts)
+        prompt = quarantines.Prompt(f"{next(self._numbers):x}", parts)
         length = self._random.expovariate(1 / _MEAN_STREAM_SECONDS)
-        self._send(_Request(node, suspect, length))
+        self._send(_Request(node, prompt, length))
 
     def _send(self, request: _Request) -> None:
         now = self.net.now
         guard = request.node.quarantine
         up = [name for name in self._in_progress if name not in self._down]
-        delay = guard.find_retry_after(request.suspect.parts, now)
+        delay = guard.find_retry_after(request.prompt.parts, now)
         if delay is not None or not up or request.attempts >= _MAX_ATTEMPTS:
             if not request.is_cause:
                 self.refused[int(now)] += 1
@@ -185,7 +185,7 @@
         server = min(up, key=lambda name: len(self._in_progress[name]))
         self._in_progress[server].add(request)
         exposure = guard.expose(
-            ids.InstanceId(server), request.suspect, self.net.now
+            ids.InstanceId(server), request.prompt, self.net.now
         )
         request.exposure = exposure
         delay = self._random.uniform(0.03, _MAX_PROMPT_SECONDS)
--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -80,7 +80,7 @@
 
     Attributes:
         upstream: The upstream.
-        suspect: The request, as it is reported if the upstream crashes.
+        prompt: The prompt of its request.
         begun_at: Monotonic time of the first event; None before.
         last_at: Monotonic time of the last event.
         noted_at: Monotonic time at which its survival was last recorded.
@@ -88,7 +88,7 @@
     """
 
     upstream: ids.InstanceId
-    suspect: quarantines.Suspect
+    prompt: quarantines.Prompt
     begun_at: float | None = None
     last_at: float = 0.0
     noted_at: float = 0.0
@@ -110,13 +110,13 @@
     def __init__(self, upstream: ids.InstanceId, at: float) -> None:
         self.upstream = upstream
         self.at = at
-        self.suspects: dict[quarantines.Suspect, None] = {}
+        self.suspects: dict[quarantines.Prompt, None] = {}
         # By part: owners of the suspects with it, and the largest number
         # of shared parts that follow it in their prompts.
         self.owners: dict[PartId, set[str]] = {}
         self.followers: dict[PartId, int] = {}
 
-    def add(self, suspects: abc.Iterable[quarantines.Suspect]) -> list[PartId]:
+    def add(self, suspects: abc.Iterable[quarantines.Prompt]) -> list[PartId]:
         """Add suspects; return the parts of those that are new."""
         added: list[PartId] = []
         for suspect in suspects:
@@ -227,16 +227,16 @@
     def expose(
         self,
         upstream: ids.InstanceId,
-        suspect: quarantines.Suspect,
+        prompt: quarantines.Prompt,
         now: float,
     ) -> Exposure:
         """Record an attempt that is being sent.
 
         One with a quarantined part is a trial, which all nodes wait for.
         """
-        exposure = Exposure(upstream=upstream, suspect=suspect)
+        exposure = Exposure(upstream=upstream, prompt=prompt)
         self._exposures[id(exposure)] = exposure
-        for part in suspect.parts:
+        for part in prompt.parts:
             verdict = self._verdicts.get(part)
             if verdict is not None:
                 verdict.trials += 1
@@ -285,7 +285,7 @@
             at: When it was broken off.
             now: The present time.
         """
-        suspects = (exposure.suspect,)
+        suspects = (exposure.prompt,)
         for key, other in list(self._exposures.items()):
             # Answered whole just before the crash, which proves nothing.
             if other.upstream == exposure.upstream and other.is_answered:
@@ -303,7 +303,7 @@
         self,
         upstream: ids.InstanceId,
         at: float,
-        suspects: abc.Iterable[quarantines.Suspect],
+        suspects: abc.Iterable[quarantines.Prompt],
         now: float,
     ) -> None:
         crash = self._last_crashes.get(upstream)
@@ -339,7 +339,7 @@
                 del self._by_part[part]
 
     def _note_survivals(self, exposure: Exposure, at: float) -> None:
-        for part in exposure.suspect.parts:
+        for part in exposure.prompt.parts:
             self._note_survival(part, at)
 
     def _note_survival(self, part: PartId, at: float) -> None:
--- a/currantwall/state/quarantines.py
+++ b/currantwall/state/quarantines.py
@@ -4,16 +4,16 @@
 
 from currantwall.state import ids
 
-__all__ = ["CrashReport", "PartReports", "QuarantineReport", "Suspect"]
+__all__ = ["CrashReport", "PartReports", "QuarantineReport", "Prompt"]
 
 
-class Suspect(msgspec.Struct, frozen=True, array_like=True):
-    """A request that an upstream had just begun when it crashed.
+class Prompt(msgspec.Struct, frozen=True, array_like=True):
+    """The parts of a request's prompt.
 
     Attributes:
-        owner: Id of the last part of its prompt, which only the request
-            and its repeats have.
-        parts: The other parts, in order.
+        owner: Id of the last part, which only the request and its repeats
+            have.
+        parts: The other parts, in order, which requests may share.
     """
 
     owner: str
@@ -26,12 +26,13 @@
     Attributes:
         upstream: The upstream.
         age: Seconds since the crash.
-        suspects: The node's requests that may have caused it.
+        suspects: Prompts of the node's requests that the upstream had just
+            begun.
     """
 
     upstream: ids.InstanceId
     age: float
-    suspects: tuple[Suspect, ...]
+    suspects: tuple[Prompt, ...]
 
 
 class QuarantineReport(msgspec.Struct, frozen=True, array_like=True):
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -164,7 +164,7 @@
             upstream=current.upstream.id,
             attempt=current.exchange.number,
             after=round(at - current.sent_at, 4),
-            parts=exposure.suspect.parts,
+            parts=exposure.prompt.parts,
         )
         self.quarantine.note_own_crash(exposure, at, self._now())
         self.on_change()
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -32,7 +32,7 @@
 # Most shared parts of a prompt that are considered, and the longest id.
 _MAX_PARTS = 64
 _MAX_PART_LENGTH = 64
-_NO_PROMPT = quarantines.Suspect("", ())
+_NO_PROMPT = quarantines.Prompt("", ())
 
 
 class Disconnected(msgspec.Struct, frozen=True):
@@ -121,7 +121,7 @@
     inbox: eventlet.queue.LightQueue
     progress: attempts.Progress
     tried: set[str]
-    prompt: quarantines.Suspect = _NO_PROMPT
+    prompt: quarantines.Prompt = _NO_PROMPT
     last_event: str = ""
     watcher: typing.Any = None
     disconnected: bool = False
@@ -165,7 +165,7 @@
     return int(prompt[:_MAX_DIGITS]), int(answer[:_MAX_DIGITS])
 
 
-def parse_prompt(value: str) -> quarantines.Suspect:
+def parse_prompt(value: str) -> quarantines.Prompt:
     """Return the parts of a prompt; the last one is the request's own.
 
     Args:
@@ -178,7 +178,7 @@
         for name in names[:_MAX_PARTS]
         if 0 < len(name) <= _MAX_PART_LENGTH
     )
-    return quarantines.Suspect(owner, parts)
+    return quarantines.Prompt(owner, parts)
 
 
 class Attempt(msgspec.Struct, kw_only=True):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -880,9 +880,9 @@
     Mutant(
         "requests that were answered whole are suspects",
         _QUARANTINE,
-        "        suspects = (exposure.suspect,)\n",
+        "        suspects = (exposure.prompt,)\n",
         "        suspects = tuple(\n"
-        "            other.suspect\n"
+        "            other.prompt\n"
         "            for other in [*self._exposures.values(), exposure]\n"
         "            if other.upstream == exposure.upstream\n"
         "        )\n",
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -19,8 +19,8 @@
 _OTHER = ids.PartId("7d31")
 
 
-def make_suspect(owner, *parts):
-    return quarantines.Suspect(owner, parts or (SYSTEM_PROMPT, CAUSE))
+def make_prompt(owner, *parts):
+    return quarantines.Prompt(owner, parts or (SYSTEM_PROMPT, CAUSE))
 
 
 class EvidenceTest(unittest.TestCase):
@@ -39,7 +39,7 @@
 
     def crash_thrice(self, *parts):
         for n in range(3):
-            self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}", *parts))
+            self.crash(10.0 + n, f"i{n}", make_prompt(f"r{n}", *parts))
 
     def expose(self, at, upstream, suspect):
         return self.quarantine.expose(ids.InstanceId(upstream), suspect, at)
@@ -67,35 +67,35 @@
     def test_a_part_that_a_request_survived_is_not_quarantined(self):
         """Guards against blaming a request that was broken off by chance."""
         for n in range(8):
-            self.crash(10.0 + 3 * n, f"i{n}", make_suspect(f"r{n}"))
-            self.survive(11.0 + 3 * n, make_suspect(f"s{n}"))
+            self.crash(10.0 + 3 * n, f"i{n}", make_prompt(f"r{n}"))
+            self.survive(11.0 + 3 * n, make_prompt(f"s{n}"))
         self.assertEqual(self.blamed, [])
 
     def test_an_answer_just_before_a_crash_is_no_survival(self):
         """Guards against a cause that is cleared by an answer in time."""
         for n in range(3):
-            exposure = self.expose(10.0 + n, f"i{n}", make_suspect(f"a{n}"))
+            exposure = self.expose(10.0 + n, f"i{n}", make_prompt(f"a{n}"))
             self.quarantine.note_event(exposure, 10.0 + n)
             self.quarantine.end(exposure, True)
-            self.crash(10.1 + n, f"i{n}", make_suspect(f"r{n}"))
+            self.crash(10.1 + n, f"i{n}", make_prompt(f"r{n}"))
             self.quarantine.make_reports(11.9 + n)
         self.assertEqual(self.list_quarantined(), {CAUSE})
 
     def test_an_answer_just_before_a_crash_is_not_blamed(self):
         """Guards against blaming requests that were answered whole."""
         for n in range(8):
-            answered = make_suspect(f"a{n}", _OTHER)
+            answered = make_prompt(f"a{n}", _OTHER)
             exposure = self.expose(10.0 + n, f"i{n}", answered)
             self.quarantine.note_event(exposure, 10.0 + n)
             self.quarantine.end(exposure, True)
-            broken = make_suspect(f"r{n}", ids.PartId(f"p{n}"))
+            broken = make_prompt(f"r{n}", ids.PartId(f"p{n}"))
             self.crash(10.1 + n, f"i{n}", broken)
         self.assertEqual(self.blamed, [])
 
     def test_a_whole_answer_is_a_survival(self):
         """Guards against short answers that never clear their parts."""
         self.crash_thrice()
-        exposure = self.expose(12.5, "i9", make_suspect("r9", _OTHER, CAUSE))
+        exposure = self.expose(12.5, "i9", make_prompt("r9", _OTHER, CAUSE))
         self.quarantine.note_event(exposure, 12.6)
         self.quarantine.end(exposure, True)
         self.quarantine.make_reports(13.0)
@@ -106,21 +106,21 @@
     def test_repeats_of_one_request_are_not_blamed_for_three_crashes(self):
         """Guards against a request that follows the cause of the crashes."""
         for n in range(4):
-            self.crash(10.0 + n, f"i{n}", make_suspect("same", _OTHER))
+            self.crash(10.0 + n, f"i{n}", make_prompt("same", _OTHER))
         self.assertEqual(self.list_quarantined(), set())
-        self.crash(15.0, "i5", make_suspect("same", _OTHER))
+        self.crash(15.0, "i5", make_prompt("same", _OTHER))
         self.assertEqual(self.list_quarantined(), {_OTHER})
 
     def test_an_upstream_that_crashes_again_counts_again(self):
         """Guards against a small fleet whose servers keep their ids."""
         for n in range(3):
-            self.crash(10.0 + 3 * n, "i0", make_suspect(f"r{n}"))
+            self.crash(10.0 + 3 * n, "i0", make_prompt(f"r{n}"))
         self.assertEqual(self.list_quarantined(), {CAUSE})
 
     def test_attempts_that_have_ended_are_forgotten(self):
         """Guards against memory that grows with each request."""
         for n in range(10):
-            exposure = self.expose(10.0 + n, "i0", make_suspect(f"r{n}"))
+            exposure = self.expose(10.0 + n, "i0", make_prompt(f"r{n}"))
             if n % 3:
                 self.quarantine.note_event(exposure, 10.0 + n)
             self.quarantine.end(exposure, n % 2 == 0)
@@ -130,31 +130,31 @@
     def test_upstreams_that_end_together_count_once(self):
         """Guards against blaming new prompts for a loss of power."""
         for n in range(9):
-            self.crash(10.0 + n / 100, f"i{n}", make_suspect(f"r{n}", _OTHER))
+            self.crash(10.0 + n / 100, f"i{n}", make_prompt(f"r{n}", _OTHER))
         self.assertEqual(self.list_quarantined(), set())
 
     def test_a_part_that_turned_bad_is_quarantined_after_five_crashes(self):
         """Guards against trust in what a part did long ago."""
-        self.survive(5.0, make_suspect("old"))
-        self.quarantine.end(self.survive(5.0, make_suspect("old")), True)
+        self.survive(5.0, make_prompt("old"))
+        self.quarantine.end(self.survive(5.0, make_prompt("old")), True)
         for n in range(5):
             self.assertEqual(self.list_quarantined(), set())
-            self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}"))
+            self.crash(10.0 + n, f"i{n}", make_prompt(f"r{n}"))
         self.assertIn(CAUSE, self.list_quarantined())
 
     def test_two_causes_are_told_from_what_they_share(self):
         """Guards against blaming the part that both have in common."""
         for n, cause in enumerate(("c1", "c2", "c2", "c1", "c2", "c1")):
-            suspect = make_suspect(f"r{n}", SYSTEM_PROMPT, ids.PartId(cause))
+            suspect = make_prompt(f"r{n}", SYSTEM_PROMPT, ids.PartId(cause))
             self.crash(10.0 + n, f"i{n}", suspect)
         self.assertEqual(self.list_quarantined(), {"c1", "c2"})
 
     def test_sound_requests_with_a_shared_part_alone_do_not_blame_it(self):
         """Guards against taking a system prompt for the last shared part."""
         for n in range(3):
-            sound = make_suspect(f"s{n}", SYSTEM_PROMPT)
+            sound = make_prompt(f"s{n}", SYSTEM_PROMPT)
             cause = ids.PartId("c1" if n else "c2")
-            suspect = make_suspect(f"r{n}", SYSTEM_PROMPT, cause)
+            suspect = make_prompt(f"r{n}", SYSTEM_PROMPT, cause)
             self.crash(10.0 + n, f"i{n}", sound, suspect)
         self.assertEqual(self.list_quarantined(), set())
 
@@ -162,7 +162,7 @@
         """Guards against refusing most requests for a minute."""
         for n in range(5):
             cause = ids.PartId(f"c{n}")
-            suspect = make_suspect(f"r{n}", SYSTEM_PROMPT, cause)
+            suspect = make_prompt(f"r{n}", SYSTEM_PROMPT, cause)
             self.crash(10.0 + n, f"i{n}", suspect)
         self.assertEqual(self.list_quarantined(), {SYSTEM_PROMPT})
         self.assertIsNone(self.find_retry_after(24.1, SYSTEM_PROMPT))
@@ -175,28 +175,28 @@
         )
         self.assertEqual(self.list_quarantined(), {_OTHER})
         for n in range(3):
-            follower = make_suspect("same", _OTHER)
-            self.crash(10.0 + n, f"i{n}", follower, make_suspect(f"r{n}"))
+            follower = make_prompt("same", _OTHER)
+            self.crash(10.0 + n, f"i{n}", follower, make_prompt(f"r{n}"))
         self.assertEqual(self.list_quarantined(), {CAUSE})
 
     def test_one_request_is_tried_after_a_delay_that_doubles(self):
         """Guards against parts that are blamed wrongly for ever."""
         self.crash_thrice()
         self.assertIsNone(self.find_retry_after(73.0, CAUSE))
-        exposure = self.expose(73.0, "i8", make_suspect("t1"))
+        exposure = self.expose(73.0, "i8", make_prompt("t1"))
         self.assertAlmostEqual(self.find_retry_after(73.0, CAUSE), 120.0)
         self.quarantine.end(exposure, False)
         self.quarantine.note_own_crash(exposure, 73.1, 73.1)
         self.assertEqual(self.list_quarantined(), {CAUSE})
-        self.survive(200.0, make_suspect("t2"))
+        self.survive(200.0, make_prompt("t2"))
         self.assertEqual(self.list_quarantined(), set())
 
     def test_what_is_remembered_is_bounded(self):
         """Guards against callers that send ever new parts."""
         for n in range(3000):
             part = ids.PartId(f"part-{n // 3}")
-            self.crash(10.0 + n, f"i{n}", make_suspect(f"r{n}", part))
-            self.survive(10.5 + n, make_suspect(f"s{n}", ids.PartId(f"s{n}")))
+            self.crash(10.0 + n, f"i{n}", make_prompt(f"r{n}", part))
+            self.survive(10.5 + n, make_prompt(f"s{n}", ids.PartId(f"s{n}")))
         reports = self.quarantine.make_reports(3010.0)
         size = len(msgspec.msgpack.encode(reports))
         self.assertLessEqual(len(self.list_quarantined()), 64)
@@ -212,7 +212,7 @@
                         ids.InstanceId(f"i{number}-{n}"),
                         0.0,
                         tuple(
-                            make_suspect(f"r{number}-{n}-{k}", SYSTEM_PROMPT)
+                            make_prompt(f"r{number}-{n}-{k}", SYSTEM_PROMPT)
                             for k in range(10)
                         ),
                     )
@@ -240,7 +240,7 @@
 
     def crash(self, node, upstream, at, owner):
         guard = self.nodes[node]
-        exposure = guard.expose(upstream, make_suspect(owner), at)
+        exposure = guard.expose(upstream, make_prompt(owner), at)
         guard.end(exposure, False)
         guard.note_own_crash(exposure, at, at)
 
@@ -274,7 +274,7 @@
         """Guards against nodes that tell each other of a cleared part."""
         self.test_crashes_that_different_nodes_saw_add_up()
         guard = self.nodes[1]
-        exposure = guard.expose(ids.InstanceId("i8"), make_suspect("t"), 80.0)
+        exposure = guard.expose(ids.InstanceId("i8"), make_prompt("t"), 80.0)
         guard.note_event(exposure, 80.1)
         guard.note_event(exposure, 81.2)
         for at in (81.3, 81.7, 85.0, 90.0):
@@ -284,7 +284,7 @@
     def test_one_node_tries_for_all(self):
         """Guards against a server that ends for each node's own trial."""
         self.test_crashes_that_different_nodes_saw_add_up()
-        self.nodes[2].expose(ids.InstanceId("i8"), make_suspect("t"), 80.0)
+        self.nodes[2].expose(ids.InstanceId("i8"), make_prompt("t"), 80.0)
         self.exchange(80.1)
         for node in self.nodes:
             self.assertGreater(node.find_retry_after([CAUSE], 80.1), 100.0)
@@ -294,7 +294,7 @@
         merged = None
         for n, age in enumerate((0.0, 0.4)):
             report = quarantines.PartReports(
-                (quarantines.CrashReport("i0", 0.1, (make_suspect(f"r{n}"),)),)
+                (quarantines.CrashReport("i0", 0.1, (make_prompt(f"r{n}"),)),)
             )
             merged = quarantine.merge_reports(merged, report, age)
         (crash,) = merged.crashes
