Quarantine: do not take the end of a forwarding peer for a crash

Found when reading the diff: an attempt that a peer forwards and that breaks off was reported as a crash of its upstream without a check, also where the peer itself had ended. The peer now checks the upstream and says so in the frame that ends the exchange; the sender reports nothing else.

--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -155,8 +155,7 @@
         current: requests.Attempt,
         at: float,
     ) -> None:
-        # The peer that forwards an attempt has a path to the upstream.
-        if current.peer is None and not self.has_crashed(current.upstream):
+        if not self._is_crash(current):
             return
         self._meter.add(_CRASHES, 1)
         self._log.write(
@@ -169,6 +168,15 @@
         self.quarantine.note_own_crash(exposure, at, self._now())
         self.on_change()
 
+    def _is_crash(self, current: requests.Attempt) -> bool:
+        """Return whether an attempt was broken off by a crash.
+
+        Only the peer that forwards one has a path to its upstream.
+        """
+        if current.peer is not None:
+            return current.failed_step == exchanges.CRASH
+        return self.has_crashed(current.upstream)
+
     def has_crashed(self, upstream: upstreams.Upstream) -> bool:
         """Return whether an upstream has ended, or started again since.
 
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -25,6 +25,7 @@
 from currantwall.transport import sockets
 
 __all__ = [
+    "CRASH",
     "Connections",
     "Data",
     "End",
@@ -49,6 +50,8 @@
 HELD = "held"
 # Step of an exchange whose forwarding peer failed.
 PEER = "peer"
+# Step of a forwarded exchange whose upstream has crashed.
+CRASH = "crash"
 # Step of an exchange that was ended because its request crashes upstreams.
 QUARANTINE = "quarantine"
 _select = eventlet.patcher.original("select")
@@ -153,8 +156,9 @@
         step: What failed: connect, send, head or body; `verdict` if the
             gateway aborted the attempt because its replica lost a member;
             `HELD` if the upstream was kept waiting by the caller; `PEER`
-            if the peer that forwarded the request failed; `QUARANTINE` if
-            its request crashes upstreams.
+            if the peer that forwarded the request failed; `CRASH` if that
+            peer found that the upstream has crashed; `QUARANTINE` if the
+            request crashes upstreams.
     """
 
     exchange: int
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -288,16 +288,24 @@
 
         Only this node can tell: the sender has no path to the upstream.
         """
-        is_open_end = framing is exchanges.Framing.CLOSE and isinstance(
-            message, exchanges.End
-        )
         upstream = self._fleet.get(ids.InstanceId(asked.instance))
-        if not is_open_end or upstream is None or not upstream.domain:
+        if upstream is None or not upstream.domain:
             return message
-        if not self._crashes.is_ended_by_crash(upstream):
+        if isinstance(message, exchanges.Failed):
+            has_ended = message.may_have_sent and self._crashes.has_crashed(
+                upstream
+            )
+        else:
+            is_open_end = framing is exchanges.Framing.CLOSE and isinstance(
+                message, exchanges.End
+            )
+            has_ended = is_open_end and self._crashes.is_ended_by_crash(
+                upstream
+            )
+        if not has_ended:
             return message
         return exchanges.Failed(
-            message.exchange, True, "body", "ended by a crash"
+            message.exchange, True, exchanges.CRASH, "the upstream crashed"
         )
 
     def _make_frame(
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -192,6 +192,8 @@
         peer: The node that forwards it; None if it goes to the upstream
             directly.
         rest: Bytes of a stream's body after its last complete event.
+        failed_step: Step at which its exchange broke off; empty if it
+            didn't.
         exposure: What tells whether the upstream survives its prompt; None
             if that has no part which other requests share.
     """
@@ -205,6 +207,7 @@
     is_ended: bool = False
     peer: ids.NodeId | None = None
     rest: int = 0
+    failed_step: str = ""
     exposure: quarantine.Exposure | None = None
 
     @property
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -574,6 +574,7 @@
         Raises:
             requests.Refused: The request is not retried.
         """
+        current.failed_step = failed.step
         if failed.step == exchanges.HELD:
             current.exchange.cancel()
             self.end_attempt(current)
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -8,7 +8,10 @@
 
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.requests import quarantine
+from currantwall.state import ids
+from currantwall.state import quarantines
 from currantwall.transport import crashes
+from currantwall.transport import exchanges
 from currantwall.transport import timers
 from tests import test_gateway_parts
 
@@ -73,6 +76,32 @@
         self.engines.is_alive = False
         self.assertTrue(self.has_crashed())
 
+    def break_off(self, step):
+        """Break off a forwarded attempt; return what is reported."""
+        guard = self.crashes.quarantine
+        prompt = quarantines.Prompt("r1", (ids.PartId("c4a5"),))
+        current = mock.Mock(
+            upstream=self.upstream,
+            peer="a2",
+            failed_step=step,
+            sent_at=0.0,
+            exposure=guard.expose(self.upstream.id, prompt, 1.0),
+        )
+        guard.end(current.exposure, False)
+        self.crashes.note_break(mock.Mock(prompt=prompt), current)
+        eventlet.sleep(0.0)
+        return guard.make_reports(timers.TimerService.now())
+
+    def test_a_peer_that_fails_is_no_crash_of_an_upstream(self):
+        """Guards against blaming requests for the end of a peer."""
+        self.assertIsNone(self.break_off(exchanges.PEER))
+        self.assertIsNone(self.break_off("body"))
+
+    def test_a_crash_that_the_forwarding_peer_saw_is_reported(self):
+        """Guards against a cause that comes by way of peers only."""
+        reports = self.break_off(exchanges.CRASH)
+        self.assertEqual([one.upstream for one in reports.crashes], ["e1"])
+
     def test_many_broken_attempts_take_few_checks(self):
         """Guards against a report for each attempt at an upstream."""
         tasks = [eventlet.spawn(self.has_crashed) for _ in range(20)]
