--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -16,7 +16,6 @@
 import msgspec
 
 from currantwall.coordination.peers import presence as presence_module
-from currantwall.coordination.requests import quarantine
 from currantwall.state import evacuations as evacuations_module
 from currantwall.state import hashing
 from currantwall.state import ids
@@ -138,7 +137,7 @@
             known_limit = self.limits.get(upstream)
             if known_limit is None or aged.age < known_limit.age:
                 self.limits[upstream] = aged
-        self.parts = quarantine.merge_reports(self.parts, message.parts, age)
+        self.parts = quarantines.merge_reports(self.parts, message.parts, age)
         self.stalled.update(dict.fromkeys(message.stalled))
         self.lost.update(dict.fromkeys(message.lost))
         self.slow.update(dict.fromkeys(message.slow))
--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -25,7 +25,7 @@
 from currantwall.state import ids
 from currantwall.state import quarantines
 
-__all__ = ["Exposure", "Quarantine", "merge_reports"]
+__all__ = ["Exposure", "Quarantine"]
 
 PartId = ids.PartId
 
@@ -43,9 +43,6 @@
 _CRASHES = 3
 _CRASHES_OF_OTHERS = 5
 _OWNERS = 2
-# Crashes within so many seconds of each other count once: a loss of power
-# ends many upstreams at the same moment.
-_SAME_MOMENT = 0.1
 # Reports within so many seconds of each other are about the same crash of
 # an upstream; it takes longer to start again.
 _SAME_CRASH = 1.5
@@ -62,17 +59,10 @@
 _MAX_TRIAL_DELAY = 3600.0
 # Seconds after which a part is forgotten that could have been tried.
 _FORGET_SECONDS = 3600.0
-# Most quarantined parts; a full set takes 3 KB of each heartbeat.
-_MAX_QUARANTINED = 64
 # Most parts whose last survival is remembered.
 _MAX_SURVIVALS = 4096
 # Seconds for which a crash or a survival is reported.
 _REPORT_SECONDS = 2.0
-# Most crashes, crashes of one moment, suspects of a crash, and survivals in
-# one report. Of many upstreams that end together a few tell as much as all.
-_MAX_REPORTED = 16
-_MAX_REPORTED_TOGETHER = 3
-_MAX_REPORTED_SUSPECTS = 32
 
 
 class Exposure(msgspec.Struct, kw_only=True, eq=False):
@@ -418,7 +408,7 @@
     def _impose(
         self, part: PartId, crashed_at: float, trials: int, next_trial: float
     ) -> None:
-        while len(self._verdicts) >= _MAX_QUARANTINED:
+        while len(self._verdicts) >= quarantines.MAX_QUARANTINED:
             oldest = min(
                 self._verdicts, key=lambda one: self._verdicts[one].crashed_at
             )
@@ -504,12 +494,12 @@
             quarantines.CrashReport(
                 upstream,
                 round(now - crash.at, 3),
-                tuple(crash.suspects)[:_MAX_REPORTED_SUSPECTS],
+                tuple(crash.suspects)[: quarantines.MAX_REPORTED_SUSPECTS],
             )
             for upstream, (_, crash) in self._own_crashes.items()
         ]
         reports = quarantines.PartReports(
-            _choose_crashes(crashes),
+            quarantines.choose_crashes(crashes),
             {
                 part: quarantines.QuarantineReport(
                     round(now - verdict.crashed_at, 3),
@@ -520,10 +510,10 @@
             },
             {
                 part: round(now - self._find_survival(part), 3)
-                for part in list(self._refuted)[-_MAX_REPORTED:]
+                for part in list(self._refuted)[-quarantines.MAX_REPORTED :]
             },
         )
-        return reports if reports != _NOTHING else None
+        return reports if reports != quarantines.NOTHING else None
 
     def _settle_answered(self, now: float) -> None:
         """Record the survival of answers that ended some time ago."""
@@ -575,73 +565,12 @@
             verdict.next_trial = now + report.remaining
 
 
-def merge_reports(
-    known: quarantines.PartReports | None,
-    added: quarantines.PartReports | None,
-    age: float,
-) -> quarantines.PartReports | None:
-    """Return the reports of several nodes as one.
-
-    Args:
-        known: The reports so far.
-        added: The reports of another node.
-        age: Seconds since these were received.
-    """
-    if added is None:
-        return known
-    known = known or _NOTHING
-    crashes = {crash.upstream: crash for crash in known.crashes}
-    for crash in added.crashes:
-        first = crashes.get(crash.upstream)
-        suspects = dict.fromkeys(first.suspects if first else ())
-        suspects |= dict.fromkeys(crash.suspects)
-        crashes[crash.upstream] = quarantines.CrashReport(
-            crash.upstream,
-            crash.age + age,
-            tuple(suspects)[:_MAX_REPORTED_SUSPECTS],
-        )
-    quarantined = dict(known.quarantined)
-    for part, report in added.quarantined.items():
-        aged = quarantines.QuarantineReport(
-            report.crash_age + age, report.remaining - age, report.trials
-        )
-        other = quarantined.get(part)
-        if other is None or aged.trials > other.trials:
-            quarantined[part] = aged
-    survived = {
-        part: survival_age + age
-        for part, survival_age in added.survived.items()
-    }
-    for part, survival_age in known.survived.items():
-        survived[part] = min(survival_age, survived.get(part, survival_age))
-    return quarantines.PartReports(
-        _choose_crashes(crashes.values()),
-        dict(list(quarantined.items())[:_MAX_QUARANTINED]),
-        dict(list(survived.items())[:_MAX_REPORTED]),
-    )
-
-
-def _choose_crashes(
-    crashes: abc.Iterable[quarantines.CrashReport],
-) -> tuple[quarantines.CrashReport, ...]:
-    """Return the newest crashes, and not too many of any moment."""
-    chosen: list[quarantines.CrashReport] = []
-    for crash in sorted(crashes, key=lambda one: one.age):
-        earlier = chosen[-_MAX_REPORTED_TOGETHER:]
-        is_crowded = len(earlier) == _MAX_REPORTED_TOGETHER and (
-            crash.age - earlier[0].age <= _SAME_MOMENT
-        )
-        if not is_crowded and len(chosen) < _MAX_REPORTED:
-            chosen.append(crash)
-    return tuple(chosen)
-
-
 def _count_moments(times: abc.Iterable[float]) -> int:
     """Return the number of times, those within a moment counted once."""
     count = 0
     last = -math.inf
     for at in sorted(times):
-        if at - last > _SAME_MOMENT:
+        if at - last > quarantines.SAME_MOMENT:
             count += 1
             last = at
     return count
@@ -651,8 +580,5 @@
     return min(_FIRST_TRIAL_DELAY * 2.0 ** min(trials, 16), _MAX_TRIAL_DELAY)
 
 
-_NOTHING = quarantines.PartReports()
-
-
 def _ignore(_: PartId) -> None:
     return
--- a/currantwall/state/quarantines.py
+++ b/currantwall/state/quarantines.py
@@ -1,10 +1,35 @@
 """What nodes tell each other of prompt parts that crash upstreams."""
 
+from collections import abc
+
 import msgspec
 
 from currantwall.state import ids
 
-__all__ = ["CrashReport", "PartReports", "QuarantineReport", "Prompt"]
+__all__ = [
+    "CrashReport",
+    "MAX_QUARANTINED",
+    "MAX_REPORTED",
+    "MAX_REPORTED_SUSPECTS",
+    "NOTHING",
+    "PartReports",
+    "Prompt",
+    "QuarantineReport",
+    "SAME_MOMENT",
+    "choose_crashes",
+    "merge_reports",
+]
+
+# Crashes within so many seconds of each other count once: a loss of power
+# ends many upstreams at the same moment.
+SAME_MOMENT = 0.1
+# Most quarantined parts; a full set takes 3 KB of each heartbeat.
+MAX_QUARANTINED = 64
+# Most crashes, crashes of one moment, suspects of a crash, and survivals in
+# one report. Of many upstreams that end together a few tell as much as all.
+MAX_REPORTED = 16
+_MAX_REPORTED_TOGETHER = 3
+MAX_REPORTED_SUSPECTS = 32
 
 
 class Prompt(msgspec.Struct, frozen=True, array_like=True):
@@ -63,3 +88,67 @@
     crashes: tuple[CrashReport, ...] = ()
     quarantined: dict[ids.PartId, QuarantineReport] = {}
     survived: dict[ids.PartId, float] = {}
+
+
+NOTHING = PartReports()
+
+
+def merge_reports(
+    known: PartReports | None,
+    added: PartReports | None,
+    age: float,
+) -> PartReports | None:
+    """Return the reports of several nodes as one.
+
+    Args:
+        known: The reports so far.
+        added: The reports of another node.
+        age: Seconds since these were received.
+    """
+    if added is None:
+        return known
+    known = known or NOTHING
+    crashes = {crash.upstream: crash for crash in known.crashes}
+    for crash in added.crashes:
+        first = crashes.get(crash.upstream)
+        suspects = dict.fromkeys(first.suspects if first else ())
+        suspects |= dict.fromkeys(crash.suspects)
+        crashes[crash.upstream] = CrashReport(
+            crash.upstream,
+            crash.age + age,
+            tuple(suspects)[:MAX_REPORTED_SUSPECTS],
+        )
+    quarantined = dict(known.quarantined)
+    for part, report in added.quarantined.items():
+        aged = QuarantineReport(
+            report.crash_age + age, report.remaining - age, report.trials
+        )
+        other = quarantined.get(part)
+        if other is None or aged.trials > other.trials:
+            quarantined[part] = aged
+    survived = {
+        part: survival_age + age
+        for part, survival_age in added.survived.items()
+    }
+    for part, survival_age in known.survived.items():
+        survived[part] = min(survival_age, survived.get(part, survival_age))
+    return PartReports(
+        choose_crashes(crashes.values()),
+        dict(list(quarantined.items())[:MAX_QUARANTINED]),
+        dict(list(survived.items())[:MAX_REPORTED]),
+    )
+
+
+def choose_crashes(
+    crashes: abc.Iterable[CrashReport],
+) -> tuple[CrashReport, ...]:
+    """Return the newest crashes, and not too many of any moment."""
+    chosen: list[CrashReport] = []
+    for crash in sorted(crashes, key=lambda one: one.age):
+        earlier = chosen[-_MAX_REPORTED_TOGETHER:]
+        is_crowded = len(earlier) == _MAX_REPORTED_TOGETHER and (
+            crash.age - earlier[0].age <= SAME_MOMENT
+        )
+        if not is_crowded and len(chosen) < MAX_REPORTED:
+            chosen.append(crash)
+    return tuple(chosen)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -873,7 +873,7 @@
     Mutant(
         "upstreams that end together count as many crashes",
         _QUARANTINE,
-        "        if at - last > _SAME_MOMENT:\n",
+        "        if at - last > quarantines.SAME_MOMENT:\n",
         "        if at > last:\n",
         f"{_EVIDENCE}.test_upstreams_that_end_together_count_once",
     ),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -296,7 +296,7 @@
             report = quarantines.PartReports(
                 (quarantines.CrashReport("i0", 0.1, (make_prompt(f"r{n}"),)),)
             )
-            merged = quarantine.merge_reports(merged, report, age)
+            merged = quarantines.merge_reports(merged, report, age)
         (crash,) = merged.crashes
         self.assertEqual([one.owner for one in crash.suspects], ["r0", "r1"])
 
