--- a/currantwall/state/quarantines.py
+++ b/currantwall/state/quarantines.py
@@ -23,7 +23,7 @@
 # Crashes within so many seconds of each other count once: a loss of power
 # ends many upstreams at the same moment.
 SAME_MOMENT = 0.1
-# Most quarantined parts; a full set takes 3 KB of each heartbeat.
+# Most quarantined parts; a full set takes 2 KB of each heartbeat.
 MAX_QUARANTINED = 64
 # Most crashes, crashes of one moment, suspects of a crash, and survivals in
 # one report. Of many upstreams that end together a few tell as much as all.
