Log a list of instances that is refused as outdated

The time line of the servers that leave unnoticed could not tell whether the reads after old_read were answered, nor what became of their lists: a list below the revision in use was refused without a line. list_refused has its revision, the one in use, and whether reads were fresh. No logic has changed. tests.test_feeds passes.

--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -68,6 +68,8 @@
         self._answered_at: float | None = None
         # Sent when a peer reports a newer list.
         self._newer_list = eventlet.event.Event()
+        # Whether the last list was refused as older than the held one.
+        self._is_refusing = False
         # Instances kept although the list lacks them, as last logged.
         self._unlisted: set[ids.InstanceId] = set()
         self.on_change: abc.Callable[[], None] = _ignore
@@ -293,9 +295,11 @@
         found = self._decoder.decode(listing.objects)
         keep_missing = self._may_lack_entries(asked_at)
         had_list = self._fleet.is_known
-        if not self._fleet.replace(
+        is_applied = self._fleet.replace(
             found, listing.revision, asked_at, keep_missing
-        ):
+        )
+        self._log_refusal(listing.revision, not is_applied)
+        if not is_applied:
             return
         self.note_change(self._fleet.last_change, had_list)
         known = self.changed
@@ -330,6 +334,17 @@
             revision=revision,
         )
 
+    def _log_refusal(self, revision: int, is_refused: bool) -> None:
+        """Log that a list is refused as older than the held one, on change."""
+        if is_refused and not self._is_refusing:
+            self._log.write(
+                "list_refused",
+                revision=revision,
+                held=self._fleet.revision,
+                strict=self._presence.staleness.is_strict(self._clock.now()),
+            )
+        self._is_refusing = is_refused
+
     def _log_unlisted(
         self, listed: set[ids.InstanceId], revision: int
     ) -> None:
