--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -186,13 +186,7 @@
         """
         self.version += 1
         spec = make_configuration(self.version) | changes
-        body = {"metadata": {"name": "main"}, "spec": spec}
-        base = f"http://{self.addresses[_STORE_NAME]}{_OBJECTS_PATH}/config"
-        data = msgspec.json.encode(body)
-        response = self.http.request("PUT", f"{base}/main", body=data)
-        if response.status == 404:
-            response = self.http.request("POST", base, body=data)
-        assert response.status == 200, response.data
+        self.put_object("config", "main", spec)
 
     def evacuate(self, datacentre: str) -> None:
         """Request in the store that a data centre be evacuated."""
@@ -214,6 +208,43 @@
         url = f"http://{self.addresses[_STORE_NAME]}/control/objectapi"
         self.http.request("POST", url, body=msgspec.json.encode(faults))
 
+    def read_events(self, name: str) -> list[dict[str, typing.Any]]:
+        """Return the lines of a gateway's log as objects."""
+        lines = self.read_log(name).splitlines()
+        return [msgspec.json.decode(line) for line in lines]
+
+    def copy_store(self) -> None:
+        """Copy the store, for `restore_store`."""
+        url = f"http://{self.addresses[_STORE_NAME]}/control/copy"
+        self.http.request("POST", url)
+
+    def restore_store(self) -> None:
+        """Have the store come back from its last copy."""
+        url = f"http://{self.addresses[_STORE_NAME]}/control/restore"
+        self.http.request("POST", url)
+
+    def get_revision(self, kind: str, name: str) -> int:
+        """Return the revision of an object in the store; 0 if none."""
+        base = f"http://{self.addresses[_STORE_NAME]}{_OBJECTS_PATH}"
+        response = self.http.request("GET", f"{base}/{kind}/{name}")
+        if response.status != 200:
+            return 0
+        return msgspec.json.decode(response.data)["metadata"]["revision"]
+
+    def put_object(self, kind: str, name: str, spec: typing.Any) -> None:
+        """Write an object to the store, or create it."""
+        base = f"http://{self.addresses[_STORE_NAME]}{_OBJECTS_PATH}/{kind}"
+        data = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        response = self.http.request("PUT", f"{base}/{name}", body=data)
+        if response.status == 404:
+            response = self.http.request("POST", base, body=data)
+        assert response.status == 200, response.data
+
+    def drain(self, name: str) -> None:
+        """Have a server announce that it leaves."""
+        url = f"http://{self.addresses[name]}/control/drain"
+        self.http.request("POST", url)
+
     def set_headers(self, name: str, **headers: str) -> None:
         """Set the headers that a server adds to all of its answers.
 
--- a/standins/objectapi.py
+++ b/standins/objectapi.py
@@ -2,8 +2,8 @@
 
 It serves the same store as `standins.platform`, which has the product's
 own interface: objects with revisions, conditional writes and watches by
-long poll. Faults can be injected: an outage, latency, lost answers and a
-lost history of changes.
+long poll. Faults can be injected: an outage, latency, lost answers, a lost
+history of changes, and a return from an older copy.
 """
 
 import http
@@ -21,6 +21,7 @@
 
 _KIND_PATH = r"/currantwall/objects/(?P<kind>[^/]+)"
 _OBJECT_PATH = _KIND_PATH + r"/(?P<name>[^/]+)"
+_ERA_HEADER = "Store-Era"
 Response = server.Response
 
 
@@ -61,7 +62,7 @@
         items = [
             _encode_object(stored) for stored in self._store.select({kind})
         ]
-        return _make_answer(
+        return self._make_answer(
             {"items": items, "hasMore": False, "asOf": self._store.revision}
         )
 
@@ -71,7 +72,7 @@
         while True:
             found = self._store.select_events({kind}, since)
             if found is None:
-                return _make_failure(http.HTTPStatus.GONE)
+                return self._make_failure(http.HTTPStatus.GONE)
             if found or remaining <= 0:
                 break
             before = eventlet.hubs.get_hub().clock()
@@ -82,7 +83,9 @@
             {"object": _encode_object(stored), "removed": not stored.value}
             for stored in found
         ]
-        return _make_answer({"events": events, "asOf": self._store.revision})
+        return self._make_answer(
+            {"events": events, "asOf": self._store.revision}
+        )
 
     @server.route("GET", _OBJECT_PATH)
     def read_object(self, request: server.Request) -> Response:
@@ -92,8 +95,8 @@
             return failed
         stored = self._store.get(_make_key(request))
         if stored is None:
-            return _make_failure(http.HTTPStatus.NOT_FOUND)
-        return _make_answer(_encode_object(stored))
+            return self._make_failure(http.HTTPStatus.NOT_FOUND)
+        return self._make_answer(_encode_object(stored))
 
     @server.route("POST", _KIND_PATH)
     def create_object(self, request: server.Request) -> Response:
@@ -110,7 +113,7 @@
         key = _make_key(request)
         current = self._store.get(key)
         if current is None:
-            return _make_failure(http.HTTPStatus.NOT_FOUND)
+            return self._make_failure(http.HTTPStatus.NOT_FOUND)
         revision = body["metadata"].get("revision", current.version)
         return self._write(key, body["spec"], revision)
 
@@ -120,10 +123,10 @@
         key = _make_key(request)
         current = self._store.get(key)
         if current is None:
-            return _make_failure(http.HTTPStatus.NOT_FOUND)
+            return self._make_failure(http.HTTPStatus.NOT_FOUND)
         self._store.write(key, b"", current.version)
         self._wake_watches()
-        return _make_answer(_encode_object(current))
+        return self._make_answer(_encode_object(current))
 
     def _write(
         self, key: objects.ObjectKey, spec: typing.Any, expected: int
@@ -134,33 +137,58 @@
         value = msgspec.json.encode(spec)
         current = self._store.get(key)
         if current is not None and current.value == value and expected:
-            return _make_answer(_encode_object(current))
+            return self._make_answer(_encode_object(current))
         version = self._store.write(key, value, expected)
         if version is None:
             if current is None:
-                return _make_failure(http.HTTPStatus.NOT_FOUND)
+                return self._make_failure(http.HTTPStatus.NOT_FOUND)
             conflicting = _encode_object(current)
-            return _make_answer(conflicting, http.HTTPStatus.CONFLICT)
+            return self._make_answer(conflicting, http.HTTPStatus.CONFLICT)
         self._wake_watches()
         if self._faults.lose_writes > 0:
             self._faults.lose_writes -= 1
-            return _make_failure(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+            return self._make_failure(http.HTTPStatus.INTERNAL_SERVER_ERROR)
         stored = self._store.get(key)
         assert stored is not None
-        return _make_answer(_encode_object(stored))
+        return self._make_answer(_encode_object(stored))
 
     def _apply_faults(self) -> Response | None:
         """Add the delay that is set; return a 503 while the API is down."""
         if self._faults.delay:
             eventlet.sleep(self._faults.delay)
         if self._faults.down:
-            return _make_failure(http.HTTPStatus.SERVICE_UNAVAILABLE)
+            return self._make_failure(http.HTTPStatus.SERVICE_UNAVAILABLE)
         return None
 
     def _wake_watches(self) -> None:
         changed, self._changed = self._changed, eventlet.event.Event()
         changed.send(None)
 
+    def _make_answer(
+        self, body: typing.Any, status: http.HTTPStatus = http.HTTPStatus.OK
+    ) -> Response:
+        headers = (
+            ("Content-Type", "application/json"),
+            (_ERA_HEADER, str(self._store.era)),
+        )
+        return Response(status, headers, msgspec.json.encode(body))
+
+    def _make_failure(self, status: http.HTTPStatus) -> Response:
+        return Response(status, ((_ERA_HEADER, str(self._store.era)),))
+
+    @server.route("POST", r"/control/copy")
+    def copy(self, request: server.Request) -> Response:
+        """Copy the store."""
+        self._store.copy()
+        return Response(http.HTTPStatus.OK, ())
+
+    @server.route("POST", r"/control/restore")
+    def restore(self, request: server.Request) -> Response:
+        """Have the store come back from its last copy."""
+        self._store.restore()
+        self._wake_watches()
+        return Response(http.HTTPStatus.OK, ())
+
     @server.route("POST", r"/control/forget")
     def forget(self, request: server.Request) -> Response:
         """Drop the history; watches from earlier revisions get a 410."""
@@ -185,14 +213,3 @@
     metadata = {"name": stored.key.name, "revision": stored.version}
     spec = msgspec.Raw(stored.value or b"null")
     return {"metadata": metadata, "spec": spec}
-
-
-def _make_answer(
-    body: typing.Any, status: http.HTTPStatus = http.HTTPStatus.OK
-) -> Response:
-    headers = (("Content-Type", "application/json"),)
-    return Response(status, headers, msgspec.json.encode(body))
-
-
-def _make_failure(status: http.HTTPStatus) -> Response:
-    return Response(status, ())
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,6 +1,7 @@
 """An in-memory object store with versions and conditional writes."""
 
 import collections
+import typing
 
 from currantwall.state import objects
 
@@ -9,21 +10,55 @@
 _EVENTS_LIMIT = 10_000  # events kept for watches
 
 
+class _Copy(typing.NamedTuple):
+    """What a store held when it was copied."""
+
+    revision: int
+    objects: dict[objects.ObjectKey, objects.Stored]
+    events: list[objects.Stored]
+    last_dropped: int
+
+
 class Store:
     """Objects, their versions and the latest events of their changes.
 
     Versions are taken from one increasing revision. A deletion leaves only
     its event, which has an empty value.
+
+    Attributes:
+        revision: Revision of the last change.
+        era: Rises each time the store comes back from a copy.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 1
         self._objects: dict[objects.ObjectKey, objects.Stored] = {}
         self._events: collections.deque[objects.Stored] = collections.deque(
             maxlen=_EVENTS_LIMIT
         )
         # Version of the newest event that is no longer kept.
         self._last_dropped = 0
+        self.copy()
+
+    def copy(self) -> None:
+        """Copy what the store holds, for `restore`."""
+        self._copy = _Copy(
+            self.revision,
+            dict(self._objects),
+            list(self._events),
+            self._last_dropped,
+        )
+
+    def restore(self) -> None:
+        """Come back from the last copy; what was written since is lost."""
+        self.era += 1
+        self.revision = self._copy.revision
+        self._objects = dict(self._copy.objects)
+        self._events = collections.deque(
+            self._copy.events, maxlen=_EVENTS_LIMIT
+        )
+        self._last_dropped = self._copy.last_dropped
 
     def get(self, key: objects.ObjectKey) -> objects.Stored | None:
         """Return the object, or None when there is none."""
