Order revisions across restores of the store

Cause: the store had come back from an older copy. Its revisions went back and were given out again, and every list of instances below the revision in use was refused as outdated, also one that had just been read; conditional writes of leases failed for as long. The class: an order that belongs to another system is taken for one that never goes back, and what was learnt under it is compared without asking in which history.

Change: a revision holds the store's era (Store-Era) in its upper bits, so that every comparison, in a process and between nodes, is right across a restore. Watches and conditions of an earlier era are not sent, or count as expired and lost; the first stale read of a later era is followed by fresh ones. For a few seconds entries that the store has forgotten are kept, older ones do not replace newer ones, and servers that left or said so get no requests.

--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -264,6 +264,7 @@
         peer.ready = heartbeat.ready
         peer.has_path = heartbeat.has_path
         peer.instances_revision = heartbeat.instances
+        self.staleness.note_era(heartbeat.instances, now)
         self._note_store_age(heartbeat.store_age, now)
         return True
 
@@ -290,6 +291,7 @@
         peer.asked_since = None
         peer.ready = True
         peer.instances_revision = instances
+        self.staleness.note_era(instances, now)
         self._note_store_age(store_age, now)
 
     def note_relayed_nodes(
@@ -624,6 +626,11 @@
         readers = relays[: min(count, _READERS_PER_DATACENTRE)]
         return self.me.id in [reader.id for reader in readers]
 
+    @property
+    def store_era(self) -> int:
+        """Return the latest era of the store that any node has reported."""
+        return self.staleness.era
+
     @property
     def store_answered_at(self) -> float | None:
         """Return when the store last answered a node that reads it."""
--- a/currantwall/coordination/peers/staleness.py
+++ b/currantwall/coordination/peers/staleness.py
@@ -5,10 +5,15 @@
 go on getting requests for as long. The store's revision rises with every
 write: a node that has learnt of a newer revision than a read shows, for
 example from the renewal of a lease, knows that the read is stale.
+
+Where the store has come back from an older copy, a stale read may still
+show what was before.
 """
 
 import collections
 
+from currantwall.state import revisions
+
 __all__ = ["Staleness"]
 
 # A read counts as too old when it lacks a revision that has been known for
@@ -16,6 +21,8 @@
 _TOLERANCE_SECONDS = 0.5
 # How long stale reads are not allowed after one that was too old.
 _STRICT_READS_SECONDS = 4.0
+# The same after the store was restored: stale reads are some seconds old.
+_RESTORED_SECONDS = 8.0
 
 
 class Staleness:
@@ -28,9 +35,38 @@
             collections.deque()
         )
         self._strict_until = 0.0
+        # The store's era; None until a revision is known.
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """Return the store's latest era that is known, 0 for none."""
+        return self._era or 0
+
+    def note_era(self, revision: int, now: float) -> bool:
+        """Record the era of a revision, as learnt from whichever source.
+
+        Args:
+            revision: The revision; 0 for none.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the store has been restored, as far as was known.
+        """
+        if not revision:
+            return False
+        era = revisions.get_era(revision)
+        if self._era is not None and era <= self._era:
+            return False
+        is_restored = self._era is not None
+        self._era = era
+        if is_restored:
+            self._strict_until = now + _RESTORED_SECONDS
+        return is_restored
 
     def note_revision(self, revision: int, now: float) -> None:
         """Record that the store has reached a revision."""
+        self.note_era(revision, now)
         if not self._revisions or revision > self._revisions[-1][1]:
             self._revisions.append((now, revision))
         self._drop_superseded(now)
@@ -42,6 +78,8 @@
             revision: Revision of the store that the read shows.
             now: Monotonic time in seconds at which the read was requested.
         """
+        if self.note_era(revision, now):
+            return True
         self._drop_superseded(now)
         if not self._revisions:
             return False
--- a/currantwall/coordination/replicas/controller.py
+++ b/currantwall/coordination/replicas/controller.py
@@ -68,7 +68,10 @@
         self._key = objects.ObjectKey(objects.Kind.DOMAINS.value, name)
         me = nodes.me
         self._lease = leases.LeaseTracker(
-            me.id, me.incarnation, settings.lease_margin
+            me.id,
+            me.incarnation,
+            settings.lease_margin,
+            settings.lease_ttl,
         )
         seed = rendezvous.score(name, me.id)
         self._backoff = calls.Backoff(
--- a/currantwall/coordination/replicas/leases.py
+++ b/currantwall/coordination/replicas/leases.py
@@ -6,10 +6,15 @@
 always stops before another node may take the lease. If a pause makes the
 holder miss its deadline, the new holder has changed the object, and the
 old holder's conditional write fails.
+
+When the store comes back from an older copy, the stored lease may be that of
+an earlier holder, and the last one may hold it still. A process that does not
+hold the lease itself then waits the whole TTL, whatever the store shows.
 """
 
 from currantwall.state import domain
 from currantwall.state import ids
+from currantwall.state import revisions
 
 __all__ = ["LeaseTracker", "is_candidate", "may_take"]
 
@@ -26,16 +31,36 @@
     """The lease of one domain as this process knows it."""
 
     def __init__(
-        self, node: ids.NodeId, incarnation: ids.Incarnation, margin: float
+        self,
+        node: ids.NodeId,
+        incarnation: ids.Incarnation,
+        margin: float,
+        ttl: float,
+        is_managed: bool = False,
     ) -> None:
+        """Create the tracker of a lease that has not been read yet.
+
+        Args:
+            node: The node of this process.
+            incarnation: The start of this process.
+            margin: Seconds before the end of the lease at which the holder
+                stops acting.
+            ttl: Seconds for which a lease holds.
+            is_managed: Whether another process may hold the lease, even if
+                the first version that is read says otherwise.
+        """
         self._node = node
         self._incarnation = incarnation
         self._margin = margin
+        self._ttl = ttl
+        self._is_managed = is_managed
         self._version: ids.Version | None = None
         self._first_seen = 0.0
         self._sent_at: dict[ids.AttemptId, float] = {}
         self._deadline = 0.0
         self._lease: domain.Lease | None = None
+        # Until when a holder that the store has forgotten may act.
+        self._forgotten_until = 0.0
 
     @property
     def deadline(self) -> float:
@@ -62,6 +87,8 @@
         """
         if self._version is None or self.holds(now):
             return False
+        if now < self._forgotten_until:
+            return False
         if self._lease is None or self.is_mine():
             return True
         return now >= self._first_seen + self._lease.ttl
@@ -78,6 +105,14 @@
         while len(self._sent_at) > _SENT_WRITE_LIMIT:
             del self._sent_at[next(iter(self._sent_at))]
 
+    def note_forgotten_holder(self, now: float) -> None:
+        """Record that another process may hold the lease unknown to the store.
+
+        It holds it for a TTL at most.
+        """
+        if not self.holds(now):
+            self._forgotten_until = now + self._ttl
+
     def record_version(
         self, version: ids.Version, ledger: domain.Domain | None, now: float
     ) -> None:
@@ -90,6 +125,16 @@
         """
         if self._version is not None and version < self._version:
             return
+        is_restored = self._version is not None and revisions.is_later_era(
+            version, self._version
+        )
+        if is_restored:
+            # A late write under a condition of an earlier era may have
+            # replaced another holder's lease, and confirms nothing.
+            self._sent_at.clear()
+        is_first = self._version is None and self._is_managed
+        if is_restored or is_first:
+            self.note_forgotten_holder(now)
         if version != self._version:
             self._version = version
             self._first_seen = now
@@ -99,7 +144,7 @@
             ttl = self._lease.ttl if self._lease else 0.0
             deadline = sent_at + ttl - self._margin
             self._deadline = max(self._deadline, deadline)
-        elif not self.is_mine():
+        elif not self.is_mine() and not is_restored:
             self._deadline = 0.0
 
 
--- a/currantwall/state/domain.py
+++ b/currantwall/state/domain.py
@@ -25,18 +25,20 @@
     DRAINING = "draining"
 
 
-class Lease(msgspec.Struct, frozen=True):
+class Lease(msgspec.Struct, frozen=True, omit_defaults=True):
     """Right to change one domain.
 
     Attributes:
         ttl: Seconds for which the lease holds, counted by the holder from
             before it sent the write.
+        era: Era of the store in which the holder wrote it.
     """
 
     holder: ids.NodeId
     incarnation: ids.Incarnation
     epoch: ids.Epoch
     ttl: float
+    era: int = 0
 
     def belongs_to(
         self, node: ids.NodeId, incarnation: ids.Incarnation
--- a/currantwall/transport/advisories.py
+++ b/currantwall/transport/advisories.py
@@ -11,6 +11,7 @@
 from currantwall.coordination.requests import balancing
 from currantwall.protocol import advisories as advisories_protocol
 from currantwall.protocol import names as names_module
+from currantwall.state import revisions
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
 from currantwall.transport import journal
@@ -155,7 +156,7 @@
                 "upstreams_cold",
                 upstreams=sorted(cold)[:_NAMES_LIMIT],
                 count=len(cold),
-                revision=self._fleet.revision,
+                revision=revisions.describe(self._fleet.revision),
             )
 
     def _note_withdrawal(
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -15,6 +15,7 @@
 from currantwall.coordination.replicas import leases
 from currantwall.state import domain as domain_module
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.transport import journal
 from currantwall.transport import ports
 from currantwall.transport import timers
@@ -38,6 +39,10 @@
 # Seconds between two reads of the leases in the store, while some of them
 # are missing from the heartbeats.
 _READ_INTERVAL = 2.0
+# Fencing tokens that are skipped for each restore of the store, more than
+# can have been lost: a lease changes hands once in a second at most, and a
+# copy is some seconds old.
+_LOST_FENCES = 1000
 # A lease is read from the store if the heartbeats have reported no renewal
 # for this many seconds: two renewals and one round of heartbeats.
 _STALE_AGE = 1.6
@@ -51,11 +56,13 @@
     ) -> None:
         self.name = name
         self.tracker = tracker
-        # Revision of the stored lease; 0 if there is none, None if that is
-        # not known yet.
+        # Revision of the stored lease, without a number if there is none;
+        # None if that is not known yet.
         self.revision: int | None = None
         # Fencing token; rises each time the lease is taken.
         self.fence = 0
+        # The store's era in which it was the newest.
+        self.fence_era = 0
         # The last known holder, which may have lost the lease meanwhile.
         self.holder = ids.NodeId("")
         self.writing = False
@@ -84,11 +91,21 @@
         self._next_read = 0.0
         self._attempts = 0
 
-    def add(self, name: ids.DomainName) -> DomainLease:
-        """Add a new domain and return its lease."""
+    def add(self, name: ids.DomainName, is_managed: bool) -> DomainLease:
+        """Add a new domain and return its lease.
+
+        Args:
+            name: The domain.
+            is_managed: Whether it has replicas, so that a node may hold its
+                lease already.
+        """
         me = self._presence.me
         tracker = leases.LeaseTracker(
-            me.id, ids.Incarnation(me.incarnation), _LEASE_MARGIN
+            me.id,
+            ids.Incarnation(me.incarnation),
+            _LEASE_MARGIN,
+            _LEASE_TTL,
+            is_managed,
         )
         lease = self._leases[name] = DomainLease(name, tracker)
         if self._has_read:
@@ -116,7 +133,7 @@
             return
         self._next_read = now + _READ_INTERVAL
         if any(self._is_candidate(lease, now) for lease in stale_leases):
-            eventlet.spawn_n(self._read_leases)
+            eventlet.spawn_n(self._read_leases, self._has_read)
 
     def _is_candidate(self, lease: DomainLease, now: float) -> bool:
         """Return whether this node may take a lease once it has lapsed."""
@@ -161,7 +178,7 @@
                 "duty_taken" if holds else "duty_lost",
                 domain=lease.name,
                 fence=lease.fence,
-                revision=lease.revision,
+                revision=revisions.describe(lease.revision),
             )
         due = (
             now >= lease.next_renewal if holds else self._may_take(lease, now)
@@ -170,25 +187,35 @@
             self._start_write(lease, now)
         return holds
 
-    def _read_leases(self) -> None:
+    def _read_leases(self, stale: bool) -> None:
         """Read all leases from the store.
 
         The first read is a fresh one, because a takeover on the basis of a
         stale read fails and has to be repeated. Later reads may be stale,
         which only delays a takeover.
+
+        Args:
+            stale: Whether the read may be some seconds old.
         """
-        listed = self._store.list(KIND, stale=self._has_read)
+        listed = self._store.list(KIND, stale=stale)
         if isinstance(listed, result.Err):
             return
         now = self._clock.now()
-        found = {stored.name: stored for stored in listed.ok_value.objects}
+        listing = listed.ok_value
+        found = {stored.name: stored for stored in listing.objects}
         for lease in self._leases.values():
             stored = found.get(lease.name)
             if stored is not None:
                 self._record_stored(lease, stored, now)
-            elif lease.revision is None:
-                lease.revision = 0
-                lease.tracker.record_version(ids.Version(0), None, now)
+            elif lease.revision is None or revisions.is_later_era(
+                listing.revision, lease.revision
+            ):
+                # Never taken, or taken after the copy was made from which
+                # the store has come back.
+                era = revisions.get_era(listing.revision)
+                lease.revision = revisions.join(era, 0)
+                version = ids.Version(lease.revision)
+                lease.tracker.record_version(version, None, now)
         self._has_read = True
 
     def _record_stored(
@@ -208,9 +235,22 @@
         self._presence.staleness.note_revision(stored.revision, now)
         lease.tracker.record_version(ids.Version(stored.revision), held, now)
         if held is not None and held.lease is not None:
-            lease.fence = held.lease.epoch
+            self._note_fence(lease, held.lease.epoch, held.lease.era)
             lease.holder = held.lease.holder
 
+    @staticmethod
+    def _note_fence(lease: DomainLease, fence: int, era: int) -> None:
+        """Record a fencing token unless a newer one is known.
+
+        Args:
+            lease: The lease.
+            fence: The token.
+            era: The store's era in which its holder wrote it.
+        """
+        if fence >= lease.fence:
+            lease.fence = fence
+            lease.fence_era = max(era, lease.fence_era)
+
     def list_leases(self, now: float) -> dict[str, presence_module.HeldLease]:
         """Return the leases that this node holds, by domain name."""
         me = self._presence.me
@@ -244,10 +284,14 @@
                 lease.revision is not None
                 and reported.revision <= lease.revision
             ):
+                if revisions.is_later_era(lease.revision, reported.revision):
+                    lease.tracker.note_forgotten_holder(now)
                 continue
             lease.revision = reported.revision
             self._presence.staleness.note_revision(reported.revision, now)
-            lease.fence = max(lease.fence, reported.epoch)
+            self._note_fence(
+                lease, reported.epoch, revisions.get_era(reported.revision)
+            )
             lease.holder = reported.holder
             reported_lease = domain_module.Lease(
                 holder=reported.holder,
@@ -284,7 +328,10 @@
         me = self._presence.me
         self._attempts += 1
         attempt = ids.AttemptId(f"{me.id}:{me.incarnation}:{self._attempts}")
-        fence = lease.fence if lease.tracker.holds(now) else lease.fence + 1
+        era = revisions.get_era(lease.revision or 0)
+        fence = lease.fence
+        if not lease.tracker.holds(now):
+            fence += 1 + _LOST_FENCES * max(era - lease.fence_era, 0)
         value = domain_module.Domain(
             name=lease.name,
             datacentre=me.datacentre,
@@ -293,6 +340,7 @@
                 incarnation=ids.Incarnation(me.incarnation),
                 epoch=ids.Epoch(fence),
                 ttl=_LEASE_TTL,
+                era=era,
             ),
             attempt=attempt,
         )
@@ -311,11 +359,15 @@
                 self._log.write(
                     "lease_not_written",
                     domain=lease.name,
-                    revision=lease.revision,
+                    revision=revisions.describe(lease.revision),
                     why=failure.value,
                 )
                 if failure is not ports.StoreFailure.UNAVAILABLE:
                     self._read_lease(lease)
+                if revisions.get_era(lease.revision or 0) > era:
+                    # The store was restored. A holder that waits for the
+                    # next renewal loses the lease meanwhile.
+                    lease.next_renewal = 0.0
         finally:
             lease.writing = False
 
@@ -324,6 +376,8 @@
         outcome = self._store.get(KIND, lease.name)
         if isinstance(outcome, result.Ok):
             self._record_stored(lease, outcome.ok_value, self._clock.now())
+        elif outcome.err_value is ports.StoreFailure.NOT_FOUND:
+            self._read_leases(False)
 
     def find_prober(self, name: ids.DomainName, now: float) -> ids.NodeId:
         """Return the node that probes a domain; empty if it is unknown.
@@ -346,6 +400,7 @@
                         incarnation=ids.Incarnation(0),
                         epoch=ids.Epoch(lease.fence),
                         ttl=0.0,
+                        era=lease.fence_era,
                     ),
                 )
                 data = msgspec.json.encode(value)
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -353,7 +353,9 @@
         self, name: ids.DomainName, service: routes.Service
     ) -> None:
         assert service.engine is not None
-        lease = self._leases.add(name)
+        members = self._fleet.list_domain(service.name, name)
+        is_managed = any(one.seat is not None for one in members)
+        lease = self._leases.add(name, is_managed)
         planner = formation.Planner(name, service.engine)
         self._domains[name] = _Domain(name, service.name, lease, planner)
 
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -16,7 +16,9 @@
 from currantwall.coordination.peers import changes
 from currantwall.coordination.peers import outages
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.peers import restores
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.state import upstreams
 from currantwall.transport import journal
 from currantwall.transport import peers
@@ -82,6 +84,7 @@
         )
         self._store = store
         self._documents = documents
+        self._former = restores.FormerEntries()
         self._decoder = _Decoder(documents)
         self._fleet = fleet
         self._log = log
@@ -147,7 +150,11 @@
         revision = listed.ok_value.revision
         if not staleness.note_read(revision, asked_at):
             return listed
-        self._log.write("old_read", feed=_FEED_NAME, revision=revision)
+        self._log.write(
+            "old_read",
+            feed=_FEED_NAME,
+            revision=revisions.describe(revision),
+        )
         return self._store.list(kind, stale=False)
 
     def _follow_reader(self, now: float) -> None:
@@ -214,7 +221,10 @@
 
     def _may_lack_entries(self, now: float) -> bool:
         """Return whether the list may lack entries of live instances."""
-        return self._find_outage(now) is not None
+        return (
+            self._former.is_rewriting(now)
+            or self._find_outage(now) is not None
+        )
 
     # -- Lists of peers
 
@@ -250,6 +260,7 @@
 
     def _apply_peer_list(self, listing: ports.Listing, now: float) -> None:
         """Apply a peer's answer: a whole list, or the changes to one."""
+        self._note_revision(listing.revision, now)
         if not listing.since:
             self._apply_list(listing, now)
         elif self._fleet.has_unlisted or self._may_lack_entries(now):
@@ -283,16 +294,55 @@
         listed, unreadable = self._decoder.decode_changes(
             listing.objects, listing.removed
         )
+        listed = self._correct(listed, listing.objects)
         gone = {ids.InstanceId(name) for name in listing.removed} | unreadable
         if not self._fleet.update(listed, gone, listing.revision, asked_at):
             return
-        self.note_change(self._fleet.last_change, True)
+        self._note_change(True)
         self._changes.merge(listing.objects, listing.removed, listing.revision)
         self.on_change()
         self._log_changes(listing.revision)
 
+    def _note_revision(self, revision: int, now: float) -> None:
+        """Record the revision of a list, and whether the store was restored.
+
+        Failure: the store comes back from an older copy, and nodes go by
+        entries from before others that they have acted upon.
+        """
+        self._presence.staleness.note_era(revision, now)
+        if not self._fleet.is_known or not revisions.is_later_era(
+            revision, self._fleet.revision
+        ):
+            return
+        known = {one.name: one.revision for one in self._changes.objects}
+        self._former.note_restore(revision, known, self._fleet, now)
+        self._log.write(
+            "store_restored",
+            feed=_FEED_NAME,
+            revision=revisions.describe(revision),
+            before=revisions.describe(self._fleet.revision),
+        )
+
+    def _correct(
+        self,
+        listed: abc.Iterable[upstreams.Upstream],
+        objects: abc.Iterable[ports.StoredObject],
+    ) -> list[upstreams.Upstream]:
+        """Return instances without what a restored store has forgotten."""
+        by_name = {stored.name: stored.revision for stored in objects}
+        return self._former.correct(listed, by_name, self._clock.now())
+
+    def _note_change(self, had_list: bool) -> None:
+        """Pass on the difference that the last list made."""
+        change = self._fleet.last_change
+        self._former.note_change(change, self._fleet, self._clock.now())
+        self.note_change(change, had_list)
+
     def _apply_list(self, listing: ports.Listing, asked_at: float) -> None:
-        found = self._decoder.decode(listing.objects)
+        self._note_revision(listing.revision, asked_at)
+        found = self._correct(
+            self._decoder.decode(listing.objects), listing.objects
+        )
         keep_missing = self._may_lack_entries(asked_at)
         had_list = self._fleet.is_known
         is_applied = self._fleet.replace(
@@ -301,7 +351,7 @@
         self._log_refusal(listing.revision, not is_applied)
         if not is_applied:
             return
-        self.note_change(self._fleet.last_change, had_list)
+        self._note_change(had_list)
         known = self.changed
         self._changes.replace(listing.objects, listing.revision)
         if self.changed > known:
@@ -331,7 +381,7 @@
             leaving=sorted(leaving)[:_NAMES_LIMIT],
             removed=sorted(before.keys() - after.keys())[:_NAMES_LIMIT],
             total=len(self._fleet.all()),
-            revision=revision,
+            revision=revisions.describe(revision),
         )
 
     def _log_refusal(self, revision: int, is_refused: bool) -> None:
@@ -339,8 +389,8 @@
         if is_refused and not self._is_refusing:
             self._log.write(
                 "list_refused",
-                revision=revision,
-                held=self._fleet.revision,
+                revision=revisions.describe(revision),
+                held=revisions.describe(self._fleet.revision),
                 strict=self._presence.staleness.is_strict(self._clock.now()),
             )
         self._is_refusing = is_refused
@@ -356,7 +406,7 @@
                 "instances_kept",
                 kept=sorted(unlisted)[:_NAMES_LIMIT],
                 count=len(unlisted),
-                revision=revision,
+                revision=revisions.describe(revision),
             )
 
 
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -31,12 +31,16 @@
     # The object has another revision.
     CONFLICT = "conflict"
     NOT_FOUND = "not_found"
-    # The store no longer has the history that a watch asks for.
+    # The store no longer has the history that a watch asks for, or was
+    # restored while a list was read.
     EXPIRED = "expired"
 
 
 class StoredObject(msgspec.Struct, frozen=True):
-    """One object; `value` is its content as JSON."""
+    """One object; `value` is its content as JSON.
+
+    All revisions here are those of `state.revisions`.
+    """
 
     name: str
     revision: int
@@ -109,8 +113,13 @@
             kind: Kind of the object.
             name: Name of the object.
             value: Content as JSON.
-            revision: Revision that the object must have; 0 to create it;
-                None to write unconditionally.
+            revision: Revision that the object must have; one without a
+                number to create it; None to write unconditionally.
+
+        Returns:
+            The object as written. `CONFLICT` as well if the revision is of
+            an earlier era of the store, and `LOST` if the store was
+            restored before the write was carried out.
         """
         raise NotImplementedError
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -16,8 +16,10 @@
 from currantwall_platform import documents  # noqa: E402
 from currantwall_platform import engines  # noqa: E402
 from currantwall_platform import settings  # noqa: E402
+from currantwall_platform import store  # noqa: E402
 
 from currantwall.coordination.replicas import knowledge  # noqa: E402
+from currantwall.state import revisions  # noqa: E402
 from currantwall.state import routes  # noqa: E402
 from currantwall.state import upstreams  # noqa: E402
 from currantwall.transport import ports  # noqa: E402
@@ -336,5 +338,86 @@
         self.assertIs(found, knowledge.ProbeResult.REFUSED)
 
 
+class ObjectStoreTest(unittest.TestCase):
+    """Revisions while the store comes back from an older copy."""
+
+    def setUp(self):
+        self.store = store.ObjectStore("127.0.0.1:1", mock.Mock())
+        self.calls = []
+        self.answers = []
+        patch = mock.patch.object(client, "send", self.send)
+        patch.start()
+        self.addCleanup(patch.stop)
+        patch = mock.patch.object(store.exchanges, "open_connection")
+        patch.start().return_value.sock = None
+        self.addCleanup(patch.stop)
+
+    def send(self, connection, method, path, headers, body, timeout):
+        self.calls.append((method, path, body))
+        status, era, answer = self.answers.pop(0)
+        named = {} if era is None else {"Store-Era": str(era)}
+        data = msgspec.json.encode(answer)
+        return client.Answer(status, data, 0.0, urllib3.HTTPHeaderDict(named))
+
+    @staticmethod
+    def make_object(revision):
+        return {"metadata": {"name": "x", "revision": revision}, "spec": {}}
+
+    def test_a_revision_of_a_later_era_is_higher(self):
+        self.answers = [
+            (200, era, {"items": [self.make_object(n)], "asOf": n})
+            for era, n in ((1, 479), (2, 368))
+        ]
+        before, after = (self.store.list("k").ok_value for _ in range(2))
+        self.assertGreater(after.revision, before.revision)
+        self.assertGreater(
+            after.objects[0].revision, before.objects[0].revision
+        )
+        self.assertEqual(revisions.describe(after.revision), "2.368")
+
+    def test_an_answer_that_names_no_era_counts_for_the_latest_one(self):
+        self.answers = [(404, 2, None), (200, None, self.make_object(5))]
+        self.store.get("k", "x")
+        found = self.store.get("k", "x").ok_value
+        self.assertEqual(found.revision, revisions.join(2, 5))
+
+    def test_a_watch_from_an_earlier_era_has_expired(self):
+        """Guards against missed changes after a number given out again."""
+        events = {"events": [{"object": self.make_object(490)}], "asOf": 490}
+        self.answers = [(200, 2, events)]
+        for _ in range(2):
+            found = self.store.watch("k", revisions.join(1, 479), 1.0)
+            self.assertEqual(found.err_value, ports.StoreFailure.EXPIRED)
+        self.assertEqual(len(self.calls), 1)
+
+    def test_a_list_that_spans_a_restore_is_not_used(self):
+        """Guards against a list of parts of two histories."""
+        page = {"items": [self.make_object(5)], "hasMore": True, "asOf": 9}
+        self.answers = [(200, 1, page), (200, 2, page)]
+        found = self.store.list("k")
+        self.assertEqual(found.err_value, ports.StoreFailure.EXPIRED)
+
+    def test_a_condition_on_an_earlier_era_is_not_met(self):
+        """Guards against replacing an object that got the number again."""
+        self.answers = [(404, 2, None)]
+        self.store.get("k", "x")
+        found = self.store.put("k", "x", b"{}", revisions.join(1, 5))
+        self.assertEqual(found.err_value, ports.StoreFailure.CONFLICT)
+        self.assertEqual(len(self.calls), 1)
+
+    def test_a_condition_met_in_a_later_era_counts_as_lost(self):
+        """Guards against a write that replaced another object unnoticed."""
+        self.answers = [(200, 2, self.make_object(6))]
+        found = self.store.put("k", "x", b"{}", revisions.join(1, 5))
+        self.assertEqual(found.err_value, ports.StoreFailure.LOST)
+        body = msgspec.json.decode(self.calls[0][2])
+        self.assertEqual(body["metadata"]["revision"], 5)
+
+    def test_a_revision_without_a_number_creates_the_object(self):
+        self.answers = [(200, 2, self.make_object(6))]
+        self.store.put("k", "x", b"{}", revisions.join(2, 0))
+        self.assertEqual([call[0] for call in self.calls], ["POST"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,9 +16,12 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.replicas import formation
 from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.replicas import leases
 from currantwall.coordination.replicas import rebalancing
 from currantwall.coordination.requests import evacuations
+from currantwall.state import domain as domain_module
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import domainleases
@@ -42,6 +45,7 @@
         self.time = 100.0
         self.revision = 10
         self.objects = {}
+        self.copied = (self.revision, {})
         self.delayed_writes = []
         self.nodes = {name: Node(name, self) for name in names}
         for node in self.nodes.values():
@@ -54,12 +58,30 @@
     def write(self, name, value, revision):
         """Carry out a conditional write; return whether it succeeded."""
         held = self.objects.get(name)
-        if revision is not None and revision != (held.revision if held else 0):
+        number = revisions.get_number(held.revision) if held else 0
+        if revision is not None and revisions.get_number(revision) != number:
             return False
         self.revision += 1
         self.objects[name] = ports.StoredObject(name, self.revision, value)
         return True
 
+    def copy(self):
+        self.copied = (self.revision, dict(self.objects))
+
+    def restore(self):
+        """Return to the last copy, in the next era."""
+        era = revisions.get_era(self.revision) + 1
+        revision, copied = self.copied
+        self.revision = revisions.join(era, revisions.get_number(revision))
+        self.objects = {
+            name: ports.StoredObject(
+                name,
+                revisions.join(era, revisions.get_number(held.revision)),
+                held.value,
+            )
+            for name, held in copied.items()
+        }
+
     def run(self, seconds, check=None):
         for _ in range(round(seconds / _STEP)):
             self.time += _STEP
@@ -76,6 +98,17 @@
             if check is not None:
                 check()
 
+    def restart(self, name):
+        """Replace the process of a node by another one."""
+        incarnation = self.nodes[name].entry.incarnation + 1
+        self.nodes[name] = Node(name, self, incarnation, self.nodes[name].seat)
+
+    def run_and_list_holders(self, seconds):
+        """Run, and return the holders after each step."""
+        held = []
+        self.run(seconds, lambda: held.append(self.list_holders()))
+        return held
+
     def list_holders(self):
         return [
             node.name for node in self.nodes.values() if node.holds(self.time)
@@ -85,7 +118,7 @@
 class Node:
     """One node, with its own connection to the store."""
 
-    def __init__(self, name, world):
+    def __init__(self, name, world, incarnation=1, seat=None):
         self.name = name
         self.world = world
         self.paused = False
@@ -96,19 +129,21 @@
         self.store_mode = "ok"
         # Number of writes it has attempted.
         self.write_count = 0
+        # Era of the store in its last answer to this node.
+        self.era = 0
         self.entry = presence_module.NodeEntry(
             id=ids.NodeId(name),
             datacentre=ids.DatacentreName("a"),
             front=name,
             heartbeats=name,
             peer=name,
-            incarnation=1,
+            incarnation=incarnation,
         )
         self.presence = presence_module.Presence(self.entry)
         self.presence.ready = True
         self.serial = 0
         # Seat of its instance in the list of instances.
-        self.seat = None
+        self.seat = seat
         self.fleet = upstreams.Fleet()
         self.leases = domainleases.DomainLeases(
             self, self.presence, mock.Mock(), world
@@ -145,13 +180,17 @@
     def receive_heartbeat(self, other):
         """Receive a heartbeat from another node."""
         other.serial += 1
+        now = self.world.now()
         heartbeat = presence_module.Heartbeat(
             node=other.entry,
             serial=other.serial,
             ready=True,
             has_path=other.presence.has_path,
+            leases=other.leases.list_leases(now),
         )
-        self.presence.note_heartbeat(heartbeat, self.world.now())
+        self.presence.note_heartbeat(heartbeat, now)
+        if other is not self:
+            self.leases.note_leases(heartbeat.leases, now)
 
     def tick(self):
         """Run one round of the real loop, after heartbeats and the list."""
@@ -171,12 +210,14 @@
     def list(self, kind, stale=False):
         if self.store_mode == "down":
             return result.Err(Failure.UNAVAILABLE)
+        self.era = revisions.get_era(self.world.revision)
         objects = tuple(self.world.objects.values())
         return result.Ok(ports.Listing(objects, self.world.revision))
 
     def get(self, kind, name):
         if self.store_mode != "ok":
             return result.Err(Failure.LOST)
+        self.era = revisions.get_era(self.world.revision)
         held = self.world.objects.get(name)
         if held is None:
             return result.Err(Failure.NOT_FOUND)
@@ -186,6 +227,8 @@
         self.write_count += 1
         if self.store_mode == "down":
             return result.Err(Failure.UNAVAILABLE)
+        if revisions.get_era(revision) < self.era:
+            return result.Err(Failure.CONFLICT)
         if self.store_mode == "late":
             at = self.world.time + 3.0
             self.world.delayed_writes.append((at, name, value, revision))
@@ -195,8 +238,11 @@
         )
         if self.store_mode in ("lost", "done"):
             return result.Err(Failure.LOST)
+        self.era = revisions.get_era(self.world.revision)
         if not done:
             return result.Err(Failure.CONFLICT)
+        if self.era > revisions.get_era(revision):
+            return result.Err(Failure.LOST)
         return result.Ok(self.world.objects[name])
 
 
@@ -364,6 +410,153 @@
             self.assertEqual(len(world.list_holders()), 1, seed)
 
 
+class RestoredLeaseTest(LeaseCase):
+    """The store comes back from an older copy, and the leases with it."""
+
+    def test_a_holder_keeps_a_lease_that_the_store_has_forgotten(self):
+        """Guards against a domain that nobody repairs after a restore."""
+        for seconds in (0.0, 3.0):
+            world = World(("n1", "n2"))
+            world.copy()
+            world.run(5.0)
+            if seconds:
+                world.copy()
+                world.run(seconds)
+            (holder,) = world.list_holders()
+            world.restore()
+            held = world.run_and_list_holders(6.0)
+            self.assertEqual(held, [[holder]] * len(held))
+
+    def test_a_holder_keeps_its_lease_if_the_store_is_away_for_a_moment(self):
+        """Guards against a holder that renews too late after a restore.
+
+        It would start anew under another fence, without its knowledge.
+        """
+        for steps in range(1, 6):
+            world = self.make("n1", "n2")
+            world.copy()
+            world.run(2.0)
+            (holder,) = world.list_holders()
+            held_leases = world.nodes[holder].leases
+            fence = held_leases.list_leases(world.now())[_DOMAIN].epoch
+            for node in world.nodes.values():
+                node.store_mode = "down"
+            world.run(steps * _STEP)
+            for node in world.nodes.values():
+                node.store_mode = "ok"
+            world.restore()
+            held = world.run_and_list_holders(6.0)
+            self.assertEqual(held, [[holder]] * len(held), steps)
+            after = held_leases.list_leases(world.now())[_DOMAIN].epoch
+            self.assertEqual(after, fence, steps)
+
+    def test_a_forgotten_holder_is_succeeded(self):
+        """Guards against leases that can't be taken at lower revisions."""
+        world = self.make("n1", "n2")
+        world.copy()
+        world.run(20.0)
+        (holder,) = world.list_holders()
+        world.nodes[holder].dead = True
+        world.restore()
+        world.run(6.0)
+        self.assertEqual(len(world.list_holders()), 1)
+
+    def test_a_fence_that_the_store_has_forgotten_is_not_used_again(self):
+        """Guards against equal epochs in an old and a new holder's joins.
+
+        The successor has not heard of the lost tenure.
+        """
+        world = self.make("n1", "n2")
+        world.copy()
+        (holder,) = world.list_holders()
+        world.nodes[holder].paused = True
+        world.run(4.5)
+        (lost,) = world.list_holders()
+        fence = world.nodes[lost].leases.list_leases(world.now())[_DOMAIN]
+        world.restore()
+        world.nodes[lost].dead = True
+        world.nodes[holder].paused = False
+        world.run(6.0)
+        (after,) = world.list_holders()
+        self.assertEqual(after, holder)
+        held = world.nodes[after].leases.list_leases(world.now())[_DOMAIN]
+        self.assertGreater(held.epoch, fence.epoch)
+
+    def test_a_late_write_from_before_a_restore_confirms_no_lease(self):
+        """Guards against a holder whose write replaced another's lease.
+
+        The number of its condition had been given out again.
+        """
+        me = ids.NodeId("n1")
+        tracker = leases.LeaseTracker(me, ids.Incarnation(1), 0.5, 2.0)
+        lease = domain_module.Lease(me, ids.Incarnation(1), ids.Epoch(1), 2.0)
+        stored = domain_module.Domain(
+            name=_DOMAIN,
+            datacentre=ids.DatacentreName("a"),
+            lease=lease,
+            attempt=ids.AttemptId("late"),
+        )
+        tracker.record_version(revisions.join(1, 40), None, 100.0)
+        tracker.note_sent(ids.AttemptId("late"), 101.0)
+        tracker.record_version(revisions.join(2, 41), stored, 101.5)
+        self.assertFalse(tracker.holds(101.6))
+        self.assertFalse(tracker.is_lapsed(103.4))
+        self.assertTrue(tracker.is_lapsed(103.6))
+
+    def test_a_lease_that_its_holder_still_announces_is_not_taken(self):
+        """Guards against a second holder where the store shows no lease."""
+        world = self.make("n1", "n2")
+        (holder,) = world.list_holders()
+        (other,) = world.nodes.keys() - {holder}
+        held = world.nodes[holder].leases.list_leases(world.now())
+        node = world.nodes[other]
+        world.restore()
+        node.leases._read_leases(False)
+        lease = node.leases._leases[_DOMAIN]
+        world.time += 1.0
+        node.leases.note_leases(held, world.now())
+        self.assertFalse(lease.tracker.is_lapsed(world.now() + 1.7))
+        self.assertTrue(lease.tracker.is_lapsed(world.now() + 1.9))
+
+    def test_never_two_holders_whatever_is_restored(self):
+        """Guards against two holders after the store has lost a lease.
+
+        Besides what else happens to nodes and calls, the store is copied
+        and restored at any moment, also before the first lease, and nodes
+        start again. The instances of the domain are in replicas.
+        """
+        for seed in range(60):
+            draw = random.Random(seed)
+            world = World(("n1", "n2", "n3"))
+            for node in world.nodes.values():
+                node.seat = upstreams.Seat(
+                    ids.ReplicaId("m.2.t"), 1, 1, upstreams.Phase.READY
+                )
+
+            def check(world=world, seed=seed):
+                self.assertLessEqual(len(world.list_holders()), 1, seed)
+
+            for _ in range(30):
+                node = world.nodes[draw.choice(("n1", "n2", "n3"))]
+                node.paused = draw.random() < 0.3
+                node.store_mode = draw.choice(
+                    ("ok", "ok", "ok", "down", "lost", "done", "late")
+                )
+                if draw.random() < 0.2:
+                    world.restart(node.name)
+                if draw.random() < 0.5:
+                    world.copy()
+                world.run(draw.uniform(0.1, 3.0), check)
+                if draw.random() < 0.4:
+                    world.restore()
+                    world.run(draw.uniform(0.1, 3.0), check)
+            for node in world.nodes.values():
+                node.paused = False
+                node.store_mode = "ok"
+            world.run(8.0, check)
+            self.assertEqual(len(world.list_holders()), 1, seed)
+
+
 class TenureTest(LeaseCase):
     def test_a_returning_holder_gives_no_order_from_old_knowledge(self):
         """Guards against orders based on knowledge from an earlier tenure.
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -12,6 +12,7 @@
 
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import configurations
@@ -65,6 +66,10 @@
         return self._next(self.watches)
 
 
+# Content of the entry of an instance that has announced its leaving.
+LEAVING = b"leaving"
+
+
 class Documents:
     """Test formats: a configuration is just its version number."""
 
@@ -86,6 +91,7 @@
                 service=ids.ServiceName("s"),
                 address="127.0.0.1:1",
                 datacentre=ids.DatacentreName("a"),
+                leaving=one.value == LEAVING,
             )
             for one in objects
         ]
@@ -114,6 +120,26 @@
     return result.Ok(ports.Listing(objects, revision))
 
 
+def make_entries(era, as_of, **entries):
+    """Return a list as of a revision of an era.
+
+    Args:
+        era: The era.
+        as_of: Number of the revision.
+        entries: Name of each instance, and number of its entry; negative if
+            the entry announces its leaving.
+    """
+    objects = tuple(
+        ports.StoredObject(
+            name,
+            revisions.join(era, abs(number)),
+            b"{}" if number > 0 else LEAVING,
+        )
+        for name, number in entries.items()
+    )
+    return result.Ok(ports.Listing(objects, revisions.join(era, as_of)))
+
+
 def make_versions(revision, *versions):
     objects = tuple(
         ports.StoredObject("main", revision, str(one).encode())
@@ -144,7 +170,7 @@
             feed.run()
 
 
-class FleetFeedTest(FeedCase):
+class FleetFeedCase(FeedCase):
     def make(self, lists):
         self.presence = presence_module.Presence(make_entry("me"))
         self.fleet = upstreams.Fleet()
@@ -161,6 +187,8 @@
     def list_names(self):
         return sorted(one.id for one in self.fleet.all())
 
+
+class FleetFeedTest(FleetFeedCase):
     def test_changes_are_passed_on_but_the_first_list_starts_nothing(self):
         """Guards against all instances that count as started just now."""
         feed = self.make([make_list(1, "a"), make_list(2, "a", "b")])
@@ -306,6 +334,86 @@
         self.assertEqual(self.list_names(), ["b"])
 
 
+class RestoredListTest(FleetFeedCase):
+    """The store comes back from an older copy, and the list with it."""
+
+    def read(self, *lists):
+        feed = self.make(lists)
+        self.store.limit = len(lists)
+        self.run_feed(feed)
+
+    def list_usable(self):
+        return sorted(one.id for one in self.fleet.all() if not one.leaving)
+
+    def test_a_list_of_a_lower_number_is_applied(self):
+        """Guards against requests to servers that have left since."""
+        restored = make_entries(2, 368, a=5, c=360)
+        self.read(make_entries(1, 479, a=5, b=6), *[restored] * 8)
+        self.assertEqual(self.list_names(), ["a", "c"])
+
+    def test_an_older_list_of_an_earlier_era_is_refused(self):
+        self.read(make_entries(2, 368, a=5), make_entries(1, 479, a=5, b=6))
+        self.assertEqual(self.list_names(), ["a"])
+
+    def test_instances_that_the_store_has_forgotten_are_kept_for_a_while(self):
+        """Guards against replicas that are dissolved by an older list."""
+        restored = make_entries(2, 30, a=5)
+        self.read(make_entries(1, 40, a=5, b=35), restored, restored)
+        self.assertEqual(self.list_names(), ["a", "b"])
+        feed = self.make([make_entries(1, 40, a=5, b=35), *[restored] * 8])
+        self.store.limit = 8
+        self.run_feed(feed)
+        self.assertEqual(self.list_names(), ["a"])
+
+    def test_a_leaving_that_the_store_has_forgotten_is_remembered(self):
+        """Guards against requests to a server that has said it leaves."""
+        before = make_entries(1, 40, a=5, b=-35)
+        for count in range(1, 10):
+            self.read(before, *[make_entries(2, 30 + count, a=5, b=6)] * count)
+            self.assertEqual(self.list_usable(), ["a"])
+
+    def test_an_instance_that_left_is_not_used_when_it_is_listed_again(self):
+        """Guards against requests to a server that is gone.
+
+        Its entry is in the copy, and lapses after some heartbeats.
+        """
+        first = make_entries(1, 40, a=5, b=6)
+        gone = make_entries(1, 41, a=5)
+        restored = make_entries(2, 30, a=5, b=6)
+        self.read(first, gone, restored, restored, restored)
+        self.assertEqual(self.list_usable(), ["a"])
+
+    def test_a_leaving_announced_after_the_restore_is_heeded(self):
+        """Guards against an announcement that is taken for an old entry.
+
+        Its number is lower than that of the entry before the restore.
+        """
+        for number in (25, 31):
+            self.read(
+                make_entries(1, 40, a=5, b=35),
+                make_entries(2, 30, a=5, b=6),
+                make_entries(2, 32, a=5, b=-number),
+            )
+            self.assertEqual(self.list_usable(), ["a"])
+
+    def test_a_stale_read_after_a_restore_is_followed_by_a_fresh_one(self):
+        """Guards against what a stale read shows of before the restore."""
+        feed = self.make([])
+        asked = []
+
+        def read(kind, stale=False):
+            asked.append(stale)
+            if len(asked) == 12:
+                raise Stop
+            era = 1 if len(asked) < 3 else 2
+            return make_entries(era, 40 + len(asked), a=5)
+
+        self.store.list = read
+        self.run_feed(feed)
+        self.assertEqual(asked[:3], [True] * 3)
+        self.assertEqual(asked[3:], [False] * 9)
+
+
 class FollowerTest(FeedCase):
     """A node that follows a reader instead of reading the store."""
 
@@ -435,6 +543,21 @@
         self.assertEqual(changes.removed, frozenset("b"))
         self.assertEqual(self.list_names(), ["a", "c", "d"])
 
+    def test_a_list_of_a_restored_store_is_passed_on(self):
+        """Guards against peers that keep to the list of a former era."""
+        feed = self.reader.feed
+        now = self.clock.now()
+        feed._apply_list(make_entries(1, 479, a=5, b=470).ok_value, now)
+        self.send_heartbeats()
+        self.follow()
+        feed._apply_list(make_entries(2, 368, a=5, c=360).ok_value, now)
+        self.send_heartbeats()
+        self.follow()
+        self.assertEqual(self.list_names(), ["a", "b", "c"])
+        self.advance_time(3.0, 0.0)
+        self.follow()
+        self.assertEqual(self.list_names(), ["a", "c"])
+
     def test_an_unchanged_list_is_not_fetched_again(self):
         """Guards against fetching an unchanged list twice a second.
 
@@ -658,6 +781,19 @@
         self.assertEqual(feed.version, 7)
         self.assertIn("configuration_unreadable", self.log.events)
 
+    def test_a_configuration_that_the_store_has_forgotten_stays(self):
+        """Guards against removed routes and keys that work again.
+
+        The store comes back from a copy with an older version.
+        """
+        restored = make_versions(revisions.join(2, 30), 7)
+        feed = self.make(
+            [make_versions(revisions.join(1, 40), 9), restored],
+            [result.Err(Failure.EXPIRED)],
+        )
+        self.run_feed(feed)
+        self.assertEqual(feed.version, 9)
+
     def test_retries_of_watches_that_keep_expiring_are_spaced_out(self):
         """Guards against a call every few milliseconds from each node.
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,7 @@
         "peers.directory",
         "peers.outages",
         "peers.presence",
+        "peers.restores",
         "peers.staleness",
         "replicas",
         "replicas.conversions",
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -267,7 +267,7 @@
         # is sent when another node holds the lease. An engine that ignores
         # the fencing token carries it out.
         tracker = leases.LeaseTracker(
-            ids.NodeId("a"), ids.Incarnation(1), margin=1.0
+            ids.NodeId("a"), ids.Incarnation(1), margin=1.0, ttl=9.0
         )
         lease = domain.Lease(
             ids.NodeId("a"), ids.Incarnation(1), ids.Epoch(1), 9.0
@@ -288,7 +288,7 @@
         # Failure: a renewal is seen late, and a candidate that counts from
         # the holder's clock takes a lease that has not expired.
         tracker = leases.LeaseTracker(
-            ids.NodeId("b"), ids.Incarnation(1), margin=1.0
+            ids.NodeId("b"), ids.Incarnation(1), margin=1.0, ttl=9.0
         )
         lease = domain.Lease(
             ids.NodeId("a"), ids.Incarnation(1), ids.Epoch(1), 9.0
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,6 +6,7 @@
 import time
 
 from bench import fleet as fleet_module
+from currantwall.transport import domainleases
 from tests import test_gateway
 
 _TIMEOUT = 60.0
@@ -41,6 +42,37 @@
             for line in self.fleet.read_events(gateway)
         )
 
+    def test_the_lease_of_a_domain_is_renewed_after_a_restore(self):
+        """Guards against replicas that nobody may repair."""
+        self.restore()
+        kind = domainleases.KIND
+        before = self.fleet.get_revision(kind, "d0")
+        fleet_module.wait_until(
+            lambda: self.fleet.get_revision(kind, "d0") > before,
+            _TIMEOUT,
+            "a renewal",
+        )
+
+    def test_a_removed_key_stays_removed_after_a_restore(self):
+        """Guards against a configuration that an older copy brings back."""
+        self.fleet.copy_store()
+        self.addCleanup(self.fleet.put_configuration)
+        self.fleet.put_configuration(tenants=[])
+        for gateway in self.nodes:
+            fleet_module.wait_until(
+                lambda gateway=gateway: self.is_refused(gateway),
+                _TIMEOUT,
+                "the configuration",
+            )
+        self.fleet.restore_store()
+        until = time.monotonic() + _SENDING_SECONDS
+        while time.monotonic() < until:
+            for gateway in self.nodes:
+                self.assertTrue(self.is_refused(gateway))
+
+    def is_refused(self, gateway):
+        return self.send("GET", "/safe/x", gateway=gateway).status == 401
+
     def test_a_server_that_leaves_after_a_restore_gets_no_requests(self):
         """Guards against a list that stands still at a former revision."""
         self.restore()
