Keep evacuations that the store has forgotten

What was evacuated now stays so for 10 s after a restore. Two new tests; the first fails without the change.

--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -3,7 +3,9 @@
 From the bound after the request to evacuate a data centre until the
 request is withdrawn, no node sends a request to an upstream there. The
 requests are objects in the store. A few nodes watch them and report them
-to the others; of two reports the one with the higher revision wins.
+to the others; of two reports the one with the higher revision wins. Where
+the store has come back from an older copy, requests that it has forgotten
+stay in effect until the operator has had the time to write them again.
 
 The load pattern: any number of nodes under full load, some of which are
 refused by the store, cut off from others or have just started. A node that
@@ -19,12 +21,15 @@
 
 from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
+from currantwall.state import revisions
 
 __all__ = ["Change", "Evacuations"]
 
 # Seconds for which a change is reported if no data centre is evacuated
 # any more: 25 rounds of heartbeats, most of which may be lost.
 _REPORT_SECONDS = 10.0
+# Seconds after the store was restored in which nothing is withdrawn.
+_RESTORE_SECONDS = 10.0
 # Part of the bound for which a node that did not run may have missed an
 # evacuation: it learns one within 1 s of the bound of 5 s.
 _SUSPENSION_RATIO = 0.5
@@ -77,6 +82,10 @@
         """
         self._bound = bound
         self._datacentres: frozenset[ids.DatacentreName] = frozenset()
+        # Evacuated when the store was restored, and until when these stay so
+        # whatever it lists.
+        self._retained: frozenset[ids.DatacentreName] = frozenset()
+        self._retained_until = now
         self._heard_at = now
         self._reported_until = now
         # When this node last ran, and from when reports are known to be new.
@@ -126,8 +135,9 @@
             return Change()
         if is_current:
             self._confirm(now)
-        if revision == self.revision:
+        if revision == self.revision and not self._retained:
             return Change()
+        listed |= self._update_retained(revision, now)
         change = Change(
             tuple(sorted(listed - self._datacentres)),
             tuple(sorted(self._datacentres - listed)),
@@ -141,6 +151,21 @@
             self.on_withdrawn(datacentre, now)
         return change
 
+    def _update_retained(
+        self, revision: int, now: float
+    ) -> frozenset[ids.DatacentreName]:
+        """Return the data centres that stay evacuated whatever is listed.
+
+        Failure: the store has come back from a copy from before a request,
+        and requests are sent there until the operator has written it again.
+        """
+        if self.revision and revisions.is_later_era(revision, self.revision):
+            self._retained = self._datacentres
+            self._retained_until = now + _RESTORE_SECONDS
+        elif now >= self._retained_until:
+            self._retained = frozenset()
+        return self._retained
+
     def note_contact(self, now: float, is_informed: bool) -> None:
         """Record that another node, which has no news, is ready.
 
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -17,6 +17,7 @@
 from currantwall.state import evacuations as reports_module
 from currantwall.state import hashing
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.state import upstreams
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
@@ -317,7 +318,7 @@
         self._log.write(
             event,
             datacentre=datacentre,
-            revision=revision,
+            revision=revisions.describe(revision),
             source=source,
             upstreams=count,
         )
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -19,6 +19,7 @@
 from currantwall.state import evacuations as reports
 from currantwall.state import ids
 from currantwall.state import rendezvous
+from currantwall.state import revisions
 from currantwall.state import upstreams
 from currantwall.transport import evacuations as feeds
 from currantwall.transport import peers
@@ -153,6 +154,27 @@
         self.assertEqual(self.known.list_reports(909.0), withdrawal)
         self.assertIsNone(self.known.list_reports(911.0))
 
+    def test_an_evacuation_that_the_store_has_forgotten_stays(self):
+        """Guards against requests there until the operator writes again.
+
+        The store comes back from a copy from before the evacuation.
+        """
+        self.known.note(revisions.join(1, 40), ["a"], 100.0)
+        for seconds, number in ((0.0, 30), (5.0, 31), (9.9, 31)):
+            revision = revisions.join(2, number)
+            self.assertFalse(self.known.note(revision, [], 100.0 + seconds))
+            self.assertTrue(self.known.is_evacuated("a"))
+        report = self.known.list_reports(109.9)
+        self.assertEqual(report.datacentres, ("a",))
+        change = self.known.note(revisions.join(2, 31), [], 110.1)
+        self.assertEqual(change.withdrawn, ("a",))
+
+    def test_a_report_of_an_earlier_era_changes_nothing(self):
+        """Guards against an evacuation that a late report withdraws."""
+        self.known.note(revisions.join(2, 30), ["a"], 100.0)
+        self.known.note(revisions.join(1, 40), [], 100.5)
+        self.assertTrue(self.known.is_evacuated("a"))
+
     def test_nothing_is_reported_or_withheld_without_a_bound(self):
         known = evacuations.Evacuations()
         self.assertFalse(known.note(1, ["a"], 100.0))
