Store quarantined parts again after a restore

A part counted as stored for good once it was written, and one that had been removed as gone. After the store has come back from an older copy both may be wrong, and a restart of all nodes would begin with them. The writers write what is quarantined again, and readers remove what is not. Two new tests, each of which fails without the change.

--- a/currantwall/transport/quarantines.py
+++ b/currantwall/transport/quarantines.py
@@ -3,7 +3,8 @@
 Failure: all nodes restart at once, and servers have to crash again before
 the nodes know which part crashes them. A few nodes read the stored parts
 when they start; the others learn of them from heartbeats. For each part two
-nodes write what has changed.
+nodes write what has changed, and everything again when the store has come
+back from an older copy.
 """
 
 import eventlet
@@ -13,6 +14,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.transport import journal
 from currantwall.transport import ports
 from currantwall.transport import timers
@@ -55,6 +57,8 @@
         self._log = log
         self._now = clock.now
         self._has_read = False
+        # Era of the store in which `_stored` was learnt; None for none yet.
+        self._era: int | None = None
         # The parts and trials that are known to be stored.
         self._stored: dict[ids.PartId, int] = {}
 
@@ -71,6 +75,10 @@
         )
         if is_read_due and not self._read():
             return _RETRY_INTERVAL
+        if self._era is None:
+            self._era = self._presence.store_era
+        if self._presence.store_era > self._era and not self._reconcile(now):
+            return _RETRY_INTERVAL
         current = self._quarantine.list_quarantined()
         if current == self._stored:
             return _CHECK_INTERVAL
@@ -86,6 +94,7 @@
         if isinstance(listed, result.Err):
             return False
         self._has_read = True
+        self._era = revisions.get_era(listed.ok_value.revision)
         now = self._now()
         for stored in listed.ok_value.objects:
             part = ids.PartId(stored.name)
@@ -100,6 +109,26 @@
             self._quarantine.restore(part, trials, now)
         return True
 
+    def _reconcile(self, now: float) -> bool:
+        """Begin anew after the store was restored; return whether it is done.
+
+        What is quarantined is written again. What is not may be stored
+        again, and is removed by the nodes that read the store.
+        """
+        era = self._presence.store_era
+        if self._has_read and self._presence.is_reader(now):
+            listed = self._store.list(KIND)
+            if isinstance(listed, result.Err):
+                return False
+            current = self._quarantine.list_quarantined()
+            for stored in listed.ok_value.objects:
+                if ids.PartId(stored.name) not in current:
+                    self._store.delete(KIND, stored.name)
+            era = max(era, revisions.get_era(listed.ok_value.revision))
+        self._era = era
+        self._stored.clear()
+        return True
+
     def _write(self, part: ids.PartId, trials: int | None) -> bool:
         """Store a part, or remove it; return whether that is done.
 
--- a/tests/test_quarantine_feed.py
+++ b/tests/test_quarantine_feed.py
@@ -9,6 +9,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import quarantine
 from currantwall.state import ids
+from currantwall.state import revisions
 from currantwall.transport import ports
 from currantwall.transport import quarantines as feeds
 
@@ -21,6 +22,7 @@
 
     def __init__(self):
         self.values = {}
+        self.revision = 1
         self.is_down = False
         self.calls = 0
 
@@ -29,17 +31,17 @@
         if self.is_down:
             return result.Err(ports.StoreFailure.UNAVAILABLE)
         objects = [
-            ports.StoredObject(name, 1, value)
+            ports.StoredObject(name, self.revision, value)
             for name, value in self.values.items()
         ]
-        return result.Ok(ports.Listing(tuple(objects), 1))
+        return result.Ok(ports.Listing(tuple(objects), self.revision))
 
     def put(self, kind, name, value, revision):
         self.calls += 1
         if self.is_down:
             return result.Err(ports.StoreFailure.LOST)
         self.values[name] = value
-        return result.Ok(ports.StoredObject(name, 1, value))
+        return result.Ok(ports.StoredObject(name, self.revision, value))
 
     def delete(self, kind, name):
         self.calls += 1
@@ -57,6 +59,7 @@
         entries = [network.make_entry(f"n{n}", "a") for n in range(_NODES)]
         self.quarantines = [quarantine.Quarantine() for _ in entries]
         self.feeds = []
+        self.presences = []
         for entry, guard in zip(entries, self.quarantines, strict=True):
             presence = presence_module.Presence(entry)
             presence.ready = True
@@ -71,6 +74,7 @@
                 self.store, guard, presence, mock.Mock(), clock
             )
             self.feeds.append(feed)
+            self.presences.append(presence)
 
     def update(self):
         for feed in self.feeds:
@@ -118,6 +122,35 @@
         self.update()
         self.assertEqual(self.store.values, {})
 
+    def restore(self, values):
+        """Have the store come back from a copy, as the nodes learn."""
+        self.store.values = dict(values)
+        self.store.revision = revisions.join(1, 1)
+        for presence in self.presences:
+            presence.staleness.note_era(1, self.now)
+            presence.staleness.note_era(self.store.revision, self.now)
+
+    def test_a_part_that_the_store_has_forgotten_is_written_again(self):
+        """Guards against servers that crash again after a loss of power.
+
+        The store has come back from a copy from before the quarantine.
+        """
+        self.test_a_write_that_failed_is_repeated()
+        self.restore({})
+        self.update()
+        self.assertEqual(list(self.store.values), [_PART])
+
+    def test_a_cleared_part_that_the_store_has_again_is_removed(self):
+        """Guards against parts that are refused again after a restart."""
+        self.test_a_write_that_failed_is_repeated()
+        copied = dict(self.store.values)
+        for guard in self.quarantines:
+            guard._note_survival(_PART, self.now + 1.0)
+        self.update()
+        self.restore(copied)
+        self.update()
+        self.assertEqual(self.store.values, {})
+
 
 if __name__ == "__main__":
     unittest.main()
