Register a node again that the store has forgotten

A node wrote its entry once. A list as new as that entry which lacks it, or has one of an earlier process, now leads to another registration. Also covers a late removal by the node's last process.

--- a/currantwall/transport/registrations.py
+++ b/currantwall/transport/registrations.py
@@ -38,6 +38,8 @@
         self._log = log
         self._clock = clock
         self._registered = False
+        # Revision of this node's entry, as written last.
+        self._revision = 0
 
     def run(self) -> None:
         """Register this node, then read the list forever."""
@@ -72,7 +74,9 @@
         outcome = self._store.put(NODES_KIND, me.id, value, 0)
         if outcome == result.Err(ports.StoreFailure.CONFLICT):
             outcome = self._store.put(NODES_KIND, me.id, value, None)
-        self._registered = isinstance(outcome, result.Ok)
+        if isinstance(outcome, result.Ok):
+            self._registered = True
+            self._revision = outcome.ok_value.revision
 
     def _apply_list(
         self,
@@ -88,6 +92,11 @@
                     "node_entry_unreadable", name=stored.name, why=str(error)
                 )
         self._presence.note_list(entries, self._clock.now())
+        is_newer = listing.revision >= self._revision
+        if is_newer and self._presence.me not in entries:
+            # The store was restored, or the entry was removed late by the
+            # node's last process.
+            self._registered = False
 
     def leave(self) -> None:
         """Remove this node's entry from the store."""
