Soak: the store comes back from an older copy

Disturbances of their own random numbers: the store is copied, is away for 0.4 s some time later and comes back from the copy; servers and the operator write again.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,6 +25,9 @@
     STORE_SLOW = "store_slow"
     STORE_LOSES = "store_loses"
     STORE_FORGETS = "store_forgets"
+    # The store is away for a moment, and comes back from a copy that was
+    # made at the start of the disturbance.
+    STORE_RESTORED = "store_restored"
     # CUT_GATEWAY and CUT_ENTRY are of the link from a gateway or server to
     # the store, CUT_UPSTREAM is of the links from gateways to a server.
     CUT_GATEWAY = "cut_gateway"
@@ -84,6 +87,8 @@
 # Most seconds between two partitions, and the longest that one lasts.
 _MAX_PARTITION_PAUSE = 6.0
 _MAX_PARTITION = 6.0
+# Most seconds between two restores of the store.
+_MAX_RESTORE_PAUSE = 8.0
 # How a link may fail: the values of `proxy.Mode` but for passing.
 _LINK_MODES = ("delayed", "silent", "one_way", "resetting")
 # Seconds before the first disturbance, and at most between the starts of
@@ -152,6 +157,7 @@
         at += rng.uniform(0.0, _MAX_SERIES_PAUSE if in_series else _MAX_PAUSE)
     disturbances += _plan_advisories(seed, seconds, upstreams)
     disturbances += _plan_partitions(seed, seconds, gateways)
+    disturbances += _plan_restores(seed, seconds)
     return sorted(disturbances, key=lambda disturbance: disturbance.at)
 
 
@@ -196,3 +202,18 @@
             )
         at += rng.uniform(0.0, _MAX_PARTITION_PAUSE)
     return disturbances
+
+
+def _plan_restores(seed: int, seconds: float) -> list[Disturbance]:
+    """Return when the store comes back from an older copy.
+
+    The random numbers are its own, as those of `_plan_advisories` are.
+    """
+    rng = random.Random(f"{seed}/restores")
+    disturbances = []
+    at = rng.uniform(0.0, _MAX_RESTORE_PAUSE)
+    while at < seconds:
+        lasts = rng.uniform(_MIN_DURATION, _MAX_DURATION)
+        disturbances.append(Disturbance(at, Kind.STORE_RESTORED, lasts))
+        at += lasts + rng.uniform(0.0, _MAX_RESTORE_PAUSE)
+    return disturbances
--- a/soak/site.py
+++ b/soak/site.py
@@ -37,6 +37,8 @@
 _LIMIT_TIME = 8.0
 _PAUSE_SECONDS = 4.0
 _CLOCK_SKEW = -60.0  # seconds
+# Seconds for which the store is away before it comes back from a copy.
+_AWAY_TIME = 0.4
 # Seconds until the operator repeats a write that failed.
 _RETRY_INTERVAL = 0.2
 _ROOT = pathlib.Path(__file__).parent.parent
@@ -153,6 +155,11 @@
         self.newest += 1
         number = self.newest
         self.record_event("configuring", str(number))
+        self._write_configuration(number)
+        self.acknowledged[number] = time.monotonic()
+        self.record_event("configured", str(number))
+
+    def _write_configuration(self, number: int) -> None:
         routes = gateways_module.make_configuration(number)["routes"]
         first = max(1, number - KEPT_VERSIONS + 1)
         for version in range(first, number + 1):
@@ -165,8 +172,6 @@
             except AssertionError:
                 # The store is down, or its answer was lost.
                 eventlet.sleep(_RETRY_INTERVAL)
-        self.acknowledged[number] = time.monotonic()
-        self.record_event("configured", str(number))
 
     # -- Disturbances
 
@@ -186,7 +191,26 @@
         else:
             getattr(self, f"_{disturbance.kind.value}")(disturbance)
 
+    def _restore_store(self, disturbance: plan_module.Disturbance) -> None:
+        """Have the store lose what was written for a while.
+
+        The servers write their entries again with the next heartbeat, and
+        the operator the newest configuration.
+        """
+        self.copy_store()
+        eventlet.sleep(disturbance.lasts)
+        self.record_event(disturbance.kind.value)
+        self.set_store(down=True)
+        eventlet.sleep(_AWAY_TIME)
+        self.restore_store()
+        self.set_store()
+        self._write_configuration(self.newest)
+        self.record_event("store_mended")
+
     def _disturb_store(self, disturbance: plan_module.Disturbance) -> None:
+        if disturbance.kind is Kind.STORE_RESTORED:
+            self._restore_store(disturbance)
+            return
         self.record_event(disturbance.kind.value)
         if disturbance.kind is Kind.STORE_FORGETS:
             url = f"http://{self.addresses['platform']}/control/forget"
