Test: older entries and stale reads after a restore

Two guards of the restore could be taken out unnoticed: the choice of the newer of two entries, and the fresh read that follows a stale one. Both tests now fail without their guard.

--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -11,6 +11,7 @@
 import result
 
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.peers import restores
 from currantwall.state import ids
 from currantwall.state import revisions
 from currantwall.state import routes
@@ -400,18 +401,51 @@
         """Guards against what a stale read shows of before the restore."""
         feed = self.make([])
         asked = []
+        added = set()
+        feed.note_change = lambda change, _: added.update(
+            one.id for one in change.new
+        )
 
         def read(kind, stale=False):
             asked.append(stale)
             if len(asked) == 12:
                 raise Stop
             era = 1 if len(asked) < 3 else 2
-            return make_entries(era, 40 + len(asked), a=5)
+            entries = {"former": 6} if stale and era == 2 else {}
+            return make_entries(era, 40 + len(asked), a=5, **entries)
 
         self.store.list = read
         self.run_feed(feed)
         self.assertEqual(asked[:3], [True] * 3)
         self.assertEqual(asked[3:], [False] * 9)
+        self.assertEqual(added, {"a"})
+
+    def test_an_older_entry_does_not_replace_a_newer_one(self):
+        """Guards against replicas that are judged by their former state.
+
+        The copy has an entry from before a server was given its seat.
+        """
+        fleet = upstreams.Fleet()
+        former = restores.FormerEntries()
+        (new,) = Documents().decode_upstreams(
+            [ports.StoredObject("a", 0, b"{}")]
+        )
+        old = msgspec.structs.replace(new, slots=2)
+        fleet.replace([new], revisions.join(1, 40), 100.0)
+        known = {"a": revisions.join(1, 35)}
+        former.note_restore(revisions.join(2, 30), known, fleet, 100.0)
+
+        def correct(listed, number, now):
+            found = former.correct(
+                [listed], {"a": revisions.join(2, number)}, now
+            )
+            return found[0].slots
+
+        self.assertEqual(correct(old, 10, 101.0), new.slots)
+        self.assertEqual(correct(old, 31, 101.0), old.slots)
+        reborn = msgspec.structs.replace(old, born=7)
+        self.assertEqual(correct(reborn, 10, 101.0), old.slots)
+        self.assertEqual(correct(old, 10, 103.0), old.slots)
 
 
 class FollowerTest(FeedCase):
