Leases: no stale read from before a restore

A lease would then have a revision that no condition meets. The feed of instances has that guard already. The new test fails without the change: the stale list is used.

--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -133,7 +133,9 @@
             return
         self._next_read = now + _READ_INTERVAL
         if any(self._is_candidate(lease, now) for lease in stale_leases):
-            eventlet.spawn_n(self._read_leases, self._has_read)
+            is_strict = self._presence.staleness.is_strict(now)
+            may_lag = self._has_read and not is_strict
+            eventlet.spawn_n(self._read_leases, may_lag)
 
     def _is_candidate(self, lease: DomainLease, now: float) -> bool:
         """Return whether this node may take a lease once it has lapsed."""
@@ -195,13 +197,19 @@
         which only delays a takeover.
 
         Args:
-            stale: Whether the read may be some seconds old.
+            stale: Whether the read may be some seconds old. The first that
+                shows that the store was restored is not used, as it may
+                show what was before.
         """
         listed = self._store.list(KIND, stale=stale)
         if isinstance(listed, result.Err):
             return
         now = self._clock.now()
         listing = listed.ok_value
+        is_restored = self._presence.staleness.note_era(listing.revision, now)
+        if stale and is_restored:
+            self._read_leases(False)
+            return
         found = {stored.name: stored for stored in listing.objects}
         for lease in self._leases.values():
             stored = found.get(lease.name)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -518,6 +518,34 @@
         self.assertFalse(lease.tracker.is_lapsed(world.now() + 1.7))
         self.assertTrue(lease.tracker.is_lapsed(world.now() + 1.9))
 
+    def test_a_stale_read_after_a_restore_is_followed_by_a_fresh_one(self):
+        """Guards against a revision of a lost lease in the new era.
+
+        No write on condition of it would succeed.
+        """
+        world = self.make("n1", "n2")
+        node = world.nodes["n1"]
+        lost = [
+            ports.StoredObject(one.name, revisions.join(1, 999), one.value)
+            for one in world.objects.values()
+        ]
+        read = node.list
+        asked = []
+
+        def list_leases(kind, stale=False):
+            asked.append(stale)
+            if not stale:
+                return read(kind)
+            listing = ports.Listing(tuple(lost), revisions.join(1, 999))
+            return result.Ok(listing)
+
+        node.list = list_leases
+        world.restore()
+        node.leases._read_leases(True)
+        self.assertEqual(asked, [True, False])
+        lease = node.leases._leases[_DOMAIN]
+        self.assertLess(lease.revision, revisions.join(1, 999))
+
     def test_never_two_holders_whatever_is_restored(self):
         """Guards against two holders after the store has lost a lease.
 
