--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -48,6 +48,8 @@
 _COLD = "tests.test_cold.ColdSharesTest"
 _COLDNESS = "tests.test_cold.ColdnessTest"
 _DUTIES = "tests.test_duties"
+_RESTORED = f"{_DUTIES}.RestoredLeaseTest"
+_ADAPTER = "tests.test_adapter.ObjectStoreTest"
 _DIGESTS = "tests.test_digests"
 _BUDGET = "tests.test_buffering.BudgetTest"
 _FEEDS = "tests.test_feeds"
@@ -927,6 +929,67 @@
         f"{_BUDGET}"
         ".test_an_upstream_that_a_caller_kept_waiting_is_not_to_blame",
     ),
+    Mutant(
+        "a condition of an earlier era is sent to the store",
+        "platform/currantwall_platform/store.py",
+        "            if number and revisions.get_era(revision) < self._era:\n",
+        "            if False:\n",
+        f"{_ADAPTER}.test_a_condition_on_an_earlier_era_is_not_met",
+    ),
+    Mutant(
+        "a watch goes on after a restore",
+        "platform/currantwall_platform/store.py",
+        "        if era != revisions.get_era(since):\n",
+        "        if False:\n",
+        f"{_ADAPTER}.test_a_watch_from_an_earlier_era_has_expired",
+    ),
+    Mutant(
+        "a lease that the store has forgotten is taken at once",
+        f"{_COORDINATION}/replicas/leases.py",
+        "            self._forgotten_until = now + self._ttl\n",
+        "            pass\n",
+        f"{_RESTORED}.test_never_two_holders_whatever_is_restored",
+    ),
+    Mutant(
+        "a write from before a restore confirms a lease",
+        f"{_COORDINATION}/replicas/leases.py",
+        "            self._sent_at.clear()\n",
+        "            pass\n",
+        f"{_RESTORED}"
+        ".test_a_late_write_from_before_a_restore_confirms_no_lease",
+    ),
+    Mutant(
+        "a fence that the store has forgotten is used again",
+        "currantwall/transport/domainleases.py",
+        "_LOST_FENCES * max(",
+        "0 * max(",
+        f"{_RESTORED}"
+        ".test_a_fence_that_the_store_has_forgotten_is_not_used_again",
+    ),
+    Mutant(
+        "a leaving that the store has forgotten is forgotten",
+        f"{_COORDINATION}/peers/restores.py",
+        "            if self._departures.is_leaving(upstream):\n",
+        "            if False:\n",
+        f"{_FEEDS}.RestoredListTest"
+        ".test_a_leaving_that_the_store_has_forgotten_is_remembered",
+    ),
+    Mutant(
+        "an older entry replaces a newer one after a restore",
+        f"{_COORDINATION}/peers/restores.py",
+        "        return former\n",
+        "        return listed\n",
+        f"{_FEEDS}.RestoredListTest"
+        ".test_an_older_entry_does_not_replace_a_newer_one",
+    ),
+    Mutant(
+        "an evacuation that the store has forgotten ends",
+        f"{_COORDINATION}/requests/evacuations.py",
+        "        listed |= self._update_retained(revision, now)\n",
+        "",
+        f"{_EVACUATIONS}.EvacuationsTest"
+        ".test_an_evacuation_that_the_store_has_forgotten_stays",
+    ),
 )
 
 
