Quarantine: a trial that reaches no upstream doubles no wait

Callers with a part that was quarantined wrongly waited 120 s after a trial that had reached no upstream (read, and shown by hand before): the trial was counted when its attempt began. An attempt that has certainly not run at its upstream is no trial now; the next one comes after 10 s, and nodes tell each other of it. Two new tests; each fails with its part of the change taken out.

--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -52,8 +52,9 @@
 # Most suspects of one crash that are remembered.
 _MAX_SUSPECTS = 64
 # Seconds until a request with a quarantined part is tried. Each trial that
-# does not clear the part doubles them. The first trial of a part that many
-# other requests may share comes early.
+# reaches an upstream and does not clear the part doubles them. The first
+# trial of a part that many other requests may share comes early, as does the
+# one after a trial that reached no upstream.
 _FIRST_TRIAL_DELAY = 60.0
 _EARLY_TRIAL_DELAY = 10.0
 _MAX_TRIAL_DELAY = 3600.0
@@ -75,6 +76,8 @@
         last_at: Monotonic time of the last event.
         noted_at: Monotonic time at which its survival was last recorded.
         is_answered: Whether the answer is complete.
+        trials: The quarantined parts that it tries, and the number of the
+            trial of each.
     """
 
     upstream: ids.InstanceId
@@ -83,6 +86,7 @@
     last_at: float = 0.0
     noted_at: float = 0.0
     is_answered: bool = False
+    trials: dict[PartId, int] = {}
 
     @property
     def has_survived(self) -> bool:
@@ -126,12 +130,21 @@
 class _Verdict:
     """A quarantined part."""
 
-    def __init__(self, crashed_at: float, trials: int, next_trial: float):
+    def __init__(
+        self, crashed_at: float, trials: int, next_trial: float
+    ) -> None:
         self.crashed_at = crashed_at
         self.trials = trials
+        # Number of trials that reached no upstream.
+        self.unreached = 0
         # Monotonic time from which a request may be tried.
         self.next_trial = next_trial
 
+    @property
+    def reached(self) -> int:
+        """Return the number of trials that reached an upstream."""
+        return self.trials - self.unreached
+
 
 class _Rank(typing.NamedTuple):
     """A key that is greater for a likelier cause.
@@ -230,9 +243,23 @@
             verdict = self._verdicts.get(part)
             if verdict is not None:
                 verdict.trials += 1
-                verdict.next_trial = now + _get_trial_delay(verdict.trials)
+                exposure.trials[part] = verdict.trials
+                delay = _get_trial_delay(verdict.reached)
+                verdict.next_trial = now + delay
         return exposure
 
+    def note_unreached(self, exposure: Exposure, now: float) -> None:
+        """Record that an attempt has not run at its upstream.
+
+        Failure: a trial that reaches no upstream proves nothing, and the
+        next one comes only after twice the time.
+        """
+        for part, number in exposure.trials.items():
+            verdict = self._verdicts.get(part)
+            if verdict is not None and verdict.trials == number:
+                verdict.unreached += 1
+                verdict.next_trial = now + _EARLY_TRIAL_DELAY
+
     def note_event(self, exposure: Exposure, now: float) -> None:
         """Record that an event of the answer has arrived."""
         if exposure.begun_at is None:
@@ -474,9 +501,12 @@
     # -- Reports
 
     def list_quarantined(self) -> dict[PartId, int]:
-        """Return the quarantined parts and the number of trials of each."""
+        """Return the quarantined parts and the number of trials of each.
+
+        Trials that reached no upstream are left out.
+        """
         return {
-            part: verdict.trials for part, verdict in self._verdicts.items()
+            part: verdict.reached for part, verdict in self._verdicts.items()
         }
 
     def make_reports(self, now: float) -> quarantines.PartReports | None:
@@ -505,6 +535,7 @@
                     round(now - verdict.crashed_at, 3),
                     round(verdict.next_trial - now, 3),
                     verdict.trials,
+                    verdict.unreached,
                 )
                 for part, verdict in self._verdicts.items()
             },
@@ -558,10 +589,11 @@
             if is_current and not causes:
                 next_trial = now + report.remaining
                 self._impose(part, crashed_at, report.trials, next_trial)
+                self._verdicts[part].unreached = report.unreached
             return
         verdict.crashed_at = max(verdict.crashed_at, crashed_at)
-        if report.trials > verdict.trials:
-            verdict.trials = report.trials
+        if report.order > (verdict.trials, verdict.unreached):
+            verdict.trials, verdict.unreached = report.order
             verdict.next_trial = now + report.remaining
 
 
--- a/currantwall/state/quarantines.py
+++ b/currantwall/state/quarantines.py
@@ -68,11 +68,18 @@
         remaining: Seconds until a request with it may be tried; negative
             if one may be tried now.
         trials: Number of requests that were tried.
+        unreached: Number of these that reached no upstream.
     """
 
     crash_age: float
     remaining: float
     trials: int
+    unreached: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return a key that is greater for a newer report of a part."""
+        return self.trials, self.unreached
 
 
 class PartReports(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -121,10 +128,13 @@
     quarantined = dict(known.quarantined)
     for part, report in added.quarantined.items():
         aged = QuarantineReport(
-            report.crash_age + age, report.remaining - age, report.trials
+            report.crash_age + age,
+            report.remaining - age,
+            report.trials,
+            report.unreached,
         )
         other = quarantined.get(part)
-        if other is None or aged.trials > other.trials:
+        if other is None or aged.order > other.order:
             quarantined[part] = aged
     survived = {
         part: survival_age + age
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -131,6 +131,12 @@
             self.quarantine.end(current.exposure, is_answered)
             self._attempts.pop(current.exchange.number, None)
 
+    def note_unreached(self, current: requests.Attempt) -> None:
+        """Record that an attempt has not run at its upstream."""
+        if current.exposure is not None and current.exposure.trials:
+            self.quarantine.note_unreached(current.exposure, self._now())
+            self.on_change()
+
     # -- Crashes
 
     def note_break(
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -400,6 +400,8 @@
         now = self.now()
         if failure.may_have_run:
             request.progress.runs += 1
+        else:
+            self._crashes.note_unreached(current)
         if failure is Failure.NO_PATH:
             request.tried.discard(current.upstream.epoch_id)
         elif has_path:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -893,9 +893,9 @@
     Mutant(
         "each node tries a quarantined part by itself",
         _QUARANTINE,
-        "            verdict.trials = report.trials\n"
+        "            verdict.trials, verdict.unreached = report.order\n"
         "            verdict.next_trial = now + report.remaining\n",
-        "            verdict.trials = report.trials\n",
+        "            verdict.trials, verdict.unreached = report.order\n",
         f"{_REPORTS}.test_one_node_tries_for_all",
     ),
     Mutant(
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import quarantine
 from currantwall.state import ids
 from currantwall.state import quarantines
 from currantwall.transport import crashes
 from currantwall.transport import exchanges
+from currantwall.transport import sending
 from currantwall.transport import timers
 from tests import test_gateway_parts
 
@@ -108,6 +110,41 @@
         self.assertEqual({task.wait() for task in tasks}, {False})
         self.assertLessEqual(self.engines.count, 2)
 
+    def make_trial(self):
+        """Return a request with a quarantined part, and its attempt."""
+        part = ids.PartId("t")
+        self.crashes.quarantine.restore(part, 0, -1000.0)
+        prompt = quarantines.Prompt("r", (part,))
+        current = mock.Mock(
+            upstream=self.upstream, sent_at=0.0, peer=None, begun_at=None
+        )
+        current.exposure = self.crashes.quarantine.expose(
+            self.upstream.id, prompt, 0.0
+        )
+        request = mock.Mock(prompt=prompt, progress=attempts.Progress(1))
+        request.route = test_gateway_parts.make_route()
+        return request, current
+
+    def test_only_an_attempt_that_may_have_run_is_a_trial(self):
+        """Guards against a wait that doubles without a result."""
+        for failure, reached in (
+            (attempts.Failure.UNREACHED, 0),
+            (attempts.Failure.NOT_RUN, 0),
+            (attempts.Failure.STALLED, 1),
+        ):
+            self.setUp()
+            sender = sending.Sender(
+                *[mock.Mock() for _ in range(8)],
+                self.crashes,
+                *[mock.Mock() for _ in range(3)],
+                timers.TimerService.now,
+            )
+            sender.fleet_age = lambda now: 0.0
+            request, current = self.make_trial()
+            sender.fail_attempt(request, current, failure, "why")
+            counts = self.crashes.quarantine.list_quarantined()
+            self.assertEqual(counts, {"t": reached}, failure)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -289,6 +289,26 @@
         for node in self.nodes:
             self.assertGreater(node.find_retry_after([CAUSE], 80.1), 100.0)
 
+    def test_a_trial_that_reached_no_upstream_is_repeated_soon(self):
+        """Guards against a wait that doubles without a result."""
+        self.test_crashes_that_different_nodes_saw_add_up()
+        for at in (80.0, 95.0):
+            exposure = self.nodes[2].expose(
+                ids.InstanceId("i8"), make_prompt("t"), at
+            )
+            self.exchange(at + 0.1)
+            self.nodes[2].note_unreached(exposure, at + 0.2)
+            self.exchange(at + 0.3)
+            for node in self.nodes:
+                remaining = node.find_retry_after([CAUSE], at + 0.3)
+                self.assertLess(remaining, 10.0)
+        self.nodes[1].expose(ids.InstanceId("i8"), make_prompt("t"), 110.0)
+        self.exchange(110.1)
+        for node in self.nodes:
+            remaining = node.find_retry_after([CAUSE], 110.1)
+            self.assertGreater(remaining, 115.0)
+            self.assertLess(remaining, 120.0)
+
     def test_merged_reports_keep_what_each_node_saw(self):
         """Guards against a relay that drops the cause from a crash."""
         merged = None
