--- a/bench/digests.py
+++ b/bench/digests.py
@@ -71,6 +71,7 @@
             is slowed by a member.
         remote_loads: Requests in flight by upstream, from the newest total
             digest.
+        instances: Revision of its list of instances; 0 for none.
         evacuations: The evacuated data centres that it knows.
         quarantine: The parts of prompts that it keeps from upstreams.
     """
@@ -90,6 +91,7 @@
         self.limits: dict[str, tuple[float | None, float]] = {}
         self.heard_limits: dict[str, tuple[float | None, float]] = {}
         self.remote_loads: dict[str, int] = {}
+        self.instances = 0
         self.evacuations = evacuations.Evacuations(_EVACUATION_BOUND)
         self.quarantine = quarantine.Quarantine()
         self.sent = 0
@@ -111,6 +113,7 @@
                 name: limits.LimitReport(rate, now - at)
                 for name, (rate, at) in self.limits.items()
             },
+            instances=self.instances,
             store_age=self._get_store_age(now),
             evacuations=self.evacuations.list_reports(now),
             has_path=self.presence.has_path,
