Use an instance again that a restored store lists for good

An instance whose entry had lapsed before the copy was made counts as left, and is not used for 10 s after a restore. Followers fetch a list only once it has changed, so that they would have gone without the instance for good. The list is applied again at the end of that time. Found by reading; the new test fails without the change. An entry of an earlier process of an instance no longer replaces that of the later one either.

--- a/currantwall/coordination/peers/restores.py
+++ b/currantwall/coordination/peers/restores.py
@@ -91,6 +91,10 @@
         """Return whether entries may be missing or older than before."""
         return self._is_within(_REWRITE_SECONDS, now)
 
+    def is_correcting(self, now: float) -> bool:
+        """Return whether listed instances may be ones that have left."""
+        return self._is_within(_LAPSE_SECONDS, now)
+
     def _is_within(self, seconds: float, now: float) -> bool:
         at = self._restored_at
         return at is not None and now < at + seconds
@@ -108,7 +112,7 @@
             revisions_by_name: Revision of each entry.
             now: The present time.
         """
-        if not self._is_within(_LAPSE_SECONDS, now):
+        if not self.is_correcting(now):
             return list(listed)
         is_rewriting = self.is_rewriting(now)
         found = []
@@ -133,7 +137,7 @@
         former_number, former = self._entries.get(listed.id, (0, listed))
         is_written_again = (
             listed.leaving
-            or listed.born != former.born
+            or listed.born > former.born
             or number > self._restored_number
         )
         if is_written_again or number >= former_number:
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -227,7 +227,8 @@
         updated: Monotonic time of the last read.
         generation: Counts the changes of the held instances.
         last_change: Difference that the last list made.
-        has_unlisted: Whether it may hold instances that the list lacks.
+        has_unlisted: Whether it may differ from the list, for example hold
+            instances that the list lacks.
     """
 
     def __init__(self) -> None:
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -85,6 +85,9 @@
         self._store = store
         self._documents = documents
         self._former = restores.FormerEntries()
+        # Whether the instances in use may differ from the list because the
+        # store was restored.
+        self._is_corrected = False
         self._decoder = _Decoder(documents)
         self._fleet = fleet
         self._log = log
@@ -169,7 +172,14 @@
             self._newer_list.wait()
 
     def _drop_unlisted(self, now: float) -> None:
-        """Drop lapsed instances that have not returned in time."""
+        """Drop lapsed instances that have not returned in time.
+
+        Also use the list as it is once a restore is long enough ago.
+        """
+        is_correcting = self._former.is_correcting(now)
+        if self._is_corrected and not is_correcting:
+            self._fleet.has_unlisted = True
+        self._is_corrected = is_correcting
         if self._fleet.has_unlisted and not self._may_lack_entries(now):
             listing = ports.Listing(
                 self._changes.objects, self._fleet.revision
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -445,6 +445,8 @@
         self.assertEqual(correct(old, 31, 101.0), old.slots)
         reborn = msgspec.structs.replace(old, born=7)
         self.assertEqual(correct(reborn, 10, 101.0), old.slots)
+        former_life = msgspec.structs.replace(old, born=-1)
+        self.assertEqual(correct(former_life, 10, 101.0), new.slots)
         self.assertEqual(correct(old, 10, 103.0), old.slots)
 
 
@@ -592,6 +594,27 @@
         self.follow()
         self.assertEqual(self.list_names(), ["a", "c"])
 
+    def test_an_instance_that_is_back_after_a_restore_is_used_again(self):
+        """Guards against a live server that counts as leaving for good.
+
+        Its entry had lapsed, and is in the copy; nothing changes after.
+        """
+        feed = self.reader.feed
+        for listing in (
+            make_entries(1, 40, a=5, b=6),
+            make_entries(1, 45, a=5),
+            make_entries(2, 42, a=5, b=6),
+        ):
+            feed._apply_list(listing.ok_value, self.clock.now())
+            self.send_heartbeats()
+            self.follow()
+        for seconds, usable in ((0.5, False), (3.0, False), (8.0, True)):
+            self.advance_time(seconds, 0.0)
+            self.follow()
+            for node in (self.reader, self.follower):
+                node.feed._drop_unlisted(self.clock.now())
+                self.assertIs(node.fleet.get("b").leaving, not usable)
+
     def test_an_unchanged_list_is_not_fetched_again(self):
         """Guards against fetching an unchanged list twice a second.
 
