Move the crashes and the evidence out of the quarantine

The crashes, the survivals and what they say against a part are a class of their own now (crashlog.py); no decision has changed.

--- /dev/null
+++ b/currantwall/coordination/requests/crashlog.py
@@ -0,0 +1,263 @@
+"""Crashes of upstreams, their suspects, and the evidence against parts.
+
+Suspects of a crash are the requests that the upstream had just begun. A part
+of a prompt is the likelier cause the more of what `Rank` lists speaks against
+it; the crashes since its last survival are counted.
+"""
+
+from collections import abc
+import math
+import typing
+
+import msgspec
+
+from currantwall.state import ids
+from currantwall.state import quarantines
+
+__all__ = ["CRASHES", "SAME_CRASH", "Crash", "CrashLog", "Evidence", "Rank"]
+
+PartId = ids.PartId
+
+# Crashes without a survival in between after which a part is quarantined
+# that is a likely cause, and after which any other is. A likely cause is new:
+# no upstream has survived it yet. Its suspects are not all repeats of one
+# request, since those follow the request that crashes upstreams from one to
+# the next. It is the last shared part of a prompt; earlier ones are in more
+# requests, and blaming them wrongly does the most harm.
+CRASHES = 3
+_CRASHES_OF_OTHERS = 5
+_OWNERS = 2
+# Reports within so many seconds of each other are about the same crash of
+# an upstream; it takes longer to start again.
+SAME_CRASH = 1.5
+# Seconds for which crashes are remembered, and the most that are.
+_CRASH_TTL = 600.0
+_MAX_CRASHES = 512
+# Most suspects of one crash that are remembered.
+_MAX_SUSPECTS = 64
+# Most parts whose last survival is remembered.
+_MAX_SURVIVALS = 4096
+
+
+class Crash:
+    """One crash of an upstream and its suspects."""
+
+    def __init__(self, upstream: ids.InstanceId, at: float) -> None:
+        self.upstream = upstream
+        self.at = at
+        self.suspects: dict[quarantines.Prompt, None] = {}
+        # By part: owners of the suspects with it, and the largest number
+        # of shared parts that follow it in their prompts.
+        self.owners: dict[PartId, set[str]] = {}
+        self.followers: dict[PartId, int] = {}
+
+    def add(self, suspects: abc.Iterable[quarantines.Prompt]) -> list[PartId]:
+        """Add suspects; return the parts of those that are new."""
+        added: list[PartId] = []
+        for suspect in suspects:
+            if suspect in self.suspects or (
+                len(self.suspects) >= _MAX_SUSPECTS
+            ):
+                continue
+            self.suspects[suspect] = None
+            for count, part in enumerate(reversed(suspect.parts)):
+                self.owners.setdefault(part, set()).add(suspect.owner)
+                most = self.followers.get(part, count)
+                self.followers[part] = max(most, count)
+                added.append(part)
+        return added
+
+
+class Rank(typing.NamedTuple):
+    """A key that is greater for a likelier cause.
+
+    Attributes:
+        is_new: Whether no upstream has survived the part.
+        has_owners: Whether several different requests had it.
+        followers: Minus the number of shared parts that follow the part. Of
+            two parts that are always together, the later one is in fewer
+            other requests.
+    """
+
+    is_new: bool
+    has_owners: bool
+    followers: int
+
+    @property
+    def is_likely(self) -> bool:
+        """Return whether a few crashes are enough."""
+        return self.is_new and self.has_owners and not self.followers
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """The crashes that speak against a part.
+
+    Attributes:
+        moments: Number of crashes that did not happen together.
+        rank: How likely the part is their cause.
+    """
+
+    moments: int
+    rank: Rank
+
+    @property
+    def is_sufficient(self) -> bool:
+        """Return whether the part is to be quarantined."""
+        needed = CRASHES if self.rank.is_likely else _CRASHES_OF_OTHERS
+        return self.moments >= needed
+
+
+class CrashLog:
+    """The remembered crashes, and when upstreams last survived each part.
+
+    All times are monotonic, in seconds.
+    """
+
+    def __init__(self) -> None:
+        # All crashes, the last one of each upstream, and those with suspects
+        # that have a part. The values of the first and third are unused.
+        self._crashes: dict[Crash, None] = {}
+        self._last_crashes: dict[ids.InstanceId, Crash] = {}
+        self._by_part: dict[PartId, dict[Crash, None]] = {}
+        self._survivals: dict[PartId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._crashes)
+
+    # -- Crashes
+
+    def note_crash(
+        self,
+        upstream: ids.InstanceId,
+        at: float,
+        suspects: abc.Iterable[quarantines.Prompt],
+    ) -> tuple[float, list[PartId]]:
+        """Record a crash, or further suspects of a known one.
+
+        Args:
+            upstream: The upstream.
+            at: When it crashed.
+            suspects: Its suspects.
+
+        Returns:
+            When the crash was first seen, and the parts of the suspects
+            that are new; none for a late report of an earlier crash.
+        """
+        crash = self._last_crashes.get(upstream)
+        if crash is None or at - crash.at > SAME_CRASH:
+            crash = self._add_crash(upstream, at)
+        elif crash.at - at > SAME_CRASH:
+            return at, []
+        added = crash.add(suspects)
+        for part in added:
+            self._by_part.setdefault(part, {})[crash] = None
+        return crash.at, added
+
+    def _add_crash(self, upstream: ids.InstanceId, at: float) -> Crash:
+        while len(self._crashes) >= _MAX_CRASHES:
+            self._forget_crash(next(iter(self._crashes)))
+        crash = self._last_crashes[upstream] = Crash(upstream, at)
+        self._crashes[crash] = None
+        return crash
+
+    def _forget_crash(self, crash: Crash) -> None:
+        del self._crashes[crash]
+        if self._last_crashes.get(crash.upstream) is crash:
+            del self._last_crashes[crash.upstream]
+        for part in crash.owners:
+            with_part = self._by_part[part]
+            del with_part[crash]
+            if not with_part:
+                del self._by_part[part]
+
+    def count(self, part: PartId) -> int:
+        """Return the number of crashes with suspects that have a part."""
+        return len(self._by_part.get(part, {}))
+
+    def get_last_crash(self, part: PartId) -> float:
+        """Return when the last crash was whose suspects have a part."""
+        return max(crash.at for crash in self._by_part[part])
+
+    def expire(self, now: float) -> None:
+        """Remove crashes that are too old to matter."""
+        for crash in list(self._crashes):
+            if now - crash.at > _CRASH_TTL:
+                self._forget_crash(crash)
+
+    # -- Survivals
+
+    def note_survival(self, part: PartId, at: float) -> float:
+        """Record a survival; return when the last one of the part was."""
+        at = max(at, self._survivals.pop(part, at))
+        self._survivals[part] = at
+        while len(self._survivals) > _MAX_SURVIVALS:
+            del self._survivals[next(iter(self._survivals))]
+        return at
+
+    def find_survival(self, part: PartId) -> float:
+        """Return when an upstream last survived a part; 0 if none is known."""
+        return self._survivals.get(part, 0.0)
+
+    # -- Evidence
+
+    def weigh(
+        self, part: PartId, quarantined: abc.Iterable[PartId]
+    ) -> Evidence:
+        """Return the evidence against a part since its last survival.
+
+        A crash is explained by another part that is quarantined, unless
+        that is the less likely cause.
+
+        Args:
+            part: The part.
+            quarantined: The quarantined parts.
+        """
+        survival = self.find_survival(part)
+        rank = self.rank(part)
+        causes = {
+            other
+            for other in quarantined
+            if other != part and self.rank(other) >= rank
+        }
+        moments = _count_moments(
+            crash.at
+            for crash in self._by_part.get(part, {})
+            if crash.at > survival and causes.isdisjoint(crash.owners)
+        )
+        return Evidence(moments, rank)
+
+    def is_explained_by(self, part: PartId, cause: PartId) -> bool:
+        """Return whether another part is the likelier cause of all crashes.
+
+        The crashes that are the evidence against a part, that is.
+        """
+        survival = self.find_survival(part)
+        crashes = [
+            crash
+            for crash in self._by_part.get(part, {})
+            if crash.at > survival
+        ]
+        if not all(cause in crash.owners for crash in crashes):
+            return False
+        return bool(crashes) and self.rank(cause) > self.rank(part)
+
+    def rank(self, part: PartId) -> Rank:
+        """Return how likely a part is the cause of its crashes."""
+        crashes = self._by_part.get(part, {})
+        owners = {owner for crash in crashes for owner in crash.owners[part]}
+        return Rank(
+            not self.find_survival(part),
+            len(owners) >= _OWNERS,
+            -max((crash.followers[part] for crash in crashes), default=0),
+        )
+
+
+def _count_moments(times: abc.Iterable[float]) -> int:
+    """Return the number of times, those within a moment counted once."""
+    count = 0
+    last = -math.inf
+    for at in sorted(times):
+        if at - last > quarantines.SAME_MOMENT:
+            count += 1
+            last = at
+    return count
--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -17,11 +17,10 @@
 """
 
 from collections import abc
-import math
-import typing
 
 import msgspec
 
+from currantwall.coordination.requests import crashlog
 from currantwall.state import ids
 from currantwall.state import quarantines
 
@@ -34,23 +33,6 @@
 _SURVIVAL_SECONDS = 0.5
 # Seconds between two records of the survival of one request.
 _SURVIVAL_INTERVAL = 0.2
-# Crashes without a survival in between after which a part is quarantined
-# that is a likely cause, and after which any other is. A likely cause is new:
-# no upstream has survived it yet. Its suspects are not all repeats of one
-# request, since those follow the request that crashes upstreams from one to
-# the next. It is the last shared part of a prompt; earlier ones are in more
-# requests, and blaming them wrongly does the most harm.
-_CRASHES = 3
-_CRASHES_OF_OTHERS = 5
-_OWNERS = 2
-# Reports within so many seconds of each other are about the same crash of
-# an upstream; it takes longer to start again.
-_SAME_CRASH = 1.5
-# Seconds for which crashes are remembered, and the most that are.
-_CRASH_TTL = 600.0
-_MAX_CRASHES = 512
-# Most suspects of one crash that are remembered.
-_MAX_SUSPECTS = 64
 # Seconds until a request with a quarantined part is tried. Each trial that
 # reaches an upstream and does not clear the part doubles them. The first
 # trial of a part that many other requests may share comes early, as does the
@@ -60,8 +42,6 @@
 _MAX_TRIAL_DELAY = 3600.0
 # Seconds after which a part is forgotten that could have been tried.
 _FORGET_SECONDS = 3600.0
-# Most parts whose last survival is remembered.
-_MAX_SURVIVALS = 4096
 # Seconds for which a crash or a survival is reported.
 _REPORT_SECONDS = 2.0
 
@@ -98,35 +78,6 @@
         )
 
 
-class _Crash:
-    """One crash of an upstream and its suspects."""
-
-    def __init__(self, upstream: ids.InstanceId, at: float) -> None:
-        self.upstream = upstream
-        self.at = at
-        self.suspects: dict[quarantines.Prompt, None] = {}
-        # By part: owners of the suspects with it, and the largest number
-        # of shared parts that follow it in their prompts.
-        self.owners: dict[PartId, set[str]] = {}
-        self.followers: dict[PartId, int] = {}
-
-    def add(self, suspects: abc.Iterable[quarantines.Prompt]) -> list[PartId]:
-        """Add suspects; return the parts of those that are new."""
-        added: list[PartId] = []
-        for suspect in suspects:
-            if suspect in self.suspects or (
-                len(self.suspects) >= _MAX_SUSPECTS
-            ):
-                continue
-            self.suspects[suspect] = None
-            for count, part in enumerate(reversed(suspect.parts)):
-                self.owners.setdefault(part, set()).add(suspect.owner)
-                most = self.followers.get(part, count)
-                self.followers[part] = max(most, count)
-                added.append(part)
-        return added
-
-
 class _Verdict:
     """A quarantined part."""
 
@@ -146,44 +97,6 @@
         return self.trials - self.unreached
 
 
-class _Rank(typing.NamedTuple):
-    """A key that is greater for a likelier cause.
-
-    Attributes:
-        is_new: Whether no upstream has survived the part.
-        has_owners: Whether several different requests had it.
-        followers: Minus the number of shared parts that follow the part. Of
-            two parts that are always together, the later one is in fewer
-            other requests.
-    """
-
-    is_new: bool
-    has_owners: bool
-    followers: int
-
-    @property
-    def is_likely(self) -> bool:
-        """Return whether a few crashes are enough."""
-        return self.is_new and self.has_owners and not self.followers
-
-
-class _Evidence(msgspec.Struct, frozen=True):
-    """The crashes that speak against a part.
-
-    Attributes:
-        moments: Number of crashes that did not happen together.
-        rank: How likely the part is their cause.
-    """
-
-    moments: int
-    rank: _Rank
-
-    @property
-    def is_sufficient(self) -> bool:
-        needed = _CRASHES if self.rank.is_likely else _CRASHES_OF_OTHERS
-        return self.moments >= needed
-
-
 class Quarantine:
     """The parts that are kept from upstreams, and the evidence for it.
 
@@ -196,15 +109,12 @@
 
     def __init__(self) -> None:
         self._exposures: dict[int, Exposure] = {}
-        # All crashes, the last one of each upstream, and those with suspects
-        # that have a part. The values of the first and third are unused.
-        self._crashes: dict[_Crash, None] = {}
-        self._last_crashes: dict[ids.InstanceId, _Crash] = {}
-        self._by_part: dict[PartId, dict[_Crash, None]] = {}
-        self._survivals: dict[PartId, float] = {}
+        self._crashes = crashlog.CrashLog()
         self._verdicts: dict[PartId, _Verdict] = {}
         # What this node has seen itself and reports, and until when.
-        self._own_crashes: dict[ids.InstanceId, tuple[float, _Crash]] = {}
+        self._own_crashes: dict[
+            ids.InstanceId, tuple[float, crashlog.Crash]
+        ] = {}
         self._refuted: dict[PartId, float] = {}
         self.on_quarantined: abc.Callable[[PartId], None] = _ignore
         self.on_cleared: abc.Callable[[PartId], None] = _ignore
@@ -288,7 +198,9 @@
 
     def is_suspected(self, parts: abc.Iterable[PartId]) -> bool:
         """Return whether one more crash may have a part quarantined."""
-        return any(self._weigh(part).moments >= _CRASHES - 1 for part in parts)
+        return any(
+            self._weigh(part).moments >= crashlog.CRASHES - 1 for part in parts
+        )
 
     # -- Crashes and survivals
 
@@ -308,9 +220,9 @@
             if other.upstream == exposure.upstream and other.is_answered:
                 del self._exposures[key]
         upstream = exposure.upstream
-        new = _Crash(upstream, at)
+        new = crashlog.Crash(upstream, at)
         _, own = self._own_crashes.get(upstream, (0.0, new))
-        if abs(own.at - at) > _SAME_CRASH:
+        if abs(own.at - at) > crashlog.SAME_CRASH:
             own = new
         own.add(suspects)
         self._own_crashes[upstream] = now + _REPORT_SECONDS, own
@@ -323,85 +235,37 @@
         suspects: abc.Iterable[quarantines.Prompt],
         now: float,
     ) -> None:
-        crash = self._last_crashes.get(upstream)
-        if crash is None or at - crash.at > _SAME_CRASH:
-            crash = self._add_crash(upstream, at)
-        elif crash.at - at > _SAME_CRASH:
-            # A late report of an earlier crash.
-            return
-        added = crash.add(suspects)
+        crashed_at, added = self._crashes.note_crash(upstream, at, suspects)
         for part in added:
-            self._by_part.setdefault(part, {})[crash] = None
             verdict = self._verdicts.get(part)
             if verdict is not None:
-                verdict.crashed_at = max(verdict.crashed_at, crash.at)
+                verdict.crashed_at = max(verdict.crashed_at, crashed_at)
         self._refute(added, now)
         self._judge(added, now)
 
-    def _add_crash(self, upstream: ids.InstanceId, at: float) -> _Crash:
-        while len(self._crashes) >= _MAX_CRASHES:
-            self._forget_crash(next(iter(self._crashes)))
-        crash = self._last_crashes[upstream] = _Crash(upstream, at)
-        self._crashes[crash] = None
-        return crash
-
-    def _forget_crash(self, crash: _Crash) -> None:
-        del self._crashes[crash]
-        if self._last_crashes.get(crash.upstream) is crash:
-            del self._last_crashes[crash.upstream]
-        for part in crash.owners:
-            with_part = self._by_part[part]
-            del with_part[crash]
-            if not with_part:
-                del self._by_part[part]
-
     def _note_survivals(self, exposure: Exposure, at: float) -> None:
         for part in exposure.prompt.parts:
             self._note_survival(part, at)
 
     def _note_survival(self, part: PartId, at: float) -> None:
-        at = max(at, self._survivals.pop(part, at))
-        self._survivals[part] = at
-        while len(self._survivals) > _MAX_SURVIVALS:
-            del self._survivals[next(iter(self._survivals))]
+        at = self._crashes.note_survival(part, at)
         verdict = self._verdicts.get(part)
         if verdict is not None and at > verdict.crashed_at:
             self._refuted[part] = at + _REPORT_SECONDS
             del self._verdicts[part]
             self.on_cleared(part)
 
-    def _find_survival(self, part: PartId) -> float:
-        """Return when an upstream last survived a part; 0 if none is known."""
-        return self._survivals.get(part, 0.0)
-
     def _refute(self, parts: abc.Iterable[PartId], now: float) -> None:
         """Report the survival of parts that others may quarantine."""
         for part in parts:
-            is_suspected = len(self._by_part[part]) >= _CRASHES - 1
-            if is_suspected and self._find_survival(part):
+            is_suspected = self._crashes.count(part) >= crashlog.CRASHES - 1
+            if is_suspected and self._crashes.find_survival(part):
                 self._refuted[part] = now + _REPORT_SECONDS
 
     # -- Verdicts
 
-    def _weigh(self, part: PartId) -> _Evidence:
-        """Return the evidence against a part since its last survival.
-
-        A crash is explained by another part that is quarantined, unless
-        that is the less likely cause.
-        """
-        survival = self._find_survival(part)
-        rank = self._rank(part)
-        causes = {
-            other
-            for other in self._verdicts
-            if other != part and self._rank(other) >= rank
-        }
-        moments = _count_moments(
-            crash.at
-            for crash in self._by_part.get(part, {})
-            if crash.at > survival and causes.isdisjoint(crash.owners)
-        )
-        return _Evidence(moments, rank)
+    def _weigh(self, part: PartId) -> crashlog.Evidence:
+        return self._crashes.weigh(part, self._verdicts)
 
     def _judge(self, parts: abc.Iterable[PartId], now: float) -> None:
         """Quarantine the parts against which the evidence is sufficient.
@@ -413,7 +277,7 @@
             part
             for part in parts
             if part not in self._verdicts
-            and len(self._by_part[part]) >= _CRASHES
+            and self._crashes.count(part) >= crashlog.CRASHES
         }
         while True:
             weighed = {part: self._weigh(part) for part in open_parts}
@@ -426,7 +290,7 @@
                 return
             part = max(guilty, key=lambda one: guilty[one].rank)
             open_parts.discard(part)
-            crashed_at = max(crash.at for crash in self._by_part[part])
+            crashed_at = self._crashes.get_last_crash(part)
             is_likely = guilty[part].rank.is_likely
             delay = _FIRST_TRIAL_DELAY if is_likely else _EARLY_TRIAL_DELAY
             self._impose(part, crashed_at, 0, now + delay)
@@ -451,48 +315,24 @@
         upstream to the next, and its parts are quarantined first.
         """
         for part in list(self._verdicts):
-            if part != cause and self._is_explained_by(part, cause):
+            if part != cause and self._crashes.is_explained_by(part, cause):
                 del self._verdicts[part]
                 self.on_cleared(part)
 
-    def _is_explained_by(self, part: PartId, cause: PartId) -> bool:
-        """Return whether another part is the likelier cause of all crashes.
-
-        The crashes that are the evidence against a part, that is.
-        """
-        survival = self._find_survival(part)
-        crashes = [
-            crash
-            for crash in self._by_part.get(part, {})
-            if crash.at > survival
-        ]
-        if not all(cause in crash.owners for crash in crashes):
-            return False
-        return bool(crashes) and self._rank(cause) > self._rank(part)
-
-    def _rank(self, part: PartId) -> _Rank:
-        crashes = self._by_part.get(part, {})
-        owners = {owner for crash in crashes for owner in crash.owners[part]}
-        return _Rank(
-            not self._find_survival(part),
-            len(owners) >= _OWNERS,
-            -max((crash.followers[part] for crash in crashes), default=0),
-        )
-
     def restore(self, part: PartId, trials: int, now: float) -> None:
         """Quarantine a part that an earlier process had quarantined.
 
         Any survival that a node knows of clears it.
         """
-        if part not in self._verdicts and not self._find_survival(part):
+        if part not in self._verdicts and not self._crashes.find_survival(
+            part
+        ):
             delay = _get_trial_delay(trials)
             self._impose(part, 0.0, trials, now + delay)
 
     def expire(self, now: float) -> None:
         """Remove what is too old to matter."""
-        for crash in list(self._crashes):
-            if now - crash.at > _CRASH_TTL:
-                self._forget_crash(crash)
+        self._crashes.expire(now)
         for part, verdict in list(self._verdicts.items()):
             if now - verdict.next_trial > _FORGET_SECONDS:
                 del self._verdicts[part]
@@ -540,7 +380,7 @@
                 for part, verdict in self._verdicts.items()
             },
             {
-                part: round(now - self._find_survival(part), 3)
+                part: round(now - self._crashes.find_survival(part), 3)
                 for part in list(self._refuted)[-quarantines.MAX_REPORTED :]
             },
         )
@@ -563,7 +403,7 @@
         if reports is None:
             return
         for part, age in reports.survived.items():
-            if now - age > self._survivals.get(part, 0.0):
+            if now - age > self._crashes.find_survival(part):
                 self._note_survival(part, now - age)
         for crash in reports.crashes:
             at = now - crash.age
@@ -575,7 +415,7 @@
         self, part: PartId, report: quarantines.QuarantineReport, now: float
     ) -> None:
         crashed_at = now - report.crash_age
-        if self._find_survival(part) > crashed_at:
+        if self._crashes.find_survival(part) > crashed_at:
             self._refuted[part] = now + _REPORT_SECONDS
             return
         verdict = self._verdicts.get(part)
@@ -584,7 +424,7 @@
             causes = [
                 cause
                 for cause in self._verdicts
-                if self._is_explained_by(part, cause)
+                if self._crashes.is_explained_by(part, cause)
             ]
             if is_current and not causes:
                 next_trial = now + report.remaining
@@ -597,17 +437,6 @@
             verdict.next_trial = now + report.remaining
 
 
-def _count_moments(times: abc.Iterable[float]) -> int:
-    """Return the number of times, those within a moment counted once."""
-    count = 0
-    last = -math.inf
-    for at in sorted(times):
-        if at - last > quarantines.SAME_MOMENT:
-            count += 1
-            last = at
-    return count
-
-
 def _get_trial_delay(trials: int) -> float:
     return min(_FIRST_TRIAL_DELAY * 2.0 ** min(trials, 16), _MAX_TRIAL_DELAY)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -59,6 +59,7 @@
 _PARTITIONS = "tests.test_partitions.PartitionTest"
 _PLACING = "tests.test_placing"
 _QUARANTINE = f"{_COORDINATION}/requests/quarantine.py"
+_CRASHLOG = f"{_COORDINATION}/requests/crashlog.py"
 _EVIDENCE = "tests.test_quarantine.EvidenceTest"
 _REPORTS = "tests.test_quarantine.ReportsTest"
 _SHARES = "tests.test_limits.SharesTest"
@@ -852,14 +853,14 @@
     ),
     Mutant(
         "a survival does not clear the parts of a prompt",
-        _QUARANTINE,
+        _CRASHLOG,
         "            if crash.at > survival and causes",
         "            if causes",
         f"{_EVIDENCE}.test_a_part_that_a_request_survived_is_not_quarantined",
     ),
     Mutant(
         "repeats of one request have its parts quarantined early",
-        _QUARANTINE,
+        _CRASHLOG,
         "        return self.is_new and self.has_owners and not",
         "        return self.is_new and not",
         f"{_EVIDENCE}"
@@ -867,14 +868,14 @@
     ),
     Mutant(
         "a part that is shared by most prompts is quarantined early",
-        _QUARANTINE,
+        _CRASHLOG,
         "self.has_owners and not self.followers",
         "self.has_owners",
         f"{_EVIDENCE}.test_two_causes_are_told_from_what_they_share",
     ),
     Mutant(
         "upstreams that end together count as many crashes",
-        _QUARANTINE,
+        _CRASHLOG,
         "        if at - last > quarantines.SAME_MOMENT:\n",
         "        if at > last:\n",
         f"{_EVIDENCE}.test_upstreams_that_end_together_count_once",
@@ -901,7 +902,7 @@
     Mutant(
         "nodes tell each other of a part that was cleared",
         _QUARANTINE,
-        "        if self._find_survival(part) > crashed_at:\n",
+        "        if self._crashes.find_survival(part) > crashed_at:\n",
         "        if False:\n",
         f"{_REPORTS}.test_a_survival_at_one_node_clears_a_part_at_all",
     ),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -37,6 +37,7 @@
         "requests.buffering",
         "requests.capacity",
         "requests.coldness",
+        "requests.crashlog",
         "requests.evacuations",
         "requests.loads",
         "requests.paths",
