Fleet: no correction of lists without a restore

Each list was indexed by name to be corrected, also where nothing was to be corrected. Found on reading the change; the tests of restored lists pass.

--- a/currantwall/coordination/peers/restores.py
+++ b/currantwall/coordination/peers/restores.py
@@ -107,13 +107,13 @@
     ) -> list[upstreams.Upstream]:
         """Return listed instances, without what the store has forgotten.
 
+        For use while `is_correcting`.
+
         Args:
             listed: The instances by their entries.
             revisions_by_name: Revision of each entry.
             now: The present time.
         """
-        if not self.is_correcting(now):
-            return list(listed)
         is_rewriting = self.is_rewriting(now)
         found = []
         for upstream in listed:
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -335,12 +335,15 @@
 
     def _correct(
         self,
-        listed: abc.Iterable[upstreams.Upstream],
+        listed: list[upstreams.Upstream],
         objects: abc.Iterable[ports.StoredObject],
     ) -> list[upstreams.Upstream]:
         """Return instances without what a restored store has forgotten."""
+        now = self._clock.now()
+        if not self._former.is_correcting(now):
+            return listed
         by_name = {stored.name: stored.revision for stored in objects}
-        return self._former.correct(listed, by_name, self._clock.now())
+        return self._former.correct(listed, by_name, now)
 
     def _note_change(self, had_list: bool) -> None:
         """Pass on the difference that the last list made."""
