Quarantine: a server that stays away has crashed once

Change: an upstream's process, known by the start in its entry, crashes once. Reports of crashes name it. Requests that are broken off later at the same process blame nobody. The new test fails without the guard (the part is blamed).

--- a/currantwall/coordination/requests/crashlog.py
+++ b/currantwall/coordination/requests/crashlog.py
@@ -42,8 +42,10 @@
 class Crash:
     """One crash of an upstream and its suspects."""
 
-    def __init__(self, upstream: ids.InstanceId, at: float) -> None:
+    def __init__(self, upstream: ids.InstanceId, born: int, at: float) -> None:
         self.upstream = upstream
+        # Start of its process, in Unix milliseconds; 0 if unknown.
+        self.born = born
         self.at = at
         self.suspects: dict[quarantines.Prompt, None] = {}
         # By part: owners of the suspects with it, and the largest number
@@ -129,6 +131,7 @@
     def note_crash(
         self,
         upstream: ids.InstanceId,
+        born: int,
         at: float,
         suspects: abc.Iterable[quarantines.Prompt],
     ) -> tuple[float, list[PartId]]:
@@ -136,16 +139,20 @@
 
         Args:
             upstream: The upstream.
+            born: Start of its process, in Unix milliseconds; 0 if unknown.
             at: When it crashed.
             suspects: Its suspects.
 
         Returns:
             When the crash was first seen, and the parts of the suspects
-            that are new; none for a late report of an earlier crash.
+            that are new; none for a late report of an earlier crash, and
+            for requests that were sent to a process that had crashed.
         """
         crash = self._last_crashes.get(upstream)
         if crash is None or at - crash.at > SAME_CRASH:
-            crash = self._add_crash(upstream, at)
+            if self.has_ended(upstream, born, at):
+                return at, []
+            crash = self._add_crash(upstream, born, at)
         elif crash.at - at > SAME_CRASH:
             return at, []
         added = crash.add(suspects)
@@ -153,10 +160,30 @@
             self._by_part.setdefault(part, {})[crash] = None
         return crash.at, added
 
-    def _add_crash(self, upstream: ids.InstanceId, at: float) -> Crash:
+    def has_ended(
+        self, upstream: ids.InstanceId, born: int, at: float
+    ) -> bool:
+        """Return whether a process had crashed some time ago.
+
+        Failure: an upstream stays away, requests that are sent there are
+        broken off, and their parts are blamed for one crash after the other.
+
+        Args:
+            upstream: The upstream.
+            born: Start of its process, in Unix milliseconds; 0 if unknown.
+            at: When a request was broken off.
+        """
+        crash = self._last_crashes.get(upstream)
+        if crash is None or not born or crash.born != born:
+            return False
+        return at - crash.at > SAME_CRASH
+
+    def _add_crash(
+        self, upstream: ids.InstanceId, born: int, at: float
+    ) -> Crash:
         while len(self._crashes) >= _MAX_CRASHES:
             self._forget_crash(next(iter(self._crashes)))
-        crash = self._last_crashes[upstream] = Crash(upstream, at)
+        crash = self._last_crashes[upstream] = Crash(upstream, born, at)
         self._crashes[crash] = None
         return crash
 
--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -51,6 +51,7 @@
 
     Attributes:
         upstream: The upstream.
+        born: Start of its process, in Unix milliseconds; 0 if unknown.
         prompt: The prompt of its request.
         begun_at: Monotonic time of the first event; None before.
         last_at: Monotonic time of the last event.
@@ -62,6 +63,7 @@
 
     upstream: ids.InstanceId
     prompt: quarantines.Prompt
+    born: int = 0
     begun_at: float | None = None
     last_at: float = 0.0
     noted_at: float = 0.0
@@ -142,12 +144,20 @@
         upstream: ids.InstanceId,
         prompt: quarantines.Prompt,
         now: float,
+        born: int = 0,
     ) -> Exposure:
         """Record an attempt that is being sent.
 
         One with a quarantined part is a trial, which all nodes wait for.
+
+        Args:
+            upstream: The upstream.
+            prompt: The prompt of the request.
+            now: The present time.
+            born: Start of the upstream's process, in Unix milliseconds; 0
+                if unknown.
         """
-        exposure = Exposure(upstream=upstream, prompt=prompt)
+        exposure = Exposure(upstream=upstream, prompt=prompt, born=born)
         self._exposures[id(exposure)] = exposure
         for part in prompt.parts:
             verdict = self._verdicts.get(part)
@@ -220,22 +230,27 @@
             if other.upstream == exposure.upstream and other.is_answered:
                 del self._exposures[key]
         upstream = exposure.upstream
-        new = crashlog.Crash(upstream, at)
+        if self._crashes.has_ended(upstream, exposure.born, at):
+            return
+        new = crashlog.Crash(upstream, exposure.born, at)
         _, own = self._own_crashes.get(upstream, (0.0, new))
         if abs(own.at - at) > crashlog.SAME_CRASH:
             own = new
         own.add(suspects)
         self._own_crashes[upstream] = now + _REPORT_SECONDS, own
-        self._note_crash(upstream, at, suspects, now)
+        self._note_crash(upstream, exposure.born, at, suspects, now)
 
     def _note_crash(
         self,
         upstream: ids.InstanceId,
+        born: int,
         at: float,
         suspects: abc.Iterable[quarantines.Prompt],
         now: float,
     ) -> None:
-        crashed_at, added = self._crashes.note_crash(upstream, at, suspects)
+        crashed_at, added = self._crashes.note_crash(
+            upstream, born, at, suspects
+        )
         for part in added:
             verdict = self._verdicts.get(part)
             if verdict is not None:
@@ -365,6 +380,7 @@
                 upstream,
                 round(now - crash.at, 3),
                 tuple(crash.suspects)[: quarantines.MAX_REPORTED_SUSPECTS],
+                crash.born,
             )
             for upstream, (_, crash) in self._own_crashes.items()
         ]
@@ -407,7 +423,9 @@
                 self._note_survival(part, now - age)
         for crash in reports.crashes:
             at = now - crash.age
-            self._note_crash(crash.upstream, at, crash.suspects, now)
+            self._note_crash(
+                crash.upstream, crash.born, at, crash.suspects, now
+            )
         for part, report in reports.quarantined.items():
             self._apply_verdict(part, report, now)
 
--- a/currantwall/state/quarantines.py
+++ b/currantwall/state/quarantines.py
@@ -53,11 +53,14 @@
         age: Seconds since the crash.
         suspects: Prompts of the node's requests that the upstream had just
             begun.
+        born: Start of the process that crashed, in Unix milliseconds; 0 if
+            unknown.
     """
 
     upstream: ids.InstanceId
     age: float
     suspects: tuple[Prompt, ...]
+    born: int = 0
 
 
 class QuarantineReport(msgspec.Struct, frozen=True, array_like=True):
@@ -124,6 +127,7 @@
             crash.upstream,
             crash.age + age,
             tuple(suspects)[:MAX_REPORTED_SUSPECTS],
+            crash.born,
         )
     quarantined = dict(known.quarantined)
     for part, report in added.quarantined.items():
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -109,7 +109,10 @@
         """Record an attempt that is being sent."""
         if request.prompt.parts:
             current.exposure = self.quarantine.expose(
-                current.upstream.id, request.prompt, current.sent_at
+                current.upstream.id,
+                request.prompt,
+                current.sent_at,
+                current.upstream.born,
             )
             self._attempts[current.exchange.number] = request, current
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -117,6 +117,25 @@
             self.crash(10.0 + 3 * n, "i0", make_prompt(f"r{n}"))
         self.assertEqual(self.list_quarantined(), {CAUSE})
 
+    def test_an_upstream_that_stays_away_has_crashed_once(self):
+        """Guards against blaming requests that are sent to a dead server.
+
+        Connections to it are accepted and reset, and its entry stays.
+        """
+        for n in range(8):
+            for upstream, offset in (("i0", 0.0), ("i1", 0.5)):
+                at = 10.0 + 2 * n + offset
+                exposure = self.quarantine.expose(
+                    ids.InstanceId(upstream), make_prompt(f"r{n}"), at, 7
+                )
+                self.quarantine.note_own_crash(exposure, at + 0.1, at + 0.1)
+                self.quarantine.end(exposure, False)
+        self.assertEqual(self.blamed, [])
+        reports = self.quarantine.make_reports(at + 0.2)
+        self.assertIsNone(reports)
+        self.crash(40.0, "i2", make_prompt("r9"))
+        self.assertEqual(self.list_quarantined(), {CAUSE})
+
     def test_attempts_that_have_ended_are_forgotten(self):
         """Guards against memory that grows with each request."""
         for n in range(10):
