--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -891,6 +891,21 @@
         "        )\n",
         f"{_EVIDENCE}.test_an_answer_just_before_a_crash_is_not_blamed",
     ),
+    Mutant(
+        "a server that stays away crashes again and again",
+        _CRASHLOG,
+        "        return at - crash.at > SAME_CRASH\n",
+        "        return False\n",
+        f"{_EVIDENCE}.test_an_upstream_that_stays_away_has_crashed_once",
+    ),
+    Mutant(
+        "a trial that reached no upstream counts",
+        "currantwall/transport/sending.py",
+        "            self._crashes.note_unreached(current)\n",
+        "            pass\n",
+        "tests.test_crash_checks.CrashChecksTest"
+        ".test_only_an_attempt_that_may_have_run_is_a_trial",
+    ),
     Mutant(
         "each node tries a quarantined part by itself",
         _QUARANTINE,
