Clock: count suspensions of the machine

All ages and deadlines of a node came from CLOCK_MONOTONIC, which stands still while the machine is suspended. A node that held a lease would have gone on as its holder after the lease had passed to another one, and told its peers of a list, a mark or a limit as newer than it was. The one clock of a node is CLOCK_BOOTTIME now where the system has it.

--- a/currantwall/transport/timers.py
+++ b/currantwall/transport/timers.py
@@ -23,6 +23,9 @@
 # missing.
 _MAX_SLEEP = 1.0
 
+# CLOCK_MONOTONIC stands still while the machine is suspended.
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 Due = abc.Callable[[], float | None]
 Tick = abc.Callable[[], None]
 
@@ -42,8 +45,12 @@
 
     @staticmethod
     def now() -> float:
-        """Return the monotonic time in seconds."""
-        return time.monotonic()
+        """Return the monotonic time in seconds, suspensions included.
+
+        Failure: a machine is suspended for seconds, and its node goes on
+        with a lease, a list and heartbeats that are older than it counts.
+        """
+        return time.clock_gettime(_CLOCK)
 
     @staticmethod
     def wall() -> float:
