Peers: forward nothing to an upstream that leaves

A node without a path to upstreams chooses one by its own list, which may be older, and a peer sent the request there without a look at its own. The peer now answers that the upstream leaves; the sender remembers that and repeats the request elsewhere. Found by reading each way on which a leaving is learnt. Two new tests, of which each fails with its side taken out.

--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -35,6 +35,7 @@
     "Framing",
     "HELD",
     "Head",
+    "LEAVING",
     "MISDIRECTED",
     "Outbound",
     "PEER",
@@ -54,6 +55,8 @@
 CRASH = "crash"
 # Step of an exchange that was ended because its request crashes upstreams.
 QUARANTINE = "quarantine"
+# A peer did not forward a request because its upstream leaves.
+LEAVING = "leaving"
 _select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
@@ -158,7 +161,8 @@
             `HELD` if the upstream was kept waiting by the caller; `PEER`
             if the peer that forwarded the request failed; `CRASH` if that
             peer found that the upstream has crashed; `QUARANTINE` if the
-            request crashes upstreams.
+            request crashes upstreams; `LEAVING` if the upstream leaves, as
+            that peer knows.
     """
 
     exchange: int
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -204,12 +204,10 @@
         is_known = listed is not None and listed.address == asked.address
         if self.is_stopping or self._paths.is_lost or not is_known:
             return ingress.Reply(status=503, headers=[], body=b"")
+        if listed is not None and listed.leaving:
+            return _refuse(exchanges.LEAVING, "the upstream leaves")
         if self._is_quarantined(asked):
-            refused = peerexchanges.ExchangeFailed(
-                False, exchanges.QUARANTINE, crashes_module.REASON
-            )
-            frame = peerexchanges.encode_frame(refused)
-            return ingress.Reply(status=200, headers=[], body=iter((frame,)))
+            return _refuse(exchanges.QUARANTINE, crashes_module.REASON)
         return ingress.Reply(
             status=200, headers=[], body=self._exchange(asked, inbound.client)
         )
@@ -328,6 +326,13 @@
         )
 
 
+def _refuse(step: str, detail: str) -> ingress.Reply:
+    """Return the only frame of an exchange that is not begun."""
+    refused = peerexchanges.ExchangeFailed(False, step, detail)
+    frame = peerexchanges.encode_frame(refused)
+    return ingress.Reply(status=200, headers=[], body=iter((frame,)))
+
+
 def _watch_sender(
     client: typing.Any, inbox: eventlet.queue.LightQueue
 ) -> None:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -590,6 +590,10 @@
             raise self.make_refusal(
                 request, failed.detail, _QUARANTINE_RETRY_AFTER
             )
+        if failed.step == exchanges.LEAVING:
+            self._balancer.withdrawals.note_leaving(
+                current.upstream, self.now()
+            )
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
         if failed.step == exchanges.PEER and current.peer is not None:
             self._paths.avoid_peer(current.peer, self.now())
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -9,6 +9,7 @@
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.requests import attempts
 from currantwall.coordination.requests import quarantine
+from currantwall.coordination.requests import withdrawals
 from currantwall.state import ids
 from currantwall.state import quarantines
 from currantwall.transport import crashes
@@ -125,6 +126,26 @@
         request.route = test_gateway_parts.make_route()
         return request, current
 
+    def make_sender(self, balancer):
+        sender = sending.Sender(
+            balancer,
+            *[mock.Mock() for _ in range(7)],
+            self.crashes,
+            *[mock.Mock() for _ in range(3)],
+            timers.TimerService.now,
+        )
+        sender.fleet_age = lambda now: 0.0
+        return sender
+
+    def test_a_peer_tells_the_sender_of_an_upstream_that_leaves(self):
+        """Guards against a request that is sent there again and again."""
+        known = withdrawals.Withdrawals()
+        sender = self.make_sender(mock.Mock(withdrawals=known))
+        request, current = self.make_trial()
+        failed = exchanges.Failed(1, False, exchanges.LEAVING, "why")
+        sender.fail_interrupted(request, current, failed)
+        self.assertTrue(known.is_leaving(self.upstream))
+
     def test_only_an_attempt_that_may_have_run_is_a_trial(self):
         """Guards against a wait that doubles without a result."""
         for failure, reached in (
@@ -133,15 +154,10 @@
             (attempts.Failure.STALLED, 1),
         ):
             self.setUp()
-            sender = sending.Sender(
-                *[mock.Mock() for _ in range(8)],
-                self.crashes,
-                *[mock.Mock() for _ in range(3)],
-                timers.TimerService.now,
-            )
-            sender.fleet_age = lambda now: 0.0
             request, current = self.make_trial()
-            sender.fail_attempt(request, current, failure, "why")
+            self.make_sender(mock.Mock()).fail_attempt(
+                request, current, failure, "why"
+            )
             counts = self.crashes.quarantine.list_quarantined()
             self.assertEqual(counts, {"t": reached}, failure)
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -388,6 +388,18 @@
         self.assertEqual(failed.step, exchanges.QUARANTINE)
         self.assertFalse(failed.may_have_sent)
 
+    def test_nothing_is_forwarded_to_an_upstream_that_leaves(self):
+        """Guards against a sender whose list is older than the peer's."""
+        self.list_upstreams("127.0.0.1:1")
+        leaving = msgspec.structs.replace(
+            self.fleet.get(ids.InstanceId("s0")), leaving=True
+        )
+        revision = self.fleet.revision + 1
+        self.fleet.replace([leaving], revision, self.now())
+        (failed,) = self.read_frames(self.ask("127.0.0.1:1"))
+        self.assertEqual(failed.step, exchanges.LEAVING)
+        self.assertFalse(failed.may_have_sent)
+
     def test_a_peer_that_has_lost_its_path_blames_no_upstream(self):
         self.list_upstreams("127.0.0.1:1")
         _, client = self.connect()
