--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -22,6 +22,7 @@
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
 from currantwall.state import quarantines
+from currantwall.state import upstreams
 
 __all__ = ["Alarm", "Datagram", "Digest", "Relay"]
 
@@ -57,7 +58,7 @@
             `slow`, `limits` and `leases`.
         evacuations: As in a heartbeat of the relay; so are `informed` and
             `mark`.
-        parts: As in a heartbeat, of all the nodes.
+        departures: As in a heartbeat, of all the nodes; so are `parts`.
     """
 
     node: presence_module.NodeEntry
@@ -78,6 +79,7 @@
     evacuations: evacuations_module.EvacuationReport | None = None
     informed: bool = False
     mark: staleness.Mark | None = None
+    departures: dict[ids.InstanceId, upstreams.Departure] = {}
     parts: quarantines.PartReports | None = None
 
 
@@ -115,6 +117,7 @@
         self.slow: dict[str, None] = {}
         self.limits: dict[str, limits_module.LimitReport] = {}
         self.leases: dict[str, presence_module.HeldLease] = {}
+        self.departures: dict[ids.InstanceId, upstreams.Departure] = {}
         self.parts: quarantines.PartReports | None = None
 
     def add_node(self, heartbeat: presence_module.Heartbeat) -> None:
@@ -140,6 +143,10 @@
             known_limit = self.limits.get(upstream)
             if known_limit is None or aged.age < known_limit.age:
                 self.limits[upstream] = aged
+        for name, departure in message.departures.items():
+            remaining = departure.remaining - age
+            aged = msgspec.structs.replace(departure, remaining=remaining)
+            self.departures.setdefault(name, aged)
         self.parts = quarantines.merge_reports(self.parts, message.parts, age)
         self.stalled.update(dict.fromkeys(message.stalled))
         self.lost.update(dict.fromkeys(message.lost))
@@ -386,6 +393,7 @@
             evacuations=own.evacuations,
             informed=own.informed,
             mark=own.mark,
+            departures=aggregate.departures,
             parts=aggregate.parts,
         )
 
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -24,6 +24,7 @@
 from currantwall.state import limits as limits_module
 from currantwall.state import quarantines
 from currantwall.state import rendezvous
+from currantwall.state import upstreams
 
 __all__ = [
     "HEARTBEAT_TIMEOUT_SECONDS",
@@ -149,6 +150,8 @@
         has_path: Whether the node can open connections to upstreams.
         mark: The newest revision of the store that the node knows; None if
             it knows none.
+        departures: Instances that have left, as the node knows, though a
+            restored store lists them otherwise.
         parts: What the node reports of parts of prompts.
     """
 
@@ -169,6 +172,7 @@
     informed: bool = False
     has_path: bool = True
     mark: staleness.Mark | None = None
+    departures: dict[ids.InstanceId, upstreams.Departure] = {}
     parts: quarantines.PartReports | None = None
 
 
--- a/currantwall/coordination/peers/staleness.py
+++ b/currantwall/coordination/peers/staleness.py
@@ -51,8 +51,6 @@
         # Pairs of a time and a revision that the store still had, or got,
         # at that time. Both rise.
         self._marks: list[tuple[float, int]] = []
-        # When the first stale read was requested.
-        self._first_read_at: float | None = None
         self._strict_until = 0.0
         # The store's era; None until a revision is known.
         self._era: int | None = None
@@ -123,11 +121,6 @@
         """
         if self.note_era(revision, now):
             return True
-        if self._first_read_at is None:
-            # Nobody has told a node that starts of a revision yet.
-            self._first_read_at = now
-        if now - self._first_read_at <= _MAX_AGE_SECONDS:
-            return False
         shown = [when for when, rev in self._marks if rev <= revision]
         if shown and now - shown[-1] <= _MAX_AGE_SECONDS:
             return False
@@ -136,5 +129,8 @@
         return True
 
     def is_strict(self, now: float) -> bool:
-        """Return whether only fresh reads are allowed for the time being."""
-        return now < self._strict_until
+        """Return whether only fresh reads are allowed for the time being.
+
+        A node that starts has nothing yet to judge others by.
+        """
+        return now < self._strict_until or not self._marks
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "Change",
+    "Departure",
     "Fleet",
     "Phase",
     "Replica",
@@ -216,6 +217,18 @@
     new: tuple[Upstream, ...]
 
 
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """An instance that has left or announced it, as nodes tell each other.
+
+    Attributes:
+        born: Start of its process, in Unix milliseconds; 0 if unknown.
+        remaining: Seconds for which its entry may still say otherwise.
+    """
+
+    born: int
+    remaining: float
+
+
 class Fleet:
     """The registered instances as one node knows them.
 
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -184,10 +184,7 @@
             self._fleet.has_unlisted = True
         self._is_corrected = is_correcting
         if self._fleet.has_unlisted and not self._may_lack_entries(now):
-            listing = ports.Listing(
-                self._changes.objects, self._fleet.revision
-            )
-            self._apply_list(listing, now)
+            self._apply_again(now)
 
     def note_peer_revision(self, changed: int) -> None:
         """Wake this feed if another node has a newer list.
@@ -199,6 +196,28 @@
             event, self._newer_list = self._newer_list, eventlet.event.Event()
             event.send(None)
 
+    def list_departures(
+        self,
+    ) -> dict[ids.InstanceId, upstreams.Departure]:
+        """Return instances that a restored store lists although they left."""
+        return self._former.list_departures(self._clock.now())
+
+    def note_departures(
+        self,
+        departures: abc.Mapping[ids.InstanceId, upstreams.Departure],
+    ) -> None:
+        """Use no more what another node knows to have left.
+
+        Failure: a node that starts just after a restore knows only what the
+        store lists.
+        """
+        now = self._clock.now()
+        if not self._former.note_departures(departures, now):
+            return
+        if self._fleet.is_known:
+            self._fleet.has_unlisted = True
+            self._apply_again(now)
+
     def get_store_age(self, now: float) -> float | None:
         """Return the seconds since the store answered this node.
 
@@ -354,6 +373,11 @@
         self._former.note_change(change, self._fleet, self._clock.now())
         self.note_change(change, had_list)
 
+    def _apply_again(self, now: float) -> None:
+        """Apply the last list, which may now be read otherwise."""
+        objects = self._changes.objects
+        self._apply_list(ports.Listing(objects, self._fleet.revision), now)
+
     def _apply_list(self, listing: ports.Listing, asked_at: float) -> None:
         self._note_revision(listing.revision, asked_at)
         found = self._correct(
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -140,6 +140,7 @@
             informed=self._balancer.evacuations.revision > 0,
             has_path=self._presence.has_path,
             mark=self._presence.staleness.make_mark(now),
+            departures=self._fleet_feed.list_departures(),
             parts=self._quarantine.make_reports(now),
         )
         return self._relay.list_datagrams(own, now)
@@ -203,6 +204,7 @@
         self._configuration.note_peer_version(
             report.node, report.configuration
         )
+        self._fleet_feed.note_departures(report.departures)
         self._fleet_feed.note_peer_revision(report.instances)
         self._leases.note_leases(report.leases, now)
         self._balancer.limits.note_reports(report.limits, now)
