Evacuations: tell nodes that start what the store has forgotten

A node that started within 10 s of a restore and read the store went by a revision that was newer than the reports of the others, and never heard of an evacuation that the store had forgotten. Reports now say for how long their data centres stay evacuated whatever is listed. The new test fails without it.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -150,7 +150,12 @@
             return False
         report = message.evacuations
         has_news = report is not None and bool(
-            self.evacuations.note(report.revision, report.datacentres, now)
+            self.evacuations.note(
+                report.revision,
+                report.datacentres,
+                now,
+                retained_for=report.retained_for,
+            )
         )
         self.quarantine.apply_reports(message.parts, now)
         self.presence.staleness.note_mark(message.mark, now)
--- a/currantwall/coordination/requests/evacuations.py
+++ b/currantwall/coordination/requests/evacuations.py
@@ -108,6 +108,7 @@
         now: float,
         *,
         is_current: bool = True,
+        retained_for: float = 0.0,
     ) -> Change:
         """Record the evacuations as of a revision of the store.
 
@@ -118,6 +119,8 @@
             is_current: Whether the report is from the store or from a node
                 that is ready. Another node may have been suspended: its
                 names are applied, but do not end the wait for others.
+            retained_for: Seconds for which the data centres stay evacuated
+                whatever the store lists, as another node knows.
 
         Returns:
             What has changed.
@@ -127,17 +130,27 @@
         if is_current:
             self._heard_at = now
         listed = frozenset(datacentres)
+        is_told = self._retain(listed, now, retained_for)
         if revision < self.revision:
             if listed != self._datacentres:
                 # The sender was cut off. It hears of a withdrawal only if
                 # that is still reported.
                 self._reported_until = now + _REPORT_SECONDS
-            return Change()
-        if is_current:
+            if not is_told:
+                return Change()
+            listed, revision = self._datacentres, self.revision
+        elif is_current:
             self._confirm(now)
         if revision == self.revision and not self._retained:
             return Change()
         listed |= self._update_retained(revision, now)
+        self.revision = revision
+        return self._replace(listed, now)
+
+    def _replace(
+        self, listed: frozenset[ids.DatacentreName], now: float
+    ) -> Change:
+        """Replace the evacuated data centres; return what has changed."""
         change = Change(
             tuple(sorted(listed - self._datacentres)),
             tuple(sorted(self._datacentres - listed)),
@@ -145,12 +158,29 @@
         if change:
             self.generation += 1
             self._reported_until = now + _REPORT_SECONDS
-        self.revision = revision
         self._datacentres = listed
         for datacentre in change.withdrawn:
             self.on_withdrawn(datacentre, now)
         return change
 
+    def _retain(
+        self,
+        told: frozenset[ids.DatacentreName],
+        now: float,
+        retained_for: float,
+    ) -> bool:
+        """Retain what another node retains; return whether that is new.
+
+        Failure: a node that starts just after a restore has never heard of
+        an evacuation that the store has forgotten.
+        """
+        if retained_for <= 0 or told <= self._retained:
+            return False
+        self._retained |= told
+        until = now + retained_for
+        self._retained_until = max(self._retained_until, until)
+        return True
+
     def _update_retained(
         self, revision: int, now: float
     ) -> frozenset[ids.DatacentreName]:
@@ -160,7 +190,7 @@
         and requests are sent there until the operator has written it again.
         """
         if self.revision and revisions.is_later_era(revision, self.revision):
-            self._retained = self._datacentres
+            self._retained |= self._datacentres
             self._retained_until = now + _RESTORE_SECONDS
         elif now >= self._retained_until:
             self._retained = frozenset()
@@ -271,14 +301,19 @@
         """Return the report for the other nodes; None if none is due."""
         if not self._datacentres and now >= self._reported_until:
             return None
-        return self.make_report()
+        return self.make_report(now)
 
-    def make_report(self) -> evacuations_module.EvacuationReport | None:
+    def make_report(
+        self, now: float
+    ) -> evacuations_module.EvacuationReport | None:
         """Return what this node has learnt; None if nothing."""
         if not self.revision:
             return None
+        left = self._retained_until - now if self._retained else 0.0
         return evacuations_module.EvacuationReport(
-            self.revision, tuple(self.list_datacentres())
+            self.revision,
+            tuple(self.list_datacentres()),
+            round(max(left, 0.0), 3),
         )
 
 
--- a/currantwall/state/evacuations.py
+++ b/currantwall/state/evacuations.py
@@ -27,7 +27,10 @@
     Attributes:
         revision: Revision of the store; the highest one wins.
         datacentres: The evacuated data centres, sorted.
+        retained_for: Seconds for which these stay evacuated whatever the
+            store lists, since it was restored; 0 otherwise.
     """
 
     revision: int
     datacentres: tuple[ids.DatacentreName, ...] = ()
+    retained_for: float = 0.0
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -264,7 +264,7 @@
 
     def encode_report(self) -> bytes:
         """Return what this node has learnt, for a peer; empty if nothing."""
-        report = self._known.make_report()
+        report = self._known.make_report(self._clock.now())
         if report is None or not self._known.is_known:
             return b""
         return peers.compress(msgspec.msgpack.encode(report))
@@ -284,6 +284,7 @@
             report.datacentres,
             self._clock.now(),
             is_current=is_current,
+            retained_for=report.retained_for,
         )
         for datacentre in change.begun:
             self._log_change(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -169,6 +169,29 @@
         change = self.known.note(revisions.join(2, 31), [], 110.1)
         self.assertEqual(change.withdrawn, ("a",))
 
+    def test_a_node_that_starts_hears_of_a_forgotten_evacuation(self):
+        """Guards against requests there by a node that has read the store.
+
+        What it has read is newer than what the other node reports.
+        """
+        self.known.note(revisions.join(1, 40), ["a"], 100.0)
+        self.known.note(revisions.join(2, 30), [], 101.0)
+        report = self.known.list_reports(103.0)
+        started = evacuations.Evacuations(5.0, 102.0)
+        started.note(revisions.join(2, 33), [], 102.5)
+        for now, names in ((103.0, ("a",)), (104.0, ())):
+            change = started.note(
+                report.revision,
+                report.datacentres,
+                now,
+                retained_for=report.retained_for,
+            )
+            self.assertEqual(change.begun, names)
+        self.assertFalse(started.note(revisions.join(2, 35), [], 110.9))
+        self.assertTrue(started.is_evacuated("a"))
+        change = started.note(revisions.join(2, 36), [], 111.1)
+        self.assertEqual(change.withdrawn, ("a",))
+
     def test_a_report_of_an_earlier_era_changes_nothing(self):
         """Guards against an evacuation that a late report withdraws."""
         self.known.note(revisions.join(2, 30), ["a"], 100.0)
