--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -566,8 +566,8 @@
     Mutant(
         "a fence is used again",
         "currantwall/transport/domainleases.py",
-        "else lease.fence + 1\n",
-        "else lease.fence\n",
+        "            fence += 1 + _LOST_FENCES",
+        "            fence += _LOST_FENCES",
         f"{_DUTIES}.LeaseTest.test_a_fence_is_never_used_by_two_holders",
     ),
     Mutant(
@@ -605,8 +605,8 @@
     Mutant(
         "lapsed entries are treated as gone at once",
         "currantwall/transport/fleets.py",
-        "        return self._find_outage(now) is not None\n",
-        "        return False\n",
+        "            or self._find_outage(now) is not None\n",
+        "",
         f"{_FEEDS}.FleetFeedTest"
         ".test_entries_that_lapsed_in_an_outage_are_kept_for_a_while",
     ),
@@ -985,11 +985,43 @@
     Mutant(
         "a leaving that the store has forgotten is forgotten",
         f"{_COORDINATION}/peers/restores.py",
-        "            if self._departures.is_leaving(upstream):\n",
-        "            if False:\n",
+        "        if not self._departures.is_leaving(upstream):\n",
+        "        if True:\n",
         f"{_FEEDS}.RestoredListTest"
         ".test_a_leaving_that_the_store_has_forgotten_is_remembered",
     ),
+    Mutant(
+        "a node that starts does not hear of a forgotten leaving",
+        "currantwall/transport/news.py",
+        "        self._fleet_feed.note_departures(report.departures)\n",
+        "",
+        "tests.test_news.NewsTest"
+        ".test_what_is_known_of_the_store_is_passed_on",
+    ),
+    Mutant(
+        "a node that starts does not hear of a forgotten evacuation",
+        f"{_COORDINATION}/requests/evacuations.py",
+        "        if retained_for <= 0 or told <= self._retained:\n",
+        "        if True:\n",
+        f"{_EVACUATIONS}.EvacuationsTest"
+        ".test_a_node_that_starts_hears_of_a_forgotten_evacuation",
+    ),
+    Mutant(
+        "a stale read that proves nothing is used",
+        f"{_COORDINATION}/peers/staleness.py",
+        "        if shown and now - shown[-1] <= _MAX_AGE_SECONDS:\n",
+        "        if shown:\n",
+        "tests.test_leaving_delay.LeavingDelayTest"
+        ".test_a_leaving_is_known_in_time_whatever_stale_reads_do",
+    ),
+    Mutant(
+        "a request is forwarded to an upstream that leaves",
+        "currantwall/transport/peerexchanges.py",
+        "        if listed is not None and listed.leaving:\n",
+        "        if False:\n",
+        "tests.test_paths.PeerExchangesTest"
+        ".test_nothing_is_forwarded_to_an_upstream_that_leaves",
+    ),
     Mutant(
         "an older entry replaces a newer one after a restore",
         f"{_COORDINATION}/peers/restores.py",
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -280,6 +280,33 @@
         world.run(5.0)
         return world
 
+    def disturb(self, world, draw, modes, disturb_store, seed):
+        """Pause nodes and disturb their calls; check the holders.
+
+        Args:
+            world: The nodes and the store.
+            draw: Random numbers.
+            modes: Values of `Node.store_mode`, the likelier the more often.
+            disturb_store: Called with the world, the numbers, a node's name
+                and the check, after each disturbance of that node.
+            seed: Seed of the numbers.
+        """
+
+        def check():
+            self.assertLessEqual(len(world.list_holders()), 1, seed)
+
+        for _ in range(30):
+            node = world.nodes[draw.choice(("n1", "n2", "n3"))]
+            node.paused = draw.random() < 0.3
+            node.store_mode = draw.choice(modes)
+            disturb_store(world, draw, node.name, check)
+            world.run(draw.uniform(0.1, 3.0), check)
+        for node in world.nodes.values():
+            node.paused = False
+            node.store_mode = "ok"
+        world.run(8.0, check)
+        self.assertEqual(len(world.list_holders()), 1, seed)
+
 
 class LeaseTest(LeaseCase):
     def test_one_node_takes_the_domain_and_keeps_it(self):
@@ -389,25 +416,11 @@
         Nodes pause and resume; the store refuses single ones, loses their
         answers, or carries out their writes three seconds late.
         """
+        modes = ("ok", "ok", "down", "lost", "done", "late")
         for seed in range(40):
             draw = random.Random(seed)
             world = World(("n1", "n2", "n3"))
-
-            def check(world=world, seed=seed):
-                self.assertLessEqual(len(world.list_holders()), 1, seed)
-
-            for _ in range(30):
-                node = world.nodes[draw.choice(("n1", "n2", "n3"))]
-                node.paused = draw.random() < 0.3
-                node.store_mode = draw.choice(
-                    ("ok", "ok", "down", "lost", "done", "late")
-                )
-                world.run(draw.uniform(0.1, 3.0), check)
-            for node in world.nodes.values():
-                node.paused = False
-                node.store_mode = "ok"
-            world.run(8.0, check)
-            self.assertEqual(len(world.list_holders()), 1, seed)
+            self.disturb(world, draw, modes, lambda *_: None, seed)
 
 
 class RestoredLeaseTest(LeaseCase):
@@ -553,6 +566,7 @@
         and restored at any moment, also before the first lease, and nodes
         start again. The instances of the domain are in replicas.
         """
+        modes = ("ok", "ok", "ok", "down", "lost", "done", "late")
         for seed in range(60):
             draw = random.Random(seed)
             world = World(("n1", "n2", "n3"))
@@ -560,29 +574,18 @@
                 node.seat = upstreams.Seat(
                     ids.ReplicaId("m.2.t"), 1, 1, upstreams.Phase.READY
                 )
-
-            def check(world=world, seed=seed):
-                self.assertLessEqual(len(world.list_holders()), 1, seed)
-
-            for _ in range(30):
-                node = world.nodes[draw.choice(("n1", "n2", "n3"))]
-                node.paused = draw.random() < 0.3
-                node.store_mode = draw.choice(
-                    ("ok", "ok", "ok", "down", "lost", "done", "late")
-                )
-                if draw.random() < 0.2:
-                    world.restart(node.name)
-                if draw.random() < 0.5:
-                    world.copy()
-                world.run(draw.uniform(0.1, 3.0), check)
-                if draw.random() < 0.4:
-                    world.restore()
-                    world.run(draw.uniform(0.1, 3.0), check)
-            for node in world.nodes.values():
-                node.paused = False
-                node.store_mode = "ok"
-            world.run(8.0, check)
-            self.assertEqual(len(world.list_holders()), 1, seed)
+            self.disturb(world, draw, modes, self.restore, seed)
+
+    @staticmethod
+    def restore(world, draw, name, check):
+        """Copy and restore the store, and restart a node, or do neither."""
+        if draw.random() < 0.2:
+            world.restart(name)
+        if draw.random() < 0.5:
+            world.copy()
+        world.run(draw.uniform(0.1, 3.0), check)
+        if draw.random() < 0.4:
+            world.restore()
 
 
 class TenureTest(LeaseCase):
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -424,19 +424,23 @@
         self.assertEqual(asked[4:], [False] * 8)
         self.assertEqual(added, {"a"})
 
+    def make_newer_entry(self):
+        """Return a fleet, revisions, its instance, and an older entry."""
+        fleet = upstreams.Fleet()
+        (new,) = Documents().decode_upstreams(
+            [ports.StoredObject("a", 0, b"{}")]
+        )
+        fleet.replace([new], revisions.join(1, 40), 100.0)
+        old = msgspec.structs.replace(new, slots=2)
+        return fleet, {"a": revisions.join(1, 35)}, new, old
+
     def test_a_second_restore_keeps_what_the_first_has_forgotten(self):
         """Guards against older entries that a second copy brings back.
 
         The entries had not been written again in between.
         """
-        fleet = upstreams.Fleet()
+        fleet, known, new, old = self.make_newer_entry()
         former = restores.FormerEntries()
-        (new,) = Documents().decode_upstreams(
-            [ports.StoredObject("a", 0, b"{}")]
-        )
-        old = msgspec.structs.replace(new, slots=2)
-        fleet.replace([new], revisions.join(1, 40), 100.0)
-        known = {"a": revisions.join(1, 35)}
         for era, now in ((2, 100.0), (3, 101.0)):
             former.note_restore(revisions.join(era, 30), known, fleet, now)
             known = {"a": revisions.join(era, 20)}
@@ -449,14 +453,8 @@
 
         The copy has an entry from before a server was given its seat.
         """
-        fleet = upstreams.Fleet()
+        fleet, known, new, old = self.make_newer_entry()
         former = restores.FormerEntries()
-        (new,) = Documents().decode_upstreams(
-            [ports.StoredObject("a", 0, b"{}")]
-        )
-        old = msgspec.structs.replace(new, slots=2)
-        fleet.replace([new], revisions.join(1, 40), 100.0)
-        known = {"a": revisions.join(1, 35)}
         former.note_restore(revisions.join(2, 30), known, fleet, 100.0)
 
         def correct(listed, number, now):
