Leases, staleness: fences are a class of coordination, plainer names

Which fencing token comes next was decided in transport; it is leases.Fence now. A mark of the store is called a known revision, as it is one.

--- a/bench/digests.py
+++ b/bench/digests.py
@@ -115,7 +115,7 @@
                 for name, (rate, at) in self.limits.items()
             },
             instances=self.feed.changed if self.feed else 0,
-            mark=self.presence.staleness.make_mark(now),
+            store_revision=self.presence.staleness.report_newest(now),
             departures=self.feed.list_departures() if self.feed else {},
             store_age=self._get_store_age(now),
             evacuations=self.evacuations.list_reports(now),
@@ -158,7 +158,7 @@
             )
         )
         self.quarantine.apply_reports(message.parts, now)
-        self.presence.staleness.note_mark(message.mark, now)
+        self.presence.staleness.note_reported(message.store_revision, now)
         if self.feed is not None:
             self.feed.note_departures(message.departures)
         for name in message.lost:
--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -57,7 +57,7 @@
         stalled: As in a heartbeat, of all the nodes; so are `lost`,
             `slow`, `limits` and `leases`.
         evacuations: As in a heartbeat of the relay; so are `informed` and
-            `mark`.
+            `store_revision`.
         departures: As in a heartbeat, of all the nodes; so are `parts`.
     """
 
@@ -78,7 +78,7 @@
     leases: dict[str, presence_module.HeldLease] = {}
     evacuations: evacuations_module.EvacuationReport | None = None
     informed: bool = False
-    mark: staleness.Mark | None = None
+    store_revision: staleness.KnownRevision | None = None
     departures: dict[ids.InstanceId, upstreams.Departure] = {}
     parts: quarantines.PartReports | None = None
 
@@ -392,7 +392,7 @@
             leases=aggregate.leases,
             evacuations=own.evacuations,
             informed=own.informed,
-            mark=own.mark,
+            store_revision=own.store_revision,
             departures=aggregate.departures,
             parts=aggregate.parts,
         )
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -148,8 +148,8 @@
         informed: Whether the node has learnt the evacuations and can pass
             them on to a node that has just started.
         has_path: Whether the node can open connections to upstreams.
-        mark: The newest revision of the store that the node knows; None if
-            it knows none.
+        store_revision: The newest revision of the store that the node
+            knows; None if it knows none.
         departures: Instances that have left, as the node knows, though a
             restored store lists them otherwise.
         parts: What the node reports of parts of prompts.
@@ -171,7 +171,7 @@
     evacuations: evacuations_module.EvacuationReport | None = None
     informed: bool = False
     has_path: bool = True
-    mark: staleness.Mark | None = None
+    store_revision: staleness.KnownRevision | None = None
     departures: dict[ids.InstanceId, upstreams.Departure] = {}
     parts: quarantines.PartReports | None = None
 
--- a/currantwall/coordination/peers/staleness.py
+++ b/currantwall/coordination/peers/staleness.py
@@ -16,7 +16,7 @@
 
 from currantwall.state import revisions
 
-__all__ = ["Mark", "Staleness"]
+__all__ = ["KnownRevision", "Staleness"]
 
 # Greatest age of a stale read. With the interval of reads, and the time until
 # other nodes have the list, it stays below the two seconds in which
@@ -27,10 +27,10 @@
 _STRICT_READS_SECONDS = 4.0
 _RESTORED_SECONDS = 8.0
 # How long revisions are remembered.
-_MARK_TTL = 5.0
+_KNOWN_TTL = 5.0
 
 
-class Mark(msgspec.Struct, frozen=True, array_like=True):
+class KnownRevision(msgspec.Struct, frozen=True, array_like=True):
     """A revision, and how long ago the store had it or got it.
 
     Attributes:
@@ -50,7 +50,7 @@
     def __init__(self) -> None:
         # Pairs of a time and a revision that the store still had, or got,
         # at that time. Both rise.
-        self._marks: list[tuple[float, int]] = []
+        self._known: list[tuple[float, int]] = []
         self._strict_until = 0.0
         # The store's era; None until a revision is known.
         self._era: int | None = None
@@ -89,28 +89,28 @@
             at: When the fresh read or the write was requested.
         """
         self.note_era(revision, at)
-        if any(when >= at and rev <= revision for when, rev in self._marks):
+        if any(when >= at and rev <= revision for when, rev in self._known):
             # Proves nothing that is not known.
             return
-        if self._marks and self._marks[-1][1] > revision:
+        if self._known and self._known[-1][1] > revision:
             # From a node that was suspended, or whose write came late: the
             # store had got further by then.
             return
-        marks = [mark for mark in self._marks if mark[1] < revision]
-        marks.append((at, revision))
-        self._marks = [mark for mark in marks if mark[0] >= at - _MARK_TTL]
+        earlier = [known for known in self._known if known[1] < revision]
+        known = [*earlier, (at, revision)]
+        self._known = [item for item in known if item[0] >= at - _KNOWN_TTL]
 
-    def make_mark(self, now: float) -> Mark | None:
+    def report_newest(self, now: float) -> KnownRevision | None:
         """Return the newest revision known, for other nodes."""
-        if not self._marks:
+        if not self._known:
             return None
-        at, revision = self._marks[-1]
-        return Mark(revision, round(now - at, 3))
+        at, revision = self._known[-1]
+        return KnownRevision(revision, round(now - at, 3))
 
-    def note_mark(self, mark: Mark | None, now: float) -> None:
+    def note_reported(self, known: KnownRevision | None, now: float) -> None:
         """Record the newest revision that another node knows."""
-        if mark is not None:
-            self.note_revision(mark.revision, now - mark.age)
+        if known is not None:
+            self.note_revision(known.revision, now - known.age)
 
     def note_read(self, revision: int, now: float) -> bool:
         """Record a stale read; return whether a fresh one has to follow.
@@ -121,10 +121,10 @@
         """
         if self.note_era(revision, now):
             return True
-        shown = [when for when, rev in self._marks if rev <= revision]
+        shown = [when for when, rev in self._known if rev <= revision]
         if shown and now - shown[-1] <= _MAX_AGE_SECONDS:
             return False
-        if self._marks and self._marks[-1][1] > revision:
+        if self._known and self._known[-1][1] > revision:
             self._strict_until = now + _STRICT_READS_SECONDS
         return True
 
@@ -133,4 +133,4 @@
 
         A node that starts has nothing yet to judge others by.
         """
-        return now < self._strict_until or not self._marks
+        return now < self._strict_until or not self._known
--- a/currantwall/coordination/replicas/leases.py
+++ b/currantwall/coordination/replicas/leases.py
@@ -16,7 +16,7 @@
 from currantwall.state import ids
 from currantwall.state import revisions
 
-__all__ = ["LeaseTracker", "is_candidate", "may_take"]
+__all__ = ["Fence", "LeaseTracker", "is_candidate", "may_take"]
 
 # Number of writes whose send time is kept. If a lease is confirmed only by a
 # later read, its TTL counts from the send time of the write that is stored.
@@ -27,6 +27,44 @@
 _CANDIDATES = 6
 
 
+# Fencing tokens that are skipped for each restore of the store, more than
+# can have been lost: a lease changes hands once in a second at most, and a
+# copy is some seconds old.
+_LOST_FENCES = 1000
+
+
+class Fence:
+    """The newest fencing token of a lease that is known.
+
+    Attributes:
+        number: The token; 0 before the first.
+        era: The store's era in which it was the newest.
+    """
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.era = 0
+
+    def note(self, number: int, era: int) -> None:
+        """Record a token unless a newer one is known.
+
+        Args:
+            number: The token.
+            era: The store's era in which its holder wrote it.
+        """
+        if number >= self.number:
+            self.number = number
+            self.era = max(era, self.era)
+
+    def get_next(self, era: int) -> int:
+        """Return the token of a new holder, which none had before.
+
+        Args:
+            era: The store's present era.
+        """
+        return self.number + 1 + _LOST_FENCES * max(era - self.era, 0)
+
+
 class LeaseTracker:
     """The lease of one domain as this process knows it."""
 
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -39,10 +39,6 @@
 # Seconds between two reads of the leases in the store, while some of them
 # are missing from the heartbeats.
 _READ_INTERVAL = 2.0
-# Fencing tokens that are skipped for each restore of the store, more than
-# can have been lost: a lease changes hands once in a second at most, and a
-# copy is some seconds old.
-_LOST_FENCES = 1000
 # A lease is read from the store if the heartbeats have reported no renewal
 # for this many seconds: two renewals and one round of heartbeats.
 _STALE_AGE = 1.6
@@ -60,9 +56,7 @@
         # None if that is not known yet.
         self.revision: int | None = None
         # Fencing token; rises each time the lease is taken.
-        self.fence = 0
-        # The store's era in which it was the newest.
-        self.fence_era = 0
+        self.fence = leases.Fence()
         # The last known holder, which may have lost the lease meanwhile.
         self.holder = ids.NodeId("")
         self.writing = False
@@ -179,7 +173,7 @@
             self._log.write(
                 "duty_taken" if holds else "duty_lost",
                 domain=lease.name,
-                fence=lease.fence,
+                fence=lease.fence.number,
                 revision=revisions.describe(lease.revision),
             )
         due = (
@@ -242,28 +236,15 @@
         lease.revision = stored.revision
         lease.tracker.record_version(ids.Version(stored.revision), held, now)
         if held is not None and held.lease is not None:
-            self._note_fence(lease, held.lease.epoch, held.lease.era)
+            lease.fence.note(held.lease.epoch, held.lease.era)
             lease.holder = held.lease.holder
 
-    @staticmethod
-    def _note_fence(lease: DomainLease, fence: int, era: int) -> None:
-        """Record a fencing token unless a newer one is known.
-
-        Args:
-            lease: The lease.
-            fence: The token.
-            era: The store's era in which its holder wrote it.
-        """
-        if fence >= lease.fence:
-            lease.fence = fence
-            lease.fence_era = max(era, lease.fence_era)
-
     def list_leases(self, now: float) -> dict[str, presence_module.HeldLease]:
         """Return the leases that this node holds, by domain name."""
         me = self._presence.me
         return {
             lease.name: presence_module.HeldLease(
-                lease.revision or 0, lease.fence, me.id, me.incarnation
+                lease.revision or 0, lease.fence.number, me.id, me.incarnation
             )
             for lease in self._leases.values()
             if lease.tracker.holds(now)
@@ -295,9 +276,8 @@
                     lease.tracker.note_forgotten_holder(now)
                 continue
             lease.revision = reported.revision
-            self._note_fence(
-                lease, reported.epoch, revisions.get_era(reported.revision)
-            )
+            era = revisions.get_era(reported.revision)
+            lease.fence.note(reported.epoch, era)
             lease.holder = reported.holder
             reported_lease = domain_module.Lease(
                 holder=reported.holder,
@@ -335,9 +315,9 @@
         self._attempts += 1
         attempt = ids.AttemptId(f"{me.id}:{me.incarnation}:{self._attempts}")
         era = revisions.get_era(lease.revision or 0)
-        fence = lease.fence
+        fence = lease.fence.number
         if not lease.tracker.holds(now):
-            fence += 1 + _LOST_FENCES * max(era - lease.fence_era, 0)
+            fence = lease.fence.get_next(era)
         value = domain_module.Domain(
             name=lease.name,
             datacentre=me.datacentre,
@@ -406,9 +386,9 @@
                     lease=domain_module.Lease(
                         holder=ids.NodeId(""),
                         incarnation=ids.Incarnation(0),
-                        epoch=ids.Epoch(lease.fence),
+                        epoch=ids.Epoch(lease.fence.number),
                         ttl=0.0,
-                        era=lease.fence_era,
+                        era=lease.fence.era,
                     ),
                 )
                 data = msgspec.json.encode(value)
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -216,9 +216,9 @@
         replica. Every instance is therefore probed again before it gets an
         order.
         """
-        if domain.fence == domain.lease.fence:
+        if domain.fence == domain.lease.fence.number:
             return
-        domain.fence = domain.lease.fence
+        domain.fence = domain.lease.fence.number
         self._reset_knowledge(domain)
 
     @staticmethod
@@ -420,7 +420,7 @@
         before = domain.planner.conversion
         orders = domain.planner.plan(
             now,
-            domain.lease.fence * _EPOCHS_PER_FENCE,
+            domain.lease.fence.number * _EPOCHS_PER_FENCE,
             domain.layout,
             self._compute_demands(domain),
             allowed,
@@ -679,7 +679,7 @@
             replica=order.replica or order.model,
             epoch=order.epoch,
             sequence=order.sequence,
-            fence=domain.lease.fence,
+            fence=domain.lease.fence.number,
             accepted=answer.accepted,
             answer=answer.detail,
         )
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -139,7 +139,7 @@
             evacuations=self._balancer.evacuations.list_reports(now),
             informed=self._balancer.evacuations.revision > 0,
             has_path=self._presence.has_path,
-            mark=self._presence.staleness.make_mark(now),
+            store_revision=self._presence.staleness.report_newest(now),
             departures=self._fleet_feed.list_departures(),
             parts=self._quarantine.make_reports(now),
         )
@@ -200,7 +200,7 @@
             now: Time of the receipt.
         """
         self._budget.note_nodes(self._presence.count())
-        self._presence.staleness.note_mark(report.mark, now)
+        self._presence.staleness.note_reported(report.store_revision, now)
         self._configuration.note_peer_version(
             report.node, report.configuration
         )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -565,9 +565,9 @@
     ),
     Mutant(
         "a fence is used again",
-        "currantwall/transport/domainleases.py",
-        "            fence += 1 + _LOST_FENCES",
-        "            fence += _LOST_FENCES",
+        f"{_COORDINATION}/replicas/leases.py",
+        "return self.number + 1 + _LOST_FENCES",
+        "return self.number + _LOST_FENCES",
         f"{_DUTIES}.LeaseTest.test_a_fence_is_never_used_by_two_holders",
     ),
     Mutant(
@@ -976,7 +976,7 @@
     ),
     Mutant(
         "a fence that the store has forgotten is used again",
-        "currantwall/transport/domainleases.py",
+        f"{_COORDINATION}/replicas/leases.py",
         "_LOST_FENCES * max(",
         "0 * max(",
         f"{_RESTORED}"
--- a/tests/test_leaving_delay.py
+++ b/tests/test_leaving_delay.py
@@ -162,7 +162,7 @@
         known = staleness.Staleness()
         known.note_revision(10, 99.0)
         known.note_revision(12, 100.0)
-        known.note_mark(staleness.Mark(11, 0.1), 101.2)
+        known.note_reported(staleness.KnownRevision(11, 0.1), 101.2)
         self.assertTrue(known.note_read(11, 101.3))
 
     def test_few_reads_are_fresh_while_stale_ones_hardly_lag(self):
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -119,11 +119,11 @@
     def test_what_is_known_of_the_store_is_passed_on(self):
         """Guards against a relay that keeps what a restored store forgot."""
         exchange = self.make(9.0)
-        mark = staleness.Mark(revisions.join(2, 7), 0.5)
+        known = staleness.KnownRevision(revisions.join(2, 7), 0.5)
         departures = {_LEADER: upstreams.Departure(5, 2.0)}
         heartbeat = msgspec.structs.replace(
             self.make_heartbeat(3, RelayRequest.FULL, 1),
-            mark=mark,
+            store_revision=known,
             departures=departures,
         )
         exchange._receive(heartbeat)
@@ -132,7 +132,7 @@
         sent = [datagram.message for datagram in exchange._compose(1)]
         self.assertTrue(sent)
         for message in sent:
-            self.assertEqual(message.mark, mark)
+            self.assertEqual(message.store_revision, known)
             self.assertEqual(message.departures, departures)
 
     def test_the_limits_are_told_whether_all_nodes_are_known(self):
