--- a/review/harness.py
+++ b/review/harness.py
@@ -102,6 +102,7 @@
         self.runs_path.touch()
         self.started = time.monotonic()
         self.version = 0
+        self.is_stopped = False
         self.network = (
             f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         )
@@ -125,7 +126,9 @@
     def start(
         self, name: str, command: list[str], environment: dict[str, str]
     ) -> None:
-        """Start a process."""
+        """Start a process, unless the site is stopped."""
+        if self.is_stopped:
+            return
         path = self.temporary / f"{name}.log"
         with path.open("ab") as log:
             self.processes[name] = subprocess.Popen(
@@ -232,6 +235,7 @@
 
     def stop(self) -> None:
         """End all processes and remove the temporary folder."""
+        self.is_stopped = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
--- a/review/store.py
+++ b/review/store.py
@@ -15,6 +15,9 @@
 PREFIX = "/currantwall/objects/"
 # Heartbeat intervals of silence after which a server's entry is removed.
 SILENT_INTERVALS = 3
+# Items and bytes after which a page of a list ends.
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 
 class Store:
@@ -87,7 +90,15 @@
                 for (one, name), item in sorted(self.objects.items())
                 if one == kind and name > after
             ]
-            return {"items": items, "hasMore": False, "asOf": self.revision}
+            count = size = 0
+            while count < min(len(items), PAGE_ITEMS) and size < PAGE_BYTES:
+                size += len(json.dumps(items[count]))
+                count += 1
+            return {
+                "items": items[:count],
+                "hasMore": count < len(items),
+                "asOf": self.revision,
+            }
 
     def watch(self, kind: str, since: int, wait: float) -> dict:
         """Return the changes after a revision, as soon as there is one."""
