--- a/review/harness.py
+++ b/review/harness.py
@@ -103,6 +103,8 @@
         self.started = time.monotonic()
         self.version = 0
         self.is_stopped = False
+        # Held while a process is started, so that `stop` misses none.
+        self.process_lock = threading.Lock()
         self.network = (
             f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         )
@@ -127,18 +129,19 @@
         self, name: str, command: list[str], environment: dict[str, str]
     ) -> None:
         """Start a process, unless the site is stopped."""
-        if self.is_stopped:
-            return
         path = self.temporary / f"{name}.log"
-        with path.open("ab") as log:
-            self.processes[name] = subprocess.Popen(
-                command,
-                cwd=ROOT,
-                env={"PATH": os.environ.get("PATH", ""), **environment},
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        with self.process_lock:
+            if self.is_stopped:
+                return
+            with path.open("ab") as log:
+                self.processes[name] = subprocess.Popen(
+                    command,
+                    cwd=ROOT,
+                    env={"PATH": os.environ.get("PATH", ""), **environment},
+                    stdin=subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                )
         self.write(f"{name} started, process {self.processes[name].pid}")
 
     def start_store(self) -> None:
@@ -235,7 +238,8 @@
 
     def stop(self) -> None:
         """End all processes and remove the temporary folder."""
-        self.is_stopped = True
+        with self.process_lock:
+            self.is_stopped = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
