Logs: why a stream ended early, and each probe that failed

Cause: the lines told neither why a stream was ended in the end, nor whether a probe failed over a new connection, so that the hypotheses on the streams ended by silent upstreams could not be told apart.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "bench.logs",
     "bench.nodes",
     "bench.partitions",
+    "bench.silence",
 )
 
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -598,7 +598,17 @@
             domain.probes_in_flight.discard(upstream.id)
         self._meter.add("currantwall.probes", 1)
         if isinstance(found, knowledge.ProbeResult):
-            if not self.verify_path(started):
+            has_path = self.verify_path(started)
+            self._log.write(
+                "probe_failed",
+                instance=upstream.id,
+                domain=domain.name,
+                why=found.value,
+                new_connection=new_connection,
+                has_path=has_path,
+                after=round(self._clock.now() - started, 4),
+            )
+            if not has_path:
                 return
             known = domain.planner.knowledge.instances.get(upstream.id)
             if known is not None and not known.missed:
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -107,6 +107,8 @@
             None before.
         longest_pause: Longest time between two events, in seconds.
         last_event_at: Monotonic time of the last event.
+        aborted_because: Why its stream ended before the last event; empty
+            if it did not.
     """
 
     inbound: ingress.Inbound
@@ -128,6 +130,7 @@
     first_event_after: float | None = None
     longest_pause: float = 0.0
     last_event_at: float = 0.0
+    aborted_because: str = ""
 
     def note_events(self, now: float) -> None:
         """Record that events are sent to the caller now."""
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -670,6 +670,7 @@
             upstream=current.upstream.id,
             status=status,
             left=request.disconnected,
+            why=request.aborted_because or None,
             late=_describe_lateness(request, spent),
             first=round(request.first_event_after, 4)
             if request.first_event_after
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -264,6 +264,7 @@
                     ready, ended = [], True
         except (requests.Refused, requests.CallerDisconnected) as error:
             status = 0
+            request.aborted_because = str(error) or "the caller left"
             current.exchange.cancel()
             raise requests.StreamAborted(str(error)) from None
         except GeneratorExit:
