Streams: a silent upstream's attempt stays open beside another one

What callers saw: event streams ended with three of six events and 502 for others while sound servers were silent for a second, and refusals for seconds after it ('all stall or fail').

Cause: silence was taken for the end of a server, in four places. A stream was taken from its upstream after half a second and its route's repeats were used up at servers that were silent as well. Two probes without an answer made a sound leader lost; all nodes ended their attempts there, streams that may not be repeated included, and its members were ordered to leave. Each request that stalled doubled the time for which a node avoided the upstream. And a second probe could use the idle connection that had not answered, as the first was still being judged.

Change: an attempt whose upstream is silent stays open while another upstream is asked, and the caller gets the next event from whichever sends it first (races.py). A loss that is reported starts such another attempt; it ends one only after two seconds without a message. A probe tells an instance that accepts a new connection and answers nothing from one that accepts none: the former is lost after three seconds, and avoided until then as a slow one is. A silent upstream counts once, is used where no other is left, and at once when it goes on. An upstream that remains silent is probed again each second.

test_a_stream_cut_by_the_loss_of_a_member: its leader went on writing though a member had died, and the stream is complete now. The leader is stopped as well, as engines stall then; what is checked is unchanged.

--- a/bench/silence.py
+++ b/bench/silence.py
@@ -77,10 +77,18 @@
 
 
 class Site(gateways.Gateways):
-    """Gateways, engines of two domains, plain servers and callers."""
+    """Gateways, engines, plain servers and callers.
 
-    def __init__(self) -> None:
+    Attributes:
+        domains: The engines of each domain.
+    """
+
+    def __init__(
+        self, domains: abc.Mapping[str, tuple[str, ...]] = DOMAINS
+    ) -> None:
         super().__init__()
+        self.domains = domains
+        self._engines = tuple(itertools.chain(*domains.values()))
         self._dead: set[str] = set()
 
     def make_command(self, name: str) -> list[str]:
@@ -96,7 +104,7 @@
             _READY_TIMEOUT,
             "store",
         )
-        for domain, engines in DOMAINS.items():
+        for domain, engines in self.domains.items():
             for name in engines:
                 self.start_upstream(name, "pool", domain, "m")
         for name in _APPS:
@@ -115,13 +123,13 @@
         """Return whether all replicas serve and a gateway uses them."""
         outcome = next(self._send_all(node, 1))
         return outcome.status == http.HTTPStatus.OK and (
-            len(self.list_leaders()) == len(_ENGINES) // 2
+            len(self.list_leaders()) == len(self._engines) // 2
         )
 
     def list_groups(self) -> dict[str, tuple[str, str]]:
         """Return the replica of each engine in one, and its state."""
         groups = {}
-        for name in _ENGINES:
+        for name in self._engines:
             if name in self._dead:
                 continue
             reply = self.request("GET", name, "/currantwall/report")
--- a/currantwall/cli/explanations.py
+++ b/currantwall/cli/explanations.py
@@ -198,6 +198,8 @@
     if end["event"] == "answered":
         why = f"{end['upstream']} answered {end['status']} itself"
         return Cause.UPSTREAM_FAILED, why
+    if end["event"] == "ended_early":
+        return Cause.TIMED_OUT, f"broken off: {end.get('why')}"
     if end.get("status") == 504:
         return Cause.TIMED_OUT, f"504: {end['why']}"
     advice = f"come back after {end.get('retry_after')} s"
--- a/currantwall/coordination/replicas/formation.py
+++ b/currantwall/coordination/replicas/formation.py
@@ -128,14 +128,14 @@
         steady_instances = self._list_steady()
         found = []
         for name, record in self._records.items():
-            is_steady = name in steady_instances and not record.missed
+            is_steady = name in steady_instances and not record.is_doubtful
             is_steady = is_steady and not record.is_unconfirmed
             interval = steady_interval if is_steady else 0.0
             is_due = (
                 now - record.reported_at >= interval
                 and now >= record.skip_probes_until
             )
-            is_unclear = record.missed or record.contradicts_list
+            is_unclear = record.is_doubtful or record.contradicts_list
             if is_due or is_unclear or record.upstream.sequence is None:
                 found.append(name)
         return found
--- a/currantwall/coordination/replicas/knowledge.py
+++ b/currantwall/coordination/replicas/knowledge.py
@@ -33,6 +33,10 @@
 _REPROBE_SECONDS = 0.25
 # Consecutive missed probes after which an instance counts as silent.
 _MISSED_PROBES_LIMIT = 2
+# Seconds after which an instance counts as silent that accepts connections
+# but answers nothing. A process that stands still for a second or two goes on
+# where it was.
+_UNRESPONSIVE_LIMIT = 3.0
 # Seconds by which the list may lag behind a report: only if the report is
 # older does a list that contradicts it cause a probe at once.
 _LIST_LAG_SECONDS = 0.5
@@ -85,6 +89,8 @@
 
     ANSWERED = "answered"
     SILENT = "silent"
+    # It accepted a new connection and then sent nothing.
+    UNRESPONSIVE = "unresponsive"
     # Nothing listens at the address, or another instance does.
     REFUSED = "refused"
 
@@ -97,6 +103,8 @@
         self.listed = True
         # Probes without an answer since the last report.
         self.missed = 0
+        # When it was first unresponsive since the last report.
+        self.unresponsive_since: float | None = None
         # Whether a probe was refused since the last report.
         self.refused = False
         # Monotonic time of the last report; moved back after an order.
@@ -127,6 +135,11 @@
         """Return whether several probes in a row got no answer."""
         return self.missed >= _MISSED_PROBES_LIMIT
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether a probe got no answer since the last report."""
+        return self.missed > 0 or self.unresponsive_since is not None
+
     @property
     def is_refusing(self) -> bool:
         """Return whether it refuses probes.
@@ -195,6 +208,7 @@
             if upstream.born > record.upstream.born:
                 record.refused = False
                 record.missed = 0
+                record.unresponsive_since = None
             record.upstream = _merge_listed(record.upstream, upstream)
         for name, record in list(self.instances.items()):
             if name in listed_ids:
@@ -209,6 +223,7 @@
         if record is None:
             return
         record.missed = 0
+        record.unresponsive_since = None
         record.refused = False
         record.reported_at = now
         record.contradicts_list = False
@@ -229,15 +244,24 @@
             record.loaded_sequence = record.upstream.sequence
 
     def note_failure(
-        self, instance: ids.InstanceId, result: ProbeResult
+        self, instance: ids.InstanceId, result: ProbeResult, now: float
     ) -> bool:
-        """Process a failed probe; return whether the instance is now lost."""
+        """Process a failed probe; return whether the instance is now lost.
+
+        Failure: a process stands still for a second, its replica is
+        dissolved as if it had ended, and the requests there are lost.
+        """
         record = self.instances.get(instance)
         if record is None:
             return False
         was_alive = record.is_alive
         if result is ProbeResult.REFUSED:
             record.refused = True
+        elif result is ProbeResult.UNRESPONSIVE:
+            if record.unresponsive_since is None:
+                record.unresponsive_since = now
+            is_over = now - record.unresponsive_since >= _UNRESPONSIVE_LIMIT
+            record.missed = _MISSED_PROBES_LIMIT if is_over else 0
         else:
             record.missed += 1
         return was_alive and not record.is_alive
--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -16,14 +16,18 @@
 from currantwall.state import routes
 
 __all__ = [
+    "LOSS_PATIENCE",
+    "PROBE_INTERVAL",
+    "STALL_TIMEOUT",
     "Ending",
     "Failure",
     "Lateness",
     "Progress",
     "Verdict",
-    "decide",
     "choose_ending",
+    "decide",
     "find_lateness",
+    "get_probe_delay",
     "is_cut_off",
 ]
 
@@ -32,13 +36,18 @@
 # Seconds of silence between two events of a stream after which its replica
 # is probed. A working replica sends an event every 45 to 60 ms, or after
 # 150 ms if it reads a long prompt in between.
-PROBE_DELAY = 0.15
-# Seconds of silence between two events of a stream after which the stream
-# is resumed at another replica without waiting for the probe's result.
+_PROBE_DELAY = 0.15
+# Seconds between two probes of a replica that remains silent.
+PROBE_INTERVAL = 1.0
+# Seconds of silence between two events of a stream after which another
+# replica is asked to resume it, without waiting for the probe's result.
 STALL_TIMEOUT = 0.5
 # Seconds of silence before the first event after which the replica is
 # probed.
-FIRST_PROBE_DELAY = 0.25
+_FIRST_PROBE_DELAY = 0.25
+# Seconds of silence after which an attempt fails whose replica is said to
+# have lost a member. Callers don't wait any longer for an event.
+LOSS_PATIENCE = 2.0
 # Timeout before the first event: a multiple of the route's target, and a
 # minimum in seconds. A full replica takes half a second to begin: a
 # shorter timeout only moves the request to the next full one.
@@ -241,6 +250,15 @@
     return max(_CONFIGURATION_SECONDS, uptime)
 
 
+def get_probe_delay(has_begun: bool) -> float:
+    """Return the seconds of silence after which a replica is probed.
+
+    Args:
+        has_begun: Whether it has sent an event of the stream.
+    """
+    return _PROBE_DELAY if has_begun else _FIRST_PROBE_DELAY
+
+
 def get_caller_patience(route: routes.Route) -> float:
     """Return the seconds without an event after which callers give up."""
     return max(
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -148,6 +148,8 @@
         self.ejected_until = 0.0
         # When it was last ejected for a failed request.
         self.failed_at = -math.inf
+        # Whether it is ejected only because it was silent.
+        self.is_silent = False
         # Mean seconds from one event of its streams to the next, and the
         # time of the last update.
         self.mean_pause = 0.0
@@ -450,7 +452,9 @@
             ]
             if limited:
                 return self._make_limited(limited, now)
-            return Unavailable("all stall or fail", _RECOVERY_RETRY_AFTER)
+            usable = [one for one in permitted if self._is_silent(one)]
+            if not usable:
+                return Unavailable("all stall or fail", _RECOVERY_RETRY_AFTER)
         # A plain service: an ejected upstream is better than none.
         return usable or permitted
 
@@ -685,6 +689,11 @@
             return False
         return upstream.seat is None or health.epoch >= upstream.seat.epoch
 
+    def _is_silent(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether an upstream is ejected only for its silence."""
+        health = self._health.get(upstream.id)
+        return health is not None and health.is_silent
+
     def count_load(self, instance: ids.InstanceId) -> int:
         """Return the known requests in flight at an upstream."""
         health = self._health.get(instance)
@@ -779,8 +788,40 @@
         """
         health = self._get_health(upstream.id)
         health.failure_rate += _FAILURE_WEIGHT * (1 - health.failure_rate)
-        if not avoid:
+        if avoid:
+            self._eject_failed(upstream, now)
+
+    def note_silence(self, upstream: upstreams.Upstream, now: float) -> None:
+        """Note that an upstream is silent.
+
+        It is ejected, but still chosen where no other upstream is left: it
+        may go on in a moment.
+
+        Failure: several requests find out about one silence, and the
+        upstream is ejected for seconds longer than it was silent.
+
+        Args:
+            upstream: The upstream.
+            now: Monotonic time.
+        """
+        health = self._get_health(upstream.id)
+        if self._is_ejected(upstream, now):
             return
+        health.failure_rate += _FAILURE_WEIGHT * (1 - health.failure_rate)
+        self._eject_failed(upstream, now)
+        health.is_silent = True
+
+    def note_awake(self, upstream: upstreams.Upstream) -> None:
+        """Note that an upstream that was silent goes on."""
+        health = self._get_health(upstream.id)
+        if health.is_silent:
+            health.is_silent = False
+            health.ejected_until = -math.inf
+            self.note_success(upstream.id)
+
+    def _eject_failed(self, upstream: upstreams.Upstream, now: float) -> None:
+        """Eject an upstream for a time that doubles with each failure."""
+        health = self._get_health(upstream.id)
         health.consecutive_failures += 1
         seconds = _BASE_EJECTION_SECONDS * 2 ** (
             health.consecutive_failures - 1
@@ -873,6 +914,7 @@
         health = self._get_health(instance)
         health.ejected_until = max(health.ejected_until, until)
         health.epoch = epoch
+        health.is_silent = False
 
     # -- Counts exchanged between nodes
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -280,7 +280,7 @@
             self._clock,
         )
         made.is_ready = lambda: self._is_ready
-        made.abort_attempts = self._sender.abort_attempts
+        made.on_loss = self._sender.note_loss
         self._sender.on_probe_requested = made.report_stall
         self._checks.on_change = made.announce_path
         self._crashes.on_change = made.announce_parts
@@ -288,6 +288,7 @@
         self._queue.on_high_load = made.report_high_load
         self._duties.on_loss = made.announce_loss
         self._duties.on_slow = made.announce_slow
+        self._duties.on_unresponsive = made.announce_unresponsive
         self._configuration.on_change = self._on_configuration
         self._fleet_feed.on_change = made.announce_list
         if self._settings.evacuation_bound is not None:
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -6,10 +6,12 @@
 """
 
 from collections import abc
+import enum
 
 import eventlet
 import eventlet.event
 
+from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -33,6 +35,16 @@
 _REFUSED = "currantwall.parts.refused"
 
 
+class _Finding(enum.Enum):
+    """What a check has found out about an upstream."""
+
+    ALIVE = "alive"
+    # Nothing listens at its address, or it has started again.
+    ENDED = "ended"
+    # It did not answer: it may be silent, or cut off from this node.
+    UNKNOWN = "unknown"
+
+
 class _Check:
     """A check whether an upstream has crashed."""
 
@@ -49,7 +61,7 @@
         if self.started >= since or not self.result.ready():
             return True
         is_recent = since - self.started <= _CRASHED_TTL
-        return is_recent and bool(self.result.wait())
+        return is_recent and self.result.wait() is _Finding.ENDED
 
 
 class Crashes:
@@ -190,47 +202,60 @@
         """Return whether an upstream has ended, or started again since.
 
         Failure: a connection is reset, or an upstream breaks off a single
-        answer, and that is taken for a crash.
+        answer, or is silent for a moment, and that is taken for a crash.
         """
+        return self._find_state(upstream) is _Finding.ENDED
+
+    def _find_state(self, upstream: upstreams.Upstream) -> _Finding:
+        """Check an upstream, unless a check for another attempt tells."""
         since = self._now()
         while True:
             check = self._checks.get(upstream.id)
             if check is None or not check.may_tell(since):
                 check = self._checks[upstream.id] = _Check(self._now())
                 eventlet.spawn_n(self._run_check, upstream, check)
-            has_crashed = bool(check.result.wait())
+            finding: _Finding = check.result.wait()
             # An upstream that was alive before may have crashed since.
-            if has_crashed or check.started >= since:
-                return has_crashed
+            if finding is _Finding.ENDED or check.started >= since:
+                return finding
 
     def is_ended_by_crash(self, upstream: upstreams.Upstream) -> bool:
-        """Return whether a crash has ended an answer without framing.
+        """Return whether a crash may have ended an answer without framing.
 
         Failure: the upstream crashes between two events, its connection is
         closed in order, and half a stream looks complete. A leaving
         upstream, which ends soon, has completed it.
         """
-        return not upstream.leaving and self.has_crashed(upstream)
+        if upstream.leaving:
+            return False
+        return self._find_state(upstream) is not _Finding.ALIVE
 
     def _run_check(self, upstream: upstreams.Upstream, check: _Check) -> None:
-        is_alive = False
+        finding = _Finding.UNKNOWN
         try:
-            is_alive = self._is_alive(upstream)
+            finding = self._probe(upstream)
         finally:
-            check.result.send(not is_alive)
+            check.result.send(finding)
 
-    def _is_alive(self, upstream: upstreams.Upstream) -> bool:
+    def _probe(self, upstream: upstreams.Upstream) -> _Finding:
         if upstream.domain:
-            found = self._engines.report(upstream, True)
-            return isinstance(found, upstreams.Upstream) and (
-                not upstream.born or found.born == upstream.born
-            )
+            return self._request_report(upstream)
         try:
             self._connections.open(upstream.address, _CONNECT_TIMEOUT).close()
-        except exchanges.FAILURES:
+        except exchanges.FAILURES as error:
             # What the check is for.
-            return False
-        return True
+            is_refused = exchanges.is_refused(error)
+            return _Finding.ENDED if is_refused else _Finding.UNKNOWN
+        return _Finding.ALIVE
+
+    def _request_report(self, upstream: upstreams.Upstream) -> _Finding:
+        found = self._engines.report(upstream, True)
+        if found is knowledge.ProbeResult.REFUSED:
+            return _Finding.ENDED
+        if not isinstance(found, upstreams.Upstream):
+            return _Finding.UNKNOWN
+        has_restarted = bool(upstream.born) and found.born != upstream.born
+        return _Finding.ENDED if has_restarted else _Finding.ALIVE
 
     # -- Decisions
 
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -108,6 +108,8 @@
             lost a member.
         on_slow: Called with the leader's epoch ID when a member slows down
             its replica.
+        on_unresponsive: The same when a member answers nothing, though it
+            accepts connections.
         on_report: Called with each instance as it has reported itself.
         verify_path: Returns whether this node has a path to upstreams, by
             connections that were opened after a time.
@@ -155,6 +157,7 @@
         self._stopping = False
         self.on_loss: abc.Callable[[str], None] = _ignore
         self.on_slow: abc.Callable[[str], None] = _ignore
+        self.on_unresponsive: abc.Callable[[str], None] = _ignore
         self.on_report: abc.Callable[[upstreams.Upstream], None] = (
             _ignore_report
         )
@@ -583,7 +586,7 @@
         upstream = known.upstream
         domain.probed_at[name] = now
         domain.probes_in_flight.add(name)
-        eventlet.spawn_n(self._run_probe, domain, upstream, known.missed > 0)
+        eventlet.spawn_n(self._run_probe, domain, upstream, known.is_doubtful)
 
     def _run_probe(
         self,
@@ -594,41 +597,67 @@
         started = self._clock.now()
         try:
             found = self._engines.report(upstream, new_connection)
+            self._meter.add("currantwall.probes", 1)
+            if isinstance(found, knowledge.ProbeResult):
+                self._note_failed_probe(
+                    domain, upstream, found, started, new_connection
+                )
+                return
         finally:
+            # Not before the failure is noted: the next probe would again
+            # use the idle connection that has not answered.
             domain.probes_in_flight.discard(upstream.id)
-        self._meter.add("currantwall.probes", 1)
-        if isinstance(found, knowledge.ProbeResult):
-            has_path = self.verify_path(started)
+        domain.planner.knowledge.note_report(found, self._clock.now())
+        self.on_report(found)
+        self._report_pace(domain, found)
+
+    def _note_failed_probe(
+        self,
+        domain: _Domain,
+        upstream: upstreams.Upstream,
+        found: knowledge.ProbeResult,
+        started: float,
+        new_connection: bool,
+    ) -> None:
+        """Process a probe that got no answer, unless this node has no path.
+
+        Args:
+            domain: The domain of the instance.
+            upstream: The instance.
+            found: How the probe failed.
+            started: Monotonic time at which it was sent.
+            new_connection: Whether it used a new connection.
+        """
+        has_path = self.verify_path(started)
+        now = self._clock.now()
+        self._log.write(
+            "probe_failed",
+            instance=upstream.id,
+            domain=domain.name,
+            why=found.value,
+            new_connection=new_connection,
+            has_path=has_path,
+            after=round(now - started, 4),
+        )
+        if not has_path:
+            return
+        known = domain.planner.knowledge.instances.get(upstream.id)
+        if known is not None and known.is_alive and not known.is_doubtful:
+            # Repeat the probe at once after a first miss, and at the usual
+            # interval after later ones.
+            domain.probed_at.pop(upstream.id, None)
+        if found is knowledge.ProbeResult.UNRESPONSIVE:
+            self._report_unresponsive(domain, upstream)
+        if domain.planner.knowledge.note_failure(upstream.id, found, now):
+            self._meter.add("currantwall.instances.lost", 1, found.value)
             self._log.write(
-                "probe_failed",
+                "instance_lost",
                 instance=upstream.id,
                 domain=domain.name,
                 why=found.value,
-                new_connection=new_connection,
-                has_path=has_path,
-                after=round(self._clock.now() - started, 4),
+                seat=_describe_seat(upstream),
             )
-            if not has_path:
-                return
-            known = domain.planner.knowledge.instances.get(upstream.id)
-            if known is not None and not known.missed:
-                # Repeat the probe at once after a first miss, and at the
-                # usual interval after later ones.
-                domain.probed_at.pop(upstream.id, None)
-            if domain.planner.knowledge.note_failure(upstream.id, found):
-                self._meter.add("currantwall.instances.lost", 1, found.value)
-                self._log.write(
-                    "instance_lost",
-                    instance=upstream.id,
-                    domain=domain.name,
-                    why=found.value,
-                    seat=_describe_seat(upstream),
-                )
-                self._report_loss(domain, upstream)
-        else:
-            domain.planner.knowledge.note_report(found, self._clock.now())
-            self.on_report(found)
-            self._report_pace(domain, found)
+            self._report_loss(domain, upstream)
 
     def _report_pace(self, domain: _Domain, found: upstreams.Upstream) -> None:
         """Report a replica that a slow member slows down.
@@ -654,6 +683,14 @@
         if leader is not None:
             self.on_slow(leader.epoch_id)
 
+    def _report_unresponsive(
+        self, domain: _Domain, found: upstreams.Upstream
+    ) -> None:
+        """Call `on_unresponsive` for the leader of an instance's replica."""
+        leader = self._find_leader(domain, found.id)
+        if leader is not None:
+            self.on_unresponsive(leader.epoch_id)
+
     def _report_loss(self, domain: _Domain, lost: upstreams.Upstream) -> None:
         """Call `on_loss` for the leader of a replica that lost a member."""
         leader = self._find_leader(domain, lost.id)
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -40,7 +40,9 @@
     "Outbound",
     "PEER",
     "QUARANTINE",
+    "VERDICT",
     "is_quiet",
+    "is_refused",
     "open_connection",
     "read_keep_alive",
 ]
@@ -49,6 +51,9 @@
 MISDIRECTED = 421
 # Step of an exchange that failed after its upstream was kept waiting.
 HELD = "held"
+# Step of a message that an attempt's replica has lost a member. Its exchange
+# goes on.
+VERDICT = "verdict"
 # Step of an exchange whose forwarding peer failed.
 PEER = "peer"
 # Step of a forwarded exchange whose upstream has crashed.
@@ -156,11 +161,11 @@
     Attributes:
         may_have_sent: Whether part of the request may have reached the
             upstream.
-        step: What failed: connect, send, head or body; `verdict` if the
-            gateway aborted the attempt because its replica lost a member;
-            `HELD` if the upstream was kept waiting by the caller; `PEER`
-            if the peer that forwarded the request failed; `CRASH` if that
-            peer found that the upstream has crashed; `QUARANTINE` if the
+        step: What failed: connect, send, head or body; `VERDICT` if the
+            replica of the attempt is said to have lost a member; `HELD` if
+            the upstream was kept waiting by the caller; `PEER` if the peer
+            that forwarded the request failed; `CRASH` if that peer found
+            that the upstream has crashed; `QUARANTINE` if the
             request crashes upstreams; `LEAVING` if the upstream leaves, as
             that peer knows.
     """
@@ -401,6 +406,9 @@
         if backlog is None:
             self._put(message)
             return
+        # Several exchanges may share the backlog of their caller.
+        if self._connection is not None:
+            backlog.upstream = self._connection.sock
         # Counted first: a full inbox may be read before `put` returns.
         backlog.note_queued(len(data))
         if backlog.has_room(len(data)) and not self._inbox.full():
@@ -419,8 +427,6 @@
                 backlog.note_dropped(len(data))
 
     def _read_body(self, response: urllib3.HTTPResponse) -> None:
-        if self._backlog is not None and self._connection is not None:
-            self._backlog.upstream = self._connection.sock
         size = _READ_SIZE if self._backlog is None else _BOUNDED_READ_SIZE
         # Not read_chunked, which repairs chunks that are framed badly.
         while True:
@@ -474,6 +480,17 @@
     return not poller.poll(0)
 
 
+def is_refused(error: BaseException) -> bool:
+    """Return whether a failure means that nothing listens at the address.
+
+    urllib3 wraps the refusal in an error that only its text identifies.
+    """
+    return (
+        isinstance(error, ConnectionRefusedError)
+        or "refused" in str(error).lower()
+    )
+
+
 def read_keep_alive(headers: urllib3.HTTPHeaderDict) -> float:
     """Return the seconds for which an idle connection may be reused."""
     if headers.get("connection", "").lower() == "close":
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -52,8 +52,8 @@
 
     Attributes:
         is_ready: Returns whether this node takes requests.
-        abort_attempts: Called with the epoch ID of a leader whose replica
-            has lost a member; ends the attempts at it.
+        on_loss: Called with the epoch ID of a leader whose replica has
+            lost a member.
         note_evacuations: Called for each report with its sender, whether
             that takes requests, whether it has learnt the evacuations, and
             those that it reports.
@@ -91,7 +91,7 @@
         self.run_sender = self._heartbeats.run_sender
         self.send = self._heartbeats.send
         self.is_ready: abc.Callable[[], bool] = _is_never_ready
-        self.abort_attempts: abc.Callable[[str], None] = _ignore
+        self.on_loss: abc.Callable[[str], None] = _ignore
         self.note_evacuations: abc.Callable[
             [
                 presence_module.NodeEntry,
@@ -325,10 +325,19 @@
 
     def announce_slow(self, epoch_id: str) -> None:
         """Report to all nodes that a member slows down a leader's replica."""
+        self._report_slow(epoch_id, _SLOW_REPORT_TTL)
+
+    def announce_unresponsive(self, epoch_id: str) -> None:
+        """Report to all nodes that a leader's replica stands still."""
+        self._report_slow(epoch_id, _URGENT_REPORT_TTL)
+
+    def _report_slow(self, epoch_id: str, seconds: float) -> None:
         now = self._now()
         if epoch_id not in self._slow:
             self._heartbeats.send_soon()
-        self._slow[epoch_id] = now + _SLOW_REPORT_TTL
+        self._slow[epoch_id] = max(
+            now + seconds, self._slow.get(epoch_id, 0.0)
+        )
         self._note_slow(epoch_id, now)
 
     def _note_slow(self, epoch_id: str, now: float) -> None:
@@ -340,7 +349,7 @@
         parsed = upstreams.parse_epoch_id(epoch_id)
         if parsed is not None:
             self._balancer.note_loss(*parsed, now)
-            self.abort_attempts(epoch_id)
+            self.on_loss(epoch_id)
 
 
 def _is_never_ready() -> bool:
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -192,6 +192,9 @@
         last_message_at: Monotonic time of the upstream's last message.
         begun_at: Monotonic time of its first event; None before.
         is_ended: Whether it no longer counts as in progress.
+        is_held: Whether its upstream was silent for so long that it was
+            left open beside another attempt.
+        is_doubted: Whether its replica is said to have lost a member.
         peer: The node that forwards it; None if it goes to the upstream
             directly.
         rest: Bytes of a stream's body after its last complete event.
@@ -208,6 +211,8 @@
     begun_at: float | None = None
     head: exchanges.Head | None = None
     is_ended: bool = False
+    is_held: bool = False
+    is_doubted: bool = False
     peer: ids.NodeId | None = None
     rest: int = 0
     failed_step: str = ""
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -6,6 +6,7 @@
 each answer.
 """
 
+from collections import abc
 import http
 import itertools
 import typing
@@ -278,24 +279,20 @@
             request, current.last_message_at - current.sent_at
         )
 
-    def note_pause(self, current: requests.Attempt, seconds: float) -> None:
-        """Record the seconds between two events of an attempt."""
-        self._balancer.note_pause(
-            current.upstream.id, seconds, current.last_message_at
-        )
-
     def note_success(self, current: requests.Attempt) -> None:
         """Record that an attempt succeeded."""
         self._balancer.note_success(current.upstream.id)
 
-    def abort_attempts(self, epoch_id: str) -> None:
-        """Fail all attempts at a leader whose replica has lost a member.
+    def note_loss(self, epoch_id: str) -> None:
+        """Tell all attempts at a leader that its replica lost a member.
 
         Failure: such a leader stalls silently for seconds. Its requests
         are retried elsewhere as soon as the loss is known.
         """
         for number, inbox in self._active.get(epoch_id, {}).items():
-            failed = exchanges.Failed(number, True, "verdict", "member lost")
+            failed = exchanges.Failed(
+                number, True, exchanges.VERDICT, "member lost"
+            )
             if not inbox.full():
                 inbox.put(failed)
 
@@ -398,43 +395,67 @@
         if failure is Failure.UNREACHED and not has_path:
             failure = Failure.NO_PATH
         now = self.now()
-        if failure.may_have_run:
-            request.progress.runs += 1
-        else:
+        if not failure.may_have_run:
             self._crashes.note_unreached(current)
+        elif not current.is_held:
+            request.progress.runs += 1
         if failure is Failure.NO_PATH:
             request.tried.discard(current.upstream.epoch_id)
         elif has_path:
             self._note_failure(current.upstream, failure, now)
             if failure is Failure.LOST:
                 self._crashes.note_break(request, current)
+        verdict = self._decide(request, failure, now)
+        self._log_failure(request, current, failure, why, verdict)
+        if verdict is Verdict.GIVE_UP:
+            raise self.make_refusal(request, why, 0.3)
+
+    def _decide(
+        self, request: requests.Request, failure: Failure, now: float
+    ) -> Verdict:
+        """Return whether to send a request again; take that from the budget.
+
+        Args:
+            request: The request.
+            failure: How its last attempt failed.
+            now: Monotonic time.
+        """
         verdict = attempts.decide(request.route, failure, request.progress)
         if verdict is Verdict.REPEAT_PAID and not self._budget.take(
             request.service.name, now
         ):
-            verdict = Verdict.GIVE_UP
+            return Verdict.GIVE_UP
+        return verdict
+
+    def _log_failure(
+        self,
+        request: requests.Request,
+        current: requests.Attempt,
+        failure: Failure,
+        why: str,
+        verdict: Verdict,
+    ) -> None:
+        """Count and log a failed or silent attempt."""
+        now = self.now()
+        seat = current.upstream.seat
+        begun_at = current.begun_at
         self._meter.add(_ATTEMPTS_FAILED, 1, failure.value)
         self._log.write(
             "attempt_failed",
             request=request.attempt_id,
             route=request.route.name,
             upstream=current.upstream.id,
-            replica=current.upstream.seat.replica
-            if current.upstream.seat
-            else None,
+            replica=seat.replica if seat else None,
             failure=failure.value,
             peer=current.peer,
             why=why,
             after=round(now - current.sent_at, 4),
-            begun=None
-            if current.begun_at is None
-            else round(now - current.begun_at, 4),
+            begun=None if begun_at is None else round(now - begun_at, 4),
             parts=request.prompt.parts,
             list_age=round(self.fleet_age(now), 3),
+            is_held=current.is_held and not current.is_ended,
             verdict=verdict.value,
         )
-        if verdict is Verdict.GIVE_UP:
-            raise self.make_refusal(request, why, 0.3)
 
     def _has_path(self, current: requests.Attempt, failure: Failure) -> bool:
         """Return whether a failed attempt may count against its upstream."""
@@ -452,8 +473,10 @@
             self._balancer.note_refusal(upstream, now)
         elif failure is Failure.MISDIRECTED:
             self._balancer.note_misdirected(upstream, now)
+        elif failure is Failure.STALLED:
+            self._balancer.note_silence(upstream, now)
         else:
-            avoid = failure in (Failure.UNREACHED, Failure.STALLED)
+            avoid = failure is Failure.UNREACHED
             self._balancer.note_failure(upstream, now, avoid)
         if failure is Failure.LOST and upstream.seat is None:
             self._balancer.note_lost_answer(upstream.id, now)
@@ -475,16 +498,16 @@
     def receive_message(
         self,
         request: requests.Request,
-        current: requests.Attempt,
+        current: abc.Collection[requests.Attempt],
         until: float,
     ) -> typing.Any:
-        """Return the next message of an attempt.
+        """Return the next message of some attempts of a request.
 
-        Messages of earlier attempts of the request are dropped.
+        Messages of its other attempts are dropped.
 
         Args:
             request: The request.
-            current: The attempt.
+            current: The attempts.
             until: Monotonic time at which to stop waiting.
 
         Returns:
@@ -493,6 +516,7 @@
         Raises:
             requests.CallerDisconnected: The caller closed its connection.
         """
+        by_number = {one.exchange.number: one for one in current}
         while True:
             wait = until - self.now()
             try:
@@ -501,22 +525,38 @@
                 return None
             if isinstance(message, requests.Disconnected):
                 raise requests.CallerDisconnected
-            is_data = isinstance(message, exchanges.Data)
-            if is_data:
+            if isinstance(message, exchanges.Data):
                 request.note_taken(len(message.data))
-            if message.exchange == current.exchange.number:
-                current.last_message_at = self.now()
-                if is_data:
-                    self._crashes.note_data(current)
-                self._last_message_times[current.upstream.id] = (
-                    current.last_message_at
-                )
-                if isinstance(message, exchanges.Head):
-                    self._advisories.note_head(
-                        request, current.upstream, message
-                    )
+            attempt = by_number.get(message.exchange)
+            if attempt is not None:
+                self._note_message(request, attempt, message)
                 return message
 
+    def _note_message(
+        self,
+        request: requests.Request,
+        current: requests.Attempt,
+        message: typing.Any,
+    ) -> None:
+        """Record what a message tells of its upstream."""
+        now = self.now()
+        instance = current.upstream.id
+        if isinstance(message, exchanges.Failed):
+            if message.step != exchanges.VERDICT:
+                current.last_message_at = now
+            return
+        pause = now - current.last_message_at
+        current.last_message_at = now
+        self._last_message_times[instance] = now
+        if isinstance(message, exchanges.Data):
+            self._crashes.note_data(current)
+        elif isinstance(message, exchanges.Head):
+            self._advisories.note_head(request, current.upstream, message)
+        if current.is_held:
+            self._balancer.note_awake(current.upstream)
+        elif current.begun_at is not None:
+            self._balancer.note_pause(instance, pause, now)
+
     def is_ended_by_crash(self, current: requests.Attempt) -> bool:
         """Return whether a crash has ended a stream without framing.
 
@@ -533,19 +573,39 @@
             request.progress.runs + 1 < route.attempts
         )
 
-    def fail_stalled(
-        self, request: requests.Request, current: requests.Attempt
-    ) -> None:
-        """Fail an attempt that timed out.
+    def hold_attempt(
+        self, request: requests.Request, current: requests.Attempt, why: str
+    ) -> bool:
+        """Record that an attempt is silent, and leave it open.
 
-        Raises:
-            requests.Refused: The request is not retried, or its deadline
-                has passed.
+        Args:
+            request: The request.
+            current: The attempt.
+            why: The cause, for the log.
+
+        Returns:
+            Whether another attempt may be started beside it.
         """
-        if self.now() < request.deadline:
-            self.fail_attempt(request, current, Failure.STALLED, "silent")
+        current.is_held = True
+        request.progress.runs += 1
+        has_path = self._has_path(current, Failure.STALLED)
+        now = self.now()
+        if has_path:
+            self._note_failure(current.upstream, Failure.STALLED, now)
+        verdict = self._decide(request, Failure.STALLED, now)
+        self._log_failure(request, current, Failure.STALLED, why, verdict)
+        return verdict is not Verdict.GIVE_UP
+
+    def drop_attempt(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> None:
+        """End an attempt that is not needed any more."""
+        current.exchange.cancel()
+        if current.is_ended:
             return
-        raise self.end_timed_out(request, current)
+        self.end_attempt(current)
+        if current.exchange.may_have_sent and not current.is_held:
+            request.progress.runs += 1
 
     def end_timed_out(
         self, request: requests.Request, current: requests.Attempt
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -71,7 +71,7 @@
         ):
             until = min(until, current.sent_at + timeout)
         while True:
-            message = self._sender.receive_message(request, current, until)
+            message = self._sender.receive_message(request, (current,), until)
             if message is None:
                 if self._sender.now() >= request.deadline - 0.002:
                     raise self._sender.end_timed_out(request, current)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -82,11 +82,51 @@
     Mutant(
         "a holder reports losses that it can't know of",
         "currantwall/transport/duties.py",
-        "            if not self.verify_path(started):\n"
-        "                return\n",
+        "        if not has_path:\n            return\n",
         "",
         f"{_DUTIES}.ProbeTest.test_a_holder_without_a_path_reports_no_losses",
     ),
+    Mutant(
+        "an instance that stands still for a second is lost",
+        f"{_COORDINATION}/replicas/knowledge.py",
+        "            record.missed = _MISSED_PROBES_LIMIT if is_over else 0\n",
+        "            record.missed += 1\n",
+        f"{_DUTIES}.ProbeTest.test_an_instance_that_stands_still_is_kept",
+    ),
+    Mutant(
+        "an instance that stands still is never lost",
+        f"{_COORDINATION}/replicas/knowledge.py",
+        "            record.missed = _MISSED_PROBES_LIMIT if is_over else 0\n",
+        "            record.missed = 0\n",
+        f"{_DUTIES}.ProbeTest.test_an_instance_that_stands_still_is_kept",
+    ),
+    Mutant(
+        "a second probe uses the idle connection that is silent",
+        "currantwall/transport/duties.py",
+        "            domain.probes_in_flight.discard(upstream.id)\n"
+        "        domain.planner.knowledge.note_report",
+        "            pass\n"
+        "        domain.probes_in_flight.discard(upstream.id)\n"
+        "        domain.planner.knowledge.note_report",
+        f"{_DUTIES}.ProbeTest.test_the_probe_after_a_miss_is_a_new_connection",
+    ),
+    Mutant(
+        "a silent attempt is ended",
+        "currantwall/transport/races.py",
+        "        if self._sender.hold_attempt(",
+        "        self._runners.remove(runner)\n"
+        "        runner.attempt.exchange.cancel()\n"
+        "        if self._sender.hold_attempt(",
+        "tests.test_silence.OnlyReplicaTest.test_the_only_replica_is_silent",
+    ),
+    Mutant(
+        "a silent upstream has crashed",
+        "currantwall/transport/crashes.py",
+        "        return self._find_state(upstream) is _Finding.ENDED\n",
+        "        return self._find_state(upstream) is not _Finding.ALIVE\n",
+        "tests.test_crash_checks.CrashChecksTest"
+        ".test_a_silent_upstream_has_not_crashed",
+    ),
     Mutant(
         "a single connection finds a lost path again",
         f"{_COORDINATION}/requests/paths.py",
@@ -924,9 +964,9 @@
     Mutant(
         "a check from before a crash tells that there was none",
         "currantwall/transport/crashes.py",
-        "            if has_crashed or check.started >= since:\n"
-        "                return has_crashed\n",
-        "            return has_crashed\n",
+        "            if finding is _Finding.ENDED or check.started >= since:\n"
+        "                return finding\n",
+        "            return finding\n",
         "tests.test_crash_checks.CrashChecksTest"
         ".test_a_check_from_before_the_crash_proves_nothing",
     ),
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.is_alive = True
+        self.failure = knowledge.ProbeResult.REFUSED
         self.born = 1
         self.count = 0
 
@@ -32,7 +33,7 @@
         is_alive, born = self.is_alive, self.born
         eventlet.sleep(0.02)
         if not is_alive:
-            return knowledge.ProbeResult.REFUSED
+            return self.failure
         return msgspec.structs.replace(upstream, born=born)
 
 
@@ -63,6 +64,18 @@
         self.engines.born = 2
         self.assertTrue(self.has_crashed())
 
+    def test_a_silent_upstream_has_not_crashed(self):
+        """Guards against blaming requests for an upstream that is silent."""
+        for failure in (
+            knowledge.ProbeResult.SILENT,
+            knowledge.ProbeResult.UNRESPONSIVE,
+        ):
+            self.engines.is_alive = False
+            self.engines.failure = failure
+            self.assertFalse(self.has_crashed())
+            # Whether it has ended an answer in order is not known.
+            self.assertTrue(self.crashes.is_ended_by_crash(self.upstream))
+
     def test_a_check_from_before_the_crash_proves_nothing(self):
         """Guards against half a stream that counts as complete.
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -252,12 +252,18 @@
     def __init__(self):
         self.sequence = None
         self.silent = False
+        self.unresponsive = False
         self.pace = 1.0
         self.orders = []
+        # Whether each probe used a new connection.
+        self.probes = []
 
     def report(self, upstream, new_connection):
-        if self.silent:
+        self.probes.append(new_connection)
+        if self.silent or (self.unresponsive and not new_connection):
             return knowledge.ProbeResult.SILENT
+        if self.unresponsive:
+            return knowledge.ProbeResult.UNRESPONSIVE
         return msgspec.structs.replace(
             upstream, sequence=self.sequence, pace=self.pace
         )
@@ -675,6 +681,44 @@
         for node in self.world.nodes.values():
             self.assertEqual(node.engines.orders, [])
 
+    def test_an_instance_that_stands_still_is_kept(self):
+        """Guards against sound replicas that are dissolved.
+
+        Only an instance that answers nothing for seconds is lost.
+        """
+        (holder,) = self.world.list_holders()
+        node = self.world.nodes[holder]
+        node.engines.orders.clear()
+        node.engines.unresponsive = True
+        node.duties.suspect(ids.InstanceId("e1"))
+        self.world.run(2.0)
+        self.assertEqual(self.reported_losses, [])
+        kinds = {order.kind for order in node.engines.orders}
+        self.assertNotIn(knowledge.OrderKind.LEAVE, kinds)
+        self.world.run(2.0)
+        self.assertEqual(len(self.reported_losses), 1)
+
+    def test_the_probe_after_a_miss_is_a_new_connection(self):
+        """Guards against two probes over one idle connection.
+
+        The second one is asked for while the path is being checked.
+        """
+        (holder,) = self.world.list_holders()
+        node = self.world.nodes[holder]
+
+        def verify_path(since):
+            self.world.time += 0.25
+            node.duties.suspect(ids.InstanceId("e1"))
+            return True
+
+        node.duties.verify_path = verify_path
+        node.engines.probes.clear()
+        node.engines.unresponsive = True
+        node.duties.suspect(ids.InstanceId("e1"))
+        self.world.run(1.0)
+        self.assertEqual(node.engines.probes[:2], [False, True])
+        self.assertEqual(self.reported_losses, [])
+
     def test_a_holder_without_a_path_reports_no_losses(self):
         """Guards against sound replicas that all nodes avoid as lost.
 
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -1,5 +1,6 @@
 """Tests of ``explain`` and ``causes``: a request's cause from the logs."""
 
+import signal
 import subprocess
 import sys
 import threading
@@ -68,9 +69,9 @@
     def test_a_stream_cut_by_the_loss_of_a_member(self):
         """Guards against not finding why a caller's stream was cut short.
 
-        An instance of the stream's replica is killed. The stream cannot be
-        resumed; the holder of the domain finds the loss when the stream
-        stalls.
+        An instance of the stream's replica is killed, and the leader stalls
+        for that. The stream cannot be resumed; the holder of the domain
+        finds the loss when the stream stalls.
         """
         received = {}
 
@@ -89,8 +90,11 @@
         (member,) = [
             name for name in run["members"] if name != run["members"][0]
         ]
+        leader = run["members"][0]
         self.fleet.kill(member)
         self.addCleanup(self.fleet.restart_engine, member, "d0", "m")
+        self.fleet.send_signal(leader, signal.SIGSTOP)
+        self.addCleanup(self.fleet.send_signal, leader, signal.SIGCONT)
         reader.join()
         self.assertFalse(received["answer"].whole)
         explanation = self.await_end("why-3")
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -240,13 +240,13 @@
             engine = self.world.engines[name]
             if engine.refusing:
                 self.planner.knowledge.note_failure(
-                    name, knowledge.ProbeResult.REFUSED
+                    name, knowledge.ProbeResult.REFUSED, self.now
                 )
             elif engine.up:
                 self.planner.knowledge.note_report(engine.describe(), self.now)
             else:
                 self.planner.knowledge.note_failure(
-                    name, knowledge.ProbeResult.SILENT
+                    name, knowledge.ProbeResult.SILENT, self.now
                 )
         orders = self.planner.plan(
             self.now,
@@ -281,7 +281,7 @@
         """Record two missed probes, as after a stalled stream."""
         for _ in range(2):
             self.planner.knowledge.note_failure(
-                victim.id, knowledge.ProbeResult.SILENT
+                victim.id, knowledge.ProbeResult.SILENT, self.now
             )
 
     def count_open(self):
@@ -459,7 +459,7 @@
                 session.replace_planner()
             else:
                 session.planner.knowledge.note_failure(
-                    leader.id, knowledge.ProbeResult.REFUSED
+                    leader.id, knowledge.ProbeResult.REFUSED, session.now
                 )
             session.run(2.0)
             self.assertEqual(session.world.violations, [])
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -175,7 +175,7 @@
         """
         exchange = self.make(0.1)
         aborted = []
-        exchange.abort_attempts = aborted.append
+        exchange.on_loss = aborted.append
         heartbeat = msgspec.structs.replace(
             self.make_heartbeat(5, RelayRequest.NONE, 0),
             lost=(f"{_LEADER}@3", "foreign"),
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -13,11 +13,16 @@
 _TIMEOUT = 60.0
 
 
-class SilenceTest(unittest.TestCase):
-    def setUp(self):
-        self.site = silence.Site()
-        self.addCleanup(self.site.stop)
-        self.site.start()
+class SilenceCase(unittest.TestCase):
+    domains = silence.DOMAINS
+    # Callers of each gateway.
+    callers = 3
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = silence.Site(cls.domains)
+        cls.addClassCleanup(cls.site.stop)
+        cls.site.start()
 
     def check_silence(self, names, change=False):
         """Check what callers see while servers are silent, and after it."""
@@ -31,7 +36,7 @@
             self.site.silence(names, _SILENCE)
             ended.append(time.monotonic())
 
-        outcomes = self.site.observe(disturb)
+        outcomes = self.site.observe(disturb, self.callers)
         self.assertGreater(len(outcomes), 0)
         broken = [one for one in outcomes if one.is_broken]
         self.assertEqual(broken, [])
@@ -46,6 +51,8 @@
         self.assertEqual(late, [])
         self.assertEqual(self.site.list_groups(), before)
 
+
+class SilenceTest(SilenceCase):
     def test_all_servers_are_silent(self):
         """Guards against streams that end because nobody answers."""
         self.check_silence(silence.SERVERS)
@@ -62,6 +69,8 @@
         """Guards against requests that lose their only upstream."""
         self.check_silence(self.site.list_leaders()[:1])
 
+
+class DarkServerTest(SilenceCase):
     def test_a_server_without_power_is_lost(self):
         """Guards against waiting for a server that is down."""
         leader = self.site.list_leaders()[0]
@@ -76,5 +85,14 @@
         )
 
 
+class OnlyReplicaTest(SilenceCase):
+    domains = {"d0": ("e1", "e2")}
+    callers = 1
+
+    def test_the_only_replica_is_silent(self):
+        """Guards against streams that nobody else can resume."""
+        self.check_silence(self.site.list_leaders())
+
+
 if __name__ == "__main__":
     unittest.main()
