Store: an object that can't be read hides no other

Cause: a page of a list was decoded as a whole, and the decoder checks the escapes, the nesting and the numbers of what it skips as well. A page with one such item was taken for a store that is away.

Decoders of stored values, of peers' messages and of reports also put aside values nested too deeply, by one tuple of errors (ports.UNREADABLE).

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -59,6 +59,8 @@
 
 # Seconds between two removals of outdated state.
 _SWEEP_INTERVAL = 1.0
+# Most names of objects in one line of the log.
+_MAX_NAMES = 8
 # The process exits this many seconds before the end of the grace period, at
 # which it would be killed, even if requests are in flight.
 _EXIT_MARGIN = 0.4
@@ -101,6 +103,7 @@
         self._meter = metrics_module.Metrics(settings.node)
         self._log = journal.Journal(settings.node, self._now)
         self._store = make_store(self._meter)
+        self._store.on_unreadable = self._note_unreadable
         self._fleet = upstreams.Fleet()
         self._balancer = balancing.Balancer(
             self._fleet,
@@ -302,6 +305,15 @@
 
     # -- Serving
 
+    def _note_unreadable(self, kind: str, names: list[str]) -> None:
+        """Log the objects of a kind that another writer left unreadable."""
+        self._log.write(
+            "objects_unreadable",
+            kind=kind,
+            names=[repr(name) for name in names[:_MAX_NAMES]],
+            count=len(names),
+        )
+
     def run(self) -> None:
         """Serve until a signal asks to stop, then stop gracefully."""
         signal.signal(signal.SIGTERM, self._on_stop)
--- a/currantwall/transport/domainleases.py
+++ b/currantwall/transport/domainleases.py
@@ -227,7 +227,7 @@
             return
         try:
             held = msgspec.json.decode(stored.value, type=domain_module.Domain)
-        except msgspec.MsgspecError as error:
+        except ports.UNREADABLE as error:
             # Treated as held by nobody; the next holder overwrites it.
             self._log.write(
                 "lease_unreadable", domain=lease.name, why=str(error)
--- a/currantwall/transport/heartbeats.py
+++ b/currantwall/transport/heartbeats.py
@@ -15,6 +15,7 @@
 
 from currantwall.coordination.peers import digests
 from currantwall.transport import metrics as metrics_module
+from currantwall.transport import ports
 from currantwall.transport import timers
 
 __all__ = ["Heartbeats"]
@@ -65,7 +66,7 @@
             try:
                 data, _ = self._socket.recvfrom(_DATAGRAM_SIZE_LIMIT)
                 message = self._decoder.decode(data)
-            except (OSError, msgspec.MsgspecError):
+            except (OSError, *ports.UNREADABLE):
                 # A damaged or foreign datagram, or the delayed error of an
                 # earlier send.
                 eventlet.sleep(0)
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -29,6 +29,7 @@
 from currantwall.transport import ingress
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import paths as path_checks
+from currantwall.transport import ports
 from currantwall.transport import requests
 
 __all__ = ["PeerExchange", "PeerExchanges"]
@@ -198,7 +199,7 @@
             asked = msgspec.msgpack.decode(
                 inbound.body, type=peerexchanges.ExchangeRequest
             )
-        except msgspec.MsgspecError:
+        except ports.UNREADABLE:
             return ingress.Reply(status=400, headers=[], body=b"")
         listed = self._fleet.get(ids.InstanceId(asked.instance))
         is_known = listed is not None and listed.address == asked.address
--- a/currantwall/transport/peers.py
+++ b/currantwall/transport/peers.py
@@ -5,10 +5,10 @@
 import zlib
 
 import eventlet
-import msgspec
 import urllib3
 
 from currantwall.transport import exchanges
+from currantwall.transport import ports
 
 __all__ = [
     "CONFIGURATION_PATH",
@@ -34,7 +34,7 @@
     OSError,
     http.client.HTTPException,
     urllib3.exceptions.HTTPError,
-    msgspec.MsgspecError,
+    *ports.UNREADABLE,
     zlib.error,
     eventlet.Timeout,
 )
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -47,6 +47,11 @@
     value: bytes
 
 
+# What decoding a stored value or a message of another writer may raise. Values
+# with thousands of levels exceed the limit of recursion.
+UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
+
+
 class Listing(msgspec.Struct, frozen=True):
     """Objects of one kind as of a revision of the store.
 
@@ -75,7 +80,15 @@
 
 
 class Store(typing.Protocol):
-    """The platform's object store."""
+    """The platform's object store.
+
+    Attributes:
+        on_unreadable: Called with a kind and the names of its objects that
+            can't be read, when they are others than before. An empty name
+            stands for one that can't be read either.
+    """
+
+    on_unreadable: abc.Callable[[str, list[str]], None]
 
     def list(
         self, kind: str, stale: bool = False
--- a/currantwall/transport/quarantines.py
+++ b/currantwall/transport/quarantines.py
@@ -102,7 +102,7 @@
                 trials = msgspec.json.decode(
                     stored.value, type=StoredPart
                 ).trials
-            except msgspec.MsgspecError as error:
+            except ports.UNREADABLE as error:
                 self._log.write("part_unreadable", part=part, why=str(error))
                 continue
             self._stored[part] = trials
--- a/currantwall/transport/registrations.py
+++ b/currantwall/transport/registrations.py
@@ -87,7 +87,7 @@
         for stored in listing.objects:
             try:
                 entries.append(decoder.decode(stored.value))
-            except msgspec.MsgspecError as error:
+            except ports.UNREADABLE as error:
                 self._log.write(
                     "node_entry_unreadable", name=stored.name, why=str(error)
                 )
