Duties: probe a suspected instance once the interval allows

Cause: a suspicion within 0.2 s of the last probe was dropped. Streams with pauses ask for a probe five times a second, so that the end of a server just after a probe waited for the next heartbeat that named it, or for the steady probe.

Change: the instance remains suspected until a probe has been started after the suspicion.

The new test failed before.

--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -94,6 +94,8 @@
         # When each instance was last probed.
         self.probed_at: dict[ids.InstanceId, float] = {}
         self.probes_in_flight: set[ids.InstanceId] = set()
+        # Instances to probe as soon as the interval allows.
+        self.suspected: set[ids.InstanceId] = set()
         # Instances that were slow at their last report.
         self.slow: set[ids.InstanceId] = set()
         # The planner's state as last logged.
@@ -230,6 +232,7 @@
         domain.planner = formation.Planner(domain.name, domain.planner.engine)
         domain.probed_at.clear()
         domain.slow.clear()
+        domain.suspected.clear()
 
     def stop(self) -> None:
         """Stop the loop and release all leases.
@@ -391,10 +394,20 @@
             leader = domain.planner.knowledge.find(instance)
             if leader is None:
                 continue
-            for name in domain.planner.knowledge.list_replica_members(
-                instance
-            ):
-                self._probe(domain, name, now)
+            domain.suspected.update(
+                domain.planner.knowledge.list_replica_members(instance)
+            )
+            self._probe_suspected(domain, now)
+
+    def _probe_suspected(self, domain: _Domain, now: float) -> None:
+        """Probe suspected instances; those just probed remain suspected.
+
+        Failure: an instance ends just after it has answered a probe, and
+        nobody asks again.
+        """
+        for name in list(domain.suspected):
+            if self._probe(domain, name, now):
+                domain.suspected.discard(name)
 
     def _probe_members(self, domain: _Domain, now: float) -> None:
         """Probe the instances that the planner asks for and the slow ones."""
@@ -408,6 +421,7 @@
             self._probe(domain, name, now, interval)
         for name in list(domain.slow):
             self._probe(domain, name, now, _SLOW_PROBE_INTERVAL)
+        self._probe_suspected(domain, now)
 
     def _manage(self, domain: _Domain, now: float) -> None:
         """Probe the instances of a domain and send the orders that are due.
@@ -564,7 +578,7 @@
         name: ids.InstanceId,
         now: float,
         interval: float = _PROBE_INTERVAL,
-    ) -> None:
+    ) -> bool:
         """Start a probe of an instance, at most one per interval.
 
         Args:
@@ -572,21 +586,25 @@
             name: The instance.
             now: Monotonic time in seconds.
             interval: Shortest time in seconds since its last probe.
+
+        Returns:
+            Whether no other probe is needed.
         """
         known = domain.planner.knowledge.instances.get(name)
         if known is None:
             domain.slow.discard(name)
-            return
+            return True
         if name in domain.probes_in_flight:
-            return
+            return False
         if known.is_silent:
             interval = max(interval, _SILENT_PROBE_INTERVAL)
         if now < domain.probed_at.get(name, 0.0) + interval:
-            return
+            return False
         upstream = known.upstream
         domain.probed_at[name] = now
         domain.probes_in_flight.add(name)
         eventlet.spawn_n(self._run_probe, domain, upstream, known.is_doubtful)
+        return True
 
     def _run_probe(
         self,
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -719,6 +719,20 @@
         self.assertEqual(node.engines.probes[:2], [False, True])
         self.assertEqual(self.reported_losses, [])
 
+    def test_an_instance_that_ends_after_a_probe_is_probed_again(self):
+        """Guards against a suspicion that comes too soon after a probe."""
+        (holder,) = self.world.list_holders()
+        node = self.world.nodes[holder]
+        (domain,) = node.duties._domains.values()
+        # No probe is due, as of the members of a replica that serves.
+        domain.planner.list_probes = lambda now, interval: []
+        node.duties.suspect(ids.InstanceId("e1"))
+        node.engines.probes.clear()
+        node.duties.suspect(ids.InstanceId("e1"))
+        self.assertEqual(node.engines.probes, [])
+        self.world.run(0.4)
+        self.assertEqual(len(node.engines.probes), 1)
+
     def test_a_holder_without_a_path_reports_no_losses(self):
         """Guards against sound replicas that all nodes avoid as lost.
 
