Whole answers: ask whether the server lives that ended one by its close

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel of a server that is killed closes it in order. Only event streams asked whether the server still lived; whole answers, answers on streaming routes that are no stream, and answers of plain services that a peer forwards did not.

Change: all of them ask. A read is sent again within its budget, a write gets 502. An unframed answer costs one connection to the server, a round trip; others cost nothing.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -348,6 +348,10 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def is_running(self, name: str) -> bool:
+        """Return whether a process of the fleet has not ended."""
+        return self._processes[name].poll() is None
+
     def wait(self, name: str, seconds: float) -> int:
         """Wait for a process to end and return its exit code.
 
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -288,11 +288,14 @@
         Only this node can tell: the sender has no path to the upstream.
         """
         upstream = self._fleet.get(ids.InstanceId(asked.instance))
-        if upstream is None or not upstream.domain:
+        if upstream is None:
             return message
         if isinstance(message, exchanges.Failed):
-            has_ended = message.may_have_sent and self._crashes.has_crashed(
-                upstream
+            # Only crashes of engines have a cause to be found.
+            has_ended = (
+                bool(upstream.domain)
+                and message.may_have_sent
+                and self._crashes.has_crashed(upstream)
             )
         else:
             is_open_end = framing is exchanges.Framing.CLOSE and isinstance(
--- a/currantwall/transport/races.py
+++ b/currantwall/transport/races.py
@@ -367,9 +367,11 @@
         self, runner: _Runner, message: exchanges.End
     ) -> exchanges.End | exchanges.Failed:
         """Return a message, or the failure of a stream that was cut off."""
-        if runner.plain_body is not None:
-            return message
         attempt, splitter = runner.attempt, runner.splitter
+        if runner.plain_body is not None:
+            if not self._sender.is_cut_short(attempt):
+                return message
+            return exchanges.Failed(message.exchange, True, "body", "cut")
         attempt.rest = len(splitter.rest)
         is_delimited = attempt.framing is not exchanges.Framing.CLOSE
         is_cut_off = attempts.is_cut_off(
@@ -377,9 +379,7 @@
             self._request.progress.started or bool(self._request.last_event),
             is_delimited,
         )
-        if not is_cut_off and not is_delimited:
-            is_cut_off = self._sender.is_ended_by_crash(attempt)
-        if not is_cut_off:
+        if not is_cut_off and not self._sender.is_cut_short(attempt):
             return message
         backlog = self._request.inbound.backlog
         is_held = backlog is not None and backlog.was_held
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -34,13 +34,15 @@
 from currantwall.transport import queues
 from currantwall.transport import requests
 
-__all__ = ["ANSWERS", "Sender", "drop_hop_headers"]
+__all__ = ["ANSWERS", "CUT_SHORT", "Sender", "drop_hop_headers"]
 
 Failure = attempts.Failure
 Verdict = attempts.Verdict
 Reply = ingress.Reply
 
 ANSWERS = "currantwall.answers"
+# Cause of a failed attempt whose answer a crash may have ended.
+CUT_SHORT = "body: ended by the end of its upstream"
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
 _DURATION = "currantwall.answers.duration"
 # Seconds between two attempts to choose an upstream for a broken stream.
@@ -557,13 +559,17 @@
         elif current.begun_at is not None:
             self._balancer.note_pause(instance, pause, now)
 
-    def is_ended_by_crash(self, current: requests.Attempt) -> bool:
-        """Return whether a crash has ended a stream without framing.
+    def is_cut_short(self, current: requests.Attempt) -> bool:
+        """Return whether a crash may have ended an answer.
 
+        Nothing but the end of its connection may mark the end of an
+        answer, and the kernel of an upstream that dies closes it in order.
         The peer that forwards an attempt finds out by itself.
         """
-        return current.peer is None and self._crashes.is_ended_by_crash(
-            current.upstream
+        return (
+            current.framing is exchanges.Framing.CLOSE
+            and current.peer is None
+            and self._crashes.is_ended_by_crash(current.upstream)
         )
 
     def may_retry(self, request: requests.Request) -> bool:
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -93,6 +93,11 @@
                     return None
             elif isinstance(message, exchanges.Data):
                 parts.append(message.data)
+            elif self._sender.is_cut_short(current):
+                self._sender.fail_attempt(
+                    request, current, Failure.LOST, sending.CUT_SHORT
+                )
+                return None
             else:
                 assert current.head is not None
                 return Reply(
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -13,6 +13,7 @@
                        1 KiB, without pauses, of any server
     /unframed/         an answer without length or chunks, ended by the close
     /torn/             as unframed, reset in the middle
+    /killed-ID/        as unframed; the server ID is killed in the middle
     /cut3/             an unframed stream that is closed inside the event
                        after the third (or another number), unless it is
                        resumed
@@ -44,6 +45,7 @@
 from collections import abc
 import os
 import re
+import signal
 import socket
 import struct
 import sys
@@ -283,7 +285,12 @@
     ) -> Reply:
         status = 500 if "/error/" in inbound.path else 200
         body = f"{inbound.method} {inbound.target} ".encode() + inbound.body
-        if "/unframed/" in inbound.path or "/torn/" in inbound.path:
+        is_killed = f"/killed-{self._id}/" in inbound.path
+        if (
+            is_killed
+            or "/unframed/" in inbound.path
+            or "/torn/" in inbound.path
+        ):
             headers += self._extra_headers
             self._write_unframed(inbound, headers, body)
         return Reply(status=status, headers=headers, body=body)
@@ -299,6 +306,8 @@
         client.sendall(_make_head(headers) + body[:5])
         if "/torn/" in inbound.path:
             _reset_connection(client)
+        if f"/killed-{self._id}/" in inbound.path:
+            os.kill(os.getpid(), signal.SIGKILL)
         client.sendall(body[5:])
         client.shutdown(socket.SHUT_RDWR)
         raise ConnectionAbortedError("answer written without the server")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -31,6 +31,8 @@
 _REQUEST_INTERVAL = 0.01
 # Requests whose log lines, 0.2 KB each, fill a pipe.
 _PIPE_REQUESTS = 500
+# Requests of which one reaches a certain one of two servers.
+_KILLING_REQUESTS = 50
 _GOLDEN = pathlib.Path(__file__).parent / "golden" / "gateway_session.txt"
 _ENGINES = ("e1", "e2", "e3", "e4")
 _APPS = ("a1", "a2")
@@ -436,6 +438,41 @@
         self.assertEqual("\n".join(lines), _GOLDEN.read_text().rstrip("\n"))
 
 
+class KilledServerTest(GatewayCase):
+    def send_until_killed(self, method, target, server):
+        """Send requests until one kills a server; return the answers."""
+        answers = []
+        for _ in range(_KILLING_REQUESTS):
+            answers.append(self.send(method, target, b"1"))
+            if not self.fleet.is_running(server):
+                break
+        self.assertFalse(self.fleet.is_running(server))
+        self.fleet.start_upstream(server, "app")
+        fleet_module.wait_until(
+            lambda: self.fleet.is_answering(server, "/currantwall/report"),
+            _TIMEOUT,
+            server,
+        )
+        return answers
+
+    def test_an_answer_that_a_kill_ends_is_not_whole(self):
+        """Guards against half of an answer without a length as the whole.
+
+        The kernel closes the connection of a killed server in order.
+        """
+        # The second server is preferred once the first one has failed.
+        for method, target, server, statuses in (
+            ("GET", "/safe/killed-a1/x", "a1", {200}),
+            ("POST", "/unsafe/killed-a2/x", "a2", {200, 502}),
+        ):
+            answers = self.send_until_killed(method, target, server)
+            whole = f"{method} {target} ".encode() + b"1"
+            bodies = {one.body for one in answers if one.status == 200}
+            self.assertEqual(bodies - {whole}, set())
+            self.assertLessEqual({one.status for one in answers}, statuses)
+            self.assertIn(answers[-1].status, statuses)
+
+
 class FailureTest(GatewayCase):
     def test_a_configuration_reaches_a_node_without_the_store(self):
         """Guards against a node that goes on serving removed routes.
