--- a/tests/runner.py
+++ b/tests/runner.py
@@ -23,7 +23,7 @@
 # Classes that run at the same time; some start a dozen processes.
 _WORKERS = 4
 # Range of ports that is divided among the classes.
-_FIRST_PORT = 12_000
+_FIRST_PORT = 11_000
 _LAST_PORT = 32_000
 _PORTS_PER_CLASS = 150
 
