Crashes: a new connection that breaks as well is a crash

Change: a probe tells a new connection that broke from one on which nothing came; the former is a crash, as before the change to silence.

--- a/currantwall/coordination/replicas/knowledge.py
+++ b/currantwall/coordination/replicas/knowledge.py
@@ -91,6 +91,8 @@
     SILENT = "silent"
     # It accepted a new connection and then sent nothing.
     UNRESPONSIVE = "unresponsive"
+    # A new connection ended before the answer.
+    BROKEN = "broken"
     # Nothing listens at the address, or another instance does.
     REFUSED = "refused"
 
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -29,6 +29,10 @@
 _CONNECT_TIMEOUT = 0.2
 # Seconds for which an upstream that has crashed counts as such.
 _CRASHED_TTL = 0.5
+_ENDED_RESULTS = (
+    knowledge.ProbeResult.REFUSED,
+    knowledge.ProbeResult.BROKEN,
+)
 _CRASHES = "currantwall.crashes"
 _QUARANTINED = "currantwall.parts.quarantined"
 _CLEARED = "currantwall.parts.cleared"
@@ -39,7 +43,8 @@
     """What a check has found out about an upstream."""
 
     ALIVE = "alive"
-    # Nothing listens at its address, or it has started again.
+    # Nothing listens at its address, a new connection to it broke as well,
+    # or it has started again.
     ENDED = "ended"
     # It did not answer: it may be silent, or cut off from this node.
     UNKNOWN = "unknown"
@@ -250,7 +255,7 @@
 
     def _request_report(self, upstream: upstreams.Upstream) -> _Finding:
         found = self._engines.report(upstream, True)
-        if found is knowledge.ProbeResult.REFUSED:
+        if found in _ENDED_RESULTS:
             return _Finding.ENDED
         if not isinstance(found, upstreams.Upstream):
             return _Finding.UNKNOWN
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -64,6 +64,12 @@
         self.engines.born = 2
         self.assertTrue(self.has_crashed())
 
+    def test_an_upstream_that_breaks_new_connections_has_crashed(self):
+        """Guards against crashes behind something that still listens."""
+        self.engines.is_alive = False
+        self.engines.failure = knowledge.ProbeResult.BROKEN
+        self.assertTrue(self.has_crashed())
+
     def test_a_silent_upstream_has_not_crashed(self):
         """Guards against blaming requests for an upstream that is silent."""
         for failure in (
