--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -34,6 +34,7 @@
     knowledge.ProbeResult.BROKEN,
 )
 _CRASHES = "currantwall.crashes"
+_ENDS = "currantwall.answers.unframed_ends"
 _QUARANTINED = "currantwall.parts.quarantined"
 _CLEARED = "currantwall.parts.cleared"
 _REFUSED = "currantwall.parts.refused"
@@ -233,7 +234,16 @@
         """
         if upstream.leaving:
             return False
-        return self._find_state(upstream) is not _Finding.ALIVE
+        started = self._now()
+        finding = self._find_state(upstream)
+        self._meter.add(_ENDS, 1, finding.value)
+        self._log.write(
+            "unframed_answer_ended",
+            upstream=upstream.id,
+            found=finding.value,
+            after=round(self._now() - started, 4),
+        )
+        return finding is not _Finding.ALIVE
 
     def _run_check(self, upstream: upstreams.Upstream, check: _Check) -> None:
         finding = _Finding.UNKNOWN
