Crashes: only an answer of the process proves that it lives

Cause: after an unframed answer the gateway opened a connection to a plain server and took the accepted connection for a living process. The kernel accepts connections until it has closed the listening socket of a process that was killed, and a restarted process or a proxy accepts them as well.

Change: the server is asked for its report, which names the start of its process; where a service has no reports, for its health, which must name the server. Everything but an answer of the same process means that the answer may be cut. A check without an answer is repeated until the deadline if the request can't be sent again, at once given up if it can.

Why this works: the request for the report is sent after the end of the answer's connection, so a process that answers it, with the start time known before, can't have ended when that connection was closed.

Tests (tests.test_crash_checks.UnframedAnswerTest): a listener in place of the process that says nothing, closes, answers 502 or a page; a restart; a silent server. On the old code all three that fit its interface failed. Remains: a restart under the same id is not noticed where a service has no reports.

--- a/currantwall/coordination/replicas/knowledge.py
+++ b/currantwall/coordination/replicas/knowledge.py
@@ -93,6 +93,8 @@
     UNRESPONSIVE = "unresponsive"
     # A new connection ended before the answer.
     BROKEN = "broken"
+    # It answered, but not with a report.
+    UNREPORTED = "unreported"
     # Nothing listens at the address, or another instance does.
     REFUSED = "refused"
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -145,7 +145,6 @@
         self._crashes = crashes_module.Crashes(
             quarantine_module.Quarantine(),
             engines,
-            self._connections,
             self._meter,
             self._log,
             self._now,
@@ -241,6 +240,7 @@
             self._clock,
         )
         self._duties.services = self._list_services
+        self._crashes.services = self._list_services
         self._duties.verify_path = self._checks.verify
         self._duties.is_cut_off = self._paths.is_cut_off
         self._duties.evacuations = self._evacuations
--- a/currantwall/state/routes.py
+++ b/currantwall/state/routes.py
@@ -183,6 +183,8 @@
         cold_start: Seconds for which an instance is cold that starts
             during traffic; 0 if it never is.
         cold_rate: Requests a second that an instance sustains meanwhile.
+        health_path: Path at which an instance tells its health; empty if
+            there is none.
     """
 
     name: ids.ServiceName
@@ -190,6 +192,7 @@
     engine: Engine | None = None
     cold_start: float = 0.0
     cold_rate: float = 0.0
+    health_path: str = ""
 
     @property
     def starts_cold(self) -> bool:
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -14,6 +14,7 @@
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.state import ids
+from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
 from currantwall.transport import journal
@@ -25,8 +26,8 @@
 
 # Text of the answer to a request with a quarantined part.
 REASON = "a part of the prompt crashes upstreams"
-# Timeout of a connection to an upstream that has no reports, in seconds.
-_CONNECT_TIMEOUT = 0.2
+# Seconds between two checks of an upstream that has not answered.
+_CHECK_INTERVAL = 0.2
 # Seconds for which an upstream that has crashed counts as such.
 _CRASHED_TTL = 0.5
 _ENDED_RESULTS = (
@@ -75,6 +76,7 @@
 
     Attributes:
         quarantine: The quarantined parts.
+        services: Returns the services of the configuration in force.
         on_change: Called when there is something to report to other nodes.
         on_quarantined: Called with each part that is quarantined.
     """
@@ -83,21 +85,22 @@
         self,
         quarantine: quarantine_module.Quarantine,
         engines: ports.Engines,
-        connections: exchanges.Connections,
         meter: metrics_module.Metrics,
         log: journal.Journal,
         now: abc.Callable[[], float],
     ) -> None:
         self.quarantine = quarantine
         self._engines = engines
-        self._connections = connections
         self._meter = meter
         self._log = log
         self._now = now
+        # Services whose instances answer no requests for reports.
+        self._unreported: set[ids.ServiceName] = set()
         self._checks: dict[ids.InstanceId, _Check] = {}
         # The attempts in progress that have shared parts.
         self._attempts: dict[int, tuple[requests.Request, requests.Attempt]]
         self._attempts = {}
+        self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
         self.on_change: abc.Callable[[], None] = _ignore
         self.on_quarantined: abc.Callable[[ids.PartId], None] = _ignore_part
         quarantine.on_quarantined = self._note_quarantined
@@ -225,17 +228,30 @@
             if finding is _Finding.ENDED or check.started >= since:
                 return finding
 
-    def is_ended_by_crash(self, upstream: upstreams.Upstream) -> bool:
+    def is_ended_by_crash(
+        self, upstream: upstreams.Upstream, until: float
+    ) -> bool:
         """Return whether a crash may have ended an answer without framing.
 
         Failure: the upstream crashes between two events, its connection is
-        closed in order, and half a stream looks complete. A leaving
-        upstream, which ends soon, has completed it.
+        closed in order, and half a stream looks complete. The kernel may
+        accept another connection before it closes the listening socket, so
+        that only an answer proves that the process lives.
+
+        Args:
+            upstream: The upstream, as known when the request was sent.
+            until: Monotonic time until which to repeat a check without
+                an answer.
         """
         if upstream.leaving:
             return False
         started = self._now()
         finding = self._find_state(upstream)
+        while finding is _Finding.UNKNOWN:
+            if self._now() + _CHECK_INTERVAL >= until:
+                break
+            eventlet.sleep(_CHECK_INTERVAL)
+            finding = self._find_state(upstream)
         self._meter.add(_ENDS, 1, finding.value)
         self._log.write(
             "unframed_answer_ended",
@@ -253,25 +269,31 @@
             check.result.send(finding)
 
     def _probe(self, upstream: upstreams.Upstream) -> _Finding:
-        if upstream.domain:
-            return self._request_report(upstream)
-        try:
-            self._connections.open(upstream.address, _CONNECT_TIMEOUT).close()
-        except exchanges.FAILURES as error:
-            # What the check is for.
-            is_refused = exchanges.is_refused(error)
-            return _Finding.ENDED if is_refused else _Finding.UNKNOWN
-        return _Finding.ALIVE
+        """Ask an upstream that has reports for one, another for its health.
 
-    def _request_report(self, upstream: upstreams.Upstream) -> _Finding:
+        A report names the start of its process, health does not.
+        """
+        if upstream.service in self._unreported:
+            return self._check_health(upstream)
         found = self._engines.report(upstream, True)
-        if found in _ENDED_RESULTS:
-            return _Finding.ENDED
+        if found is knowledge.ProbeResult.UNREPORTED and not upstream.domain:
+            finding = self._check_health(upstream)
+            if finding is _Finding.ALIVE:
+                self._unreported.add(upstream.service)
+            return finding
         if not isinstance(found, upstreams.Upstream):
-            return _Finding.UNKNOWN
+            return _classify(found)
         has_restarted = bool(upstream.born) and found.born != upstream.born
         return _Finding.ENDED if has_restarted else _Finding.ALIVE
 
+    def _check_health(self, upstream: upstreams.Upstream) -> _Finding:
+        for service in self.services():
+            if service.name == upstream.service and service.health_path:
+                return _classify(
+                    self._engines.check_health(upstream, service.health_path)
+                )
+        return _Finding.UNKNOWN
+
     # -- Decisions
 
     def _note_quarantined(self, part: ids.PartId) -> None:
@@ -311,6 +333,14 @@
                 del self._checks[instance]
 
 
+def _classify(result: knowledge.ProbeResult) -> _Finding:
+    if result is knowledge.ProbeResult.ANSWERED:
+        return _Finding.ALIVE
+    if result in _ENDED_RESULTS:
+        return _Finding.ENDED
+    return _Finding.UNKNOWN
+
+
 def _ignore() -> None:
     return
 
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -302,7 +302,7 @@
                 message, exchanges.End
             )
             has_ended = is_open_end and self._crashes.is_ended_by_crash(
-                upstream
+                upstream, self._connections.now()
             )
         if not has_ended:
             return message
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -158,6 +158,20 @@
         """
         raise NotImplementedError
 
+    def check_health(
+        self, upstream: upstreams.Upstream, path: str
+    ) -> knowledge.ProbeResult:
+        """Request the health of an instance on a new connection.
+
+        Args:
+            upstream: The instance.
+            path: Path at which instances of its service tell their health.
+
+        Returns:
+            `ANSWERED` if the instance itself answered, whatever its health.
+        """
+        raise NotImplementedError
+
     def order(self, order: knowledge.Order) -> knowledge.OrderAnswer:
         """Send an order and return its answer."""
         raise NotImplementedError
--- a/currantwall/transport/races.py
+++ b/currantwall/transport/races.py
@@ -369,7 +369,7 @@
         """Return a message, or the failure of a stream that was cut off."""
         attempt, splitter = runner.attempt, runner.splitter
         if runner.plain_body is not None:
-            if not self._sender.is_cut_short(attempt):
+            if not self._sender.is_cut_short(self._request, attempt):
                 return message
             return exchanges.Failed(message.exchange, True, "body", "cut")
         attempt.rest = len(splitter.rest)
@@ -379,7 +379,9 @@
             self._request.progress.started or bool(self._request.last_event),
             is_delimited,
         )
-        if not is_cut_off and not self._sender.is_cut_short(attempt):
+        if not is_cut_off and not self._sender.is_cut_short(
+            self._request, attempt
+        ):
             return message
         backlog = self._request.inbound.backlog
         is_held = backlog is not None and backlog.was_held
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -559,18 +559,19 @@
         elif current.begun_at is not None:
             self._balancer.note_pause(instance, pause, now)
 
-    def is_cut_short(self, current: requests.Attempt) -> bool:
+    def is_cut_short(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> bool:
         """Return whether a crash may have ended an answer.
 
         Nothing but the end of its connection may mark the end of an
         answer, and the kernel of an upstream that dies closes it in order.
         The peer that forwards an attempt finds out by itself.
         """
-        return (
-            current.framing is exchanges.Framing.CLOSE
-            and current.peer is None
-            and self._crashes.is_ended_by_crash(current.upstream)
-        )
+        if current.framing is not exchanges.Framing.CLOSE or current.peer:
+            return False
+        until = self.now() if self.may_retry(request) else request.deadline
+        return self._crashes.is_ended_by_crash(current.upstream, until)
 
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -93,7 +93,7 @@
                     return None
             elif isinstance(message, exchanges.Data):
                 parts.append(message.data)
-            elif self._sender.is_cut_short(current):
+            elif self._sender.is_cut_short(request, current):
                 self._sender.fail_attempt(
                     request, current, Failure.LOST, sending.CUT_SHORT
                 )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -332,6 +332,24 @@
             self.assertEqual(found.cold_left, left or 0.0)
             self.assertIs(found.tells_coldness, left is not None)
 
+    def check_health(self, answer):
+        with mock.patch.object(client, "send", return_value=answer):
+            return self.engines.check_health(self.upstream, "/health")
+
+    def test_only_the_server_itself_proves_that_it_lives(self):
+        """Guards against an answer by something else at its address."""
+        results = knowledge.ProbeResult
+        for status, headers, expected in (
+            (200, {"X-Instance-Id": "i-1"}, results.ANSWERED),
+            (503, {"X-Instance-Id": "i-1"}, results.ANSWERED),
+            (200, {"X-Instance-Id": "i-2"}, results.REFUSED),
+            (421, {"X-Instance-Id": "i-1"}, results.REFUSED),
+            (502, {}, results.UNREPORTED),
+        ):
+            found = urllib3.HTTPHeaderDict(headers)
+            answer = client.Answer(status, b"", 0.0, found)
+            self.assertIs(self.check_health(answer), expected)
+
     def test_an_address_that_another_server_has_counts_as_gone(self):
         other = client.Answer(421, b"", 0.0)
         found = self.report(False, return_value=other)
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -1,10 +1,18 @@
 """How a node tells a crash from a connection that broke."""
 
+import pathlib
+import sys
 import unittest
 from unittest import mock
 
 import eventlet
+from eventlet.green import socket as green_socket
 import msgspec
+import urllib3.util.connection
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
+
+from currantwall_platform import engines as engines_module  # noqa: E402
 
 from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.requests import attempts
@@ -12,6 +20,7 @@
 from currantwall.coordination.requests import withdrawals
 from currantwall.state import ids
 from currantwall.state import quarantines
+from currantwall.state import routes
 from currantwall.transport import crashes
 from currantwall.transport import exchanges
 from currantwall.transport import sending
@@ -25,6 +34,7 @@
     def __init__(self):
         self.is_alive = True
         self.failure = knowledge.ProbeResult.REFUSED
+        self.health = knowledge.ProbeResult.REFUSED
         self.born = 1
         self.count = 0
 
@@ -36,8 +46,12 @@
             return self.failure
         return msgspec.structs.replace(upstream, born=born)
 
+    def check_health(self, upstream, path):
+        assert path == "/health"
+        return self.health
 
-class CrashChecksTest(unittest.TestCase):
+
+class _CheckCase(unittest.TestCase):
     def setUp(self):
         self.engines = _Engines()
         self.crashes = crashes.Crashes(
@@ -45,16 +59,25 @@
             self.engines,
             mock.Mock(),
             mock.Mock(),
-            mock.Mock(),
             timers.TimerService.now,
         )
         self.upstream = test_gateway_parts.make_upstream(
             "e1", domain="d0", born=1
         )
 
+    def is_ended_by_crash(self, upstream, seconds=0.0):
+        """Return whether a crash may have ended an answer.
+
+        A check without an answer is repeated for some seconds.
+        """
+        until = timers.TimerService.now() + seconds
+        return self.crashes.is_ended_by_crash(upstream, until)
+
     def has_crashed(self):
         return self.crashes.has_crashed(self.upstream)
 
+
+class CrashChecksTest(_CheckCase):
     def test_a_broken_connection_is_no_crash(self):
         """Guards against blaming requests for resets of connections."""
         self.assertFalse(self.has_crashed())
@@ -80,7 +103,7 @@
             self.engines.failure = failure
             self.assertFalse(self.has_crashed())
             # Whether it has ended an answer in order is not known.
-            self.assertTrue(self.crashes.is_ended_by_crash(self.upstream))
+            self.assertTrue(self.is_ended_by_crash(self.upstream))
 
     def test_a_check_from_before_the_crash_proves_nothing(self):
         """Guards against half a stream that counts as complete.
@@ -183,3 +206,81 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class UnframedAnswerTest(_CheckCase):
+    """Answers of plain servers that the end of the connection ends."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstream = test_gateway_parts.make_upstream("a1", born=1)
+        # Stands in for the patches of a whole process (transport/green).
+        patcher = mock.patch.object(
+            urllib3.util.connection, "socket", green_socket
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        service = routes.Service(
+            name=self.upstream.service, health_path="/health"
+        )
+        self.crashes.services = lambda: (service,)
+
+    def listen(self, answer):
+        """Accept connections in place of a process that has ended."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        accepted = []
+
+        def accept():
+            while True:
+                client, _ = listener.accept()
+                accepted.append(client)
+                client.recv(4096)
+                if answer is None:
+                    continue
+                client.sendall(answer)
+                client.close()
+
+        self.addCleanup(eventlet.spawn(accept).kill)
+        self.addCleanup(lambda: [client.close() for client in accepted])
+        host, port = listener.getsockname()
+        self.crashes._engines = engines_module.Engines(
+            exchanges.Connections(timers.TimerService.now)
+        )
+        return msgspec.structs.replace(self.upstream, address=f"{host}:{port}")
+
+    def test_an_accepted_connection_proves_no_living_process(self):
+        """Guards against half of an answer that passes as whole.
+
+        The kernel accepts connections for a process that is being killed,
+        and a proxy for one that has ended.
+        """
+        error = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+        page = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+        for answer in (None, b"", error, page):
+            upstream = self.listen(answer)
+            self.assertTrue(self.is_ended_by_crash(upstream), answer)
+
+    def test_a_server_that_has_started_again_did_not_end_its_answer(self):
+        """Guards against a restart before the server is asked."""
+        self.assertFalse(self.is_ended_by_crash(self.upstream))
+        self.engines.born = 2
+        self.assertTrue(self.is_ended_by_crash(self.upstream))
+
+    def test_a_server_without_reports_is_asked_for_its_health(self):
+        """Guards against sound servers whose answers all count as cut."""
+        self.engines.is_alive = False
+        self.engines.failure = knowledge.ProbeResult.UNREPORTED
+        self.engines.health = knowledge.ProbeResult.ANSWERED
+        for _ in range(3):
+            self.assertFalse(self.is_ended_by_crash(self.upstream))
+        self.assertEqual(self.engines.count, 1)
+        self.engines.health = knowledge.ProbeResult.REFUSED
+        self.assertTrue(self.is_ended_by_crash(self.upstream))
+
+    def test_a_silent_server_is_asked_again_while_there_is_time(self):
+        """Guards against a failure for a whole answer of a busy server."""
+        self.engines.is_alive = False
+        self.engines.failure = knowledge.ProbeResult.UNRESPONSIVE
+        eventlet.spawn_after(0.3, setattr, self.engines, "is_alive", True)
+        self.assertFalse(self.is_ended_by_crash(self.upstream, 5.0))
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -306,7 +306,6 @@
         self.crashes = crashes.Crashes(
             quarantine.Quarantine(),
             mock.Mock(),
-            self.connections,
             mock.Mock(),
             mock.Mock(),
             self.connections.now,
