Crashes: a leaving upstream may crash as well

Cause: an unframed answer of a leaving upstream counted as whole without a question. Such an upstream may crash like any other, and then half of an answer, or a stream cut between two events, passed as complete.

Change: it is asked, over a kept connection first, because it may no longer listen while it finishes its answers. One that ends within a round trip of its last unframed answer is taken for one that crashed: nothing tells the two apart.

The new test of a leaving server that has ended failed before and passes now.

--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -243,8 +243,6 @@
             until: Monotonic time until which to repeat a check without
                 an answer.
         """
-        if upstream.leaving:
-            return False
         started = self._now()
         finding = self._find_state(upstream)
         while finding is _Finding.UNKNOWN:
@@ -275,7 +273,7 @@
         """
         if upstream.service in self._unreported:
             return self._check_health(upstream)
-        found = self._engines.report(upstream, True)
+        found = self._request_report(upstream)
         if found is knowledge.ProbeResult.UNREPORTED and not upstream.domain:
             finding = self._check_health(upstream)
             if finding is _Finding.ALIVE:
@@ -286,6 +284,16 @@
         has_restarted = bool(upstream.born) and found.born != upstream.born
         return _Finding.ENDED if has_restarted else _Finding.ALIVE
 
+    def _request_report(
+        self, upstream: upstreams.Upstream
+    ) -> upstreams.Upstream | knowledge.ProbeResult:
+        if upstream.leaving:
+            # It may no longer listen, and still answer on open connections.
+            found = self._engines.report(upstream, False)
+            if isinstance(found, upstreams.Upstream):
+                return found
+        return self._engines.report(upstream, True)
+
     def _check_health(self, upstream: upstreams.Upstream) -> _Finding:
         for service in self.services():
             if service.name == upstream.service and service.health_path:
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -36,13 +36,14 @@
         self.failure = knowledge.ProbeResult.REFUSED
         self.health = knowledge.ProbeResult.REFUSED
         self.born = 1
+        self.is_listening = True
         self.count = 0
 
     def report(self, upstream, new_connection):
         self.count += 1
         is_alive, born = self.is_alive, self.born
         eventlet.sleep(0.02)
-        if not is_alive:
+        if not is_alive or (new_connection and not self.is_listening):
             return self.failure
         return msgspec.structs.replace(upstream, born=born)
 
@@ -267,6 +268,19 @@
         self.engines.born = 2
         self.assertTrue(self.is_ended_by_crash(self.upstream))
 
+    def test_a_leaving_server_may_crash_as_well(self):
+        """Guards against half of an answer of a server that leaves."""
+        self.upstream = msgspec.structs.replace(self.upstream, leaving=True)
+        self.assertFalse(self.is_ended_by_crash(self.upstream))
+        self.engines.is_alive = False
+        self.assertTrue(self.is_ended_by_crash(self.upstream))
+
+    def test_a_leaving_server_that_no_longer_listens_is_alive(self):
+        """Guards against whole answers of leaving servers that fail."""
+        self.upstream = msgspec.structs.replace(self.upstream, leaving=True)
+        self.engines.is_listening = False
+        self.assertFalse(self.is_ended_by_crash(self.upstream))
+
     def test_a_server_without_reports_is_asked_for_its_health(self):
         """Guards against sound servers whose answers all count as cut."""
         self.engines.is_alive = False
