Peer exchanges: check the upstream as it was known at the begin

Cause: a forwarding peer looked the upstream up again at the end of its answer. One that was no longer listed by then was not asked, and one that was listed with a later start was compared with that: half of an unframed answer was forwarded as whole.

Change: the peer asks the upstream as it was listed when the exchange began.

The new test failed before and passes now.

--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -202,15 +202,18 @@
         except ports.UNREADABLE:
             return ingress.Reply(status=400, headers=[], body=b"")
         listed = self._fleet.get(ids.InstanceId(asked.instance))
-        is_known = listed is not None and listed.address == asked.address
-        if self.is_stopping or self._paths.is_lost or not is_known:
+        if self.is_stopping or self._paths.is_lost:
             return ingress.Reply(status=503, headers=[], body=b"")
-        if listed is not None and listed.leaving:
+        if listed is None or listed.address != asked.address:
+            return ingress.Reply(status=503, headers=[], body=b"")
+        if listed.leaving:
             return _refuse(exchanges.LEAVING, "the upstream leaves")
         if self._is_quarantined(asked):
             return _refuse(exchanges.QUARANTINE, crashes_module.REASON)
         return ingress.Reply(
-            status=200, headers=[], body=self._exchange(asked, inbound.client)
+            status=200,
+            headers=[],
+            body=self._exchange(asked, listed, inbound.client),
         )
 
     def _is_quarantined(self, asked: peerexchanges.ExchangeRequest) -> bool:
@@ -227,7 +230,10 @@
         return delay is not None
 
     def _exchange(
-        self, asked: peerexchanges.ExchangeRequest, client: typing.Any
+        self,
+        asked: peerexchanges.ExchangeRequest,
+        upstream: upstreams.Upstream,
+        client: typing.Any,
     ) -> abc.Iterator[bytes]:
         """Yield the frames of one exchange."""
         self._meter.add(_FORWARDED, 1)
@@ -266,7 +272,7 @@
                     return
                 if isinstance(message, exchanges.Head):
                     framing = message.framing
-                message = self._check_end(asked, framing, message)
+                message = self._check_end(upstream, framing, message)
                 yield peerexchanges.encode_frame(
                     self._make_frame(message, started)
                 )
@@ -279,17 +285,16 @@
 
     def _check_end(
         self,
-        asked: peerexchanges.ExchangeRequest,
+        upstream: upstreams.Upstream,
         framing: exchanges.Framing | None,
         message: typing.Any,
     ) -> typing.Any:
         """Return a message, or the failure of an answer that a crash ended.
 
-        Only this node can tell: the sender has no path to the upstream.
+        Only this node can tell: the sender has no path to the upstream. The
+        upstream is asked as it was known before; it may be unlisted by now,
+        or listed with a later start.
         """
-        upstream = self._fleet.get(ids.InstanceId(asked.instance))
-        if upstream is None:
-            return message
         if isinstance(message, exchanges.Failed):
             # Only crashes of engines have a cause to be found.
             has_ended = (
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.replicas import knowledge
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import paths as paths_module
 from currantwall.coordination.requests import quarantine
@@ -303,9 +304,10 @@
 class PeerExchangesTest(SocketCase):
     def setUp(self):
         super().setUp()
+        self.engines = mock.Mock()
         self.crashes = crashes.Crashes(
             quarantine.Quarantine(),
-            mock.Mock(),
+            self.engines,
             mock.Mock(),
             mock.Mock(),
             self.connections.now,
@@ -370,6 +372,23 @@
         self.assertEqual(end, protocol.BodyEnd())
         self.assertEqual(self.served.in_flight, 0)
 
+    def test_a_crash_of_an_upstream_that_is_no_longer_listed_is_found(self):
+        """Guards against half of a forwarded answer that passes as whole."""
+
+        def answer(connection):
+            connection.recv(65_536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            self.fleet.replace([], self.fleet.revision + 1, self.now())
+            connection.close()
+
+        address = self.listen(answer)
+        self.list_upstreams(address)
+        self.engines.report.return_value = knowledge.ProbeResult.REFUSED
+        _, client = self.connect()
+        *_, last = self.read_frames(self.ask(address, client))
+        self.assertIsInstance(last, protocol.ExchangeFailed)
+        self.assertEqual(last.step, exchanges.CRASH)
+
     def test_an_address_that_is_not_listed_is_refused(self):
         """Guards against a peer that connects wherever it is told to."""
         self.list_upstreams("127.0.0.1:1")
