--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -13,7 +13,8 @@
                        1 KiB, without pauses, of any server
     /unframed/         an answer without length or chunks, ended by the close
     /torn/             as unframed, reset in the middle
-    /killed-ID/        as unframed; the server ID is killed in the middle
+    /killed-ID/        as unframed; the server ID is killed in the middle.
+                       Engines answer it without a stream
     /cut3/             an unframed stream that is closed inside the event
                        after the third (or another number), unless it is
                        resumed
@@ -271,7 +272,7 @@
                 headers=headers,
                 body=_stream_bulk(inbound, int(bulk[1])),
             )
-        if self._domain:
+        if self._domain and f"/killed-{self._id}/" not in inbound.path:
             headers.append(("Content-Type", "text/event-stream"))
             events = self._stream(inbound, run)
             if _is_unframed(inbound.path):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -473,6 +473,43 @@
             self.assertIn(answers[-1].status, statuses)
 
 
+class KilledEngineTest(GatewayCase):
+    def test_half_of_an_answer_that_is_no_stream_is_not_whole(self):
+        """Guards against an answer on a streaming route that a kill ends."""
+        for target in ("/stream", "/once"):
+            runs = self.list_runs_of_a_stream(f"{target}/x")
+            leader = runs[0]["seal"].partition(".")[2]
+            # An engine that is killed serves again only in a new replica.
+            path = f"{target}/killed-{leader}/x"
+            answers = []
+            while self.fleet.is_running(leader):
+                self.assertLess(len(answers), _KILLING_REQUESTS)
+                answers.append(self.send("POST", path, b"1"))
+            halves = [
+                answer
+                for answer in answers
+                if answer.status == 200 and answer.body == b"POST "
+            ]
+            self.assertEqual(halves, [])
+            self.fleet.start_upstream(leader, "pool", "d0", "m")
+            fleet_module.wait_until(
+                lambda leader=leader: self.fleet.is_answering(
+                    leader, "/currantwall/report"
+                ),
+                _TIMEOUT,
+                leader,
+            )
+            fleet_module.wait_until(
+                lambda: self.is_serving("g1"), _TIMEOUT, "replicas"
+            )
+
+    def list_runs_of_a_stream(self, target):
+        """Send a request and return its runs."""
+        attempt = f"attempt-{next(_attempt_numbers)}"
+        self.send("POST", target, attempt=attempt)
+        return self.list_runs(attempt)
+
+
 class FailureTest(GatewayCase):
     def test_a_configuration_reaches_a_node_without_the_store(self):
         """Guards against a node that goes on serving removed routes.
