Configuration: watches that hang are given up within two seconds

Cause: a watch waited for 4 s and was given up a second later. Each change answers all watches at once, so that the next ones hang together when the open channels to the store go silent. Calls that followed took the next idle connection, which was silent as well.

Change: a watch of the configuration waits for 0.8 s, one of the evacuations (bound 5 s) for 2 s. The bound holds for a single gateway, whatever its other connections do.

--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -23,10 +23,10 @@
 
 __all__ = ["ConfigurationFeed"]
 
-# Seconds that one watch waits. After that time a watch whose connection
-# was lost silently is noticed. The watches of different nodes end at
-# different times, so that some node always has a fresh one.
-_WATCH_TIMEOUT = 4.0
+# Seconds that one watch waits. A watch whose connection has gone silent
+# is given up a second later, and the configuration is read again within two
+# seconds of the silence.
+_WATCH_TIMEOUT = 0.8
 # Seconds to wait after the first failure, and at most.
 _BACKOFF_FIRST = 0.1
 _BACKOFF_LIMIT = 1.0
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -29,7 +29,7 @@
 
 # Seconds that one watch waits, as for the configuration: a connection that
 # was lost silently is noticed after that time.
-_WATCH_TIMEOUT = 4.0
+_WATCH_TIMEOUT = 2.0
 # Seconds to wait after the first failed call, and at most: the bound of an
 # evacuation is 5 s, and another reader may be answered meanwhile.
 _BACKOFF_FIRST = 0.1
