Forwarding: a key that was taken away reaches no server

Change: where the configuration has keys, a bearer token is taken for one and never passed on. Other schemes still are on public routes.

--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -154,6 +154,8 @@
             tried=set(),
             prompt=requests.parse_prompt(prompt),
             last_event=inbound.headers.get(self._names.last_event, ""),
+            carries_key=not route.public
+            or (table.needs_keys and _read_key(inbound) is not None),
         )
 
     def _identify_organisation(
@@ -164,12 +166,10 @@
     ) -> routes.Organisation | None:
         if not table.needs_keys:
             return None
-        scheme, _, key = inbound.headers.get("authorization", "").partition(
-            " "
-        )
+        key = _read_key(inbound)
         organisation = None
-        if scheme.lower() == "bearer":
-            organisation = table.find_organisation(key.strip())
+        if key is not None:
+            organisation = table.find_organisation(key)
         if organisation is None and not route.public:
             raise requests.Refused(401, "unknown key")
         return organisation
@@ -233,3 +233,10 @@
     if value is None or not value.strip().isdecimal():
         return None
     return int(value) / 1000.0
+
+
+def _read_key(inbound: ingress.Inbound) -> str | None:
+    """Return the key that a request carries, None without one."""
+    text = inbound.headers.get("authorization", "")
+    scheme, _, key = text.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else None
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -103,6 +103,8 @@
         prompt: The parts of its prompt.
         last_event: Id of the last event that the caller has received.
         watcher: Task that notices when the caller disconnects.
+        carries_key: Whether its authorization is meant for this product and
+            not for upstreams, also where the key is not known any more.
         first_event_after: Seconds until the caller got the first event;
             None before.
         longest_pause: Longest time between two events, in seconds.
@@ -127,6 +129,7 @@
     last_event: str = ""
     watcher: typing.Any = None
     disconnected: bool = False
+    carries_key: bool = True
     first_event_after: float | None = None
     longest_pause: float = 0.0
     last_event_at: float = 0.0
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -313,7 +313,7 @@
         }
         if request.model is not None:
             replaced.add(names.priority.lower())
-        if request.organisation is not None or not request.route.public:
+        if request.carries_key:
             replaced.add("authorization")
         connection = request.inbound.headers.get("connection", "")
         hop_by_hop = {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -195,6 +195,26 @@
         (run,) = self.list_runs("key-1")
         self.assertEqual((run["tenant"], run["key"]), ("shop", None))
 
+    def test_a_key_that_was_taken_away_reaches_no_server(self):
+        """Guards against a former key that a public route passes on."""
+        public = [
+            dict(route, public=True)
+            for route in gateways.make_configuration(0)["routes"]
+        ]
+        self.addCleanup(self.fleet.put_configuration)
+        self.fleet.put_configuration(routes=public, tenants=[])
+        fleet_module.wait_until(
+            lambda: self.send("GET", "/safe/x", key="").status == 200,
+            _TIMEOUT,
+            "the configuration",
+        )
+        self.send("GET", "/safe/k", attempt="former-1")
+        own = {"Authorization": "Basic own"}
+        self.send("GET", "/safe/k", attempt="own-1", key="", headers=own)
+        for attempt, key in (("former-1", None), ("own-1", "Basic own")):
+            keys = {run["key"] for run in self.list_runs(attempt)}
+            self.assertEqual(keys, {key})
+
     def test_unknown_keys_paths_and_hosts_are_refused(self):
         self.assertEqual(self.send("GET", "/safe/x", key="bad").status, 401)
         self.assertEqual(self.send("GET", "/safe/x", key="").status, 401)
