Forwarding: a caller that ends its side of a connection gets its answer

Cause: the end of a caller's requests was taken for its departure. Its attempt was cancelled and the caller got 503, which promises that the request has not run, while a server ran it (review, found without a case).

Change: a whole answer is still delivered within 0.3 s, that of a write at any time; a write that a server runs is completed. A reset still counts as a departure, and so does the end during a stream. What is cancelled is answered with 502, which promises nothing.

A caller that ends its side and waits for a read for longer than 0.3 s gets 502: nothing tells it from one that has left, and work for that one must end within half a second.

--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -32,6 +32,9 @@
 _INBOX_LIMIT = 64
 # Seconds between two checks of a caller that has pipelined more bytes.
 _PEEK_INTERVAL = 0.05
+# Seconds for which a caller that has ended its side of the connection may
+# still get a whole answer. Nothing else tells it from one that has left.
+_HALF_CLOSE_GRACE = 0.3
 
 
 class Forwarder:
@@ -190,13 +193,20 @@
             except BlockingIOError:
                 continue
             except (OSError, ValueError):
-                data = b""
+                self._note_disconnected(request, may_read=False)
+                return
             if not data:
-                request.disconnected = True
-                request.inbox.put(requests.Disconnected())
+                if request.route.kind is not routes.RouteKind.STREAMING:
+                    eventlet.sleep(_HALF_CLOSE_GRACE)
+                self._note_disconnected(request, may_read=True)
                 return
             eventlet.sleep(_PEEK_INTERVAL)
 
+    @staticmethod
+    def _note_disconnected(request: requests.Request, may_read: bool) -> None:
+        request.disconnected = True
+        request.inbox.put(requests.Disconnected(may_read))
+
     def _refuse(
         self, refusal: requests.Refused, attempt_id: str, where: str
     ) -> Reply:
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -36,7 +36,14 @@
 
 
 class Disconnected(msgspec.Struct, frozen=True):
-    """Message: the caller has closed its connection."""
+    """Message: the caller has closed its connection.
+
+    Attributes:
+        may_read: Whether it has only ended its requests, as far as is
+            known, and may still read the answer.
+    """
+
+    may_read: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -135,6 +142,12 @@
     last_event_at: float = 0.0
     aborted_because: str = ""
 
+    @property
+    def must_complete(self) -> bool:
+        """Return whether it goes on while its caller may be gone."""
+        is_stream = self.route.kind is routes.RouteKind.STREAMING
+        return not is_stream and not self.route.is_idempotent
+
     def note_events(self, now: float) -> None:
         """Record that events are sent to the caller now."""
         if self.first_event_after is None:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -526,6 +526,8 @@
             except eventlet.queue.Empty:
                 return None
             if isinstance(message, requests.Disconnected):
+                if message.may_read and request.must_complete:
+                    continue
                 raise requests.CallerDisconnected
             if isinstance(message, exchanges.Data):
                 request.note_taken(len(message.data))
@@ -705,12 +707,15 @@
     def abandon(
         self, request: requests.Request, current: requests.Attempt
     ) -> Reply:
-        """Cancel the attempt of a caller that has disconnected."""
+        """Cancel the attempt of a caller that has disconnected.
+
+        It may have run, so that its status must not promise the contrary.
+        """
         current.exchange.cancel()
         self.end_attempt(current)
         request.watcher.kill()
         self.note_answer(request, current, 0)
-        return Reply(status=503, headers=[], body=b"", close=True)
+        return Reply(status=502, headers=[], body=b"", close=True)
 
     def note_answer(
         self, request: requests.Request, current: requests.Attempt, status: int
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -215,6 +215,18 @@
             keys = {run["key"] for run in self.list_runs(attempt)}
             self.assertEqual(keys, {key})
 
+    def test_a_caller_that_ends_its_side_gets_its_answer(self):
+        """Guards against a refusal of a request that runs."""
+        for method, target in (("POST", "/unsafe/x"), ("GET", "/safe/x")):
+            answer = self.send_raw(
+                f"{method} {target} HTTP/1.1\r\nHost: {gateways.HOST}\r\n"
+                f"X-Attempt-Id: half-{method}\r\nX-Deadline-Ms: 3000\r\n"
+                f"Authorization: Bearer {gateways.KEY}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertEqual(len(self.list_runs(f"half-{method}")), 1)
+
     def test_unknown_keys_paths_and_hosts_are_refused(self):
         self.assertEqual(self.send("GET", "/safe/x", key="bad").status, 401)
         self.assertEqual(self.send("GET", "/safe/x", key="").status, 401)
