Tests: names of attempts that clash, mutants of the new guards

The test of a key that was taken away used the attempt id of another test of its class and read that one's run as well. The guard of one mutant had moved. Three new mutants and the moved one were noticed when run; two others, of the number of interim answers and of closing a response, were not (the bound on bytes and the end of the task do the same there) and were dropped.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -141,6 +141,8 @@
         self._arrivals: list[float] = []
         self._extra_headers: list[tuple[str, str]] = []
         self._pause_seconds = 0.0
+        # Answers without end that are being sent.
+        self._endless_count = 0
         # When it becomes warm; None if its entry doesn't say.
         self._cold_until: float | None = None
         self.state = "ready"
@@ -237,6 +239,8 @@
             return _answer_json(200, self._runs)
         if path == "/control/arrivals":
             return _answer_json(200, self._arrivals)
+        if path == "/control/endless":
+            return _answer_json(200, self._endless_count)
         if path == "/control/headers":
             extra = msgspec.json.decode(body, type=dict[str, str])
             self._extra_headers = list(extra.items())
@@ -304,9 +308,11 @@
         status = 500 if "/error/" in inbound.path else 200
         endless = _ENDLESS_PATH.search(inbound.path)
         if endless is not None and endless[1] == self._id:
+            self._endless_count += 1
             eventlet.tpool.execute(
                 _send_endless, inbound.client, *_ENDLESS[endless[2]]
             )
+            self._endless_count -= 1
             raise ConnectionAbortedError("answer written by a thread")
         body = f"{inbound.method} {inbound.target} ".encode() + inbound.body
         is_killed = f"/killed-{self._id}/" in inbound.path
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -961,6 +961,31 @@
         "        if False:\n",
         f"{_REPORTS}.test_a_survival_at_one_node_clears_a_part_at_all",
     ),
+    Mutant(
+        "a server that has started again is the one that answered",
+        "currantwall/transport/crashes.py",
+        "        return _Finding.ENDED if has_restarted else _Finding.ALIVE\n",
+        "        return _Finding.ALIVE\n",
+        "tests.test_crash_checks.UnframedAnswerTest"
+        ".test_a_server_that_has_started_again_did_not_end_its_answer",
+    ),
+    Mutant(
+        "anything at the address of a server tells that it lives",
+        "platform/currantwall_platform/engines.py",
+        "        if name is None:\n"
+        "            return knowledge.ProbeResult.UNREPORTED\n",
+        "",
+        "tests.test_adapter.EnginesTest"
+        ".test_only_the_server_itself_proves_that_it_lives",
+    ),
+    Mutant(
+        "a head may take any time",
+        "currantwall/transport/responses.py",
+        "        with self._sock.limit(_MAX_HEAD, _HEAD_TIMEOUT):\n",
+        "        if True:\n",
+        "tests.test_endless.UpstreamTest"
+        ".test_a_head_that_trickles_is_given_up",
+    ),
     Mutant(
         "a check from before a crash tells that there was none",
         "currantwall/transport/crashes.py",
@@ -1057,7 +1082,7 @@
     Mutant(
         "a request is forwarded to an upstream that leaves",
         "currantwall/transport/peerexchanges.py",
-        "        if listed is not None and listed.leaving:\n",
+        "        if listed.leaving:\n",
         "        if False:\n",
         "tests.test_paths.PeerExchangesTest"
         ".test_nothing_is_forwarded_to_an_upstream_that_leaves",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -34,6 +34,8 @@
 _PIPE_REQUESTS = 500
 # Seconds for fifty requests, far below the time limit of one.
 _ENDLESS_SECONDS = 2.0
+# Seconds after its deadline in which an answer without end is closed.
+_CLOSE_SECONDS = 0.5
 # Requests of which one reaches a certain one of two servers.
 _KILLING_REQUESTS = 50
 _GOLDEN = pathlib.Path(__file__).parent / "golden" / "gateway_session.txt"
@@ -213,10 +215,10 @@
         )
         self.send("GET", "/safe/k", attempt="former-1")
         own = {"Authorization": "Basic own"}
-        self.send("GET", "/safe/k", attempt="own-1", key="", headers=own)
-        for attempt, key in (("former-1", None), ("own-1", "Basic own")):
-            keys = {run["key"] for run in self.list_runs(attempt)}
-            self.assertEqual(keys, {key})
+        self.send("GET", "/safe/k", attempt="basic-1", key="", headers=own)
+        (former,) = self.list_runs("former-1")
+        (passed,) = self.list_runs("basic-1")
+        self.assertEqual((former["key"], passed["key"]), (None, "Basic own"))
 
     def test_a_caller_that_ends_its_side_gets_its_answer(self):
         """Guards against a refusal of a request that runs."""
@@ -525,6 +527,17 @@
                 whole = f"GET {target} ".encode()
                 self.assertEqual((answer.status, answer.body), (200, whole))
 
+    def test_a_body_without_end_is_closed_when_it_is_given_up(self):
+        """Guards against connections that stay open and are not read."""
+        answer = self.send("GET", "/safe/endless-a1-body/x")
+        self.assertIn(answer.status, (200, 502, 504))
+        url = f"http://{self.fleet.addresses['a1']}/control/endless"
+        fleet_module.wait_until(
+            lambda: self.fleet.http.request("GET", url).data == b"0",
+            _CLOSE_SECONDS,
+            "the end of the answer",
+        )
+
     def test_a_write_to_a_server_that_sends_without_end_fails(self):
         """Guards against a write that is sent again, or waits for long."""
         target = "/unsafe/endless-a2-interim/x"
