Configuration: a health path of another type is none

Cause: the health path, read since, had to be a string; one of another type made the whole configuration unreadable, so that a version that was in force before stayed in force.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -193,6 +193,19 @@
         found = self.decode(value).ok_value
         self.assertIsNone(found.organisations)
 
+    def test_a_health_path_of_another_type_is_none(self):
+        """Guards against a configuration that one field makes unreadable."""
+        for path, expected in (
+            ("/up", "/up"),
+            (None, ""),
+            ("up", ""),
+            (7, ""),
+        ):
+            services = [{"name": "other", "healthPath": path}]
+            value = {**CONFIGURATION, "services": services}
+            (service,) = self.decode(value).ok_value.services
+            self.assertEqual(service.health_path, expected)
+
     def test_an_unreadable_configuration_is_an_error(self):
         for data in (b"", b"{", b'{"version": "x"}', b"\xff"):
             outcome = documents.Documents().decode_configuration(data)
