Engines: only the server itself shows that it has no reports

Cause: any answer to the request for a report but a report counted as a sign that the servers of a service have none. An error of something in front of a server that had ended (502) could thus turn the check of the whole service to health, which doesn't notice a restart.

What tells a malformed answer moves from the adapter to the product.

--- a/currantwall/transport/responses.py
+++ b/currantwall/transport/responses.py
@@ -17,6 +17,7 @@
     "LimitedResponse",
     "StrictResponse",
     "TruncatedResponse",
+    "is_malformed",
 ]
 
 # The lines of a response follow the grammar of RFC 9112 and exclude what
@@ -190,3 +191,18 @@
         return True
     finally:
         sock.settimeout(timeout)
+
+
+def is_malformed(error: BaseException) -> bool:
+    """Return whether a failure is that what came is no answer.
+
+    False if it is that the connection ended before the end of the answer.
+    """
+    # urllib3 wraps what happens inside a body.
+    cause = error.__cause__ or error
+    return isinstance(cause, http.client.HTTPException) and not isinstance(
+        cause,
+        http.client.RemoteDisconnected
+        | http.client.IncompleteRead
+        | TruncatedResponse,
+    )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -363,6 +363,18 @@
             answer = client.Answer(status, b"", 0.0, found)
             self.assertIs(self.check_health(answer), expected)
 
+    def test_only_the_server_itself_shows_that_it_has_no_reports(self):
+        """Guards against an error page that hides later restarts."""
+        results = knowledge.ProbeResult
+        for status, expected in (
+            (404, results.UNREPORTED),
+            (502, results.SILENT),
+            (503, results.SILENT),
+        ):
+            answer = client.Answer(status, b"", 0.0)
+            found = self.report(True, return_value=answer)
+            self.assertIs(found, expected)
+
     def test_an_address_that_another_server_has_counts_as_gone(self):
         other = client.Answer(421, b"", 0.0)
         found = self.report(False, return_value=other)
