Endings: judge in coordination, with the health path of the request

Cause: crashes.py decided by itself what proves that an upstream lives, and looked up the health path in the configuration in force at the end of the answer. A change that removed the service in between made whole answers count as cut. An answer without a report, once, turned a service that has reports to health, which doesn't notice a restart.

Change: coordination/requests/endings.py judges; the path is that of the configuration that admitted the request and travels with a forwarded one; a service that has reported once is not asked for its health any more.

--- a/currantwall/protocol/peerexchanges.py
+++ b/currantwall/protocol/peerexchanges.py
@@ -44,6 +44,8 @@
         new_connection: Whether it needs a new connection.
         send_within: Seconds after which it may not be sent any more; None
             for no limit.
+        health_path: Path at which the upstream tells its health; empty if
+            there is none.
     """
 
     instance: str
@@ -56,6 +58,7 @@
     timeout: float
     new_connection: bool
     send_within: float | None = None
+    health_path: str = ""
 
 
 class ResponseHead(msgspec.Struct, frozen=True, tag="head"):
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -6,15 +6,14 @@
 """
 
 from collections import abc
-import enum
 
 import eventlet
 import eventlet.event
 
 from currantwall.coordination.replicas import knowledge
+from currantwall.coordination.requests import endings
 from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.state import ids
-from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
 from currantwall.transport import journal
@@ -30,10 +29,6 @@
 _CHECK_INTERVAL = 0.2
 # Seconds for which an upstream that has crashed counts as such.
 _CRASHED_TTL = 0.5
-_ENDED_RESULTS = (
-    knowledge.ProbeResult.REFUSED,
-    knowledge.ProbeResult.BROKEN,
-)
 _CRASHES = "currantwall.crashes"
 _ENDS = "currantwall.answers.unframed_ends"
 _QUARANTINED = "currantwall.parts.quarantined"
@@ -41,17 +36,6 @@
 _REFUSED = "currantwall.parts.refused"
 
 
-class _Finding(enum.Enum):
-    """What a check has found out about an upstream."""
-
-    ALIVE = "alive"
-    # Nothing listens at its address, a new connection to it broke as well,
-    # or it has started again.
-    ENDED = "ended"
-    # It did not answer: it may be silent, or cut off from this node.
-    UNKNOWN = "unknown"
-
-
 class _Check:
     """A check whether an upstream has crashed."""
 
@@ -68,7 +52,7 @@
         if self.started >= since or not self.result.ready():
             return True
         is_recent = since - self.started <= _CRASHED_TTL
-        return is_recent and self.result.wait() is _Finding.ENDED
+        return is_recent and self.result.wait() is endings.Finding.ENDED
 
 
 class Crashes:
@@ -76,7 +60,6 @@
 
     Attributes:
         quarantine: The quarantined parts.
-        services: Returns the services of the configuration in force.
         on_change: Called when there is something to report to other nodes.
         on_quarantined: Called with each part that is quarantined.
     """
@@ -94,13 +77,11 @@
         self._meter = meter
         self._log = log
         self._now = now
-        # Services whose instances answer no requests for reports.
-        self._unreported: set[ids.ServiceName] = set()
+        self._endings = endings.Endings()
         self._checks: dict[ids.InstanceId, _Check] = {}
         # The attempts in progress that have shared parts.
         self._attempts: dict[int, tuple[requests.Request, requests.Attempt]]
         self._attempts = {}
-        self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
         self.on_change: abc.Callable[[], None] = _ignore
         self.on_quarantined: abc.Callable[[ids.PartId], None] = _ignore_part
         quarantine.on_quarantined = self._note_quarantined
@@ -213,23 +194,25 @@
         Failure: a connection is reset, or an upstream breaks off a single
         answer, or is silent for a moment, and that is taken for a crash.
         """
-        return self._find_state(upstream) is _Finding.ENDED
+        return self._find_state(upstream) is endings.Finding.ENDED
 
-    def _find_state(self, upstream: upstreams.Upstream) -> _Finding:
+    def _find_state(
+        self, upstream: upstreams.Upstream, health_path: str = ""
+    ) -> endings.Finding:
         """Check an upstream, unless a check for another attempt tells."""
         since = self._now()
         while True:
             check = self._checks.get(upstream.id)
             if check is None or not check.may_tell(since):
                 check = self._checks[upstream.id] = _Check(self._now())
-                eventlet.spawn_n(self._run_check, upstream, check)
-            finding: _Finding = check.result.wait()
+                eventlet.spawn_n(self._run_check, upstream, health_path, check)
+            finding: endings.Finding = check.result.wait()
             # An upstream that was alive before may have crashed since.
-            if finding is _Finding.ENDED or check.started >= since:
+            if finding is endings.Finding.ENDED or check.started >= since:
                 return finding
 
     def is_ended_by_crash(
-        self, upstream: upstreams.Upstream, until: float
+        self, upstream: upstreams.Upstream, health_path: str, until: float
     ) -> bool:
         """Return whether a crash may have ended an answer without framing.
 
@@ -240,16 +223,19 @@
 
         Args:
             upstream: The upstream, as known when the request was sent.
+            health_path: Path at which it tells its health, by the
+                configuration with which the request was admitted; empty
+                if there is none.
             until: Monotonic time until which to repeat a check without
                 an answer.
         """
         started = self._now()
-        finding = self._find_state(upstream)
-        while finding is _Finding.UNKNOWN:
+        finding = self._find_state(upstream, health_path)
+        while finding is endings.Finding.UNKNOWN:
             if self._now() + _CHECK_INTERVAL >= until:
                 break
             eventlet.sleep(_CHECK_INTERVAL)
-            finding = self._find_state(upstream)
+            finding = self._find_state(upstream, health_path)
         self._meter.add(_ENDS, 1, finding.value)
         self._log.write(
             "unframed_answer_ended",
@@ -257,32 +243,30 @@
             found=finding.value,
             after=round(self._now() - started, 4),
         )
-        return finding is not _Finding.ALIVE
+        return finding is not endings.Finding.ALIVE
 
-    def _run_check(self, upstream: upstreams.Upstream, check: _Check) -> None:
-        finding = _Finding.UNKNOWN
+    def _run_check(
+        self, upstream: upstreams.Upstream, health_path: str, check: _Check
+    ) -> None:
+        finding = endings.Finding.UNKNOWN
         try:
-            finding = self._probe(upstream)
+            finding = self._probe(upstream, health_path)
         finally:
             check.result.send(finding)
 
-    def _probe(self, upstream: upstreams.Upstream) -> _Finding:
-        """Ask an upstream that has reports for one, another for its health.
-
-        A report names the start of its process, health does not.
-        """
-        if upstream.service in self._unreported:
-            return self._check_health(upstream)
-        found = self._request_report(upstream)
-        if found is knowledge.ProbeResult.UNREPORTED and not upstream.domain:
-            finding = self._check_health(upstream)
-            if finding is _Finding.ALIVE:
-                self._unreported.add(upstream.service)
+    def _probe(
+        self, upstream: upstreams.Upstream, health_path: str
+    ) -> endings.Finding:
+        finding = None
+        if self._endings.may_report(upstream):
+            found = self._request_report(upstream)
+            finding = self._endings.judge_report(upstream, found)
+        if finding is not None:
             return finding
-        if not isinstance(found, upstreams.Upstream):
-            return _classify(found)
-        has_restarted = bool(upstream.born) and found.born != upstream.born
-        return _Finding.ENDED if has_restarted else _Finding.ALIVE
+        if not health_path:
+            return endings.Finding.UNKNOWN
+        result = self._engines.check_health(upstream, health_path)
+        return self._endings.judge_health(upstream, result)
 
     def _request_report(
         self, upstream: upstreams.Upstream
@@ -294,14 +278,6 @@
                 return found
         return self._engines.report(upstream, True)
 
-    def _check_health(self, upstream: upstreams.Upstream) -> _Finding:
-        for service in self.services():
-            if service.name == upstream.service and service.health_path:
-                return _classify(
-                    self._engines.check_health(upstream, service.health_path)
-                )
-        return _Finding.UNKNOWN
-
     # -- Decisions
 
     def _note_quarantined(self, part: ids.PartId) -> None:
@@ -341,14 +317,6 @@
                 del self._checks[instance]
 
 
-def _classify(result: knowledge.ProbeResult) -> _Finding:
-    if result is knowledge.ProbeResult.ANSWERED:
-        return _Finding.ALIVE
-    if result in _ENDED_RESULTS:
-        return _Finding.ENDED
-    return _Finding.UNKNOWN
-
-
 def _ignore() -> None:
     return
 
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -113,6 +113,8 @@
             can't come from the upstream closing an idle connection.
         send_by: Monotonic time after which it is not sent, because the
             choice of its upstream may be outdated.
+        health_path: Path at which the upstream tells its health; empty if
+            there is none.
     """
 
     method: str
@@ -123,6 +125,7 @@
     timeout: float
     new_connection: bool
     send_by: float = math.inf
+    health_path: str = ""
 
 
 class Framing(enum.Enum):
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -100,6 +100,7 @@
                 timeout=outbound.timeout,
                 new_connection=outbound.new_connection,
                 send_within=None if left == math.inf else left,
+                health_path=outbound.health_path,
             )
         )
         self._may_have_sent = True
@@ -272,7 +273,7 @@
                     return
                 if isinstance(message, exchanges.Head):
                     framing = message.framing
-                message = self._check_end(upstream, framing, message)
+                message = self._check_end(asked, upstream, framing, message)
                 yield peerexchanges.encode_frame(
                     self._make_frame(message, started)
                 )
@@ -285,6 +286,7 @@
 
     def _check_end(
         self,
+        asked: peerexchanges.ExchangeRequest,
         upstream: upstreams.Upstream,
         framing: exchanges.Framing | None,
         message: typing.Any,
@@ -307,7 +309,7 @@
                 message, exchanges.End
             )
             has_ended = is_open_end and self._crashes.is_ended_by_crash(
-                upstream, self._connections.now()
+                upstream, asked.health_path, self._connections.now()
             )
         if not has_ended:
             return message
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -230,6 +230,7 @@
             send_by=self._balancer.evacuations.get_send_deadline(
                 upstream.datacentre
             ),
+            health_path=request.service.health_path,
         )
         peer = None
         if self._paths.is_lost:
@@ -574,7 +575,9 @@
         if current.framing is not exchanges.Framing.CLOSE or current.peer:
             return False
         until = self.now() if self.may_retry(request) else request.deadline
-        return self._crashes.is_ended_by_crash(current.upstream, until)
+        return self._crashes.is_ended_by_crash(
+            current.upstream, request.service.health_path, until
+        )
 
     def may_retry(self, request: requests.Request) -> bool:
         """Return whether a request may still be retried after a failure."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -122,8 +122,8 @@
     Mutant(
         "a silent upstream has crashed",
         "currantwall/transport/crashes.py",
-        "        return self._find_state(upstream) is _Finding.ENDED\n",
-        "        return self._find_state(upstream) is not _Finding.ALIVE\n",
+        "_find_state(upstream) is endings.Finding.ENDED\n",
+        "_find_state(upstream) is not endings.Finding.ALIVE\n",
         "tests.test_crash_checks.CrashChecksTest"
         ".test_a_silent_upstream_has_not_crashed",
     ),
@@ -963,9 +963,9 @@
     ),
     Mutant(
         "a server that has started again is the one that answered",
-        "currantwall/transport/crashes.py",
-        "        return _Finding.ENDED if has_restarted else _Finding.ALIVE\n",
-        "        return _Finding.ALIVE\n",
+        "currantwall/coordination/requests/endings.py",
+        "Finding.ENDED if has_restarted else Finding.ALIVE\n",
+        "Finding.ALIVE\n",
         "tests.test_crash_checks.UnframedAnswerTest"
         ".test_a_server_that_has_started_again_did_not_end_its_answer",
     ),
@@ -989,9 +989,8 @@
     Mutant(
         "a check from before a crash tells that there was none",
         "currantwall/transport/crashes.py",
-        "            if finding is _Finding.ENDED or check.started >= since:\n"
-        "                return finding\n",
-        "            return finding\n",
+        " if finding is endings.Finding.ENDED or check.started >= since:\n",
+        " if True:\n",
         "tests.test_crash_checks.CrashChecksTest"
         ".test_a_check_from_before_the_crash_proves_nothing",
     ),
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -20,7 +20,6 @@
 from currantwall.coordination.requests import withdrawals
 from currantwall.state import ids
 from currantwall.state import quarantines
-from currantwall.state import routes
 from currantwall.transport import crashes
 from currantwall.transport import exchanges
 from currantwall.transport import sending
@@ -72,7 +71,7 @@
         A check without an answer is repeated for some seconds.
         """
         until = timers.TimerService.now() + seconds
-        return self.crashes.is_ended_by_crash(upstream, until)
+        return self.crashes.is_ended_by_crash(upstream, "/health", until)
 
     def has_crashed(self):
         return self.crashes.has_crashed(self.upstream)
@@ -221,10 +220,6 @@
         )
         patcher.start()
         self.addCleanup(patcher.stop)
-        service = routes.Service(
-            name=self.upstream.service, health_path="/health"
-        )
-        self.crashes.services = lambda: (service,)
 
     def listen(self, answer):
         """Accept connections in place of a process that has ended."""
@@ -292,6 +287,14 @@
         self.engines.health = knowledge.ProbeResult.REFUSED
         self.assertTrue(self.is_ended_by_crash(self.upstream))
 
+    def test_a_service_with_reports_is_not_asked_for_its_health(self):
+        """Guards against an answer in place of a server that has ended."""
+        self.assertFalse(self.is_ended_by_crash(self.upstream))
+        self.engines.is_alive = False
+        self.engines.failure = knowledge.ProbeResult.UNREPORTED
+        self.engines.health = knowledge.ProbeResult.ANSWERED
+        self.assertTrue(self.is_ended_by_crash(self.upstream))
+
     def test_a_silent_server_is_asked_again_while_there_is_time(self):
         """Guards against a failure for a whole answer of a busy server."""
         self.engines.is_alive = False
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -38,6 +38,7 @@
         "requests.capacity",
         "requests.coldness",
         "requests.crashlog",
+        "requests.endings",
         "requests.evacuations",
         "requests.loads",
         "requests.paths",
