Crashes: a check tells nothing about another start of an upstream

Cause: checks that run at the same time were shared by the id of the upstream. Answers that end together, one from before and others from after a restart under the same id, shared a check of the later start, which found the process alive: half of the earlier answer passed as complete. The other way round, a whole answer counted as cut.

Change: checks are kept by the upstream and the start of its process.

The new test failed before (three answers of starts 2, 2, 1 were found cut: no, no, no; of 2, 1, 2: no, yes, yes) and passes now.

--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -78,7 +78,9 @@
         self._log = log
         self._now = now
         self._endings = endings.Endings()
-        self._checks: dict[ids.InstanceId, _Check] = {}
+        # By upstream and start of its process: what is found out about one
+        # life of an upstream tells nothing about another.
+        self._checks: dict[tuple[ids.InstanceId, int], _Check] = {}
         # The attempts in progress that have shared parts.
         self._attempts: dict[int, tuple[requests.Request, requests.Attempt]]
         self._attempts = {}
@@ -201,10 +203,11 @@
     ) -> endings.Finding:
         """Check an upstream, unless a check for another attempt tells."""
         since = self._now()
+        life = upstream.id, upstream.born
         while True:
-            check = self._checks.get(upstream.id)
+            check = self._checks.get(life)
             if check is None or not check.may_tell(since):
-                check = self._checks[upstream.id] = _Check(self._now())
+                check = self._checks[life] = _Check(self._now())
                 eventlet.spawn_n(self._run_check, upstream, health_path, check)
             finding: endings.Finding = check.result.wait()
             # An upstream that was alive before may have crashed since.
@@ -312,9 +315,9 @@
         """Remove what is too old to matter."""
         now = self._now()
         self.quarantine.expire(now)
-        for instance, check in list(self._checks.items()):
+        for life, check in list(self._checks.items()):
             if check.result.ready() and now - check.started > _CRASHED_TTL:
-                del self._checks[instance]
+                del self._checks[life]
 
 
 def _ignore() -> None:
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -263,6 +263,26 @@
         self.engines.born = 2
         self.assertTrue(self.is_ended_by_crash(self.upstream))
 
+    def test_a_check_for_a_later_start_proves_nothing(self):
+        """Guards against half of an answer from before a restart.
+
+        Others are sent to the server after the restart, and their answers
+        end at the same moment. The second one's check follows a shared one.
+        """
+        self.engines.born = 2
+        later = msgspec.structs.replace(self.upstream, born=2)
+        for upstreams in (
+            (later, later, self.upstream),
+            (later, self.upstream, later),
+        ):
+            with self.subTest([one.born for one in upstreams]):
+                tasks = [
+                    eventlet.spawn(self.is_ended_by_crash, one)
+                    for one in upstreams
+                ]
+                found = [task.wait() for task in tasks]
+                self.assertEqual(found, [one.born == 1 for one in upstreams])
+
     def test_a_leaving_server_may_crash_as_well(self):
         """Guards against half of an answer of a server that leaves."""
         self.upstream = msgspec.structs.replace(self.upstream, leaving=True)
