Feeds: derive the times of watches from the bounds of the settings

Cause: chose 0.8 s for a bound of two seconds, in code. On a deployment that applies configurations within one second a watch that hangs would be given up after 1.8 s.

Change: a watch waits for 0.8 of what its bound (configApplyMs, evacuateMs) leaves beside the time for its answer, at most a second and half of the bound. For 2 s that is 0.8 s as before; for evacuations (5 s) 3.2 s instead of 2 s.

--- a/currantwall/coordination/calls.py
+++ b/currantwall/coordination/calls.py
@@ -1,9 +1,16 @@
-"""Ids of asynchronous calls, and the backoff between attempts."""
+"""Ids of asynchronous calls, their time limits, and the backoff."""
+
+import msgspec
 
 from currantwall.state import ids
 
-__all__ = ["Backoff", "Calls"]
+__all__ = ["Backoff", "Calls", "WatchTimes", "split_bound"]
 
+# Longest time in seconds for the answer of a watch that has waited.
+_MAX_PATIENCE = 1.0
+# Share of the rest of a bound that a watch may wait; what is left is for the
+# next call.
+_WAIT_SHARE = 0.8
 _JITTER_STEPS = 16
 
 
@@ -19,6 +26,32 @@
         return ids.CallId(self._last)
 
 
+class WatchTimes(msgspec.Struct, frozen=True):
+    """Times of a watch, in seconds.
+
+    Attributes:
+        wait: How long the other side waits for a change.
+        patience: How long its answer may take then.
+    """
+
+    wait: float
+    patience: float
+
+
+def split_bound(bound: float) -> WatchTimes:
+    """Return times with which a watch that hangs is given up in time.
+
+    Failure: the connection of a watch goes silent, and a change remains
+    unknown until the watch is given up.
+
+    Args:
+        bound: Seconds after which a change must be known, also if the
+            connection goes silent just before it.
+    """
+    patience = min(_MAX_PATIENCE, bound / 2)
+    return WatchTimes(_WAIT_SHARE * (bound - patience), patience)
+
+
 class Backoff:
     """Exponential backoff with a jitter derived from a seed.
 
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -205,6 +205,7 @@
             self._presence,
             self._log,
             self._clock,
+            settings.apply_bound,
         )
         self._fleet_feed = fleets.FleetFeed(
             self._store,
@@ -223,6 +224,7 @@
             self._meter,
             self._log,
             self._clock,
+            settings.evacuation_bound or settings.apply_bound,
         )
         self._nodes_feed = registrations.NodesFeed(
             self._store, self._presence, self._log, self._clock
--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -24,6 +24,8 @@
         repeat_window: Seconds over which retries are counted.
         grace: Seconds from the request to stop until the process is
             killed.
+        apply_bound: Seconds from a change of the configuration until it must
+            be in force.
         drain: Seconds for which requests still arrive after a stop began.
         capacity: Relative capacity of the node; 1 is a whole core on a
             link of 100 Mbit/s, and the scarcer of the two counts.
@@ -50,6 +52,7 @@
     repeat_slack: float = 0.0
     repeat_window: float = 10.0
     grace: float = 8.0
+    apply_bound: float = 2.0
     drain: float = 3.0
     capacity: float = 1.0
     evacuation_bound: float | None = None
--- a/currantwall/transport/configurations.py
+++ b/currantwall/transport/configurations.py
@@ -23,10 +23,6 @@
 
 __all__ = ["ConfigurationFeed"]
 
-# Seconds that one watch waits. A watch whose connection has gone silent
-# is given up a second later, and the configuration is read again within two
-# seconds of the silence.
-_WATCH_TIMEOUT = 0.8
 # Seconds to wait after the first failure, and at most.
 _BACKOFF_FIRST = 0.1
 _BACKOFF_LIMIT = 1.0
@@ -62,7 +58,19 @@
         presence: presence_module.Presence,
         log: journal.Journal,
         clock: timers.TimerService,
+        bound: float,
     ) -> None:
+        """Create the feed.
+
+        Args:
+            store: The store.
+            documents: Decodes its objects.
+            forwarder: Serves requests by the configuration.
+            presence: Knows which nodes read the store.
+            log: Receives log lines.
+            clock: Tells the time.
+            bound: Seconds after which a change must be in force.
+        """
         self._store = store
         self._documents = documents
         self._forwarder = forwarder
@@ -74,6 +82,7 @@
         self._follower_backoff = calls.Backoff(
             _FOLLOWER_BACKOFF_FIRST, _FOLLOWER_BACKOFF_LIMIT, seed
         )
+        self._times = calls.split_bound(bound)
         self._jitter = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
@@ -123,11 +132,13 @@
         Args:
             since: Revision from which to watch.
         """
-        wait = _WATCH_TIMEOUT * (0.5 + self._jitter / 2)
+        wait = self._times.wait * (0.5 + self._jitter / 2)
         kind = self._documents.configuration_kind
         while True:
-            changed = self._store.watch(kind, since, wait)
-            wait = _WATCH_TIMEOUT
+            changed = self._store.watch(
+                kind, since, wait, self._times.patience
+            )
+            wait = self._times.wait
             if not self._check_outcome(changed):
                 return
             # Reset the backoffs only after a watch has succeeded. The store
--- a/currantwall/transport/evacuations.py
+++ b/currantwall/transport/evacuations.py
@@ -27,9 +27,6 @@
 
 __all__ = ["EvacuationFeed"]
 
-# Seconds that one watch waits, as for the configuration: a connection that
-# was lost silently is noticed after that time.
-_WATCH_TIMEOUT = 2.0
 # Seconds to wait after the first failed call, and at most: the bound of an
 # evacuation is 5 s, and another reader may be answered meanwhile.
 _BACKOFF_FIRST = 0.1
@@ -74,7 +71,21 @@
         meter: metrics_module.Metrics,
         log: journal.Journal,
         clock: timers.TimerService,
+        bound: float,
     ) -> None:
+        """Create the feed.
+
+        Args:
+            store: The store.
+            documents: Names the kind of the objects.
+            known: The evacuations that this node knows.
+            fleet: The upstreams.
+            presence: Knows which nodes read the store.
+            meter: Receives metrics.
+            log: Receives log lines.
+            clock: Tells the time.
+            bound: Seconds after which an evacuation must be in force.
+        """
         self._store = store
         self._kind = documents.evacuations_kind
         self._known = known
@@ -89,6 +100,7 @@
         self._follower_backoff = calls.Backoff(
             _FOLLOWER_BACKOFF_FIRST, _FOLLOWER_BACKOFF_LIMIT, seed
         )
+        self._times = calls.split_bound(bound)
         self._jitter = (seed % 16) / 16.0
         self._reachable = True
         self._fetching = False
@@ -139,15 +151,17 @@
         Args:
             since: Revision from which to watch.
         """
-        wait = _WATCH_TIMEOUT * (0.5 + self._jitter / 2)
+        wait = self._times.wait * (0.5 + self._jitter / 2)
         while True:
             # A watch started after a suspension would delay the next list,
             # which is needed for confirmation, by its whole time.
             self._known.note_time(self._clock.now())
             if not self._known.is_known or not self._reads_store():
                 return
-            changed = self._store.watch(self._kind, since, wait)
-            wait = _WATCH_TIMEOUT
+            changed = self._store.watch(
+                self._kind, since, wait, self._times.patience
+            )
+            wait = self._times.wait
             if not self._check_outcome(changed):
                 return
             self._backoff.succeed()
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -106,7 +106,7 @@
         raise NotImplementedError
 
     def watch(
-        self, kind: str, since: int, wait: float
+        self, kind: str, since: int, wait: float, patience: float
     ) -> result.Result[Listing, StoreFailure]:
         """Return what changed after a revision, as soon as anything has.
 
@@ -114,6 +114,7 @@
             kind: Kind of the objects.
             since: The revision.
             wait: Seconds after which an empty listing is returned.
+            patience: Seconds after that in which the answer must come.
         """
         raise NotImplementedError
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -429,7 +429,7 @@
         events = {"events": [{"object": self.make_object(490)}], "asOf": 490}
         self.answers = [(200, 2, events)]
         for _ in range(2):
-            found = self.store.watch("k", revisions.join(1, 479), 1.0)
+            found = self.store.watch("k", revisions.join(1, 479), 1.0, 1.0)
             self.assertEqual(found.err_value, ports.StoreFailure.EXPIRED)
         self.assertEqual(len(self.calls), 1)
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -224,6 +224,7 @@
             self.meter,
             self.log,
             self.clock,
+            5.0,
         )
         feed.on_change = mock.Mock()
         return feed
@@ -340,8 +341,8 @@
         self.store.limit = 2
         watch = self.store.watch
 
-        def wait(kind, since, seconds):
-            answer = watch(kind, since, seconds)
+        def wait(kind, since, seconds, patience):
+            answer = watch(kind, since, seconds, patience)
             self.clock.time += seconds
             return answer
 
@@ -363,8 +364,8 @@
         self.store.limit = 2
         watch, known = self.store.watch, []
 
-        def resume(kind, since, seconds):
-            answer = watch(kind, since, seconds)
+        def resume(kind, since, seconds, patience):
+            answer = watch(kind, since, seconds, patience)
             self.clock.time += 10.0
             return answer
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -10,6 +10,7 @@
 import msgspec
 import result
 
+from currantwall.coordination import calls
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.peers import restores
 from currantwall.state import ids
@@ -63,7 +64,7 @@
     def list(self, kind, stale=False):
         return self._next(self.lists)
 
-    def watch(self, kind, since, wait):
+    def watch(self, kind, since, wait, patience):
         return self._next(self.watches)
 
 
@@ -828,6 +829,15 @@
         self.assertEqual(self.follow(), [])
 
 
+class WatchTimesTest(unittest.TestCase):
+    def test_a_watch_that_hangs_is_given_up_within_its_bound(self):
+        """Guards against times that suit one deployment's bound alone."""
+        for bound in (0.5, 1.0, 2.0, 5.0, 30.0):
+            times = calls.split_bound(bound)
+            self.assertLess(times.wait + times.patience, bound)
+            self.assertGreater(times.wait, 0.0)
+
+
 class ConfigurationFeedTest(FeedCase):
     def make(self, lists, watches):
         self.table = Table()
@@ -839,6 +849,7 @@
             presence_module.Presence(make_entry("me")),
             self.log,
             self.clock,
+            2.0,
         )
 
     def test_a_version_is_never_replaced_by_an_older_one(self):
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -103,7 +103,7 @@
         self.assertEqual(listed.ok_value.revision, 9)
         events = [b'{"object":%s,"removed":false}' % item for item in mixed]
         body = b'{"events":[%s],"asOf":12}' % b",".join(events)
-        changed = _Store(body).watch("servers", 9, 1.0)
+        changed = _Store(body).watch("servers", 9, 1.0, 1.0)
         self.assertLessEqual({"s1", "s2"}, _list_upstreams(changed))
         self.assertEqual(changed.ok_value.revision, 12)
 
