Own interface: bound heads, reports, orders and whole answers

Cause: the product's own interface read answers with plain responses: interim answers, chunks and trailers without end held the process until the source stopped, a report was read whole whatever its size, and an answer a byte at a time had no bound in time.

--- a/currantwall/transport/upstreams.py
+++ b/currantwall/transport/upstreams.py
@@ -1,6 +1,7 @@
 """Connections to upstream instances: probes, orders, calls, streams."""
 
 from collections import abc
+import http.client
 import socket
 
 import eventlet
@@ -17,6 +18,8 @@
 from currantwall.state import instances
 from currantwall.state import settings as settings_module
 from currantwall.transport import coordinator
+from currantwall.transport import exchanges
+from currantwall.transport import responses
 from currantwall.transport import sockets
 from currantwall.transport import timers
 
@@ -175,12 +178,14 @@
                 "GET",
                 f"http://{action.address}{upstream.REPORT_PATH}",
                 timeout=action.timeout,
+                preload_content=False,
             )
-            report = upstream.decode_report(response.data)
+            report = upstream.decode_report(_read_whole(response))
         except urllib3.exceptions.NewConnectionError:
             return outcomes.REFUSED, None
         except (
             urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
             OSError,
             msgspec.MsgspecError,
         ):
@@ -209,8 +214,14 @@
                 body=upstream.encode_order(action.order),
                 headers={"Content-Type": "application/json"},
                 timeout=action.order.lifetime,
+                preload_content=False,
             )
-        except (urllib3.exceptions.HTTPError, OSError):
+            _read_whole(response)
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ):
             return messages.OrderOutcome.LOST
         return upstream.map_order_status(response.status)
 
@@ -240,7 +251,27 @@
     def fetch(
         self, call: Call
     ) -> result.Result[homes.StoredAnswer, errors.CallError]:
-        """Send a request and return its whole answer."""
+        """Send a request and return its whole answer.
+
+        Failure: an answer comes a byte at a time, and no read times out.
+        """
+        timeout = eventlet.Timeout(call.timeout)
+        try:
+            return self._fetch(call)
+        except eventlet.Timeout as raised:
+            if raised is not timeout:
+                raise
+            return result.Err(
+                errors.CallError(
+                    errors.Step.BODY, call.address, errors.Failure.TIMEOUT
+                )
+            )
+        finally:
+            timeout.cancel()
+
+    def _fetch(
+        self, call: Call
+    ) -> result.Result[homes.StoredAnswer, errors.CallError]:
         opened = self.open(call)
         if isinstance(opened, result.Err):
             return opened
@@ -267,8 +298,12 @@
         )
 
 
+class _Connection(sockets.ResetAwareConnection):
+    response_class = responses.LimitedResponse
+
+
 class _ConnectionPool(urllib3.HTTPConnectionPool):
-    ConnectionCls = sockets.ResetAwareConnection
+    ConnectionCls = _Connection
 
 
 def _make_pool(upstream_count: int, connections: int) -> urllib3.PoolManager:
@@ -288,6 +323,17 @@
     return pool
 
 
+def _read_whole(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the body of a report or of the answer to an order."""
+    try:
+        body = exchanges.read_body(response, _MAX_REPORT_SIZE)
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return body
+
+
 def _drop_hop_headers(response: urllib3.BaseHTTPResponse) -> Headers:
     return tuple(
         (name, value)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -23,6 +23,7 @@
 from currantwall.transport import peers
 from currantwall.transport import ports
 from currantwall.transport import timers
+from currantwall.transport import upstreams
 from tests import test_adapter
 from tests import test_exchanges
 
@@ -267,6 +268,40 @@
                 found = self.check_call(call, *shape)
                 self.assertEqual(found.err(), ports.StoreFailure.LOST)
 
+    def test_an_order_that_is_answered_without_end_may_be_carried_out(self):
+        """Guards against orders that hold a process."""
+        orders = test_adapter.engines.Engines(mock.Mock())
+
+        def call(address):
+            order = test_adapter.knowledge.Order(
+                instance="i-1",
+                address=address,
+                kind=test_adapter.knowledge.OrderKind.OPEN,
+                sequence=1,
+            )
+            return orders.order(order)
+
+        for name, shape in _SHAPES.items():
+            with self.subTest(name):
+                self.assertIsNone(self.check_call(call, *shape).accepted)
+
+    def test_an_answer_to_the_products_own_interface_is_bounded(self):
+        """Guards against a node that stands still for one instance."""
+        calls = upstreams.Upstreams(
+            mock.Mock(), timers.TimerService(), mock.Mock()
+        )
+
+        def call(address):
+            return calls.fetch(
+                upstreams.Call(
+                    address=address, path="/", body=b"", timeout=1.0
+                )
+            )
+
+        for name, shape in _SHAPES.items():
+            with self.subTest(name):
+                self.assertTrue(self.check_call(call, *shape).is_err())
+
     def test_a_document_of_a_peer_without_end_is_refused(self):
         """Guards against a peer that fills the memory of a node."""
 
@@ -338,6 +373,7 @@
             ("a chunk size", chunked, b"0"),
             ("chunks", chunked, b"1\r\nx\r\n"),
             ("trailers", chunked + b"0\r\n", b"A: b\r\n"),
+            ("requests", b"", line + b"Content-Length: 0\r\n\r\n"),
         ):
             with self.subTest(name):
                 self.check_request(first, unit)
