--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -46,6 +46,15 @@
         self.readies: dict[str, str] = {}
         self.directories: dict[str, str] = {}
 
+    def start_store(self) -> None:
+        """Start the platform; return once its store answers."""
+        self.start_platform()
+        fleet_module.wait_until(
+            lambda: self.is_answering(_STORE_NAME, f"{_OBJECTS_PATH}/x"),
+            _START_SECONDS,
+            "store",
+        )
+
     def start_upstream(
         self,
         name: str,
