--- a/review/backend2.py
+++ b/review/backend2.py
@@ -11,7 +11,7 @@
 answers at, `unreadable` a number of entries of 1 MB that can't be read.
 
 Options of a server: `id`, `service`, `work_ms`, `answer_bytes`, `kind`
-(`plain`, or `stream` for ten events 20 ms apart) and `endless` (bytes of each
+(`plain`, or `stream` for 25 events 50 ms apart) and `endless` (bytes of each
 piece of an event that never ends; 0 for a sound server).
 """
 
@@ -24,7 +24,8 @@
 import kit2
 
 _HEARTBEAT_SECONDS = 1.2
-_EVENTS = 10
+_EVENTS = 25
+_EVENT_GAP = 0.05
 _PAGE_BYTES = 1_048_576
 # What another writer left in an entry: a list of lists, and a string with half
 # of a surrogate pair. Its encoding has 1 MB.
@@ -268,7 +269,7 @@
     async def _answer_stream(self, headers, writer, attempt):
         writer.write(_make_stream_head(headers))
         for number in range(1, _EVENTS + 1):
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(_EVENT_GAP)
             event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
