--- a/review/backend2.py
+++ b/review/backend2.py
@@ -10,15 +10,13 @@
 `foreign` is a number of entries of another system's services that nothing
 answers at, `unreadable` a number of entries of 1 MB that can't be read.
 
-Options of a server: `id`, `service`, `work_ms`, `answer_bytes`, `kind`
-(`plain`, or `stream` for 25 events 50 ms apart) and `endless` (bytes of each
-piece of an event that never ends; 0 for a sound server).
+Options of a server: `id`, `service`, `zone`, `slots`, `work_ms`,
+`answer_bytes`, `kind` (`plain`, or `stream` for 25 events 50 ms apart).
 """
 
 import asyncio
 import json
 import sys
-import threading
 import time
 
 import kit2
@@ -246,10 +244,6 @@
             return True
         self._note("run", attempt)
         headers.append(("X-Server-Seal", f"{self._options['id']}.1"))
-        if self._options.get("endless"):
-            await self._answer_endless(headers, writer)
-            self._note("end", attempt, closed=True)
-            return False
         if self._options.get("kind") == "stream":
             await self._answer_stream(headers, writer, attempt)
         else:
@@ -260,6 +254,7 @@
                 self._note("end", attempt, closed=True)
                 return False
             gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
             body = b"a" * self._options.get("answer_bytes", 800)
             writer.write(kit2.make_message("HTTP/1.1 200 OK", headers, body))
             await writer.drain()
@@ -276,36 +271,6 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
-    async def _answer_endless(self, headers, writer):
-        """Send an event without end until the caller closes.
-
-        A thread writes it, so that the other servers are not delayed.
-        """
-        size = self._options["endless"]
-        writer.write(_make_stream_head(headers))
-        first = b"id: 1\ndata: "
-        writer.write(b"%x\r\n%s\r\n" % (len(first), first))
-        await writer.drain()
-        sock = writer.get_extra_info("socket").dup()
-        sock.setblocking(True)
-        piece = b"%x\r\n%s\r\n" % (size, b"x" * size)
-        block = piece * max(1, 16_384 // size)
-        ended = asyncio.Event()
-        loop = asyncio.get_running_loop()
-
-        def send():
-            try:
-                while True:
-                    sock.sendall(block)
-            except OSError:
-                pass
-            finally:
-                sock.close()
-                loop.call_soon_threadsafe(ended.set)
-
-        threading.Thread(target=send, daemon=True).start()
-        await ended.wait()
-
 
 def _make_stream_head(headers):
     lines = [
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -476,6 +476,18 @@
         """Return how many descriptors a node has open."""
         return len(os.listdir(f"/proc/{self._pids[name]}/fd"))
 
+    def measure_memory(self, name):
+        """Return the resident bytes of a node; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self._pids[name]}/status")
+            lines = status.read_text().splitlines()
+        except OSError:
+            return 0
+        for line in lines:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
     def read_log(self, name):
         """Return what a node has logged."""
         return (self._path / f"{name}.log").read_text(errors="replace")
@@ -497,6 +509,18 @@
         self._directory.cleanup()
 
 
+async def end_tasks(tasks):
+    """Cancel tasks until all have ended.
+
+    Python 3.11's `wait_for` may swallow a cancellation.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=0.2)
+
+
 async def ask_ready(caller):
     """Ask a node on an open channel whether it is ready."""
     await caller.send(
