--- a/review/8/case.py
+++ b/review/8/case.py
@@ -202,9 +202,7 @@
     await asyncio.sleep(10.0)
     stops = []
     await stop_in_turn(site, record, stops)
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    await kit2.end_tasks(tasks)
     runs = site.read_runs()
     record.note_runs(runs)
     ran = {run["attempt"] for run in runs if run["what"] == "run"}
