Ingress: reading of requests in a module of its own

The server for callers parsed requests, answered them and kept track of connections in one file of 550 lines. What reads a request is now transport/readers.py; no behaviour is changed. test_ingress, test_endless and test_buffering: 40 passed.

--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -1,13 +1,10 @@
 """The HTTP server that callers connect to.
 
-eventlet's WSGI server handles connections and writes answers. Requests
-are parsed here, within the limits of the configuration in force. As they
-are forwarded byte for byte, everything that two parsers might read
-differently is refused, which prevents request smuggling.
+eventlet's WSGI server handles connections and writes answers. Requests are
+read by `readers`, within the limits of the configuration in force.
 """
 
 from collections import abc
-import re
 import socket
 import struct
 import typing
@@ -22,6 +19,7 @@
 from currantwall.state import routes
 from currantwall.transport import buffers as buffers_module
 from currantwall.transport import listeners
+from currantwall.transport import readers
 from currantwall.transport import sockets
 
 __all__ = [
@@ -39,52 +37,12 @@
 _WRITE_TIMEOUT = buffers_module.WRITE_TIMEOUT
 # Seconds in which a body must arrive.
 _BODY_TIMEOUT = 10.0
-# Most bytes of the line that begins a chunk.
-_MAX_CHUNK_LINE = 256
 # Seconds and bytes for which input is discarded after a refusal. Closing a
 # connection with unread input resets it, and the caller may lose the answer.
 _LINGER_TIMEOUT = 1.0
 _LINGER_BYTES = 1_048_576
 # Bytes discarded at once.
 _DISCARD_SIZE = 8192
-# The patterns follow the grammar of RFC 9112 and exclude what recipients
-# may repair, each in its own way: bare CR and LF, folded lines and
-# whitespace before a colon.
-_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
-_LINE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*\r\n")
-_FIELD_NAME = re.compile(_TOKEN)
-# A fragment is not part of a request target, and CONNECT has no path: after
-# it, another parser may take what follows for a tunnel's bytes.
-_REQUEST_LINE = re.compile(
-    rb"(?!CONNECT )("
-    + _TOKEN
-    + rb") (/[\x21\x22\x24-\x7e]*) (HTTP/1\.[01])\r\n"
-)
-# More digits may overflow another parser's integer.
-_CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
-_CHUNK_LINE = re.compile(
-    rb"([0-9A-Fa-f]{1,8})(?:[\t ]*;[\t ]*"
-    + _TOKEN
-    + rb"(?:[\t ]*=[\t ]*(?:"
-    + _TOKEN
-    + rb'|"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]|\\[\t\x20-\xff])*"))?)*\r\n'
-)
-# Fields that would change a request that was already read (RFC 9110, 6.5.1).
-_NO_TRAILERS = {b"content-length", b"host", b"transfer-encoding"}
-
-
-class Malformed(Exception):  # noqa: N818
-    """A request that is refused while it is read.
-
-    Attributes:
-        status: Status of the answer.
-        reason: Text of the answer.
-    """
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
 
 
 class Inbound(msgspec.Struct, kw_only=True):
@@ -187,13 +145,13 @@
         """Create the files of the connection, and count what it holds."""
         self._opened: buffers_module.CallerSocket | None = None
         self._is_whole = True
-        self._turns = sockets.Turns()
         buffers = self.ingress.buffers
         if buffers is not None:
             caller = str(self.client_address[0])
             self._opened = buffers.open(self.request, caller)
             self.request = self._opened
         super().setup()
+        self._reader = readers.RequestReader(self.rfile, sockets.Turns())
 
     def finish(self) -> None:
         """Close the connection, with a reset if its answer is incomplete."""
@@ -254,7 +212,7 @@
         self.requestline = ""
         try:
             inbound = self._read_request()
-        except Malformed as error:
+        except readers.Malformed as error:
             self._refuse(error)
             return
         except (OSError, eventlet.Timeout, ValueError):
@@ -283,22 +241,25 @@
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
         self._note_phase(buffering.Phase.RECEIVING)
         with eventlet.Timeout(limits.header_timeout):
-            head = self._read_head(limits.header_bytes)
+            head = self._reader.read_head(limits.header_bytes)
         if head is None:
             return None
-        method, target, headers = head
-        self.command = method
-        self.headers = headers
-        connection = headers.get("connection", "").lower()
+        self.command = head.method
+        self.headers = head.headers
+        self.request_version = head.version
+        self.requestline = head.line
+        connection = head.headers.get("connection", "").lower()
         if "close" in connection or self.request_version == "HTTP/1.0":
             self.close_connection = 1
         self.connection.settimeout(_WRITE_TIMEOUT)
         with eventlet.Timeout(_BODY_TIMEOUT):
-            body = self._read_body(headers, limits)
+            body = self._reader.read_body(
+                head.headers, limits, self._send_continue
+            )
         return Inbound(
-            method=method,
-            target=target,
-            headers=headers,
+            method=head.method,
+            target=head.target,
+            headers=head.headers,
             body=body,
             client=self.connection,
             received=self.ingress.now(),
@@ -306,105 +267,9 @@
             backlog=self._opened.backlog if self._opened else None,
         )
 
-    def _read_line(self, limit: int, excess_status: int = 431) -> bytes:
-        """Return a line with its CRLF.
-
-        Args:
-            limit: Most bytes of the line.
-            excess_status: Status of the answer to a longer line.
-
-        Raises:
-            Malformed: The line is too long, is truncated, or contains a
-                control character or a CR or LF before its end.
-        """
-        line = self.rfile.readline(limit + 1)
-        self._turns.note(len(line))
-        if len(line) > limit:
-            raise Malformed(excess_status, "line too long")
-        if not _LINE.fullmatch(line):
-            raise Malformed(400, "bad or truncated line")
-        return line
-
-    def _read_head(
-        self, remaining: int
-    ) -> tuple[str, str, urllib3.HTTPHeaderDict] | None:
-        """Return method, target and headers; None at the connection's end.
-
-        One empty line before a request is ignored, as RFC 9112 (2.2)
-        requires of a server; a second one may be an error to another parser.
-        """
-        line = self._read_line(remaining)
-        if line == b"\r\n":
-            if not self.rfile.peek(1):
-                return None
-            remaining -= len(line)
-            line = self._read_line(remaining)
-        match = _REQUEST_LINE.fullmatch(line)
-        if match is None:
-            raise Malformed(400, "bad request line")
-        remaining -= len(line)
-        headers = urllib3.HTTPHeaderDict()
-        for name, value in self._read_fields(remaining):
-            headers.add(name.decode("ascii"), value.decode("latin-1"))
-        self.request_version = match[3].decode("ascii")
-        self.requestline = line.decode("latin-1")
-        _check_framing(headers, self.request_version)
-        return match[1].decode("ascii"), match[2].decode("ascii"), headers
-
-    def _read_fields(
-        self, remaining: int
-    ) -> abc.Iterator[tuple[bytes, bytes]]:
-        """Yield names and values up to and including the empty line."""
-        while True:
-            line = self._read_line(remaining)
-            remaining -= len(line)
-            if line == b"\r\n":
-                return
-            name, colon, value = line.partition(b":")
-            if not colon or not _FIELD_NAME.fullmatch(name):
-                raise Malformed(400, "bad header")
-            yield name, value.strip(b" \t\r\n")
-
-    def _read_body(
-        self, headers: urllib3.HTTPHeaderDict, limits: routes.Limits
-    ) -> bytes:
-        chunked = "transfer-encoding" in headers
-        length = int(headers.get("content-length", "0"))
-        if length > limits.body_bytes:
-            raise Malformed(413, "body too large")
-        if not chunked and not length:
-            return b""
-        if headers.get("expect", "").lower() == "100-continue":
-            self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self.wfile.flush()
-        if chunked:
-            return self._read_chunks(limits)
-        body = self.rfile.read(length)
-        if len(body) < length:
-            raise Malformed(400, "truncated body")
-        return body
-
-    def _read_chunks(self, limits: routes.Limits) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            line = _CHUNK_LINE.fullmatch(self._read_line(_MAX_CHUNK_LINE, 400))
-            if line is None:
-                raise Malformed(400, "bad chunk size")
-            length = int(line[1], 16)
-            if not length:
-                break
-            size += length
-            if size > limits.body_bytes:
-                raise Malformed(413, "body too large")
-            data = self.rfile.read(length)
-            if len(data) < length or self.rfile.read(2) != b"\r\n":
-                raise Malformed(400, "bad chunk")
-            chunks.append(data)
-        for name, _ in self._read_fields(limits.header_bytes):
-            if name.lower() in _NO_TRAILERS:
-                raise Malformed(400, "bad trailer")
-        return b"".join(chunks)
+    def _send_continue(self) -> None:
+        self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.wfile.flush()
 
     # -- Answering
 
@@ -448,7 +313,7 @@
         self.application = application
         self.handle_one_response()
 
-    def _refuse(self, error: Malformed) -> None:
+    def _refuse(self, error: readers.Malformed) -> None:
         phrase = _PHRASES.get(error.status, "Bad Request")
         body = error.reason.encode()
         head = (
@@ -492,26 +357,6 @@
 }
 
 
-def _check_framing(headers: urllib3.HTTPHeaderDict, version: str) -> None:
-    """Refuse a request whose length is ambiguous.
-
-    Failure: request smuggling. An upstream reads part of a body as a
-    second request, and runs it though no caller sent it.
-    """
-    if len(headers.getlist("host")) != 1:
-        raise Malformed(400, "one Host is needed")
-    encodings = headers.getlist("transfer-encoding")
-    lengths = headers.getlist("content-length")
-    if encodings and (lengths or version == "HTTP/1.0"):
-        raise Malformed(400, "chunks with a length or in HTTP/1.0")
-    if encodings and [coding.lower() for coding in encodings] != ["chunked"]:
-        raise Malformed(400, "unknown transfer encoding")
-    if lengths and not (
-        len(lengths) == 1 and _CONTENT_LENGTH.fullmatch(lengths[0])
-    ):
-        raise Malformed(400, "bad length")
-
-
 def _ignore(_: Exception) -> None:
     return
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -389,7 +389,7 @@
     ),
     Mutant(
         "a line of a request ends with a bare LF",
-        "currantwall/transport/ingress.py",
+        "currantwall/transport/readers.py",
         'x80-\\xff]*\\r\\n")\n_FIELD',
         'x80-\\xff]*\\r?\\n")\n_FIELD',
         "tests.test_ingress.FuzzTest"
