Requests: free the body of a request when it has ended

Cause: each request has a task that watches its caller, and one for each attempt. eventlet.spawn keeps the exception that ends a task, with its traceback; the traceback holds the frames, these the request, and the request its watcher. Bodies of ended requests stayed until the garbage collector looked at the oldest generation.

Change: watchers and exchanges are tasks without a result (spawn_n), and a request forgets its watcher. Sending copied the rest of a body at each step (GreenSocket.sendall); it sends parts of it now.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 from bench import report
 
 _MODULES = (
+    "bench.bodies",
     "bench.callers",
     "bench.observers",
     "bench.readers",
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -12,6 +12,7 @@
 import typing
 
 import eventlet
+import eventlet.greenthread
 import eventlet.patcher
 import eventlet.queue
 import msgspec
@@ -368,7 +369,9 @@
         self._connection: urllib3.connection.HTTPConnection | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._may_have_sent = False
-        self._task = eventlet.spawn(self._run)
+        # Not a task that keeps the exception which ends it: its traceback
+        # would hold the request's body until garbage is collected.
+        self._task = eventlet.spawn_n(self._run)
 
     @property
     def may_have_sent(self) -> bool:
@@ -377,7 +380,7 @@
 
     def cancel(self) -> None:
         """Stop the task and close the connection to the upstream."""
-        self._task.kill()
+        eventlet.greenthread.kill(self._task)
         self._close()
 
     def _close(self) -> None:
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -89,20 +89,20 @@
         except requests.Refused as refusal:
             return self._refuse(refusal, attempt_id, "admission")
         self._sender.note_request(request)
-        request.watcher = eventlet.spawn(self._watch_caller, request)
+        request.watcher = eventlet.spawn_n(self._watch_caller, request)
         try:
             if request.route.kind is routes.RouteKind.STREAMING:
                 return self._streams.serve(request)
             return self._wholes.serve(request)
         except requests.Refused as refusal:
-            request.watcher.kill()
+            request.end_watching()
             remaining = request.deadline - self._sender.now()
             max_retry_after = max(0.05, remaining * _MAX_RETRY_AFTER_SHARE)
             if not refusal.is_lasting:
                 refusal.retry_after = min(refusal.retry_after, max_retry_after)
             return self._refuse(refusal, attempt_id, request.route.name)
         except BaseException:
-            request.watcher.kill()
+            request.end_watching()
             raise
 
     def _admit(
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -13,6 +13,7 @@
 import typing
 
 import eventlet
+import eventlet.greenthread
 import eventlet.hubs
 import eventlet.queue
 import msgspec
@@ -283,7 +284,7 @@
             self._connections,
             self._names,
         )
-        watcher = eventlet.spawn(_watch_sender, client, inbox)
+        watcher = eventlet.spawn_n(_watch_sender, client, inbox)
         self.in_flight += 1
         framing: exchanges.Framing | None = None
         try:
@@ -305,7 +306,7 @@
                     return
         finally:
             self.in_flight -= 1
-            watcher.kill()
+            eventlet.greenthread.kill(watcher)
             exchange.cancel()
 
     def _check_end(
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import eventlet.greenthread
 import eventlet.queue
 import msgspec
 import urllib3
@@ -153,6 +154,12 @@
         is_stream = self.route.kind is routes.RouteKind.STREAMING
         return not is_stream and not self.route.is_idempotent
 
+    def end_watching(self) -> None:
+        """End the task that notices when the caller disconnects."""
+        watcher, self.watcher = self.watcher, None
+        if watcher is not None:
+            eventlet.greenthread.kill(watcher)
+
     def note_events(self, now: float) -> None:
         """Record that events are sent to the caller now."""
         if self.first_event_after is None:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -716,7 +716,7 @@
         reply: Reply,
     ) -> Reply:
         """Record the answer of an upstream and return it."""
-        request.watcher.kill()
+        request.end_watching()
         self.end_attempt(current, is_answered=True)
         if reply.status < 500:
             self._balancer.note_success(current.upstream.id)
@@ -732,7 +732,7 @@
         """
         current.exchange.cancel()
         self.end_attempt(current)
-        request.watcher.kill()
+        request.end_watching()
         self.note_answer(request, current, 0)
         return Reply(status=502, headers=[], body=b"", close=True)
 
--- a/currantwall/transport/sockets.py
+++ b/currantwall/transport/sockets.py
@@ -134,6 +134,17 @@
             self._turns.note(received)
         return received
 
+    def sendall(self, data: typing.Any, flags: int = 0) -> None:
+        """Send all bytes.
+
+        eventlet's own method copies the rest of the data at each step.
+        """
+        with memoryview(data) as view:
+            sent = 0
+            while sent < len(view):
+                with view[sent:] as rest:
+                    sent += self.send(rest, flags)
+
     def _note_limited(self, limit: _Limit, received: int) -> None:
         if received > limit.size:
             raise LimitExceeded("a head that is too long")
--- a/currantwall/transport/streams.py
+++ b/currantwall/transport/streams.py
@@ -94,7 +94,7 @@
             status = 0
             raise
         finally:
-            request.watcher.kill()
+            request.end_watching()
             self._end(request, race, status)
 
     def _end(
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -93,6 +93,8 @@
 _EVENT_GAP = 0.02
 _SLOW_GAP = 0.5
 _LONG_GAP = 0.2
+# Seconds for which a request runs whose body is discarded.
+_DISCARD_SECONDS = 0.3
 # Bytes of each event of a large stream.
 _BULK_BYTES = 1024
 # Seconds that a join takes with the weights staged, and without; staging
@@ -264,11 +266,14 @@
         if is_busy or (self._domain and not is_open):
             headers = [("X-Not-Executed", "1"), ("X-Attempt-Id", attempt)]
             return Reply(status=503, headers=headers, body=b"")
+        # A path of this kind takes a while, and its body isn't kept.
+        is_discarded = "/discard/" in inbound.path
+        body = b"" if is_discarded else inbound.body
         run = {
             "attempt": attempt,
             "method": inbound.method,
             "target": inbound.target,
-            "body": inbound.body.decode("latin-1"),
+            "body": body.decode("latin-1"),
             "tenant": inbound.headers.get("X-Tenant"),
             "key": inbound.headers.get("Authorization"),
             "after": inbound.headers.get("Last-Event-Id"),
@@ -277,6 +282,8 @@
         }
         self._runs.append(run)
         self._write_record("run", run=run, seat=self._group)
+        if is_discarded:
+            eventlet.sleep(_DISCARD_SECONDS)
         if "/hang/" in inbound.path or f"/hang-{self._id}/" in inbound.path:
             eventlet.sleep(30.0)
         headers = [("X-Attempt-Id", attempt)]
@@ -313,7 +320,9 @@
             eventlet.tpool.execute(endless_module.send, client, shape)
             self._endless_count -= 1
             raise ConnectionAbortedError("answer written by a thread")
-        body = f"{inbound.method} {inbound.target} ".encode() + inbound.body
+        body = f"{inbound.method} {inbound.target} ".encode()
+        if "/discard/" not in inbound.path:
+            body += inbound.body
         crash = _CRASH_PATH.search(inbound.path)
         if crash is not None:
             self._crash_inside(inbound, headers, body, int(crash[1]))
