Bodies: room for a body before it is read

Cause: a body was read as soon as its head had come, whatever the node held. The budget of connections closes only callers that are slow. A peer's request held its body twice on both sides.

Change: a body of more than 16 KB takes room for its length, a chunked one for 256 KB and then for the largest allowed; without room it stays unread for at most half of its caller's time and gets 503 with Connection: close. Medium bodies have a part of the room of their own, growing bodies don't wait for each other, and callers that trickle while others wait get 408. What is refused is discarded for 3 s, so that the answer arrives. The room is kept until the request has ended: repeats and held attempts share the bytes. A peer gets the body behind the message, without a copy. Deadlines count from the head of a request.

--- a/bench/bodies.py
+++ b/bench/bodies.py
@@ -20,10 +20,10 @@
 from bench import gateways
 from bench import report
 
-__all__ = ["Report", "Site", "measure_bodies"]
+__all__ = ["UPSTREAMS", "Report", "Site", "measure_bodies"]
 
 _NODES = ("g1", "g2", "g3")
-_UPSTREAMS = ("a1", "a2", "a3")
+UPSTREAMS = ("a1", "a2", "a3")
 _MEMORY_MB = 222
 _BODY = b"x" * 4_000_000
 _PIECE_BYTES = 65_536
@@ -77,7 +77,7 @@
     def start(self) -> None:
         """Start all processes; return once they serve."""
         self.start_store()
-        for name in _UPSTREAMS:
+        for name in UPSTREAMS:
             self.start_upstream(name, "app")
         configuration = gateways.make_configuration(1)
         for route in configuration["routes"]:
--- a/currantwall/coordination/requests/buffering.py
+++ b/currantwall/coordination/requests/buffering.py
@@ -68,6 +68,8 @@
 
     IDLE = "idle"
     RECEIVING = "receiving"
+    # Its body stays unread until there is room for it.
+    WAITING = "waiting"
     ANSWERING = "answering"
     # Closed here, while the caller still reads the end of its answer.
     CLOSING = "closing"
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -31,6 +31,7 @@
 from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import advisories
+from currantwall.transport import bodies
 from currantwall.transport import buffers
 from currantwall.transport import configurations
 from currantwall.transport import crashes as crashes_module
@@ -253,9 +254,12 @@
         self._listener: typing.Any = listener
         self._front_task: typing.Any = None
         self._stopped = eventlet.event.Event()
-        self._front = self._make_ingress(self._forwarder.serve)
         self._buffers: buffers.Buffers | None = None
+        self._bodies: bodies.Bodies | None = None
         if settings.memory is not None:
+            self._bodies = bodies.Bodies(
+                settings.memory, self._meter, self._log, self._now
+            )
             self._buffers = buffers.Buffers(
                 settings.memory,
                 ingress.POOL_SIZE,
@@ -263,9 +267,11 @@
                 self._log,
                 self._now,
             )
-            self._front.buffers = self._buffers
             self._connections.is_bounded = True
             self._peer_connections.is_bounded = True
+        self._front = self._make_ingress(self._forwarder.serve)
+        self._front.get_patience = self._forwarder.get_patience
+        self._front.buffers = self._buffers
 
     def _make_news(self) -> news.NewsExchange:
         """Create the news exchange and connect its callbacks."""
@@ -330,6 +336,8 @@
         if self._buffers is not None:
             buffers.limit_listener(self._listener)
             eventlet.spawn_n(self._supervise, self._buffers.run)
+        if self._bodies is not None:
+            eventlet.spawn_n(self._supervise, self._bodies.run)
         self._front_task = ingress.start_server(self._listener, self._front)
         for address, handler in self._get_handlers().items():
             made = self._make_ingress(handler)
@@ -398,6 +406,7 @@
     def _make_ingress(self, handler: ingress.Handler) -> ingress.Ingress:
         made = ingress.Ingress(handler, self._get_limits, self._now)
         made.on_error = self._log_handler_error
+        made.bodies = self._bodies
         return made
 
     def _log_handler_error(self, error: Exception) -> None:
--- a/currantwall/protocol/peerexchanges.py
+++ b/currantwall/protocol/peerexchanges.py
@@ -1,6 +1,8 @@
 """Messages of a request that a peer forwards to an upstream.
 
-The sender posts an `ExchangeRequest`. The answer's body is a sequence of
+The sender posts an `ExchangeRequest` in MessagePack behind its length of four
+bytes, and then the body of the request as it is, so that neither side needs a
+copy of it. The answer's body is a sequence of
 frames, each a length of four bytes and a message in MessagePack: a head, parts
 of the body, and an end or a failure. An answer without one of the latter is
 incomplete, whatever ended it.
@@ -20,7 +22,9 @@
     "Frame",
     "FrameReader",
     "ResponseHead",
+    "decode_request",
     "encode_frame",
+    "encode_request",
 ]
 
 PATH = "/exchanges"
@@ -46,6 +50,7 @@
             for no limit.
         health_path: Path at which the upstream tells its health; empty if
             there is none.
+        has_body: Whether a body follows; it may be empty.
     """
 
     instance: str
@@ -53,7 +58,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes | None
+    has_body: bool
     attempt_id: str
     timeout: float
     new_connection: bool
@@ -103,6 +108,35 @@
 _DECODER = msgspec.msgpack.Decoder(Frame)
 
 
+def encode_request(request: ExchangeRequest) -> bytes:
+    """Return a request with its length; its body is to follow."""
+    data = msgspec.msgpack.encode(request)
+    return _LENGTH.pack(len(data)) + data
+
+
+def decode_request(
+    data: bytes | bytearray,
+) -> tuple[ExchangeRequest, memoryview | None]:
+    """Return a request and its body, None if it has none.
+
+    The body refers to the data.
+
+    Raises:
+        ValueError, msgspec.MsgspecError: It is malformed.
+    """
+    view = memoryview(data)
+    if len(view) < _LENGTH.size:
+        raise ValueError("a request without its length")
+    (length,) = _LENGTH.unpack_from(view)
+    end = _LENGTH.size + length
+    if len(view) < end:
+        raise ValueError(f"{len(view)} bytes of a request of {end}")
+    request = msgspec.msgpack.decode(
+        view[_LENGTH.size : end], type=ExchangeRequest
+    )
+    return request, view[end:] if request.has_body else None
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Return a frame with its length."""
     data = msgspec.msgpack.encode(frame)
--- a/currantwall/state/hashing.py
+++ b/currantwall/state/hashing.py
@@ -15,7 +15,7 @@
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
-def hash_fields_hex(*fields: bytes) -> str:
+def hash_fields_hex(*fields: bytes | bytearray | memoryview) -> str:
     """Return a 64-bit hash of several fields as 16 hexadecimal digits."""
     hasher = xxhash.xxh3_64()
     for field in fields:
--- a/currantwall/transport/buffers.py
+++ b/currantwall/transport/buffers.py
@@ -31,8 +31,10 @@
     "Backlog",
     "Buffers",
     "CallerSocket",
+    "count_unread",
     "limit_listener",
     "limit_receiving",
+    "limit_sending",
 ]
 
 _BUFFERED = "currantwall.buffered"
@@ -58,6 +60,8 @@
 # SIOCOUTQ, its number that of TIOCOUTQ.
 _UNSENT_REQUEST = termios.TIOCOUTQ
 _UNREAD_REQUEST = termios.FIONREAD
+# What a connection does while what it receives stays unread.
+_UNREAD_PHASES = (buffering.Phase.WAITING, buffering.Phase.ANSWERING)
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -170,6 +174,7 @@
         is_cut: Whether the connection is being reset.
         is_closing: Whether it is being closed, with a reset or without.
         is_stalled: Whether a write has timed out.
+        reserved: Bytes of its request that are counted elsewhere.
     """
 
     def __init__(
@@ -192,6 +197,7 @@
         self.is_cut = False
         self.is_closing = False
         self.is_stalled = False
+        self.reserved = 0
         self._sent = 0
         self._received = 0
         # Bytes received before the request that is being served.
@@ -260,11 +266,12 @@
         unsent = self.count_unsent()
         held = max(self.backlog.held, self._pending)
         waiting = 0
-        if self.phase is buffering.Phase.ANSWERING:
-            waiting = _count_bytes(self.fd, _UNREAD_REQUEST)
+        if self.phase in _UNREAD_PHASES:
+            waiting = count_unread(self.fd)
         if self.backlog.upstream is not None:
-            waiting += _count_bytes(self.backlog.upstream, _UNREAD_REQUEST)
+            waiting += count_unread(self.backlog.upstream)
         request = self._received - self._received_before
+        request = max(0, request - self.reserved)
         return buffering.Sample(
             connection=self.number,
             phase=self.phase,
@@ -454,7 +461,12 @@
 def limit_listener(listener: typing.Any) -> None:
     """Bound the buffers of the connections that a listener accepts."""
     limit_receiving(listener)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BYTES)
+    limit_sending(listener)
+
+
+def limit_sending(sock: typing.Any) -> None:
+    """Bound the bytes that a socket takes before they are sent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BYTES)
 
 
 def limit_receiving(sock: typing.Any) -> None:
@@ -462,6 +474,11 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
 
 
+def count_unread(sock: typing.Any) -> int:
+    """Return the bytes that a socket has received and nobody has read."""
+    return _count_bytes(sock, _UNREAD_REQUEST)
+
+
 def _count_bytes(sock: typing.Any, request: int) -> int:
     """Return the bytes in a buffer of a socket, 0 if it is closed."""
     try:
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -124,7 +124,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes | None
+    body: bytes | bytearray | memoryview | None
     attempt_id: str
     timeout: float
     new_connection: bool
@@ -253,6 +253,7 @@
         connection.response_class = responses.StrictResponse
         if self.is_bounded:
             buffers.limit_receiving(connection.sock)
+            buffers.limit_sending(connection.sock)
         self.opened += 1
         self.on_opened()
         return connection
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -17,6 +17,7 @@
 from currantwall.transport import ingress
 from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
+from currantwall.transport import readers
 from currantwall.transport import requests
 from currantwall.transport import sending
 from currantwall.transport import streams
@@ -28,6 +29,10 @@
 
 # Largest part of a caller's remaining time that `Retry-After` may ask for.
 _MAX_RETRY_AFTER_SHARE = 0.3
+# Largest part of a request's time for which its body may wait for room, and
+# the seconds that a caller is taken to wait that says nothing.
+_MAX_WAIT_SHARE = 0.5
+_DEFAULT_TIMEOUT = 4.0
 # Messages in a request's inbox above which its upstream is not read.
 _INBOX_LIMIT = 64
 # Seconds between two checks of a caller that has pipelined more bytes.
@@ -105,6 +110,20 @@
             request.end_watching()
             raise
 
+    def get_patience(self, head: readers.Head) -> float:
+        """Return for how many seconds a request's body may wait for room."""
+        timeouts = [_DEFAULT_TIMEOUT]
+        caller_timeout = _parse_timeout(head.headers.get(self._names.budget))
+        if caller_timeout is not None:
+            timeouts = [caller_timeout]
+        if self.table is not None:
+            host = head.headers["host"].partition(":")[0]
+            path = head.target.partition("?")[0]
+            route = self.table.find_route(host, path)
+            if route is not None:
+                timeouts.append(route.timeout)
+        return min(timeouts) * _MAX_WAIT_SHARE
+
     def _admit(
         self, inbound: ingress.Inbound, attempt_id: str
     ) -> requests.Request:
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -15,8 +15,10 @@
 import msgspec
 import urllib3
 
+from currantwall.coordination.requests import bodies as bodies_budget
 from currantwall.coordination.requests import buffering
 from currantwall.state import routes
+from currantwall.transport import bodies as bodies_module
 from currantwall.transport import buffers as buffers_module
 from currantwall.transport import listeners
 from currantwall.transport import readers
@@ -35,14 +37,17 @@
 # Most connections served at the same time; further ones wait.
 POOL_SIZE = 900
 _WRITE_TIMEOUT = buffers_module.WRITE_TIMEOUT
-# Seconds in which a body must arrive.
-_BODY_TIMEOUT = 10.0
 # Seconds and bytes for which input is discarded after a refusal. Closing a
 # connection with unread input resets it, and the caller may lose the answer.
 _LINGER_TIMEOUT = 1.0
 _LINGER_BYTES = 1_048_576
+# The same for a body that is refused before it is read: most callers send
+# all of it before they read the answer.
+_BODY_LINGER_TIMEOUT = 3.0
 # Bytes discarded at once.
-_DISCARD_SIZE = 8192
+_DISCARD_SIZE = 65_536
+# Seconds that a body waits for room where callers give no time.
+_DEFAULT_PATIENCE = 1.0
 
 
 class Inbound(msgspec.Struct, kw_only=True):
@@ -52,7 +57,7 @@
         target: Path and query as sent.
         headers: Names and values in the order sent.
         client: The caller's socket.
-        received: Monotonic time at which it was read completely.
+        received: Monotonic time at which its head was read.
         caller: The caller's IP address.
         backlog: What is held for the caller; None if it is not bounded.
     """
@@ -60,7 +65,7 @@
     method: str
     target: str
     headers: urllib3.HTTPHeaderDict
-    body: bytes
+    body: bytes | bytearray
     client: typing.Any
     received: float
     caller: str = ""
@@ -96,6 +101,9 @@
         in_flight: Number of requests that are being answered.
         on_error: Called with unexpected exceptions of the handler.
         buffers: Bounds what is held for callers; None to bound nothing.
+        bodies: Grants room for bodies; None to bound nothing.
+        get_patience: Returns for how many seconds a body may wait for
+            room, from the head of its request.
     """
 
     def __init__(
@@ -111,6 +119,10 @@
         self.in_flight = 0
         self.on_error: abc.Callable[[Exception], None] = _ignore
         self.buffers: buffers_module.Buffers | None = None
+        self.bodies: bodies_module.Bodies | None = None
+        self.get_patience: abc.Callable[[readers.Head], float] = lambda _: (
+            _DEFAULT_PATIENCE
+        )
 
     def handle(self, inbound: Inbound) -> Reply:
         """Return the answer to a request, or 500 if the handler fails.
@@ -131,6 +143,77 @@
             )
 
 
+class _Upload:
+    """Room and time for the body of one request."""
+
+    def __init__(self, protocol: "_Protocol", head: readers.Head) -> None:
+        self._protocol = protocol
+        self._head = head
+        self._reservation: bodies_module.Reservation | None = None
+        self._timer = eventlet.Timeout(bodies_module.BODY_TIMEOUT)
+        self._timer.cancel()
+        # Bytes that the caller may still send.
+        self.expected = 0
+
+    def reserve(self, size: int) -> None:
+        """Wait until there is room; the body must arrive in time then.
+
+        Raises:
+            readers.Malformed: There is no room in time.
+        """
+        self.expected = size
+        self._timer.cancel()
+        bodies = self._protocol.ingress.bodies
+        if bodies is not None and size > bodies_budget.SMALL_BYTES:
+            self._claim(bodies, size)
+        self._timer.start()
+
+    def _claim(self, bodies: bodies_module.Bodies, size: int) -> None:
+        protocol, former = self._protocol, self._reservation
+        protocol.note_phase(buffering.Phase.WAITING)
+        try:
+            reservation = bodies.reserve(
+                size,
+                protocol.ingress.get_patience(self._head),
+                protocol.connection,
+                protocol.caller,
+                former.size if former is not None else 0,
+                readers.is_invited(self._head.headers),
+            )
+        except bodies_module.NoRoom as error:
+            raise readers.Malformed(
+                503, error.reason, error.retry_after
+            ) from None
+        protocol.note_phase(buffering.Phase.RECEIVING)
+        protocol.note_reserved(size)
+        if former is not None:
+            reservation.received = former.received
+            former.release()
+        self._reservation = reservation
+
+    def invite(self) -> None:
+        """Tell a caller that waits for it to send the body."""
+        self._protocol.send_continue()
+
+    def note_received(self, count: int) -> None:
+        """Count bytes of the body that have come."""
+        self.expected -= count
+        if self._reservation is not None:
+            self._reservation.received += count
+
+    def end_receiving(self) -> None:
+        """Note that the body has come, or that no more of it is read."""
+        self._timer.cancel()
+        if self._reservation is not None:
+            self._reservation.end_receiving()
+
+    def release(self) -> None:
+        """Release the room."""
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
+
+
 class _Protocol(eventlet.wsgi.HttpProtocol):
     """Parses requests strictly; eventlet writes the answers."""
 
@@ -147,8 +230,7 @@
         self._is_whole = True
         buffers = self.ingress.buffers
         if buffers is not None:
-            caller = str(self.client_address[0])
-            self._opened = buffers.open(self.request, caller)
+            self._opened = buffers.open(self.request, self.caller)
             self.request = self._opened
         super().setup()
         self._reader = readers.RequestReader(self.rfile, sockets.Turns())
@@ -198,10 +280,21 @@
         yield from chunks
         self._is_whole = True
 
-    def _note_phase(self, phase: buffering.Phase) -> None:
+    @property
+    def caller(self) -> str:
+        """Return the caller's IP address."""
+        return str(self.client_address[0])
+
+    def note_phase(self, phase: buffering.Phase) -> None:
+        """Note what the connection is doing from now on."""
         if self._opened is not None:
             self._opened.note_phase(phase)
 
+    def note_reserved(self, size: int) -> None:
+        """Note bytes of the request that have room as a body."""
+        if self._opened is not None:
+            self._opened.reserved = size
+
     # -- Requests
 
     def handle_one_request(self) -> None:
@@ -210,6 +303,16 @@
         self.command = ""
         self.request_version = "HTTP/1.1"
         self.requestline = ""
+        self._upload: _Upload | None = None
+        try:
+            self._serve_request()
+        finally:
+            upload, self._upload = self._upload, None
+            if upload is not None:
+                upload.release()
+            self.note_reserved(0)
+
+    def _serve_request(self) -> None:
         try:
             inbound = self._read_request()
         except readers.Malformed as error:
@@ -221,7 +324,7 @@
             self.close_connection = 1
             return
         self.ingress.in_flight += 1
-        self._note_phase(buffering.Phase.ANSWERING)
+        self.note_phase(buffering.Phase.ANSWERING)
         try:
             self._answer(inbound)
         except OSError:
@@ -229,7 +332,7 @@
             self.close_connection = 1
         finally:
             self.ingress.in_flight -= 1
-            self._note_phase(buffering.Phase.IDLE)
+            self.note_phase(buffering.Phase.IDLE)
 
     # -- Reading
 
@@ -239,7 +342,7 @@
         if not self.rfile.peek(1):
             return None
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
-        self._note_phase(buffering.Phase.RECEIVING)
+        self.note_phase(buffering.Phase.RECEIVING)
         with eventlet.Timeout(limits.header_timeout):
             head = self._reader.read_head(limits.header_bytes)
         if head is None:
@@ -252,22 +355,31 @@
         if "close" in connection or self.request_version == "HTTP/1.0":
             self.close_connection = 1
         self.connection.settimeout(_WRITE_TIMEOUT)
-        with eventlet.Timeout(_BODY_TIMEOUT):
-            body = self._reader.read_body(
-                head.headers, limits, self._send_continue
-            )
+        received = self.ingress.now()
         return Inbound(
             method=head.method,
             target=head.target,
             headers=head.headers,
-            body=body,
+            body=self._read_body(head, limits),
             client=self.connection,
-            received=self.ingress.now(),
-            caller=str(self.client_address[0]),
+            received=received,
+            caller=self.caller,
             backlog=self._opened.backlog if self._opened else None,
         )
 
-    def _send_continue(self) -> None:
+    def _read_body(
+        self, head: readers.Head, limits: routes.Limits
+    ) -> bytes | bytearray:
+        upload = self._upload = _Upload(self, head)
+        try:
+            return self._reader.read_body(head.headers, limits, upload)
+        except (eventlet.Timeout, bodies_module.TooSlow):
+            raise readers.Malformed(408, "body too slow") from None
+        finally:
+            upload.end_receiving()
+
+    def send_continue(self) -> None:
+        """Tell the caller to send the body of its request."""
         self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.wfile.flush()
 
@@ -318,29 +430,38 @@
         body = error.reason.encode()
         head = (
             f"HTTP/1.1 {error.status} {phrase}\r\nConnection: close\r\n"
-            f"Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n"
         )
+        if error.retry_after is not None:
+            head += f"Retry-After: {error.retry_after:.3f}\r\n"
         self.close_connection = 1
         try:
-            self.wfile.write(head.encode() + body)
+            self.wfile.write(head.encode() + b"\r\n" + body)
             self.wfile.flush()
             self.connection.shutdown(socket.SHUT_WR)
-            self._discard_input()
+            self._discard_input(error)
         except (OSError, ValueError):
             # The caller has disconnected.
             return
 
-    def _discard_input(self) -> None:
+    def _discard_input(self, error: readers.Malformed) -> None:
         """Discard input until the caller closes, for a bounded time."""
-        remaining = _LINGER_BYTES
-        with eventlet.Timeout(_LINGER_TIMEOUT, False):
+        remaining, timeout = _LINGER_BYTES, _LINGER_TIMEOUT
+        if self._upload is not None and error.status in _UNREAD_STATUSES:
+            remaining += self._upload.expected
+            timeout = _BODY_LINGER_TIMEOUT
+        turns = sockets.Turns()
+        with eventlet.Timeout(timeout, False):
             while remaining > 0:
                 data = self.rfile.read1(_DISCARD_SIZE)
                 if not data:
                     return
                 remaining -= len(data)
+                turns.note(len(data))
 
 
+# Statuses of refusals that a caller may get while it sends its body.
+_UNREAD_STATUSES = (408, 413, 503)
 _PHRASES = {
     200: "OK",
     400: "Bad Request",
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -92,14 +92,14 @@
         connection.timeout = outbound.timeout
         connection.sock.settimeout(outbound.timeout)
         left = outbound.send_by - self._connections.now()
-        body = msgspec.msgpack.encode(
+        head = peerexchanges.encode_request(
             peerexchanges.ExchangeRequest(
                 instance=self._instance,
                 address=self._address,
                 method=outbound.method,
                 target=outbound.target,
                 headers=outbound.headers,
-                body=outbound.body,
+                has_body=outbound.body is not None,
                 attempt_id=outbound.attempt_id,
                 timeout=outbound.timeout,
                 new_connection=outbound.new_connection,
@@ -107,9 +107,14 @@
                 health_path=outbound.health_path,
             )
         )
+        body = outbound.body or b""
         self._may_have_sent = True
         connection.request(
-            "POST", peerexchanges.PATH, body=body, preload_content=False
+            "POST",
+            peerexchanges.PATH,
+            body=(head, body),
+            headers={"Content-Length": str(len(head) + len(body))},
+            preload_content=False,
         )
         response = connection.getresponse()
         if response.status != 200:
@@ -208,9 +213,7 @@
     def serve(self, inbound: ingress.Inbound) -> Reply:
         """Return the frames of an exchange, 503 if it was not begun."""
         try:
-            asked = msgspec.msgpack.decode(
-                inbound.body, type=peerexchanges.ExchangeRequest
-            )
+            asked, body = peerexchanges.decode_request(inbound.body)
         except ports.UNREADABLE:
             return Reply(status=400, headers=[], body=b"")
         listed = self._fleet.get(ids.InstanceId(asked.instance))
@@ -221,7 +224,7 @@
         withdrawal = self._advisories.find_withdrawal(listed)
         if withdrawal is not None:
             return _refuse_withdrawn(listed, withdrawal)
-        if self._is_quarantined(asked):
+        if self._is_quarantined(asked, body):
             return _refuse(
                 peerexchanges.ExchangeFailed(
                     False, exchanges.QUARANTINE, crashes_module.REASON
@@ -230,10 +233,12 @@
         return Reply(
             status=200,
             headers=[],
-            body=self._exchange(asked, listed, inbound.client),
+            body=self._exchange(asked, body, listed, inbound.client),
         )
 
-    def _is_quarantined(self, asked: peerexchanges.ExchangeRequest) -> bool:
+    def _is_quarantined(
+        self, asked: peerexchanges.ExchangeRequest, body: memoryview | None
+    ) -> bool:
         """Return whether a request is kept from upstreams.
 
         Failure: a node that hears from few others sends one by way of a
@@ -243,7 +248,7 @@
             asked.method,
             asked.target,
             urllib3.HTTPHeaderDict(asked.headers),
-            asked.body or b"",
+            body or b"",
             self._names,
         )
         delay = self._crashes.quarantine.find_retry_after(
@@ -254,6 +259,7 @@
     def _exchange(
         self,
         asked: peerexchanges.ExchangeRequest,
+        body: memoryview | None,
         upstream: upstreams.Upstream,
         client: typing.Any,
     ) -> abc.Iterator[bytes]:
@@ -269,7 +275,7 @@
                 method=asked.method,
                 target=asked.target,
                 headers=asked.headers,
-                body=asked.body,
+                body=body,
                 attempt_id=asked.attempt_id,
                 timeout=asked.timeout,
                 new_connection=asked.new_connection,
--- a/currantwall/transport/readers.py
+++ b/currantwall/transport/readers.py
@@ -7,14 +7,16 @@
 from collections import abc
 import io
 import re
+import typing
 
 import msgspec
 import urllib3
 
+from currantwall.coordination.requests import bodies
 from currantwall.state import routes
 from currantwall.transport import sockets
 
-__all__ = ["Head", "Malformed", "RequestReader"]
+__all__ = ["Head", "Malformed", "RequestReader", "Room", "is_invited"]
 
 # Most bytes of the line that begins a chunk.
 _MAX_CHUNK_LINE = 256
@@ -50,12 +52,17 @@
     Attributes:
         status: Status of the answer.
         reason: Text of the answer.
+        retry_after: Seconds after which the caller should retry; None if
+            it need not be told.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after: float | None = None
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after = retry_after
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,6 +82,23 @@
     headers: urllib3.HTTPHeaderDict
 
 
+class Room(typing.Protocol):
+    """Memory for one body."""
+
+    def reserve(self, size: int) -> None:
+        """Wait until there is room for a body of a size in bytes.
+
+        Raises:
+            Malformed: There is none in time.
+        """
+
+    def invite(self) -> None:
+        """Tell a caller that waits for it to send the body."""
+
+    def note_received(self, count: int) -> None:
+        """Count bytes of the body that have come."""
+
+
 class RequestReader:
     """Reads the requests of one connection."""
 
@@ -127,17 +151,17 @@
         self,
         headers: urllib3.HTTPHeaderDict,
         limits: routes.Limits,
-        send_continue: abc.Callable[[], None],
-    ) -> bytes:
+        room: Room,
+    ) -> bytes | bytearray:
         """Return the body that follows a head.
 
         Args:
             headers: The headers of the request.
             limits: Limits on its size.
-            send_continue: Tells the caller to send the body.
+            room: The memory for it.
 
         Raises:
-            Malformed: The body is too large or malformed.
+            Malformed: The body is too large, malformed or has no room.
         """
         chunked = "transfer-encoding" in headers
         length = int(headers.get("content-length", "0"))
@@ -145,13 +169,13 @@
             raise Malformed(413, "body too large")
         if not chunked and not length:
             return b""
-        if headers.get("expect", "").lower() == "100-continue":
-            send_continue()
+        room.reserve(bodies.SMALL_BYTES if chunked else length)
+        if is_invited(headers):
+            room.invite()
         if chunked:
-            return self._read_chunks(limits)
-        body = self._file.read(length)
-        if len(body) < length:
-            raise Malformed(400, "truncated body")
+            return self._read_chunks(limits, room)
+        body = bytearray(length)
+        self._read_into(memoryview(body), room, "truncated body")
         return body
 
     # -- Parts of a request
@@ -189,8 +213,25 @@
                 raise Malformed(400, "bad header")
             yield name, value.strip(b" \t\r\n")
 
-    def _read_chunks(self, limits: routes.Limits) -> bytes:
-        chunks: list[bytes] = []
+    def _read_into(self, view: memoryview, room: Room, error: str) -> None:
+        """Fill a part of a body.
+
+        Raises:
+            Malformed: The connection has ended; `error` is the reason.
+        """
+        filled = 0
+        while filled < len(view):
+            count = self._file.readinto1(view[filled:])
+            if not count:
+                raise Malformed(400, error)
+            filled += count
+            room.note_received(count)
+            self._turns.note(count)
+
+    def _read_chunks(
+        self, limits: routes.Limits, room: Room
+    ) -> bytes | bytearray:
+        body = bytearray(min(bodies.SMALL_BYTES, limits.body_bytes))
         size = 0
         while True:
             line = _CHUNK_LINE.fullmatch(self._read_line(_MAX_CHUNK_LINE, 400))
@@ -199,17 +240,41 @@
             length = int(line[1], 16)
             if not length:
                 break
-            size += length
-            if size > limits.body_bytes:
+            if size + length > limits.body_bytes:
                 raise Malformed(413, "body too large")
-            data = self._file.read(length)
-            if len(data) < length or self._file.read(2) != b"\r\n":
+            if size + length > len(body):
+                body = _enlarge(body, size + length, limits, room)
+            with memoryview(body) as view:
+                part = view[size : size + length]
+                self._read_into(part, room, "bad chunk")
+                part.release()
+            size += length
+            if self._file.read(2) != b"\r\n":
                 raise Malformed(400, "bad chunk")
-            chunks.append(data)
         for name, _ in self._read_fields(limits.header_bytes):
             if name.lower() in _NO_TRAILERS:
                 raise Malformed(400, "bad trailer")
-        return b"".join(chunks)
+        del body[size:]
+        return body
+
+
+def is_invited(headers: urllib3.HTTPHeaderDict) -> bool:
+    """Return whether a caller sends the body only once it is told to."""
+    return headers.get("expect", "").lower() == "100-continue"
+
+
+def _enlarge(
+    body: bytearray, needed: int, limits: routes.Limits, room: Room
+) -> bytearray:
+    """Return a larger copy of a body that is received in part."""
+    size = bodies.MEDIUM_BYTES
+    if needed > size:
+        size = limits.body_bytes
+    size = min(size, limits.body_bytes)
+    room.reserve(size)
+    enlarged = bytearray(size)
+    enlarged[: len(body)] = body
+    return enlarged
 
 
 def _check_framing(headers: urllib3.HTTPHeaderDict, version: str) -> None:
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -200,7 +200,7 @@
     method: str,
     target: str,
     headers: urllib3.HTTPHeaderDict,
-    body: bytes,
+    body: bytes | bytearray | memoryview,
     names: names_module.HeaderNames,
 ) -> quarantines.Prompt:
     """Return the parts of a request's prompt, and its fingerprint.
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -341,7 +341,7 @@
             method="GET",
             target="/",
             headers=(("Host", "h"), *headers),
-            body=None,
+            has_body=False,
             attempt_id="1",
             timeout=5.0,
             new_connection=True,
@@ -352,7 +352,7 @@
                 method="POST",
                 target=protocol.PATH,
                 headers=urllib3.HTTPHeaderDict(),
-                body=msgspec.msgpack.encode(asked),
+                body=protocol.encode_request(asked),
                 client=client,
                 received=self.now(),
             )
