Listeners: go on accepting after a shortage of descriptors

Cause: eventlet.wsgi.server leaves its loop on EMFILE and closes the listening socket; nothing starts it again, and readiness doesn't look. The same at the ports for peers, the directory, readiness and metrics, and in currantwalld, which all use it.

Change: transport/acceptors.py accepts (eventlet's server still serves each connection). During a shortage it tries again every 50 ms; a connection that has ended early is passed over; a listening socket that is of no use is opened again. Connections above the limit wait in the kernel instead of being accepted. A node whose front port could accept nothing for a second is not ready. accept_blocked, accept_resumed and listening_again are logged.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -30,6 +30,7 @@
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
+from currantwall.transport import acceptors
 from currantwall.transport import advisories
 from currantwall.transport import bodies
 from currantwall.transport import buffers
@@ -252,7 +253,7 @@
         self._news = self._make_news()
         self._stopping = False
         self._listener: typing.Any = listener
-        self._front_task: typing.Any = None
+        self._front_server: acceptors.Acceptor | None = None
         self._stopped = eventlet.event.Event()
         self._buffers: buffers.Buffers | None = None
         self._bodies: bodies.Bodies | None = None
@@ -338,7 +339,9 @@
             eventlet.spawn_n(self._supervise, self._buffers.run)
         if self._bodies is not None:
             eventlet.spawn_n(self._supervise, self._bodies.run)
-        self._front_task = ingress.start_server(self._listener, self._front)
+        self._front_server = ingress.start_server(
+            self._listener, self._front, self._listen_at_front
+        )
         for address, handler in self._get_handlers().items():
             made = self._make_ingress(handler)
             if address == settings.peer:
@@ -366,6 +369,12 @@
         self._log.write("started", front=settings.front)
         self._stopped.wait()
 
+    def _listen_at_front(self) -> typing.Any:
+        listener = ingress.listen(self._settings.front)
+        if self._buffers is not None:
+            buffers.limit_listener(listener)
+        return listener
+
     def _open_front(self) -> None:
         """Let requests through once the node is ready.
 
@@ -406,6 +415,7 @@
     def _make_ingress(self, handler: ingress.Handler) -> ingress.Ingress:
         made = ingress.Ingress(handler, self._get_limits, self._now)
         made.on_error = self._log_handler_error
+        made.report = self._log.write
         made.bodies = self._bodies
         return made
 
@@ -430,7 +440,9 @@
     def _is_ready(self) -> bool:
         known = self._forwarder.has_configuration and self._fleet.is_known
         known = known and self._evacuations.is_known
-        return known and not self._stopping
+        front = self._front_server
+        is_accepting = front is not None and front.is_accepting
+        return known and is_accepting and not self._stopping
 
     # -- Handlers of the other addresses
 
@@ -520,10 +532,9 @@
         and on open connections the answer says that the request was not
         run.
         """
-        if self._front_task is not None:
-            self._listener.close()
-            self._front_task.kill()
-            self._front_task = None
+        if self._front_server is not None:
+            self._front_server.close()
+            self._front_server = None
             self._forwarder.is_stopping = True
             self._peer_exchanges.is_stopping = True
 
--- a/currantwall/root.py
+++ b/currantwall/root.py
@@ -129,7 +129,7 @@
         eventlet.spawn(self._clock.run)
         eventlet.spawn(self._splicer.run)
         eventlet.spawn(self._ping_seeds)
-        self._serving = eventlet.spawn(self._server.run)
+        self._server.start()
         structlog.get_logger().info(
             "started",
             node=self._settings.node.id,
@@ -173,7 +173,7 @@
         eventlet.sleep(self._settings.requests.entries_ttl)
         self._server.begin_close()
         self._await_requests(log)
-        self._serving.kill()
+        self._server.close()
         self._hand_over_keys(log)
         log.info("stopped")
         self._links.close()
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import functools
 import socket
 import struct
 import typing
@@ -18,6 +19,7 @@
 from currantwall.coordination.requests import bodies as bodies_budget
 from currantwall.coordination.requests import buffering
 from currantwall.state import routes
+from currantwall.transport import acceptors
 from currantwall.transport import bodies as bodies_module
 from currantwall.transport import buffers as buffers_module
 from currantwall.transport import listeners
@@ -100,6 +102,8 @@
         is_closing: Whether each answer closes its connection.
         in_flight: Number of requests that are being answered.
         on_error: Called with unexpected exceptions of the handler.
+        connections: Most connections that are served at the same time.
+        report: Called with the name and the fields of an event.
         buffers: Bounds what is held for callers; None to bound nothing.
         bodies: Grants room for bodies; None to bound nothing.
         get_patience: Returns for how many seconds a body may wait for
@@ -118,6 +122,8 @@
         self.is_closing = False
         self.in_flight = 0
         self.on_error: abc.Callable[[Exception], None] = _ignore
+        self.connections = POOL_SIZE
+        self.report: abc.Callable[..., None] = _ignore_report
         self.buffers: buffers_module.Buffers | None = None
         self.bodies: bodies_module.Bodies | None = None
         self.get_patience: abc.Callable[[readers.Head], float] = lambda _: (
@@ -482,6 +488,10 @@
     return
 
 
+def _ignore_report(_: str, **fields: typing.Any) -> None:
+    return
+
+
 def listen(address: str) -> typing.Any:
     """Return a listening socket on an address."""
     return wrap_listener(listeners.open_listener(address))
@@ -497,18 +507,43 @@
     return eventlet.greenio.GreenSocket(listener)
 
 
-def start_server(listener: typing.Any, ingress: Ingress) -> typing.Any:
-    """Serve a listening socket in a task of its own; return the task."""
-    protocol = type("_BoundProtocol", (_Protocol,), {"ingress": ingress})
-    return eventlet.spawn(
-        eventlet.wsgi.server,
+def start_server(
+    listener: typing.Any,
+    ingress: Ingress,
+    open_listener: abc.Callable[[], typing.Any] | None = None,
+) -> acceptors.Acceptor:
+    """Serve the connections of a listening socket.
+
+    Args:
+        listener: The socket.
+        ingress: Answers their requests.
+        open_listener: Returns another socket for the same address, should
+            the first one be of no use; None for one with usual options.
+    """
+    host, port = listener.getsockname()
+    server = eventlet.wsgi.Server(
         listener,
+        (host, port),
         None,
-        custom_pool=eventlet.GreenPool(POOL_SIZE),
-        protocol=protocol,
+        protocol=type("_BoundProtocol", (_Protocol,), {"ingress": ingress}),
+        minimum_chunk_size=0,
         log_output=False,
         debug=False,
         socket_timeout=_WRITE_TIMEOUT,
-        minimum_chunk_size=0,
         capitalize_response_headers=False,
     )
+
+    def serve(accepted: typing.Any, address: typing.Any) -> None:
+        accepted.settimeout(_WRITE_TIMEOUT)
+        server.process_request([address, accepted, eventlet.wsgi.STATE_IDLE])
+
+    acceptor = acceptors.Acceptor(
+        listener,
+        open_listener or functools.partial(listen, f"{host}:{port}"),
+        serve,
+        ingress.connections,
+        ingress.now,
+        ingress.report,
+    )
+    acceptor.start()
+    return acceptor
--- a/currantwall/transport/server.py
+++ b/currantwall/transport/server.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import functools
 import http
 import re
 import socket
@@ -15,8 +16,11 @@
 import eventlet
 import eventlet.wsgi
 import msgspec
+import structlog
 
 from currantwall.protocol import http as http_protocol
+from currantwall.transport import acceptors
+from currantwall.transport import timers
 
 __all__ = [
     "Handlers",
@@ -29,7 +33,7 @@
 
 _ROUTE_ATTRIBUTE = "_route"
 # Most connections served at the same time.
-_POOL_SIZE = 4096
+_MAX_CONNECTIONS = 4096
 # Bytes.
 _MAX_URL_SIZE = 8192
 # Socket timeout in seconds.
@@ -104,6 +108,7 @@
     """Listens at an address and dispatches requests to handlers.
 
     Attributes:
+        address: Host and port that it listens at.
         in_flight: Number of requests whose answer is not completely sent.
     """
 
@@ -117,20 +122,12 @@
             entry for group in handlers for entry in group.list_routes()
         ]
         self._body_limit = body_limit
-        self._socket = eventlet.listen(address, reuse_port=False)
-        # Accepted connections inherit this: the first token of a stream
-        # must not wait for the acknowledgement of the headers.
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._pool = eventlet.GreenPool(_POOL_SIZE)
-        self._closing = False
-        self.in_flight = 0
-
-    def run(self) -> None:
-        """Serve requests until the socket closes or the task is killed."""
-        eventlet.wsgi.server(
-            self._socket,
+        listener = _listen(address)
+        self.address = listener.getsockname()
+        self._wsgi = eventlet.wsgi.Server(
+            listener,
+            self.address,
             self._serve,
-            custom_pool=self._pool,
             protocol=_QuietProtocol,
             log_output=False,
             debug=False,
@@ -138,6 +135,31 @@
             socket_timeout=_IDLE_TIMEOUT,
             minimum_chunk_size=0,
         )
+        self._acceptor = acceptors.Acceptor(
+            listener,
+            functools.partial(_listen, self.address),
+            self._serve_connection,
+            _MAX_CONNECTIONS,
+            timers.TimerService.now,
+            _report,
+        )
+        self._closing = False
+        self.in_flight = 0
+
+    def start(self) -> None:
+        """Begin to serve requests, in a task."""
+        self._acceptor.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._acceptor.close()
+
+    def _serve_connection(
+        self, accepted: typing.Any, address: typing.Any
+    ) -> None:
+        accepted.settimeout(_IDLE_TIMEOUT)
+        state = [address, accepted, eventlet.wsgi.STATE_IDLE]
+        self._wsgi.process_request(state)
 
     def begin_close(self) -> None:
         """Send `Connection: close` with each further answer."""
@@ -251,6 +273,18 @@
     return
 
 
+def _listen(address: tuple[str, int]) -> typing.Any:
+    listener = eventlet.listen(address, reuse_port=False)
+    # Accepted connections inherit this: the first token of a stream must
+    # not wait for the acknowledgement of the headers.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
+
+
+def _report(event: str, **fields: typing.Any) -> None:
+    structlog.get_logger().warning(event, **fields)
+
+
 def _make_request(
     environ: dict[str, typing.Any],
     match: re.Match[str],
--- a/standins/process.py
+++ b/standins/process.py
@@ -5,6 +5,7 @@
 import typing
 
 import eventlet
+import eventlet.event
 
 from currantwall.protocol import http as http_protocol
 from currantwall.state import settings
@@ -40,4 +41,5 @@
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    eventlet.spawn(listening.run).wait()
+    listening.start()
+    eventlet.event.Event().wait()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -61,6 +61,7 @@
 import typing
 
 import eventlet
+import eventlet.event
 import eventlet.patcher
 import eventlet.tpool
 import msgspec
@@ -576,7 +577,8 @@
         server.serve, routes.Limits, timers.TimerService.now
     )
     eventlet.spawn(server.run)
-    ingress.start_server(ingress.listen(address), shared).wait()
+    ingress.start_server(ingress.listen(address), shared)
+    eventlet.event.Event().wait()
 
 
 def main() -> None:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -301,7 +301,7 @@
             timers.TimerService.now,
         )
         listener = ingress.listen("127.0.0.1:0")
-        task = ingress.start_server(listener, shared)
+        server = ingress.start_server(listener, shared)
         signal.alarm(_ALARM)
         closed = _threading.Event()
         caller = _socket.create_connection(listener.getsockname())
@@ -321,7 +321,7 @@
             with contextlib.suppress(OSError):
                 caller.shutdown(socket.SHUT_RDWR)
             caller.close()
-            task.kill()
+            server.close()
             listener.close()
 
     def test_a_request_without_end_holds_nothing(self):
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -29,8 +29,8 @@
             handler, routes.Limits, timers.TimerService.now
         )
         listener = ingress.listen("127.0.0.1:0")
-        task = ingress.start_server(listener, shared)
-        self.addCleanup(task.kill)
+        server = ingress.start_server(listener, shared)
+        self.addCleanup(server.close)
         return shared, listener.getsockname()
 
     def ask(self, address, data=_REQUEST):
@@ -178,8 +178,8 @@
             handle, routes.Limits, timers.TimerService.now
         )
         listener = ingress.listen("127.0.0.1:0")
-        task = ingress.start_server(listener, shared)
-        self.addCleanup(task.kill)
+        server = ingress.start_server(listener, shared)
+        self.addCleanup(server.close)
         self.address = listener.getsockname()
 
     def check(self, data):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -33,6 +33,7 @@
         "requests.attempts",
         "requests.backlog",
         "requests.balancing",
+        "requests.bodies",
         "requests.budgets",
         "requests.buffering",
         "requests.capacity",
