Buffers: let go of closed connections that were reset

Cause: a closed connection whose caller has not read all of its answer is kept until the kernel has nothing left to send. The kernel goes on counting the bytes of a connection that was reset (SIOCOUTQ: 59,425 before and after a reset, the state of the connection is CLOSE and SO_ERROR is set), so that it was kept for 60 s, by way of a further descriptor from dup, which fails where none is left.

Change: SO_ERROR tells a reset, and the closed connection takes the descriptor over.

Both tests failed before: one connection was kept after its reset, and EMFILE was raised instead of keeping the answer.

--- a/currantwall/transport/buffers.py
+++ b/currantwall/transport/buffers.py
@@ -322,11 +322,21 @@
         self.is_closing = False
         self._moved = opened.sample().moved
         self._unsent = opened.count_unsent()
-        self._socket = opened.fd.dup()
+        # Takes the descriptor over: a further one may not be left.
+        self._socket = socket.socket(fileno=opened.fd.detach())
+
+    def _count_unsent(self) -> int:
+        """Return the bytes that were not acknowledged.
+
+        The kernel goes on counting those of a connection that was reset.
+        """
+        if self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return 0
+        return _count_bytes(self._socket, _UNSENT_REQUEST)
 
     def sample(self) -> buffering.Sample:
         """Return the state of the connection."""
-        unsent = _count_bytes(self._socket, _UNSENT_REQUEST)
+        unsent = self._count_unsent()
         self._moved += self._unsent - unsent
         self._unsent = unsent
         return buffering.Sample(
--- a/tests/test_acceptors.py
+++ b/tests/test_acceptors.py
@@ -1,15 +1,19 @@
 """Listening sockets that go on accepting, and say so when they can't."""
 
 import errno
+import os
 import resource
 import socket
+import struct
 import unittest
+from unittest import mock
 
 import eventlet
 from eventlet.green import socket as green_socket
 
 from currantwall.protocol import http as http_protocol
 from currantwall.state import routes
+from currantwall.transport import buffers
 from currantwall.transport import ingress
 from currantwall.transport import server as server_module
 from currantwall.transport import timers
@@ -130,3 +134,59 @@
         with eventlet.Timeout(_TIMEOUT):
             self.assertIn(b" 200 ", clients[2].recv(1000))
         self.assertTrue(acceptor.is_accepting)
+
+
+class ClosedSocketTest(unittest.TestCase):
+    def setUp(self):
+        self.buffers = buffers.Buffers(
+            100_000_000,
+            900,
+            mock.Mock(),
+            mock.Mock(),
+            timers.TimerService.now,
+        )
+
+    def close_unread(self):
+        """Close a connection with unread bytes; return its other end."""
+        listener = ingress.listen("127.0.0.1:0")
+        self.addCleanup(listener.close)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+        client.connect(listener.getsockname())
+        accepted, _ = listener.accept()
+        opened = self.buffers.open(accepted, "caller")
+        opened.fd.send(b"x" * 60_000)
+        opened.shutdown(socket.SHUT_RDWR)
+        before = len(os.listdir("/proc/self/fd"))
+        opened.close()
+        self.assertEqual(len(os.listdir("/proc/self/fd")), before)
+        self.assertEqual(len(self.buffers._sockets), 1)
+        return client
+
+    def test_a_closed_connection_that_is_reset_is_let_go(self):
+        """Guards against descriptors of callers that have left."""
+        client = self.close_unread()
+        self.buffers._check()
+        self.assertEqual(len(self.buffers._sockets), 1)
+        linger = struct.pack("ii", 1, 0)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        client.close()
+        eventlet.sleep(0.1)
+        before = len(os.listdir("/proc/self/fd"))
+        self.buffers._check()
+        self.assertEqual(len(self.buffers._sockets), 0)
+        self.assertEqual(len(os.listdir("/proc/self/fd")), before - 1)
+
+    def test_a_closed_connection_is_held_without_a_free_descriptor(self):
+        """Guards against answers that are lost while descriptors are."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        with mock.patch.object(
+            socket.socket, "dup", side_effect=OSError(errno.EMFILE, "")
+        ):
+            client = self.close_unread()
+        received = b""
+        with client:
+            client.settimeout(_TIMEOUT)
+            while data := client.recv(65_536):
+                received += data
+        self.assertEqual(len(received), 60_000)
