Descriptors: bound what is accepted, and blame no upstream

Also by reading and by a test: a node without a descriptor for an upstream took that for the upstream's failure and avoided it, or for the loss of its path.

Cause: maxFds was not read. 900 connections of callers, one to an upstream each, and closed ones without a bound are more than a process has. EMFILE counted as a connection that failed.

Without a descriptor idle connections are closed first; then the request gets 503, not run, and nothing counts as failed: the upstream, a probe, the path. A forwarding peer says that it failed, so that another one is asked.

--- a/currantwall/coordination/replicas/knowledge.py
+++ b/currantwall/coordination/replicas/knowledge.py
@@ -97,6 +97,8 @@
     UNREPORTED = "unreported"
     # Nothing listens at the address, or another instance does.
     REFUSED = "refused"
+    # This node could not ask.
+    UNTRIED = "untried"
 
 
 class InstanceRecord:
--- a/currantwall/coordination/requests/buffering.py
+++ b/currantwall/coordination/requests/buffering.py
@@ -10,6 +10,7 @@
 
 from collections import abc
 import enum
+import sys
 
 import msgspec
 
@@ -158,15 +159,19 @@
         used: Bytes held at the last update, and changes since then.
     """
 
-    def __init__(self, memory: int, connections: int) -> None:
+    def __init__(
+        self, memory: int, connections: int, held: int = sys.maxsize
+    ) -> None:
         """Create a budget.
 
         Args:
             memory: Memory of the node in bytes.
             connections: Most connections that the node serves at once.
+            held: The same with closed ones whose callers still read.
         """
         self.limit = int(memory * _BUDGET_SHARE)
         self._max_connections = int(connections * _CONNECTIONS_SHARE)
+        self._max_held = int(held * _CONNECTIONS_SHARE)
         self.used = 0
         self._paces: dict[ids.ConnectionId, _Pace] = {}
 
@@ -212,14 +217,18 @@
         closed = {victim.connection for victim in victims}
         left = [item for item in samples if item.connection not in closed]
         bytes_left = sum(item.buffered for item in left)
-        count_left = sum(item.phase is not Phase.CLOSING for item in left)
+        open_left = sum(item.phase is not Phase.CLOSING for item in left)
+        held_left = len(left)
         for sample, reason in self._rank(left):
             is_open = sample.phase is not Phase.CLOSING
-            is_crowded = count_left > self._max_connections and is_open
+            is_crowded = held_left > self._max_held or (
+                open_left > self._max_connections and is_open
+            )
             if bytes_left > self.limit or is_crowded:
                 victims.append(self._make_victim(sample, reason))
                 bytes_left -= sample.buffered
-                count_left -= is_open
+                open_left -= is_open
+                held_left -= 1
         return victims
 
     def _find_limit(self, sample: Sample) -> Reason | None:
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -21,6 +21,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import budgets
+from currantwall.coordination.requests import descriptors
 from currantwall.coordination.requests import evacuations as evacuations_module
 from currantwall.coordination.requests import paths as paths_module
 from currantwall.coordination.requests import quarantine as quarantine_module
@@ -255,6 +256,9 @@
         self._listener: typing.Any = listener
         self._front_server: acceptors.Acceptor | None = None
         self._stopped = eventlet.event.Event()
+        self._shares = descriptors.divide(settings.descriptors)
+        self._connections.max_idle = self._shares.idle
+        self._peer_connections.max_idle = self._shares.idle
         self._buffers: buffers.Buffers | None = None
         self._bodies: bodies.Bodies | None = None
         if settings.memory is not None:
@@ -263,7 +267,8 @@
             )
             self._buffers = buffers.Buffers(
                 settings.memory,
-                ingress.POOL_SIZE,
+                self._shares.front,
+                self._shares.held,
                 self._meter,
                 self._log,
                 self._now,
@@ -271,6 +276,7 @@
             self._connections.is_bounded = True
             self._peer_connections.is_bounded = True
         self._front = self._make_ingress(self._forwarder.serve)
+        self._front.connections = self._shares.front
         self._front.get_patience = self._forwarder.get_patience
         self._front.buffers = self._buffers
 
@@ -344,6 +350,7 @@
         )
         for address, handler in self._get_handlers().items():
             made = self._make_ingress(handler)
+            made.connections = self._get_connections(address)
             if address == settings.peer:
                 made.limits = self._get_peer_limits
             ingress.start_server(ingress.listen(address), made)
@@ -394,6 +401,14 @@
             settings.metrics: self._answer_metrics,
         }
 
+    def _get_connections(self, address: str) -> int:
+        """Return the most connections to an address but the front."""
+        if address == self._settings.directory:
+            return self._shares.directory
+        if address == self._settings.peer:
+            return self._shares.peer
+        return self._shares.status
+
     def _supervise(self, task: abc.Callable[[], None]) -> None:
         """Run a task, and run it again whenever it raises an exception.
 
--- a/currantwall/state/gateway.py
+++ b/currantwall/state/gateway.py
@@ -37,6 +37,8 @@
         cold_slack: Number of such requests allowed beyond that.
         memory: Bytes of memory that the process may use; None if what it
             holds for callers is not bounded.
+        descriptors: Descriptors that the process may have open, with those
+            for files; None if their number is not bounded.
     """
 
     node: ids.NodeId
@@ -59,3 +61,4 @@
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
     memory: int | None = None
+    descriptors: int | None = None
--- a/currantwall/transport/buffers.py
+++ b/currantwall/transport/buffers.py
@@ -368,6 +368,7 @@
         self,
         memory: int,
         connections: int,
+        held: int,
         meter: metrics_module.Metrics,
         log: journal.Journal,
         now: abc.Callable[[], float],
@@ -377,11 +378,12 @@
         Args:
             memory: Memory of the node in bytes.
             connections: Most connections that are served at once.
+            held: The same with closed ones whose callers still read.
             meter: Counts the bytes held and the connections closed.
             log: Gets a line for each connection that is closed.
             now: Returns the monotonic time.
         """
-        self._budget = buffering.Budget(memory, connections)
+        self._budget = buffering.Budget(memory, connections, held)
         self._meter = meter
         self._log = log
         self._now = now
--- a/currantwall/transport/duties.py
+++ b/currantwall/transport/duties.py
@@ -646,6 +646,8 @@
             started: Monotonic time at which it was sent.
             new_connection: Whether it used a new connection.
         """
+        if found is knowledge.ProbeResult.UNTRIED:
+            return
         has_path = self.verify_path(started)
         now = self._clock.now()
         self._log.write(
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -6,9 +6,11 @@
 """
 
 import enum
+import errno
 import http.client
 import math
 import socket
+import sys
 import typing
 
 import eventlet
@@ -30,7 +32,9 @@
     "Connections",
     "Data",
     "End",
+    "EXHAUSTED",
     "Exchange",
+    "Exhausted",
     "FAILURES",
     "Failed",
     "Framing",
@@ -70,6 +74,9 @@
 PAUSED = "paused"
 # Step of an exchange whose answer exceeded a limit.
 LIMIT = "limit"
+# Step of an exchange for which this process had no descriptor.
+EXHAUSTED = "exhausted"
+_SHORTAGES = (errno.EMFILE, errno.ENFILE)
 _select = eventlet.patcher.original("select")
 
 # Timeout of a new connection in seconds. The round trip between data
@@ -104,6 +111,10 @@
 Headers = list[tuple[str, str]]
 
 
+class Exhausted(OSError):  # noqa: N818
+    """This process has no descriptor for a connection."""
+
+
 class Outbound(msgspec.Struct, frozen=True, kw_only=True):
     """A request as it goes to an upstream.
 
@@ -206,6 +217,7 @@
         opened: Number of connections opened so far.
         on_opened: Called when a new connection is open.
         is_bounded: Whether the buffers of new connections are bounded.
+        max_idle: Most idle connections that are kept.
     """
 
     def __init__(self, now: typing.Callable[[], float]) -> None:
@@ -214,6 +226,8 @@
         self.opened = 0
         self.on_opened: typing.Callable[[], None] = _ignore
         self.is_bounded = False
+        self.max_idle = sys.maxsize
+        self._idle_count = 0
 
     def take(
         self, instance: ids.InstanceId, address: str, new_connection: bool
@@ -231,6 +245,7 @@
         """
         while not new_connection and self._idle.get(instance):
             idle = self._idle[instance].pop()
+            self._idle_count -= 1
             if self.now() < idle.expires_at and is_quiet(idle.connection):
                 return idle.connection
             idle.connection.close()
@@ -246,10 +261,16 @@
             timeout: Timeout of the connect in seconds.
 
         Raises:
+            Exhausted: This process has no descriptor for it, also after
+                the idle connections were closed.
             OSError: The connection failed.
             urllib3.exceptions.HTTPError: The same, found by urllib3.
         """
-        connection = open_connection(address, timeout)
+        try:
+            connection = open_connection(address, timeout)
+        except Exhausted:
+            self.clear()
+            connection = open_connection(address, timeout)
         connection.response_class = responses.StrictResponse
         if self.is_bounded:
             buffers.limit_receiving(connection.sock)
@@ -276,9 +297,11 @@
             keep_alive: Seconds for which it may be used.
         """
         connections = self._idle.setdefault(instance, [])
-        if keep_alive <= 0 or len(connections) >= _MAX_IDLE:
+        is_full = self._idle_count >= self.max_idle
+        if keep_alive <= 0 or len(connections) >= _MAX_IDLE or is_full:
             connection.close()
             return
+        self._idle_count += 1
         connections.append(_Idle(connection, self.now() + keep_alive))
 
     def forget(self, present: typing.Container[ids.InstanceId]) -> None:
@@ -293,6 +316,7 @@
             for idle in connections:
                 if idle not in reusable:
                     idle.connection.close()
+            self._idle_count -= len(connections) - len(reusable)
             if reusable:
                 self._idle[instance] = reusable
             else:
@@ -307,6 +331,9 @@
     Args:
         address: Host and port.
         timeout: Timeout of the connect in seconds.
+
+    Raises:
+        Exhausted: This process has no descriptor for it.
     """
     host, _, port = address.rpartition(":")
     connection = sockets.ResetAwareConnection(
@@ -319,7 +346,14 @@
         ],
     )
     connection.response_class = responses.LimitedResponse
-    connection.connect()
+    try:
+        connection.connect()
+    except (OSError, urllib3.exceptions.HTTPError) as error:
+        # urllib3 wraps the error of the system call.
+        cause = error.__cause__ or error
+        if isinstance(cause, OSError) and cause.errno in _SHORTAGES:
+            raise Exhausted(cause.errno, str(cause)) from error
+        raise
     return connection
 
 
@@ -417,6 +451,8 @@
                 step = HELD
             elif isinstance(error, sockets.LimitExceeded):
                 step = LIMIT
+            elif isinstance(error, Exhausted):
+                step = EXHAUSTED
             self._put(Failed(self.number, self._may_have_sent, step, detail))
         finally:
             # Also reached when the task is killed.
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -18,6 +18,7 @@
 
 from currantwall.coordination.requests import bodies as bodies_budget
 from currantwall.coordination.requests import buffering
+from currantwall.coordination.requests import descriptors
 from currantwall.state import routes
 from currantwall.transport import acceptors
 from currantwall.transport import bodies as bodies_module
@@ -29,15 +30,12 @@
 __all__ = [
     "Inbound",
     "Ingress",
-    "POOL_SIZE",
     "Reply",
     "listen",
     "start_server",
     "wrap_listener",
 ]
 
-# Most connections served at the same time; further ones wait.
-POOL_SIZE = 900
 _WRITE_TIMEOUT = buffers_module.WRITE_TIMEOUT
 # Seconds and bytes for which input is discarded after a refusal. Closing a
 # connection with unread input resets it, and the caller may lose the answer.
@@ -122,7 +120,7 @@
         self.is_closing = False
         self.in_flight = 0
         self.on_error: abc.Callable[[Exception], None] = _ignore
-        self.connections = POOL_SIZE
+        self.connections = descriptors.Shares().front
         self.report: abc.Callable[..., None] = _ignore_report
         self.buffers: buffers_module.Buffers | None = None
         self.bodies: bodies_module.Bodies | None = None
--- a/currantwall/transport/paths.py
+++ b/currantwall/transport/paths.py
@@ -101,6 +101,9 @@
         """Open connections to some upstreams; note it if none succeeds."""
         try:
             has_reached = self._try_some()
+            if has_reached is None:
+                # A check that had no descriptors shows nothing.
+                return
             if self._paths.note_check(has_reached):
                 self._note_change()
             self._is_returning = has_reached and self._paths.is_lost
@@ -108,8 +111,12 @@
             self._running = None
             done.send(not self._paths.is_lost)
 
-    def _try_some(self) -> bool:
-        """Return whether a connection was opened, or none could be tried."""
+    def _try_some(self) -> bool | None:
+        """Return whether a connection was opened, or none was to be tried.
+
+        Returns:
+            None if this process has no descriptors for connections.
+        """
         self._count += 1
         chosen = self._paths.choose_checked(
             self._fleet.all(), f"{self._paths.node}{self._count}"
@@ -129,16 +136,19 @@
                 except eventlet.queue.Empty:
                     break
                 pending -= 1
+                if reached is None:
+                    return None
                 if reached:
                     return True
-        return any(results.get() for _ in range(pending))
+        found = [results.get() for _ in range(pending)]
+        return None if None in found else any(found)
 
     def _try_one(
         self,
         upstream: upstreams.Upstream,
         results: eventlet.queue.LightQueue,
     ) -> None:
-        has_reached = False
+        has_reached: bool | None = False
         try:
             connection = self._connections.open(
                 upstream.address, _CHECK_TIMEOUT
@@ -147,6 +157,8 @@
             self._connections.give_back(
                 ids.InstanceId(upstream.id), connection, _KEEP_ALIVE
             )
+        except exchanges.Exhausted:
+            has_reached = None
         except exchanges.FAILURES:
             # What a check is for.
             return
--- a/currantwall/transport/peerexchanges.py
+++ b/currantwall/transport/peerexchanges.py
@@ -76,9 +76,12 @@
             self._read_frames(response)
         except exchanges.FAILURES as error:
             detail = f"{self._peer.id}: {type(error).__name__}: {error}"
+            step = exchanges.PEER
+            if isinstance(error, exchanges.Exhausted):
+                step = exchanges.EXHAUSTED
             self._put(
                 exchanges.Failed(
-                    self.number, self._may_have_sent, exchanges.PEER, detail
+                    self.number, self._may_have_sent, step, detail
                 )
             )
         finally:
@@ -357,7 +360,10 @@
         if isinstance(message, exchanges.End):
             return peerexchanges.BodyEnd()
         step = message.step
-        if not message.may_have_sent and not self._checks.verify(started):
+        if step == exchanges.EXHAUSTED:
+            # The sender may choose another peer.
+            step = exchanges.PEER
+        elif not message.may_have_sent and not self._checks.verify(started):
             # This node has lost its path too; the upstream may be well.
             step = exchanges.PEER
         return peerexchanges.ExchangeFailed(
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -44,6 +44,7 @@
 # Cause of a failed attempt whose answer a crash may have ended.
 CUT_SHORT = "body: ended by the end of its upstream"
 _EXCESSIVE = "currantwall.answers.excessive"
+_EXHAUSTED = "currantwall.attempts.exhausted"
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
 _DURATION = "currantwall.answers.duration"
 # Seconds between two attempts to choose an upstream for a broken stream.
@@ -59,6 +60,8 @@
 # Seconds until the caller may retry after a refusal by a peer that knows of
 # a quarantined part which this node has not heard of yet.
 _QUARANTINE_RETRY_AFTER = 1.0
+# Seconds until the caller may retry if this node has no descriptor left.
+_EXHAUSTED_RETRY_AFTER = 0.5
 # Ranks by which an engine admits requests, from 0 (first) to 9.
 _RANK_RESUMED = 1
 _RANK_IN_TIME = 4
@@ -667,6 +670,14 @@
             raise self.make_refusal(
                 request, failed.detail, _QUARANTINE_RETRY_AFTER
             )
+        if failed.step == exchanges.EXHAUSTED:
+            # Not the upstream's failure, nor a lost path.
+            current.exchange.cancel()
+            self.end_attempt(current)
+            self._meter.add(_EXHAUSTED, 1)
+            raise self.make_refusal(
+                request, "no descriptor left", _EXHAUSTED_RETRY_AFTER
+            )
         failure = Failure.LOST if failed.may_have_sent else Failure.UNREACHED
         if failed.step in (exchanges.LEAVING, exchanges.PAUSED):
             self._note_withdrawn(current.upstream, failed)
--- a/tests/test_acceptors.py
+++ b/tests/test_acceptors.py
@@ -1,6 +1,7 @@
 """Listening sockets that go on accepting, and say so when they can't."""
 
 import errno
+import http.client
 import os
 import resource
 import socket
@@ -11,6 +12,9 @@
 import eventlet
 from eventlet.green import socket as green_socket
 
+from bench import bodies as bench
+from bench import gateways
+from currantwall.coordination.requests import descriptors
 from currantwall.protocol import http as http_protocol
 from currantwall.state import routes
 from currantwall.transport import buffers
@@ -141,6 +145,7 @@
         self.buffers = buffers.Buffers(
             100_000_000,
             900,
+            900,
             mock.Mock(),
             mock.Mock(),
             timers.TimerService.now,
@@ -190,3 +195,55 @@
             while data := client.recv(65_536):
                 received += data
         self.assertEqual(len(received), 60_000)
+
+
+class SharesTest(unittest.TestCase):
+    def test_connections_leave_descriptors_to_upstreams(self):
+        """Guards against callers that take what upstreams need."""
+        for count in (400, 1535, 1570, 2870, 10_436):
+            shares = descriptors.divide(count)
+            taken = shares.held + shares.directory + shares.peer
+            taken += 2 * shares.status + 1
+            self.assertLess(taken, 0.85 * (count - 200))
+            self.assertGreaterEqual(shares.held, shares.front)
+
+
+class GatewayShortageTest(unittest.TestCase):
+    def setUp(self):
+        self.site = self.enterContext(bench.Site(("g1",)))
+        self.site.start()
+        host, _, port = self.site.fronts["g1"].partition(":")
+        self.caller = http.client.HTTPConnection(host, int(port), timeout=20)
+        self.addCleanup(self.caller.close)
+
+    def ask(self, attempt):
+        """Send a request that needs a new connection to a server."""
+        headers = {
+            "Host": gateways.HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Bearer {gateways.KEY}",
+        }
+        self.caller.request("POST", "/unsafe/x", b"x", headers)
+        answer = self.caller.getresponse()
+        answer.read()
+        return answer.status
+
+    def test_a_shortage_of_descriptors_is_not_the_upstreams_failure(self):
+        """Guards against avoiding servers for a failure of the node."""
+        self.assertEqual(self.ask("before"), 200)
+        pid = self.site.get_pid("g1")
+        limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (8, limits[1]))
+        try:
+            statuses = [self.ask(f"short-{number}") for number in range(9)]
+        finally:
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+        self.assertEqual(set(statuses), {503})
+        statuses = [self.ask(f"after-{number}") for number in range(9)]
+        self.assertEqual(set(statuses), {200})
+        ran = {run["attempt"] for run in self.site.list_runs(*bench.UPSTREAMS)}
+        self.assertFalse([name for name in ran if name.startswith("short")])
+        events = {line["event"] for line in self.site.read_events("g1")}
+        self.assertNotIn("path_lost", events)
+        self.assertNotIn("attempt_failed", events)
--- a/tests/test_buffering.py
+++ b/tests/test_buffering.py
@@ -130,6 +130,23 @@
         _, victims = self.run_samples(make, 60)
         self.assertEqual(len(victims), 40)
 
+    def test_closed_connections_leave_descriptors_to_others(self):
+        """Guards against a node without descriptors for new callers."""
+        self.budget = buffering.Budget(1_000_000_000, 900, held=100)
+
+        def make(now):
+            closed = [
+                make_sample(number, Phase.CLOSING, unread=5000, buffered=1)
+                for number in range(120)
+            ]
+            moved = int(1_000_000 * now)
+            fast = {"buffered": 1, "unread": 60_000, "moved": moved}
+            return [*closed, make_sample(999, **fast)]
+
+        _, victims = self.run_samples(make, 30)
+        self.assertEqual(len(victims), 31)
+        self.assertNotIn(999, [victim.connection for victim in victims])
+
     def test_connections_in_use_are_not_idle(self):
         """Guards against closing connections between two requests.
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,6 +36,7 @@
         "requests.bodies",
         "requests.budgets",
         "requests.buffering",
+        "requests.descriptors",
         "requests.capacity",
         "requests.coldness",
         "requests.crashlog",
