Stops: refuse first, and close a connection when nothing is owed on it

Cause: the kill of the front task gives up its turn before requests are refused. eventlet's server has shut idle connections down in both directions by then; what had arrived on them is read and sent on, and the answer can't be written. The process also exited while requests were received: only those being answered counted.

Change: requests are refused first. Then the listening sockets of callers and of peers are closed, after what the kernel has accepted on them, and each connection as soon as nothing is owed on it: what has arrived is answered, a body that is received is refused, idle connections are closed. The process exits when all connections are closed. Answers to peers close their connections from SIGTERM on. Unread input behind the last answer is discarded, as it would reset the connection. currantwalld refuses requests once it has awaited the last one.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -255,6 +255,7 @@
         self._stopping = False
         self._listener: typing.Any = listener
         self._front_server: acceptors.Acceptor | None = None
+        self._peer_server: acceptors.Acceptor | None = None
         self._stopped = eventlet.event.Event()
         self._shares = descriptors.divide(settings.descriptors)
         self._connections.max_idle = self._shares.idle
@@ -279,6 +280,9 @@
         self._front.connections = self._shares.front
         self._front.get_patience = self._forwarder.get_patience
         self._front.buffers = self._buffers
+        self._peer = self._make_ingress(self._answer_peer)
+        self._peer.connections = self._shares.peer
+        self._peer.limits = self._get_peer_limits
 
     def _make_news(self) -> news.NewsExchange:
         """Create the news exchange and connect its callbacks."""
@@ -351,9 +355,10 @@
         for address, handler in self._get_handlers().items():
             made = self._make_ingress(handler)
             made.connections = self._get_connections(address)
-            if address == settings.peer:
-                made.limits = self._get_peer_limits
             ingress.start_server(ingress.listen(address), made)
+        self._peer_server = ingress.start_server(
+            ingress.listen(settings.peer), self._peer
+        )
         tasks = [
             self._log.run,
             self._checks.run,
@@ -392,21 +397,18 @@
         self._forwarder.end_start_hold()
 
     def _get_handlers(self) -> dict[str, ingress.Handler]:
-        """Return the handlers of all addresses but the front, by address."""
+        """Return the handlers of the other addresses for callers."""
         settings = self._settings
         return {
             settings.ready: self._answer_ready,
             settings.directory: self._answer_directory,
-            settings.peer: self._answer_peer,
             settings.metrics: self._answer_metrics,
         }
 
     def _get_connections(self, address: str) -> int:
-        """Return the most connections to an address but the front."""
+        """Return the most connections to such an address."""
         if address == self._settings.directory:
             return self._shares.directory
-        if address == self._settings.peer:
-            return self._shares.peer
         return self._shares.status
 
     def _supervise(self, task: abc.Callable[[], None]) -> None:
@@ -547,15 +549,30 @@
         and on open connections the answer says that the request was not
         run.
         """
-        if self._front_server is not None:
-            self._front_server.close()
-            self._front_server = None
-            self._forwarder.is_stopping = True
-            self._peer_exchanges.is_stopping = True
+        # First: other tasks run while connections are closed.
+        self._forwarder.is_stopping = True
+        self._peer_exchanges.is_stopping = True
+        before = self._count_open()
+        if self._bodies is not None:
+            self._bodies.close()
+        for server in (self._front_server, self._peer_server):
+            if server is not None:
+                server.close()
+        self._front.end_connections()
+        self._peer.end_connections()
+        self._log.write(
+            "front_closed",
+            open_before=before,
+            open=self._count_open(),
+            in_flight=self._count_in_flight(),
+        )
 
     def _count_in_flight(self) -> int:
         return self._front.in_flight + self._peer_exchanges.in_flight
 
+    def _count_open(self) -> int:
+        return self._front.open_count + self._peer.open_count
+
     def _stop(self) -> None:
         """Shut down gracefully.
 
@@ -567,18 +584,21 @@
         started = self._now()
         self._log.write("stopping", in_flight=self._front.in_flight)
         self._front.is_closing = True
+        self._peer.is_closing = True
         self._news.send()
         self._duties.stop()
         eventlet.spawn_n(self._nodes_feed.leave)
         exit_deadline = started + self._settings.grace - _EXIT_MARGIN
         drain_end = started + self._settings.drain
-        while self._now() < exit_deadline:
-            if self._now() >= drain_end:
-                self._close_front()
-                if not self._count_in_flight():
-                    break
+        eventlet.sleep(max(0.0, min(drain_end, exit_deadline) - self._now()))
+        self._close_front()
+        while self._now() < exit_deadline and self._count_open():
             eventlet.sleep(_POLL_INTERVAL)
-        self._log.write("stopped", in_flight=self._count_in_flight())
+        self._log.write(
+            "stopped",
+            open=self._count_open(),
+            in_flight=self._count_in_flight(),
+        )
         self._log.flush()
         os._exit(0)
 
--- a/currantwall/root.py
+++ b/currantwall/root.py
@@ -174,6 +174,8 @@
         self._server.begin_close()
         self._await_requests(log)
         self._server.close()
+        # A request may have begun just before the server was closed.
+        self._await_requests(log)
         self._hand_over_keys(log)
         log.info("stopped")
         self._links.close()
--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import contextlib
 import functools
 import socket
 import struct
@@ -12,6 +13,7 @@
 
 import eventlet
 import eventlet.greenio
+import eventlet.greenthread
 import eventlet.wsgi
 import msgspec
 import urllib3
@@ -46,6 +48,9 @@
 _BODY_LINGER_TIMEOUT = 3.0
 # Bytes discarded at once.
 _DISCARD_SIZE = 65_536
+# Seconds in which the first request must begin to arrive on a connection
+# that was opened just before the server closes.
+_FIRST_REQUEST_TIMEOUT = 0.5
 # Seconds that a body waits for room where callers give no time.
 _DEFAULT_PATIENCE = 1.0
 
@@ -98,6 +103,7 @@
 
     Attributes:
         is_closing: Whether each answer closes its connection.
+        is_ending: Whether connections are closed once nothing is owed.
         in_flight: Number of requests that are being answered.
         on_error: Called with unexpected exceptions of the handler.
         connections: Most connections that are served at the same time.
@@ -118,7 +124,9 @@
         self.limits = limits
         self.now = now
         self.is_closing = False
+        self.is_ending = False
         self.in_flight = 0
+        self._protocols: set[_Protocol] = set()
         self.on_error: abc.Callable[[Exception], None] = _ignore
         self.connections = descriptors.Shares().front
         self.report: abc.Callable[..., None] = _ignore_report
@@ -128,6 +136,34 @@
             _DEFAULT_PATIENCE
         )
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._protocols)
+
+    def note_opened(self, protocol: "_Protocol") -> None:
+        """Note a connection that was opened."""
+        self._protocols.add(protocol)
+
+    def note_closed(self, protocol: "_Protocol") -> None:
+        """Note that a connection is closed."""
+        self._protocols.discard(protocol)
+
+    def end_connections(self) -> None:
+        """Have each connection closed as soon as nothing is owed on it.
+
+        A request that has arrived is still read and answered. A body that
+        is being received is refused: its request will not be served.
+        Connections that were just opened get a moment for their request.
+
+        Failure: an idle connection is shut down in both directions. A
+        request that has arrived by then is read and sent to an upstream,
+        and its answer can't be written.
+        """
+        self.is_closing = self.is_ending = True
+        for protocol in list(self._protocols):
+            protocol.end()
+
     def handle(self, inbound: Inbound) -> Reply:
         """Return the answer to a request, or 500 if the handler fails.
 
@@ -147,6 +183,10 @@
             )
 
 
+class _Ended(Exception):  # noqa: N818
+    """The server closes, and an idle connection with it."""
+
+
 class _Upload:
     """Room and time for the body of one request."""
 
@@ -158,6 +198,7 @@
         self._timer.cancel()
         # Bytes that the caller may still send.
         self.expected = 0
+        self.is_receiving = True
 
     def reserve(self, size: int) -> None:
         """Wait until there is room; the body must arrive in time then.
@@ -208,6 +249,7 @@
     def end_receiving(self) -> None:
         """Note that the body has come, or that no more of it is read."""
         self._timer.cancel()
+        self.is_receiving = False
         if self._reservation is not None:
             self._reservation.end_receiving()
 
@@ -232,6 +274,11 @@
         """Create the files of the connection, and count what it holds."""
         self._opened: buffers_module.CallerSocket | None = None
         self._is_whole = True
+        self._task: typing.Any = eventlet.getcurrent()
+        self._is_idle = False
+        self._has_served = False
+        self._upload: _Upload | None = None
+        self.ingress.note_opened(self)
         buffers = self.ingress.buffers
         if buffers is not None:
             self._opened = buffers.open(self.request, self.caller)
@@ -243,13 +290,29 @@
         """Close the connection, with a reset if its answer is incomplete."""
         try:
             if self._is_whole:
+                self._linger()
                 super().finish()
             else:
                 self._reset()
         finally:
+            self._task = None
+            self.ingress.note_closed(self)
             if self._opened is not None:
                 self._close_opened(self._opened)
 
+    def _linger(self) -> None:
+        """Discard what has arrived behind the last request.
+
+        Failure: the connection is closed with unread input, which resets
+        it, and the caller loses the answer that is on its way.
+        """
+        if not buffers_module.count_unread(self.connection):
+            return
+        with contextlib.suppress(OSError, ValueError):
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+            self._discard_input(_LINGER_BYTES, _LINGER_TIMEOUT)
+
     def _close_opened(self, opened: buffers_module.CallerSocket) -> None:
         """Close a counted connection, also where its last write failed."""
         try:
@@ -299,6 +362,42 @@
         if self._opened is not None:
             self._opened.reserved = size
 
+    # -- End of the connection
+
+    def end(self) -> None:
+        """Close the connection once nothing is owed on it."""
+        if self._task is None:
+            return
+        if self._upload is not None and self._upload.is_receiving:
+            stopping = readers.Malformed(503, "stopping", 0.0)
+            eventlet.greenthread.kill(self._task, stopping)
+        elif self._is_idle:
+            eventlet.greenthread.kill(self._task, _Ended())
+
+    def _await_request(self) -> bool:
+        """Wait for a request; return whether one has begun to arrive."""
+        self._is_idle = True
+        try:
+            if not self.ingress.is_ending:
+                return bool(self.rfile.peek(1))
+        except _Ended:
+            # A request may have arrived in the meantime.
+            pass
+        finally:
+            self._is_idle = False
+        if self._has_served:
+            return self._has_input()
+        self.connection.settimeout(_FIRST_REQUEST_TIMEOUT)
+        return bool(self.rfile.peek(1))
+
+    def _has_input(self) -> bool:
+        """Return whether bytes have arrived that were not read."""
+        self.connection.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        finally:
+            self.connection.settimeout(_WRITE_TIMEOUT)
+
     # -- Requests
 
     def handle_one_request(self) -> None:
@@ -307,10 +406,10 @@
         self.command = ""
         self.request_version = "HTTP/1.1"
         self.requestline = ""
-        self._upload: _Upload | None = None
         try:
             self._serve_request()
         finally:
+            self._has_served = True
             upload, self._upload = self._upload, None
             if upload is not None:
                 upload.release()
@@ -343,7 +442,7 @@
     def _read_request(self) -> Inbound | None:
         limits = self.ingress.limits()
         self.connection.settimeout(limits.idle_timeout)
-        if not self.rfile.peek(1):
+        if not self._await_request():
             return None
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
         self.note_phase(buffering.Phase.RECEIVING)
@@ -443,17 +542,22 @@
             self.wfile.write(head.encode() + b"\r\n" + body)
             self.wfile.flush()
             self.connection.shutdown(socket.SHUT_WR)
-            self._discard_input(error)
+            remaining, timeout = _LINGER_BYTES, _LINGER_TIMEOUT
+            if self._upload is not None and error.status in _UNREAD_STATUSES:
+                remaining += self._upload.expected
+                timeout = _BODY_LINGER_TIMEOUT
+            self._discard_input(remaining, timeout)
         except (OSError, ValueError):
             # The caller has disconnected.
             return
 
-    def _discard_input(self, error: readers.Malformed) -> None:
-        """Discard input until the caller closes, for a bounded time."""
-        remaining, timeout = _LINGER_BYTES, _LINGER_TIMEOUT
-        if self._upload is not None and error.status in _UNREAD_STATUSES:
-            remaining += self._upload.expected
-            timeout = _BODY_LINGER_TIMEOUT
+    def _discard_input(self, remaining: int, timeout: float) -> None:
+        """Discard input until the caller closes.
+
+        Args:
+            remaining: Most bytes to discard.
+            timeout: Seconds after which to end.
+        """
         turns = sockets.Turns()
         with eventlet.Timeout(timeout, False):
             while remaining > 0:
--- a/currantwall/transport/server.py
+++ b/currantwall/transport/server.py
@@ -144,6 +144,7 @@
             _report,
         )
         self._closing = False
+        self._is_refusing = False
         self.in_flight = 0
 
     def start(self) -> None:
@@ -151,7 +152,12 @@
         self._acceptor.start()
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening, and refuse further requests.
+
+        Failure: a request that comes on an open connection after the last
+        one was awaited runs, and the process exits before it is answered.
+        """
+        self._is_refusing = self._closing = True
         self._acceptor.close()
 
     def _serve_connection(
@@ -188,6 +194,9 @@
         return _Body(self, response.body)
 
     def _answer(self, environ: dict[str, typing.Any]) -> Response:
+        if self._is_refusing:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            return http_protocol.fail(status, "stopping", "not run")
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         allowed = False
