Streams: no third upstream for an attempt that breaks off silently

Cause: a silent attempt stays open while its replacement begins. If it then breaks off, another one was started, as only attempts that have ended count.

Change: a failed attempt is replaced only if all others are silent too.

--- a/currantwall/transport/races.py
+++ b/currantwall/transport/races.py
@@ -417,7 +417,10 @@
             if not self._runners:
                 raise
             return
-        self._is_start_due = bool(self._runners)
+        # An attempt that is not silent takes the place of the failed one.
+        self._is_start_due = bool(self._runners) and all(
+            runner.attempt.is_held for runner in self._runners
+        )
         self._next_start = 0.0
 
     def _is_new(self, event: events.Event) -> bool:
