Events: search only new bytes for the end of an event

Cause: Splitter.feed searched and copied all of an unfinished event at each piece.

Change: it searches what is new and the three bytes before, in a buffer that grows in place.

--- a/currantwall/protocol/events.py
+++ b/currantwall/protocol/events.py
@@ -13,6 +13,7 @@
 
 # An empty line ends an event; servers end lines with LF or CRLF.
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_EVENT_END_BYTES = 4
 _ID_FIELD = b"id:"
 
 
@@ -32,12 +33,12 @@
     """Splits a stream of bytes into events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     @property
     def is_inside_event(self) -> bool:
@@ -45,13 +46,22 @@
         return bool(self._buffer.strip(b"\r\n"))
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add data to the buffer; return the events that it completes."""
+        """Add data to the buffer; return the events that it completes.
+
+        Failure: an event comes in pieces without end. If each piece has all
+        of it searched, the process does nothing else.
+        """
+        # What was searched before may end with a part of an empty line.
+        start = max(0, len(self._buffer) - (_EVENT_END_BYTES - 1))
+        begin = 0
         self._buffer += data
         complete = []
-        while (match := _EVENT_END.search(self._buffer)) is not None:
-            event = self._buffer[: match.end()]
-            self._buffer = self._buffer[match.end() :]
+        while match := _EVENT_END.search(self._buffer, start):
+            start = match.end()
+            event = bytes(self._buffer[begin:start])
+            begin = start
             complete.append(Event(_find_id(event), event))
+        del self._buffer[:begin]
         return complete
 
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,5 +1,6 @@
 """The parts of a gateway without I/O: choosing, repeating, splitting."""
 
+import time
 import unittest
 
 import hypothesis
@@ -450,6 +451,15 @@
         self.assertEqual(splitter.feed(b"id: 1\ndata: a\n"), [])
         self.assertEqual(splitter.rest, b"id: 1\ndata: a\n")
 
+    def test_an_event_without_end_costs_what_its_bytes_cost(self):
+        """Guards against a stream that holds up all other requests."""
+        splitter = events.Splitter()
+        began = time.process_time()
+        for _ in range(5_000):
+            self.assertEqual(splitter.feed(b"x" * 64), [])
+        self.assertLess(time.process_time() - began, 1.0)
+        self.assertEqual(len(splitter.rest), 64 * 5_000)
+
 
 if __name__ == "__main__":
     unittest.main()
