--- a/currantwall/transport/ingress.py
+++ b/currantwall/transport/ingress.py
@@ -440,10 +440,11 @@
     # -- Reading
 
     def _read_request(self) -> Inbound | None:
-        limits = self.ingress.limits()
-        self.connection.settimeout(limits.idle_timeout)
+        self.connection.settimeout(self.ingress.limits().idle_timeout)
         if not self._await_request():
             return None
+        # The configuration may have changed while the connection was idle.
+        limits = self.ingress.limits()
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
         self.note_phase(buffering.Phase.RECEIVING)
         with eventlet.Timeout(limits.header_timeout):
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -82,6 +82,23 @@
         self.assertEqual(answer.count(b"HTTP/1.1 200 OK"), 2)
         self.assertTrue(answer.endswith(b"/y"))
 
+    def test_limits_that_change_hold_on_kept_connections(self):
+        """Guards against a refusal by limits that are no longer in force."""
+        shared, address = self.serve(
+            lambda _: ingress.Reply(status=200, headers=[], body=b"")
+        )
+        shared.limits = lambda: routes.Limits(body_bytes=5)
+        with eventlet.Timeout(20):
+            client = green_socket.create_connection(address)
+            client.sendall(_REQUEST)
+            self.assertIn(b" 200 ", client.recv(1000))
+            eventlet.sleep(0.05)
+            shared.limits = routes.Limits
+            head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
+            client.sendall(head + b"x" * 10)
+            self.assertIn(b" 200 ", client.recv(1000))
+            client.close()
+
     def test_a_closing_server_closes_the_connection_with_each_answer(self):
         shared, address = self.serve(
             lambda _: ingress.Reply(status=200, headers=[], body=b"")
