Paths: try only services that requests are sent to

Cause: the check of a node's path tries four of all listed upstreams.

Change: it tries those of services that the configuration names; all, while there is none.

--- a/currantwall/coordination/requests/paths.py
+++ b/currantwall/coordination/requests/paths.py
@@ -100,18 +100,29 @@
 
     @staticmethod
     def choose_checked(
-        listed: abc.Iterable[upstreams.Upstream], salt: str
+        listed: abc.Iterable[upstreams.Upstream],
+        salt: str,
+        services: abc.Container[ids.ServiceName] = (),
     ) -> list[upstreams.Upstream]:
         """Return the upstreams to connect to in a check.
 
         They are of different domains and services where there are several.
 
+        Failure: many entries are of services that nobody uses any more, and
+        nothing listens at their addresses. A node that tries only these
+        takes its path for lost and refuses all requests.
+
         Args:
             listed: All upstreams.
             salt: Text that is hashed to choose others each time.
+            services: The services that requests are sent to; empty if they
+                are not known.
         """
+        used = (
+            one for one in listed if not services or one.service in services
+        )
         ranked = sorted(
-            listed, key=lambda one: hashing.hash_text(f"{salt}\0{one.id}")
+            used, key=lambda one: hashing.hash_text(f"{salt}\0{one.id}")
         )
         groups: dict[tuple[str, str, str], int] = {}
         keyed = []
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -244,6 +244,7 @@
             self._clock,
         )
         self._duties.services = self._list_services
+        self._checks.services = self._list_services
         self._duties.verify_path = self._checks.verify
         self._duties.is_cut_off = self._paths.is_cut_off
         self._duties.evacuations = self._evacuations
--- a/currantwall/transport/paths.py
+++ b/currantwall/transport/paths.py
@@ -11,6 +11,7 @@
 
 from currantwall.coordination.requests import paths as paths_module
 from currantwall.state import ids
+from currantwall.state import routes
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
 from currantwall.transport import journal
@@ -61,6 +62,7 @@
         self._lost_at = 0.0
         # Whether the last check has found a path that counts as lost.
         self._is_returning = False
+        self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
         self.on_lost: abc.Callable[[], None] = _ignore
         self.on_change: abc.Callable[[], None] = _ignore
 
@@ -119,7 +121,9 @@
         """
         self._count += 1
         chosen = self._paths.choose_checked(
-            self._fleet.all(), f"{self._paths.node}{self._count}"
+            self._fleet.all(),
+            f"{self._paths.node}{self._count}",
+            {service.name for service in self.services()},
         )
         if not chosen:
             return True
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -97,6 +97,24 @@
             self.assertEqual(len(chosen), 4)
             self.assertEqual(len({one.domain for one in chosen}), 3)
 
+    def test_a_check_tries_services_that_requests_are_sent_to(self):
+        """Guards against entries that nobody uses and nothing serves."""
+        listed = [
+            test_gateway_parts.make_upstream(f"{n}", domain=f"d{n}")
+            for n in range(9)
+        ]
+        foreign = [
+            msgspec.structs.replace(one, service=ids.ServiceName("old"))
+            for one in listed
+        ]
+        services = {listed[0].service}
+        for salt in range(20):
+            chosen = self.paths.choose_checked(
+                [*foreign, listed[0]], f"{salt}", services
+            )
+            self.assertEqual(chosen, [listed[0]])
+        self.assertEqual(len(self.paths.choose_checked(foreign, "")), 4)
+
     def test_requests_go_by_way_of_peers_with_a_path_only(self):
         """Guards against requests that a peer can't forward either."""
         self.hear("a2", has_path=False)
