--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -66,6 +66,55 @@
 _SHARES = "tests.test_limits.SharesTest"
 _WITHDRAWALS = "tests.test_withdrawals"
 MUTANTS = (
+    Mutant(
+        "a closed connection is kept after its reset",
+        "currantwall/transport/buffers.py",
+        "        if self._socket.getsockopt(socket.SOL_SOCKET, "
+        "socket.SO_ERROR):\n",
+        "        if False:\n",
+        "tests.test_acceptors.ClosedSocketTest"
+        ".test_a_closed_connection_that_is_reset_is_let_go",
+    ),
+    Mutant(
+        "a server that closes drops what has arrived",
+        "currantwall/transport/ingress.py",
+        "            return self._has_input()\n",
+        "            return False\n",
+        "tests.test_closing.ConnectionsTest"
+        ".test_a_request_that_has_arrived_is_answered",
+    ),
+    Mutant(
+        "bodies that grow wait for each other",
+        f"{_COORDINATION}/requests/bodies.py",
+        "            held > 0 and holding",
+        "            held < 0 and holding",
+        "tests.test_bodies.BudgetTest"
+        ".test_growing_bodies_do_not_wait_for_each_other",
+    ),
+    Mutant(
+        "a stream gets a third upstream",
+        "currantwall/transport/races.py",
+        "            runner.attempt.is_held for runner in self._runners\n",
+        "            True for runner in self._runners\n",
+        "tests.test_races.RaceTest"
+        ".test_a_silent_attempt_that_breaks_off_is_not_replaced_twice",
+    ),
+    Mutant(
+        "all of an event is searched at each piece",
+        "currantwall/protocol/events.py",
+        "        start = max(0, len(self._buffer) - (_EVENT_END_BYTES - 1))\n",
+        "        start = 0\n",
+        "tests.test_gateway_parts.SplitterTest"
+        ".test_an_event_without_end_costs_what_its_bytes_cost",
+    ),
+    Mutant(
+        "the path is tried at services that nobody uses",
+        f"{_COORDINATION}/requests/paths.py",
+        "if not services or one.service in services",
+        "if True",
+        "tests.test_paths.PathsTest"
+        ".test_a_check_tries_services_that_requests_are_sent_to",
+    ),
     Mutant(
         "a stream that ends inside an event counts as complete",
         f"{_COORDINATION}/requests/attempts.py",
