--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -561,6 +561,8 @@
                 server.close()
         self._front.end_connections()
         self._peer.end_connections()
+        # Tasks of connections that were accepted last begin now, and count.
+        eventlet.sleep(0)
         self._log.write(
             "front_closed",
             open_before=before,
--- a/currantwall/transport/acceptors.py
+++ b/currantwall/transport/acceptors.py
@@ -85,7 +85,7 @@
         """Stop listening; open connections are served to their end.
 
         Connections that the kernel has accepted are served too: their
-        callers have sent requests, and a reset would say nothing of them.
+        callers may have sent requests, and a reset says nothing of these.
         """
         task, self._task = self._task, None
         if task is not None:
@@ -100,7 +100,8 @@
         while True:
             try:
                 self._accept_next()
-            except OSError as error:
+            except Exception as error:
+                # Whatever it is, a node without a listener serves nobody.
                 self._listen_again(error)
 
     def _accept_next(self) -> None:
@@ -139,7 +140,7 @@
                 else:
                     eventlet.sleep(0)
 
-    def _listen_again(self, error: OSError) -> None:
+    def _listen_again(self, error: Exception) -> None:
         """Replace a listening socket that is of no use."""
         self._note_blocked(str(error))
         with contextlib.suppress(OSError):
