Logs: no age for a list that was never read, and a count of failed tasks

In the incident two gateways refused with lists that seemed 0.1 to 0.5 s old: `list_age` was the time since the store had answered any node, also on one that follows other nodes and has read no list. It is null there now, and `currantwall.tasks.failed` counts what `task_failed` logs, by task.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -72,6 +72,7 @@
 _POLL_INTERVAL = 0.05
 # Bytes of a forwarded request beyond the caller's headers and body.
 _PEER_OVERHEAD = 65_536
+_TASKS_FAILED = "currantwall.tasks.failed"
 # Seconds between two checks of whether a node that starts can serve.
 _START_POLL_INTERVAL = 0.01
 
@@ -196,7 +197,7 @@
             self._log,
             self._now,
         )
-        self._sender.fleet_age = lambda now: now - self._fleet.updated
+        self._sender.fleet_age = self._fleet.get_age
         self._forwarder = forwarding.Forwarder(
             self._sender, self._meter, self._log
         )
@@ -423,9 +424,11 @@
                 task()
                 return
             except Exception as error:
+                name = getattr(task, "__qualname__", "?")
+                self._meter.add(_TASKS_FAILED, 1, name)
                 self._log.write(
                     "task_failed",
-                    task=getattr(task, "__qualname__", "?"),
+                    task=name,
                     why=_format_error(error),
                 )
                 eventlet.sleep(_POLL_INTERVAL)
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -265,6 +265,10 @@
         """Return whether a list has been read."""
         return self.revision > 0
 
+    def get_age(self, now: float) -> float | None:
+        """Return the seconds since the list was read; None without one."""
+        return round(now - self.updated, 3) if self.is_known else None
+
     def replace(
         self,
         upstreams: abc.Iterable[Upstream],
--- a/currantwall/transport/advisories.py
+++ b/currantwall/transport/advisories.py
@@ -109,7 +109,7 @@
             upstream=upstream.id,
             limit=limit,
             is_holder=limits.is_holder(upstream.id, now),
-            list_age=round(now - self._fleet.updated, 3),
+            list_age=self._fleet.get_age(now),
         )
         self.on_limit_changed()
 
@@ -161,7 +161,7 @@
             request=request,
             upstream=upstream.id,
             left=left,
-            list_age=round(now - self._fleet.updated, 3),
+            list_age=self._fleet.get_age(now),
         )
         self.on_limit_changed()
 
@@ -217,7 +217,7 @@
             upstream=upstream.id,
             pause=pause,
             leaving=is_leaving,
-            list_age=round(now - self._fleet.updated, 3),
+            list_age=self._fleet.get_age(now),
         )
 
 
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -242,7 +242,7 @@
             why=refusal.reason,
             retry_after=round(refusal.retry_after, 3),
             version=self.table.version if self.table else 0,
-            list_age=round(self._sender.fleet_age(self._sender.now()), 3),
+            list_age=self._sender.fleet_age(self._sender.now()),
         )
         headers = [("Content-Type", "text/plain")]
         if refusal.status == 503:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -112,7 +112,7 @@
     ) -> None:
         self.names = names
         self.now = now
-        self.fleet_age: typing.Callable[[float], float] = lambda _: 0.0
+        self.fleet_age: typing.Callable[[float], float | None] = lambda _: None
         self.on_probe_requested: typing.Callable[[ids.InstanceId], None] = (
             _ignore
         )
@@ -461,7 +461,7 @@
             begun=None if begun_at is None else round(now - begun_at, 4),
             parts=request.prompt.parts,
             fingerprint=request.prompt.fingerprint,
-            list_age=round(self.fleet_age(now), 3),
+            list_age=self.fleet_age(now),
             is_held=current.is_held and not current.is_ended,
             verdict=verdict.value,
         )
@@ -784,7 +784,7 @@
             framing=current.framing.value if current.framing else None,
             rest=current.rest,
             version=request.version,
-            list_age=round(self.fleet_age(now), 3),
+            list_age=self.fleet_age(now),
         )
 
 
