Entries: decode addresses and numbers once, into types that can be used

Callers of a site got 503 from every gateway after all machines had been started again, while an entry of another writer with a port of 4,400 digits stood among the servers'.

Cause: `int` raises ValueError for text of more than 4,300 digits. The address was looked at outside of the handler that skips an unreadable entry, so the error ended FleetFeed.run at each read; a running gateway kept its list, a new one never had any. The class: another writer's text is checked in one place and used in another.

Change: `state.addresses` accepts what can be dialled (an IP literal, IPv6 in brackets, or a name that resolvers take; port 1 to 65,535) and `state.numbers` bounds numbers and names; entries, reports, the configuration, leases, node entries and stored parts decode into them. The same cause elsewhere, now refused where it is decoded: - a replica named m.1000000000.x made `is_whole` build a list of its size, one with 4,400 digits ended the feed; so did epoch ids of peers for the receiver; - a start time or version beyond 64 bits can't be encoded for peers; - an id of an instance or part that fills a heartbeat, or can't be a header; - X-Deadline-Ms, event ids, Content-Length, signatures, keys, versions and the store's era of any number of digits; - addresses of node entries, which the sender of heartbeats parsed each round; - a host name is looked up in a thread: the resolver held up the process.

--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -14,14 +14,17 @@
 from collections import abc
 import enum
 import math
+import typing
 
 import msgspec
 
 from currantwall.coordination.peers import outages
 from currantwall.coordination.peers import staleness
+from currantwall.state import addresses
 from currantwall.state import evacuations as evacuations_module
 from currantwall.state import ids
 from currantwall.state import limits as limits_module
+from currantwall.state import numbers
 from currantwall.state import quarantines
 from currantwall.state import rendezvous
 from currantwall.state import upstreams
@@ -69,6 +72,9 @@
 _RELAYED_READER_TIMEOUT_SECONDS = 1.8
 
 
+_NAME = msgspec.Meta(min_length=1, max_length=256)
+
+
 class RelayRequest(enum.IntEnum):
     """What the sender of a heartbeat asks of its receiver."""
 
@@ -107,13 +113,19 @@
             of 100 Mbit/s; the scarcer of the two counts.
     """
 
-    id: ids.NodeId
-    datacentre: ids.DatacentreName
-    front: str
-    heartbeats: str
-    peer: str
-    incarnation: int
-    capacity: float = 1.0
+    id: typing.Annotated[ids.NodeId, _NAME]
+    datacentre: typing.Annotated[ids.DatacentreName, _NAME]
+    front: numbers.Name
+    heartbeats: numbers.Name
+    peer: numbers.Name
+    incarnation: numbers.Count
+    capacity: numbers.Rate = 1.0
+
+    @property
+    def is_dialable(self) -> bool:
+        """Return whether all of its addresses can be connected to."""
+        texts = (self.front, self.heartbeats, self.peer)
+        return all(addresses.parse(text) is not None for text in texts)
 
 
 class Heartbeat(
--- a/currantwall/protocol/signing.py
+++ b/currantwall/protocol/signing.py
@@ -7,6 +7,8 @@
 import hashlib
 import hmac
 
+from currantwall.state import numbers
+
 __all__ = ["HEADER", "sign", "verify"]
 
 HEADER = "Currantwall-Signature"
@@ -42,10 +44,8 @@
         body: Request body.
     """
     timestamp, _, signature = value.partition(":")
-    if (
-        not timestamp.isdecimal()
-        or abs(now - int(timestamp)) > _MAX_TIME_DIFFERENCE
-    ):
+    seconds = numbers.parse_count(timestamp)
+    if seconds is None or abs(now - seconds) > _MAX_TIME_DIFFERENCE:
         return False
     expected = _compute_mac(key, timestamp, method, path, body)
     return hmac.compare_digest(expected, signature)
--- a/currantwall/state/domain.py
+++ b/currantwall/state/domain.py
@@ -9,14 +9,19 @@
 
 from collections import abc
 import enum
+import typing
 
 import msgspec
 
 from currantwall.state import ids
+from currantwall.state import numbers
 
 __all__ = ["Domain", "Lease", "Replica", "ReplicaPhase"]
 
 
+_COUNT = msgspec.Meta(ge=0, le=2**53 - 1)
+
+
 class ReplicaPhase(enum.Enum):
     """Phase of one replica generation; a dissolved one is removed."""
 
@@ -36,9 +41,9 @@
 
     holder: ids.NodeId
     incarnation: ids.Incarnation
-    epoch: ids.Epoch
-    ttl: float
-    era: int = 0
+    epoch: typing.Annotated[ids.Epoch, _COUNT]
+    ttl: numbers.Duration
+    era: numbers.Count = 0
 
     def belongs_to(
         self, node: ids.NodeId, incarnation: ids.Incarnation
--- a/currantwall/state/ids.py
+++ b/currantwall/state/ids.py
@@ -7,6 +7,7 @@
 import typing
 
 __all__ = [
+    "Address",
     "AttemptId",
     "CallId",
     "ConnectionId",
@@ -26,6 +27,8 @@
     "Version",
 ]
 
+# A ``host:port`` text that `state.addresses` has parsed.
+Address = typing.NewType("Address", str)
 AttemptId = typing.NewType("AttemptId", str)
 CallId = typing.NewType("CallId", int)
 ConnectionId = typing.NewType("ConnectionId", int)
--- a/currantwall/state/keys.py
+++ b/currantwall/state/keys.py
@@ -10,6 +10,7 @@
 
 from currantwall.state import hashing
 from currantwall.state import ids
+from currantwall.state import numbers
 
 __all__ = ["Home", "IssuedKey", "hash_key", "make_prefix", "parse_key"]
 
@@ -42,10 +43,12 @@
     parts = text.split(".", _FIELD_COUNT - 1)
     if len(parts) != _FIELD_COUNT or parts[0] != _SCHEME or not parts[4]:
         return None
-    if not (parts[2].isdecimal() and parts[3].isdecimal()):
+    incarnation = numbers.parse_count(parts[2], numbers.REVISION_DIGITS)
+    period = numbers.parse_count(parts[3])
+    if incarnation is None or period is None:
         return None
-    home = Home(ids.NodeId(parts[1]), ids.Incarnation(int(parts[2])))
-    return IssuedKey(home, int(parts[3]), parts[4])
+    home = Home(ids.NodeId(parts[1]), ids.Incarnation(incarnation))
+    return IssuedKey(home, period, parts[4])
 
 
 def hash_key(key: ids.KeyText, scope: str) -> str:
--- a/currantwall/state/settings.py
+++ b/currantwall/state/settings.py
@@ -12,6 +12,7 @@
 import result
 
 from currantwall.state import ids
+from currantwall.state import numbers
 from currantwall.state import profile
 
 __all__ = [
@@ -253,10 +254,11 @@
 
 def split_address(text: str) -> tuple[str, int] | None:
     """Return host and port of a ``host:port`` text, None if invalid."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) >= _PORT_LIMIT:
+    host, _, digits = text.rpartition(":")
+    port = numbers.parse_count(digits)
+    if not host or port is None or port >= _PORT_LIMIT:
         return None
-    return host, int(port)
+    return host, port
 
 
 def _check_numbers(
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from currantwall.state import ids
+from currantwall.state import numbers
 
 __all__ = [
     "Change",
@@ -69,7 +70,7 @@
 
     id: ids.InstanceId
     service: ids.ServiceName
-    address: str
+    address: ids.Address
     datacentre: ids.DatacentreName
     slots: int = 1
     leaving: bool = False
@@ -112,7 +113,8 @@
     def is_whole(self) -> bool:
         """Return whether all ranks are present, none joining or broken."""
         ranks = [member.seat.rank for member in self.members if member.seat]
-        if ranks != list(range(self.size)):
+        # The name of a replica may claim any size.
+        if len(ranks) != self.size or ranks != list(range(self.size)):
             return False
         unfit = (Phase.JOINING, Phase.BROKEN)
         return all(one.seat.phase not in unfit for one in self.members)  # type: ignore[union-attr]
@@ -138,18 +140,18 @@
 
 def parse_epoch_id(text: str) -> tuple[ids.InstanceId, int] | None:
     """Return instance and epoch of an epoch id, None for any other text."""
-    instance, mark, epoch = text.rpartition("@")
-    if not mark or not epoch.isdecimal():
+    instance, mark, number = text.rpartition("@")
+    epoch = numbers.parse_count(number)
+    if not mark or epoch is None:
         return None
-    return ids.InstanceId(instance), int(epoch)
+    return ids.InstanceId(instance), epoch
 
 
 def parse_replica_id(name: str) -> tuple[str, int] | None:
     """Return model and size of a replica id; None for other names."""
     parts = name.rsplit(".", 2)
-    if len(parts) != 3 or not parts[1].isdecimal():
-        return None
-    return parts[0], int(parts[1])
+    size = numbers.parse_count(parts[1]) if len(parts) == 3 else None
+    return None if size is None else (parts[0], size)
 
 
 def list_replicas(upstreams: abc.Iterable[Upstream]) -> list[Replica]:
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -22,7 +22,9 @@
 import urllib3.connection
 
 from currantwall.protocol import names as names_module
+from currantwall.state import addresses
 from currantwall.state import ids
+from currantwall.state import numbers
 from currantwall.transport import buffers
 from currantwall.transport import responses
 from currantwall.transport import sockets
@@ -78,6 +80,9 @@
 EXHAUSTED = "exhausted"
 _SHORTAGES = (errno.EMFILE, errno.ENFILE)
 _select = eventlet.patcher.original("select")
+_socket = eventlet.patcher.original("socket")
+# Lookups of host names at once.
+_RESOLVER_THREADS = 4
 
 # Timeout of a new connection in seconds. The round trip between data
 # centres takes 3 ms; TCP sends a lost SYN again after a second.
@@ -333,12 +338,15 @@
         timeout: Timeout of the connect in seconds.
 
     Raises:
+        ConnectionError: The text is no address.
         Exhausted: This process has no descriptor for it.
     """
-    host, _, port = address.rpartition(":")
+    host, port = addresses.split(address)
+    if not addresses.is_literal(host):
+        host = _resolve(host, timeout)
     connection = sockets.ResetAwareConnection(
         host,
-        int(port),
+        port,
         timeout=timeout,
         socket_options=[
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -357,6 +365,38 @@
     return connection
 
 
+def _resolve(host: str, timeout: float) -> str:
+    """Return an IP address of a host name.
+
+    Failure: the resolver waits for a server of names, and no other task of
+    the process runs.
+
+    Args:
+        host: The name.
+        timeout: Seconds after which the lookup is given up.
+
+    Raises:
+        OSError: There is none, or none was found in time.
+    """
+    # Few processes need its threads.
+    from eventlet import tpool
+
+    tpool.set_num_threads(_RESOLVER_THREADS)
+    with eventlet.Timeout(timeout, TimeoutError("name lookup timed out")):
+        found = tpool.execute(_look_up, host)
+    if found is None:
+        raise OSError(f"no address of {host!r}")
+    return typing.cast("str", found)
+
+
+def _look_up(host: str) -> str | None:
+    try:
+        infos = _socket.getaddrinfo(host, None, type=socket.SOCK_STREAM)
+    except (OSError, UnicodeError):
+        return None
+    return str(infos[0][4][0])
+
+
 def read_body(response: urllib3.BaseHTTPResponse, limit: int) -> bytes:
     """Return the body of an answer to a call.
 
@@ -585,6 +625,7 @@
         return 0.0
     for parameter in headers.get("keep-alive", "").split(","):
         name, _, seconds = parameter.strip().partition("=")
-        if name.lower() == "timeout" and seconds.strip().isdecimal():
-            return float(seconds) - _KEEP_ALIVE_MARGIN
+        count = numbers.parse_count(seconds)
+        if name.lower() == "timeout" and count is not None:
+            return count - _KEEP_ALIVE_MARGIN
     return _DEFAULT_KEEP_ALIVE
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -13,6 +13,7 @@
 import eventlet.queue
 
 from currantwall.coordination.requests import attempts
+from currantwall.state import numbers
 from currantwall.state import routes
 from currantwall.transport import ingress
 from currantwall.transport import journal
@@ -263,9 +264,8 @@
     Args:
         value: The header's value in milliseconds.
     """
-    if value is None or not value.strip().isdecimal():
-        return None
-    return int(value) / 1000.0
+    milliseconds = None if value is None else numbers.parse_count(value)
+    return None if milliseconds is None else milliseconds / 1000.0
 
 
 def _read_key(inbound: ingress.Inbound) -> str | None:
--- a/currantwall/transport/heartbeats.py
+++ b/currantwall/transport/heartbeats.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from currantwall.coordination.peers import digests
+from currantwall.state import addresses
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import ports
 from currantwall.transport import timers
@@ -44,11 +45,10 @@
         meter: metrics_module.Metrics,
         clock: timers.TimerService,
     ) -> None:
-        host, _, port = address.rpartition(":")
         self._socket: typing.Any = green_socket.socket(
             socket.AF_INET, socket.SOCK_DGRAM
         )
-        self._socket.bind((host, int(port)))
+        self._socket.bind(addresses.split(address))
         self._compose = compose
         self._deliver = deliver
         self._meter = meter
@@ -112,9 +112,9 @@
         size = len(data) * len(datagram.to)
         self._meter.add("currantwall.peers.sent_bytes", size)
         for entry in datagram.to:
-            host, _, port = entry.heartbeats.rpartition(":")
             try:
-                self._socket.sendto(data, (host, int(port)))
+                address = addresses.split(entry.heartbeats)
+                self._socket.sendto(data, address)
             except OSError:
                 # The link is congested or cut; the next round repeats the
                 # report.
--- a/currantwall/transport/operators.py
+++ b/currantwall/transport/operators.py
@@ -3,7 +3,6 @@
 from collections import abc
 import functools
 import http
-import typing
 
 import msgspec
 
@@ -15,6 +14,7 @@
 from currantwall.state import domain
 from currantwall.state import evacuations
 from currantwall.state import ids
+from currantwall.state import numbers
 from currantwall.state import objects
 from currantwall.state import profile
 from currantwall.state import stops
@@ -273,8 +273,9 @@
         kind: objects.Kind,
         struct: type[msgspec.Struct] | None,
     ) -> Response:
-        expected = request.query.get("expected", "")
-        if not expected.isdecimal():
+        text = request.query.get("expected", "")
+        expected = numbers.parse_count(text, numbers.REVISION_DIGITS)
+        if expected is None:
             status = http.HTTPStatus.BAD_REQUEST
             message = "expected=VERSION is missing from the query"
             return http_protocol.fail(status, "bad_request", message)
@@ -285,7 +286,7 @@
                 return checked
             value = checked
         key = objects.ObjectKey(kind.value, request.path_params["name"])
-        return self._store(key, value, ids.Version(int(expected)))
+        return self._store(key, value, ids.Version(expected))
 
     def _store(
         self, key: objects.ObjectKey, value: bytes, expected: ids.Version
@@ -358,10 +359,9 @@
     @_signed
     def show_timeline(self, request: server.Request) -> Response:
         """Return the events of this process, all or those after a stamp."""
-        since: typing.Any = request.query.get("since", "")
-        stamp = None
-        if since.isdecimal():
-            stamp = timeline.Stamp(int(since))
+        text = request.query.get("since", "")
+        since = numbers.parse_count(text, numbers.REVISION_DIGITS)
+        stamp = None if since is None else timeline.Stamp(since)
         body = operators.Timeline(
             self._core.node.nodes.me.id, self._recorder.ring.select(stamp)
         )
--- a/currantwall/transport/peers.py
+++ b/currantwall/transport/peers.py
@@ -7,6 +7,7 @@
 import eventlet
 import urllib3
 
+from currantwall.state import numbers
 from currantwall.transport import exchanges
 from currantwall.transport import ports
 
@@ -94,4 +95,4 @@
     """Return the revision in a request's target; 0 if it names none."""
     query = urllib.parse.parse_qs(target.partition("?")[2])
     text = query.get("since", ["0"])[0]
-    return int(text) if text.isdecimal() else 0
+    return numbers.parse_count(text, numbers.REVISION_DIGITS) or 0
--- a/currantwall/transport/platform.py
+++ b/currantwall/transport/platform.py
@@ -15,6 +15,7 @@
 from currantwall.coordination import part
 from currantwall.protocol import platform
 from currantwall.state import ids
+from currantwall.state import numbers
 from currantwall.state import objects
 from currantwall.state import settings as settings_module
 from currantwall.transport import coordinator
@@ -188,9 +189,12 @@
             return Status.UNAVAILABLE, b"", ids.Version(0)
         except (urllib3.exceptions.HTTPError, OSError):
             return Status.LOST, b"", ids.Version(0)
-        version = response.headers.get("Object-Version", "0")
+        text = response.headers.get("Object-Version", "0")
+        version = numbers.parse_count(text, numbers.REVISION_DIGITS)
+        if version is None:
+            return Status.LOST, b"", ids.Version(0)
         status = _map_status(response.status)
-        return status, response.data, ids.Version(int(version))
+        return status, response.data, ids.Version(version)
 
 
 def _make_path(key: objects.ObjectKey) -> str:
--- a/currantwall/transport/ports.py
+++ b/currantwall/transport/ports.py
@@ -48,8 +48,14 @@
 
 
 # What decoding a stored value or a message of another writer may raise. Values
-# with thousands of levels exceed the limit of recursion.
-UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
+# with thousands of levels exceed the limit of recursion, and numbers may
+# exceed the range of a double.
+UNREADABLE = (
+    msgspec.MsgspecError,
+    ValueError,
+    RecursionError,
+    OverflowError,
+)
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/currantwall/transport/quarantines.py
+++ b/currantwall/transport/quarantines.py
@@ -14,6 +14,7 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import quarantine as quarantine_module
 from currantwall.state import ids
+from currantwall.state import numbers
 from currantwall.state import revisions
 from currantwall.transport import journal
 from currantwall.transport import ports
@@ -26,6 +27,8 @@
 _CHECK_INTERVAL = 0.25
 # The same after a call has failed, or while other nodes write the changes.
 _RETRY_INTERVAL = 2.0
+# Most characters of a part's id, which heartbeats contain.
+_MAX_NAME_LENGTH = 128
 # Nodes that write the changes of a part.
 _WRITERS = 2
 
@@ -37,7 +40,7 @@
         trials: Number of requests with it that were tried.
     """
 
-    trials: int = 0
+    trials: numbers.Count = 0
 
 
 class QuarantineFeed:
@@ -98,6 +101,9 @@
         now = self._now()
         for stored in listed.ok_value.objects:
             part = ids.PartId(stored.name)
+            if len(part) > _MAX_NAME_LENGTH:
+                self._log.write("part_unreadable", part=part, why="its name")
+                continue
             try:
                 trials = msgspec.json.decode(
                     stored.value, type=StoredPart
--- a/currantwall/transport/races.py
+++ b/currantwall/transport/races.py
@@ -18,6 +18,7 @@
 
 from currantwall.coordination.requests import attempts
 from currantwall.protocol import events
+from currantwall.state import numbers
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
 from currantwall.transport import requests
@@ -428,7 +429,6 @@
 
         A resumed stream may repeat events.
         """
-        last = self._request.last_event
-        if last.isdecimal() and event.id.isdecimal():
-            return int(event.id) > int(last)
-        return True
+        last = numbers.parse_count(self._request.last_event)
+        current = numbers.parse_count(event.id)
+        return last is None or current is None or current > last
--- a/currantwall/transport/registrations.py
+++ b/currantwall/transport/registrations.py
@@ -40,6 +40,8 @@
         self._registered = False
         # Revision of this node's entry, as written last.
         self._revision = 0
+        # Entries that can't be read, as of the last list, and why.
+        self._unreadable: dict[str, str] = {}
 
     def run(self) -> None:
         """Register this node, then read the list forever."""
@@ -84,13 +86,22 @@
         decoder: "msgspec.json.Decoder[presence_module.NodeEntry]",
     ) -> None:
         entries = []
+        unreadable = {}
         for stored in listing.objects:
             try:
-                entries.append(decoder.decode(stored.value))
+                entry = decoder.decode(stored.value)
             except ports.UNREADABLE as error:
-                self._log.write(
-                    "node_entry_unreadable", name=stored.name, why=str(error)
-                )
+                unreadable[stored.name] = str(error)
+                continue
+            if entry.is_dialable:
+                entries.append(entry)
+            else:
+                unreadable[stored.name] = "an address that is none"
+        for name in unreadable.keys() - self._unreadable.keys():
+            self._log.write(
+                "node_entry_unreadable", name=name, why=unreadable[name]
+            )
+        self._unreadable = unreadable
         self._presence.note_list(entries, self._clock.now())
         is_newer = listing.revision >= self._revision
         if is_newer and self._presence.me not in entries:
--- a/currantwall/transport/server.py
+++ b/currantwall/transport/server.py
@@ -19,6 +19,7 @@
 import structlog
 
 from currantwall.protocol import http as http_protocol
+from currantwall.state import numbers
 from currantwall.transport import acceptors
 from currantwall.transport import timers
 
@@ -220,20 +221,21 @@
 
     def _read_body(self, environ: dict[str, typing.Any]) -> bytes | Response:
         """Return the whole body, or an error response."""
-        length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdecimal():
+        text = environ.get("CONTENT_LENGTH") or "0"
+        length = numbers.parse_count(text)
+        if length is None:
             status = http.HTTPStatus.BAD_REQUEST
-            message = f"Content-Length is not a number: {length!r}"
+            message = f"Content-Length is not a size: {text[:80]!r}"
             return http_protocol.fail(status, "bad_length", message)
         stream = environ["wsgi.input"]
         chunked = environ.get("HTTP_TRANSFER_ENCODING", "")
         if "chunked" in chunked.lower():
             body = stream.read(self._body_limit + 1)
-        elif int(length) > self._body_limit:
+        elif length > self._body_limit:
             return self._refuse_size()
         else:
-            body = stream.read(int(length))
-            if len(body) < int(length):
+            body = stream.read(length)
+            if len(body) < length:
                 status = http.HTTPStatus.BAD_REQUEST
                 message = "the body is shorter than Content-Length says"
                 return http_protocol.fail(status, "short_body", message)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -61,7 +61,16 @@
         for name in _GATEWAYS:
             self.site.start_gateway(name)
 
+    def _await_server(self, name):
+        fleet.wait_until(
+            lambda: self.site.is_answering(name, "/currantwall/report"),
+            60.0,
+            name,
+        )
+
     def _await_ready(self, seconds=60.0):
+        for name in _SERVERS:
+            self._await_server(name)
         for name in _GATEWAYS:
             fleet.wait_until(
                 lambda name=name: self.site.is_ready(name), seconds, name
@@ -104,6 +113,7 @@
         self.assertEqual(self._list_statuses(), [200] * 60)
         # A new server is used, so that the list is still followed.
         self.site.start_upstream("app-new", "app")
+        self._await_server("app-new")
         fleet.wait_until(
             lambda: (
                 self._list_statuses(9) and self.site.list_runs("app-new") != []
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -14,9 +14,10 @@
 
 from currantwall_platform import client  # noqa: E402
 from currantwall_platform import documents  # noqa: E402
-from currantwall_platform import pages  # noqa: E402
 from currantwall_platform import store  # noqa: E402
 
+from currantwall.protocol import pages  # noqa: E402
+
 _ENTRY = {
     "service": "app",
     "address": "10.1.0.1:80",
