Tasks: outlast any error, and tell when one fails or the list is old

In the incident nothing but log lines told that the list was no longer followed: nodes that follow others had lists that seemed young, because a reader vouched for a list before it had applied it; a failed read was repeated twenty times a second, each time with a line of 4,400 digits.

A reader vouches for a list once it has applied it, a node without a list tells no age, `currantwall.instances.age` and `list_old` (beyond 3 s) tell an old one. Texts of log lines are cut at 500 characters.

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -56,23 +56,23 @@
 from currantwall.transport import queues
 from currantwall.transport import registrations
 from currantwall.transport import sending
+from currantwall.transport import supervision
 from currantwall.transport import timers
 
 __all__ = ["Gateway"]
 
 # Seconds between two removals of outdated state.
 _SWEEP_INTERVAL = 1.0
-# Most names of objects in one line of the log.
+# Most names of objects in one line of the log, and of their characters.
 _MAX_NAMES = 8
+_MAX_NAME_LENGTH = 80
 # The process exits this many seconds before the end of the grace period, at
 # which it would be killed, even if requests are in flight.
 _EXIT_MARGIN = 0.4
-# Seconds between two checks of the requests in flight during a stop, and
-# before a failed task is run again.
+# Seconds between two checks of the requests in flight during a stop.
 _POLL_INTERVAL = 0.05
 # Bytes of a forwarded request beyond the caller's headers and body.
 _PEER_OVERHEAD = 65_536
-_TASKS_FAILED = "currantwall.tasks.failed"
 # Seconds between two checks of whether a node that starts can serve.
 _START_POLL_INTERVAL = 0.01
 
@@ -106,6 +106,9 @@
         self._now = self._clock.now
         self._meter = metrics_module.Metrics(settings.node)
         self._log = journal.Journal(settings.node, self._now)
+        self._supervisor = supervision.Supervisor(
+            self._meter, self._log, self._now
+        )
         self._store = make_store(self._meter)
         self._store.on_unreadable = self._note_unreadable
         self._fleet = upstreams.Fleet()
@@ -302,6 +305,7 @@
             self._clock,
         )
         made.is_ready = lambda: self._is_ready
+        made.set_error_handler(self._supervisor.note_error)
         made.on_loss = self._sender.note_loss
         self._sender.on_probe_requested = made.report_stall
         self._checks.on_change = made.announce_path
@@ -333,7 +337,9 @@
         self._log.write(
             "objects_unreadable",
             kind=kind,
-            names=[repr(name) for name in names[:_MAX_NAMES]],
+            names=[
+                repr(name[:_MAX_NAME_LENGTH]) for name in names[:_MAX_NAMES]
+            ],
             count=len(names),
         )
 
@@ -348,9 +354,9 @@
         self._listener = ingress.wrap_listener(self._listener)
         if self._buffers is not None:
             buffers.limit_listener(self._listener)
-            eventlet.spawn_n(self._supervise, self._buffers.run)
+            self._supervisor.start(self._buffers.run)
         if self._bodies is not None:
-            eventlet.spawn_n(self._supervise, self._bodies.run)
+            self._supervisor.start(self._bodies.run)
         self._front_server = ingress.start_server(
             self._listener, self._front, self._listen_at_front
         )
@@ -379,7 +385,7 @@
         if settings.evacuation_bound is not None:
             tasks.append(self._evacuation_feed.run)
         for task in tasks:
-            eventlet.spawn_n(self._supervise, task)
+            self._supervisor.start(task)
         self._log.write("started", front=settings.front)
         self._stopped.wait()
 
@@ -413,26 +419,6 @@
             return self._shares.directory
         return self._shares.status
 
-    def _supervise(self, task: abc.Callable[[], None]) -> None:
-        """Run a task, and run it again whenever it raises an exception.
-
-        Failure: an unexpected exception ends a task, and the node goes on
-        serving with state that is never updated again.
-        """
-        while not self._stopping:
-            try:
-                task()
-                return
-            except Exception as error:
-                name = getattr(task, "__qualname__", "?")
-                self._meter.add(_TASKS_FAILED, 1, name)
-                self._log.write(
-                    "task_failed",
-                    task=name,
-                    why=_format_error(error),
-                )
-                eventlet.sleep(_POLL_INTERVAL)
-
     def _make_ingress(self, handler: ingress.Handler) -> ingress.Ingress:
         made = ingress.Ingress(handler, self._get_limits, self._now)
         made.on_error = self._log_handler_error
@@ -441,7 +427,7 @@
         return made
 
     def _log_handler_error(self, error: Exception) -> None:
-        self._log.write("handler_failed", why=_format_error(error))
+        self._log.write("handler_failed", why=supervision.format_error(error))
 
     def _get_limits(self) -> routes.Limits:
         table = self._forwarder.table
@@ -509,6 +495,8 @@
         return ingress.Reply(status=200, headers=[], body=body)
 
     def _answer_metrics(self, _: ingress.Inbound) -> ingress.Reply:
+        self._supervisor.report()
+        self._fleet_feed.report(self._meter)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         return ingress.Reply(
             status=200, headers=headers, body=self._meter.render()
@@ -537,6 +525,7 @@
     def _on_stop(self, number: int, frame: typing.Any) -> None:
         if not self._stopping:
             self._stopping = True
+            self._supervisor.stop()
             eventlet.spawn_n(self._stop)
 
     def _on_reload(self, number: int, frame: typing.Any) -> None:
@@ -612,14 +601,3 @@
 def _answer_json(body: bytes) -> ingress.Reply:
     headers = [("Content-Type", "application/json")]
     return ingress.Reply(status=200, headers=headers, body=body)
-
-
-def _format_error(error: Exception) -> str:
-    """Return type and message of an error, and the line that raised it."""
-    traceback = error.__traceback__
-    while traceback is not None and traceback.tb_next is not None:
-        traceback = traceback.tb_next
-    line = traceback.tb_lineno if traceback else 0
-    file = traceback.tb_frame.f_code.co_filename if traceback else "?"
-    name = os.path.basename(file)
-    return f"{type(error).__name__}: {error} ({name}:{line})"
--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import math
 
 import eventlet
 import eventlet.event
@@ -21,6 +22,7 @@
 from currantwall.state import revisions
 from currantwall.state import upstreams
 from currantwall.transport import journal
+from currantwall.transport import metrics as metrics_module
 from currantwall.transport import peers
 from currantwall.transport import ports
 from currantwall.transport import timers
@@ -36,6 +38,13 @@
 _OUTAGE_READ_INTERVAL = 4.0
 # Seconds between two checks whether a peer has a newer list.
 _FOLLOW_INTERVAL = 0.25
+# Seconds after which a list counts as old, and between two log lines about
+# it. In an outage of the store it is as old as the outage.
+_AGE_LIMIT = 3.0
+_AGE_LOG_INTERVAL = 1.0
+_AGE_METRIC = "currantwall.instances.age"
+# Value of the metric on a node that has no list.
+_NO_AGE = -1
 # Name of this feed in the log lines about the store.
 _FEED_NAME = "instances"
 # Largest number of instance names in one field of a log line.
@@ -66,8 +75,11 @@
         self._presence = presence
         self._history = presence.store_history
         self._reachable = True
-        # When the store last answered this node.
+        # When this node last asked for a list that it has applied.
         self._answered_at: float | None = None
+        self._started_at = clock.now()
+        # When it last logged that the list is old.
+        self._told_at = -math.inf
         # Sent when a peer reports a newer list.
         self._newer_list = eventlet.event.Event()
         # Whether the last list was refused as older than the held one.
@@ -102,6 +114,7 @@
         """Follow the store, or a peer that reads it, forever."""
         while True:
             now = self._clock.now()
+            self._check_age(now)
             self._drop_unlisted(now)
             if self._presence.reads_store(now):
                 self._read_store(now)
@@ -129,8 +142,9 @@
             return
         self._history.note_answer(asked_at)
         self._note_reachable()
-        self._answered_at = asked_at
         self._apply_list(listed.ok_value, asked_at)
+        # Other nodes rely on this node's list from now on.
+        self._answered_at = asked_at
 
     def _list_upstreams(
         self, asked_at: float
@@ -168,7 +182,7 @@
         newer = self._presence.find_newer_list(self.changed, now)
         if newer is not None and self._fetch_list(newer, now):
             return
-        if newer is None:
+        if newer is None and self._fleet.is_known:
             answered_at = self._presence.store_answered_at or 0.0
             self._fleet.updated = max(self._fleet.updated, answered_at)
         with eventlet.Timeout(_FOLLOW_INTERVAL, False):
@@ -218,8 +232,26 @@
             self._fleet.has_unlisted = True
             self._apply_again(now)
 
+    def report(self, meter: metrics_module.Metrics) -> None:
+        """Set the metric of the list's age."""
+        age = self._fleet.get_age(self._clock.now())
+        meter.set(_AGE_METRIC, _NO_AGE if age is None else int(age * 1000))
+
+    def _check_age(self, now: float) -> None:
+        """Log that the list is old, or that this node has none.
+
+        Failure: a node goes on with a list that nobody brings up to date,
+        and nothing shows it but what it does wrong.
+        """
+        age = self._fleet.get_age(now)
+        followed_for = now - self._started_at
+        is_old = (followed_for if age is None else age) > _AGE_LIMIT
+        if is_old and now - self._told_at >= _AGE_LOG_INTERVAL:
+            self._told_at = now
+            self._log.write("list_old", feed=_FEED_NAME, age=age)
+
     def get_store_age(self, now: float) -> float | None:
-        """Return the seconds since the store answered this node.
+        """Return the seconds since this node last applied the store's list.
 
         None if this node does not read the store, or got no answer yet.
         """
--- a/currantwall/transport/heartbeats.py
+++ b/currantwall/transport/heartbeats.py
@@ -35,7 +35,12 @@
 
 
 class Heartbeats:
-    """Owns the UDP socket for heartbeats, digests and alarms."""
+    """Owns the UDP socket for heartbeats, digests and alarms.
+
+    Attributes:
+        on_error: Called with the name of this task and an error that it has
+            outlasted.
+    """
 
     def __init__(
         self,
@@ -48,13 +53,15 @@
         self._socket: typing.Any = green_socket.socket(
             socket.AF_INET, socket.SOCK_DGRAM
         )
-        self._socket.bind(addresses.split(address))
+        host, _, port = address.rpartition(":")
+        self._socket.bind((host, int(port)))
         self._compose = compose
         self._deliver = deliver
         self._meter = meter
         self._clock = clock
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(digests.Message)
+        self.on_error: abc.Callable[[str, Exception], object] = _ignore
         self._serial = 0
         self._sent_at = 0.0
         # When the next early heartbeat is due; None if there is none.
@@ -72,7 +79,12 @@
                 eventlet.sleep(0)
                 continue
             self._meter.add("currantwall.peers.received", 1)
-            self._deliver(message)
+            try:
+                self._deliver(message)
+            except Exception as error:
+                # Failure: one message that can't be acted upon keeps the
+                # next ones from being received.
+                self.on_error("Heartbeats.run_receiver", error)
 
     def run_sender(self) -> None:
         """Send a round of messages in each interval, forever."""
@@ -119,3 +131,7 @@
                 # The link is congested or cut; the next round repeats the
                 # report.
                 continue
+
+
+def _ignore(name: str, error: Exception) -> None:
+    return
--- a/currantwall/transport/journal.py
+++ b/currantwall/transport/journal.py
@@ -24,6 +24,8 @@
 # lines per request at about 100 requests a second.
 _LINES_PER_SECOND_LIMIT = 300
 _STDOUT = 1
+# Most characters of a field that is text.
+_MAX_TEXT_LENGTH = 500
 # Seconds between two flushes of the buffer.
 _FLUSH_INTERVAL = 0.25
 
@@ -68,7 +70,7 @@
             fields["lines_dropped_before"] = self._dropped
             self._dropped = 0
         try:
-            self._log.msg(event, **fields)
+            self._log.msg(event, **_shorten(fields))
         except (TypeError, ValueError):
             # A field that JSON cannot represent must not fail the caller.
             self._dropped += 1
@@ -100,6 +102,24 @@
                 return
 
 
+def _shorten(fields: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Return the fields of a line with long texts cut.
+
+    Failure: text of another writer, such as a name of a megabyte, takes the
+    place of all other lines.
+    """
+    return {
+        key: _cut(value) if isinstance(value, str) else value
+        for key, value in fields.items()
+    }
+
+
+def _cut(text: str) -> str:
+    if len(text) <= _MAX_TEXT_LENGTH:
+        return text
+    return f"{text[:_MAX_TEXT_LENGTH]}... ({len(text)} characters)"
+
+
 class _Sink:
     """The logger that structlog calls with each rendered line."""
 
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -111,6 +111,12 @@
         # This node's requests in flight as last sent, by upstream.
         self._sent_loads: dict[str, int] = {}
 
+    def set_error_handler(
+        self, on_error: abc.Callable[[str, Exception], object]
+    ) -> None:
+        """Set what is called with errors that the receiver has outlasted."""
+        self._heartbeats.on_error = on_error
+
     def _compose(self, serial: int) -> list[digests.Datagram]:
         """Return the datagrams of this round of heartbeats."""
         now = self._now()
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -236,6 +236,25 @@
         self.run_feed(feed)
         self.assertEqual(self.list_names(), ["a"])
 
+    def test_a_reader_vouches_only_for_a_list_that_it_applied(self):
+        """Guards against followers that rely on a reader without a list."""
+        feed = self.make([make_list(1, "a")])
+        with (
+            mock.patch.object(feed, "_apply_list", side_effect=ValueError),
+            self.assertRaises(ValueError),
+        ):
+            feed.run()
+        self.assertIsNone(feed.get_store_age(self.clock.now()))
+        self.store.limit = 2
+        self.run_feed(feed)
+        self.assertIsNotNone(feed.get_store_age(self.clock.now()))
+
+    def test_a_list_that_nobody_brings_up_to_date_is_logged(self):
+        """Guards against a feed that has stopped without a sign."""
+        feed = self.make([result.Err(Failure.UNAVAILABLE)])
+        self.run_feed(feed)
+        self.assertIn("list_old", self.log.events)
+
     def test_a_departed_entry_is_dropped_although_stale_reads_lag(self):
         """Guards against requests to a server that is known to leave.
 
@@ -638,6 +657,13 @@
                 node.feed._drop_unlisted(self.clock.now())
                 self.assertIs(node.fleet.get("b").leaving, not usable)
 
+    def test_a_node_without_a_list_tells_no_age(self):
+        """Guards against the age of others' reads in place of none."""
+        self.send_heartbeats()
+        self.follow()
+        self.assertIsNone(self.follower.fleet.get_age(self.clock.now()))
+        self.assertEqual(self.follower.fleet.updated, 0.0)
+
     def test_an_unchanged_list_is_not_fetched_again(self):
         """Guards against fetching an unchanged list twice a second.
 
