Stops: answer what is still in progress before the process exits

A caller whose request was taken late in a stop, or whose upstream was slow, had its connection closed at the end of the grace period: 12 of 12 requests to an upstream that hangs, half of them not repeatable, sent 0 to 2.75 s after SIGTERM (grace 8 s). It could not tell whether the request was received.

Change: 0.3 s before the process exits each request in progress is ended by a message: 503 if it was never sent to an upstream (waiting in the queue included), 502 if it was; a stream that has begun is broken off as before.

What comes late was refused already (503 from 2.96 s on, test_no_request_that_ran_is_without_an_answer).

--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -69,6 +69,9 @@
 # The process exits this many seconds before the end of the grace period, at
 # which it would be killed, even if requests are in flight.
 _EXIT_MARGIN = 0.4
+# Seconds before the exit at which what is still in progress gets an answer
+# of the gateway's own.
+_ANSWER_TIME = 0.3
 # Seconds between two checks of the requests in flight during a stop.
 _POLL_INTERVAL = 0.05
 # Bytes of a forwarded request beyond the caller's headers and body.
@@ -588,6 +591,8 @@
         eventlet.sleep(max(0.0, min(drain_end, exit_deadline) - self._now()))
         self._close_front()
         while self._now() < exit_deadline and self._count_open():
+            if self._now() >= exit_deadline - _ANSWER_TIME:
+                self._forwarder.end_requests()
             eventlet.sleep(_POLL_INTERVAL)
         self._log.write(
             "stopped",
--- a/currantwall/transport/forwarding.py
+++ b/currantwall/transport/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+import weakref
 
 import eventlet
 import eventlet.event
@@ -61,6 +62,10 @@
         self.table: routes.RouteTable | None = None
         self.is_stopping = False
         self._sender = sender
+        # Requests that are being served, by the identity of each.
+        self._active: weakref.WeakValueDictionary[int, requests.Request] = (
+            weakref.WeakValueDictionary()
+        )
         self._started_at = sender.now()
         self._start_ended = eventlet.event.Event()
         self._names = sender.names
@@ -95,6 +100,7 @@
         except requests.Refused as refusal:
             return self._refuse(refusal, attempt_id, "admission")
         self._sender.note_request(request)
+        self._active[id(request)] = request
         request.watcher = eventlet.spawn_n(self._watch_caller, request)
         try:
             if request.route.kind is routes.RouteKind.STREAMING:
@@ -111,6 +117,18 @@
             request.end_watching()
             raise
 
+    def end_requests(self) -> None:
+        """Answer the requests that are in progress, as this process ends.
+
+        What was sent to an upstream may have run, and its answer says so; a
+        stream that has begun is broken off.
+
+        Failure: the connection ends without an answer, and the caller
+        can't tell whether its request was received.
+        """
+        for request in list(self._active.values()):
+            eventlet.spawn_n(request.inbox.put, requests.Stopping())
+
     def get_patience(self, head: readers.Head) -> float:
         """Return for how many seconds a request's body may wait for room."""
         timeouts = [_DEFAULT_TIMEOUT]
@@ -135,7 +153,7 @@
         """
         table = self.table
         if self.is_stopping:
-            raise requests.Refused(503, "stopping", 0.0)
+            raise requests.Refused(503, sending.STOPPING, 0.0)
         if table is None:
             retry_after = attempts.estimate_start_delay(
                 self._sender.now() - self._started_at
--- a/currantwall/transport/queues.py
+++ b/currantwall/transport/queues.py
@@ -156,6 +156,8 @@
                 return balancing.Unavailable(
                     message.reason, message.retry_after
                 )
+            if isinstance(message, requests.Stopping):
+                return balancing.Unavailable("stopping", 0.0)
             if isinstance(message, requests.Disconnected):
                 raise requests.CallerDisconnected
             # All other messages come from an attempt that has ended.
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -26,6 +26,7 @@
     "Refused",
     "Rejected",
     "Request",
+    "Stopping",
     "StreamAborted",
     "parse_token_usage",
     "read_prompt",
@@ -52,6 +53,10 @@
     may_read: bool = False
 
 
+class Stopping(msgspec.Struct, frozen=True):
+    """Message: this process ends before the request can be served."""
+
+
 class Placed(msgspec.Struct, frozen=True):
     """Message: a slot at a replica is reserved for a queued request."""
 
@@ -102,7 +107,7 @@
         self.is_lasting = is_lasting
 
 
-class Request(msgspec.Struct, kw_only=True):
+class Request(msgspec.Struct, kw_only=True, weakref=True):
     """One request of a caller.
 
     Attributes:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -34,7 +34,13 @@
 from currantwall.transport import queues
 from currantwall.transport import requests
 
-__all__ = ["ANSWERS", "CUT_SHORT", "Sender", "drop_hop_headers"]
+__all__ = [
+    "ANSWERS",
+    "CUT_SHORT",
+    "STOPPING",
+    "Sender",
+    "drop_hop_headers",
+]
 
 Failure = attempts.Failure
 Verdict = attempts.Verdict
@@ -43,6 +49,8 @@
 ANSWERS = "currantwall.answers"
 # Cause of a failed attempt whose answer a crash may have ended.
 CUT_SHORT = "body: ended by the end of its upstream"
+# Reason of the answers that are given because this process ends.
+STOPPING = "stopping"
 _EXCESSIVE = "currantwall.answers.excessive"
 _EXHAUSTED = "currantwall.attempts.exhausted"
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
@@ -524,6 +532,7 @@
 
         Raises:
             requests.CallerDisconnected: The caller closed its connection.
+            requests.Refused: This process ends.
         """
         by_number = {one.exchange.number: one for one in current}
         while True:
@@ -536,6 +545,8 @@
                 if message.may_read and request.must_complete:
                     continue
                 raise requests.CallerDisconnected
+            if isinstance(message, requests.Stopping):
+                raise self._end_stopped(request, current)
             if isinstance(message, exchanges.Data):
                 request.note_taken(len(message.data))
             attempt = by_number.get(message.exchange)
@@ -543,6 +554,16 @@
                 self._note_message(request, attempt, message)
                 return message
 
+    def _end_stopped(
+        self,
+        request: requests.Request,
+        current: abc.Collection[requests.Attempt],
+    ) -> requests.Refused:
+        """End all attempts because this process ends; return the error."""
+        for attempt in current:
+            self.drop_attempt(request, attempt)
+        return self.make_refusal(request, STOPPING, 0.0)
+
     def _note_message(
         self,
         request: requests.Request,
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -12,6 +12,7 @@
 from eventlet.green import socket as green_socket
 
 from bench import bodies as bench
+from bench import fleet
 from bench import gateways
 from currantwall.state import routes
 from currantwall.transport import ingress
@@ -164,24 +165,59 @@
         self.assertEqual(self.ask(caller, f"warm-{next(_numbers)}"), 200)
         return caller
 
-    def ask(self, caller, attempt):
+    def ask(self, caller, attempt, path="/unsafe/x", timeout_ms=4000):
         """Return the status of an answer, 0 if the connection was closed."""
         headers = {
             "Host": gateways.HOST,
             "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": "4000",
+            "X-Deadline-Ms": str(timeout_ms),
             "Authorization": f"Bearer {gateways.KEY}",
         }
         # A closed connection must not be opened again.
         caller.auto_open = 0
         try:
-            caller.request("POST", "/unsafe/x", b"x", headers)
+            caller.request("POST", path, b"x", headers)
             answer = caller.getresponse()
             answer.read()
             return answer.status
         except (OSError, http.client.HTTPException):
             return 0
 
+    def test_requests_in_progress_at_the_end_get_an_answer(self):
+        """Guards against requests that are cut when the process exits."""
+        routes_changed = [
+            route | {"timeoutMs": 20_000}
+            for route in gateways.make_configuration(1)["routes"]
+        ]
+        self.site.put_configuration(routes=routes_changed)
+        fleet.wait_until(
+            lambda: (
+                f'"version": {self.site.version}, "before"'
+                in self.site.read_log("g1")
+            ),
+            _TIMEOUT,
+            "configuration",
+        )
+        callers = [self.open_kept() for _ in range(12)]
+        stopped = time.monotonic()
+        self.site.send_signal("g1", signal.SIGTERM)
+
+        def send(index):
+            time.sleep(index * 0.25)
+            attempt = f"hang-{index}"
+            path = ("/unsafe/hang/x", "/safe/hang/x")[index % 2]
+            status = self.ask(callers[index], attempt, path, 20_000)
+            return attempt, status, time.monotonic() - stopped
+
+        with concurrent.futures.ThreadPoolExecutor(len(callers)) as pool:
+            answers = list(pool.map(send, range(len(callers))))
+        self.assertEqual(self.site.wait("g1", 10), 0)
+        for attempt, status, after in answers:
+            # Not 503 with the promise that it did not run.
+            self.assertEqual(status, 502, attempt)
+            self.assertLess(after, 8.0)
+            self.assertGreater(after, 8.0 * 5 / 6)
+
     def test_no_request_that_ran_is_without_an_answer(self):
         """Guards against requests lost between refusing and closing."""
         callers = [self.open_kept() for _ in range(_CONNECTIONS)]
