--- a/bench/bodies.py
+++ b/bench/bodies.py
@@ -38,6 +38,7 @@
 _READ_INTERVAL = 0.1
 _POST_TIMEOUT_MS = 8000
 _SAMPLE_INTERVAL = 0.01
+_REPORT_PATH = "/currantwall/report"
 _TIMEOUT = 60.0
 
 
@@ -87,6 +88,12 @@
         self.put_configuration(routes=configuration["routes"], limits=limits)
         for name in self.nodes:
             self.start_gateway(name)
+        for name in UPSTREAMS:
+            fleet_module.wait_until(
+                lambda name=name: self.is_answering(name, _REPORT_PATH),
+                _TIMEOUT,
+                name,
+            )
         for name in self.nodes:
             fleet_module.wait_until(
                 lambda name=name: self.send(name, "GET", "/safe/x") == 200,
