--- a/currantwall/state/keys.py
+++ b/currantwall/state/keys.py
@@ -16,6 +16,8 @@
 
 _SCHEME = "cw1"
 _FIELD_COUNT = 5
+# Digits of a number in a key; numbers of more than 4,300 can't be converted.
+_MAX_DIGITS = 1000
 
 
 class Home(msgspec.Struct, frozen=True):
@@ -43,8 +45,8 @@
     parts = text.split(".", _FIELD_COUNT - 1)
     if len(parts) != _FIELD_COUNT or parts[0] != _SCHEME or not parts[4]:
         return None
-    incarnation = numbers.parse_count(parts[2], numbers.REVISION_DIGITS)
-    period = numbers.parse_count(parts[3])
+    incarnation = numbers.parse_count(parts[2], _MAX_DIGITS)
+    period = numbers.parse_count(parts[3], _MAX_DIGITS)
     if incarnation is None or period is None:
         return None
     home = Home(ids.NodeId(parts[1]), ids.Incarnation(incarnation))
