Answers: skip every interim response, and refuse a switch of protocols

The report was that an answer with status 000 reaches a client. Here it does not: 000, 099, 1000, +20, 600, none, and no or another version are refused by the grammar of status lines since before; the tests that are new for them hold on the code before as well. A safe request is sent to another upstream, one that may not be repeated gets 502 and has run once.

Found with it, same class: the standard library skips interim responses of status 100 alone. An upstream's 103 was passed on as the final answer, its 200 was thrown away with the connection; a 101 reached the caller too (seen over processes: 'status-switched 101').

--- a/bench/endless.py
+++ b/bench/endless.py
@@ -127,5 +127,10 @@
     """Measure each shape of an answer without end beside usual traffic."""
     with _Site() as site:
         site.start()
-        for shape in (None, *endless.make_shapes()):
+        for shape in (None, *_list_shapes()):
             _measure(site, shape)
+
+
+def _list_shapes() -> list[str]:
+    shapes = endless.make_shapes()
+    return [name for name, shape in shapes.items() if shape.unit]
--- a/currantwall/transport/responses.py
+++ b/currantwall/transport/responses.py
@@ -5,6 +5,7 @@
 next one (response splitting). Here such a response is an error.
 """
 
+import http
 import http.client
 import io
 import re
@@ -139,10 +140,25 @@
             raise AmbiguousResponse("unknown transfer encoding")
 
     def _read_status(self) -> tuple[str, int, str]:
-        self._reader.form = _STATUS_LINE
-        status = super()._read_status()
-        self._reader.form = _FIELD_LINE
-        return status
+        """Return the status line of the final response.
+
+        The standard library skips interim responses with status 100 alone
+        and takes any other for a final one.
+
+        Raises:
+            AmbiguousResponse: The line is malformed, or switches to another
+                protocol, which no request asks for.
+        """
+        while True:
+            self._reader.form = _STATUS_LINE
+            status = super()._read_status()
+            self._reader.form = _FIELD_LINE
+            if status[1] == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise AmbiguousResponse("a switch to another protocol")
+            if status[1] >= http.HTTPStatus.OK:
+                return status
+            while self._reader.readline(_MAX_LINE) != _LINE_END:
+                pass
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk, None after the last.
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -1,19 +1,33 @@
-"""Answers without end, as servers in trouble send them."""
+"""Answers without end, and such without a status, of servers in trouble."""
 
 import contextlib
 import socket
 import time
 import typing
 
-__all__ = ["Shape", "make_shapes", "send"]
+__all__ = ["STATUS_LINES", "Shape", "make_shapes", "send"]
 
 # Bytes of one write, and seconds between two of a slow source.
 _BURST_BYTES = 65_536
 _TRICKLE_INTERVAL = 0.01
 
 
+# Lines that begin no answer, by the name of the shape that sends one.
+STATUS_LINES = {
+    "status-zero": b"HTTP/1.1 000 OK",
+    "status-low": b"HTTP/1.1 099 OK",
+    "status-long": b"HTTP/1.1 1000 OK",
+    "status-signed": b"HTTP/1.1 +20 OK",
+    "status-missing": b"HTTP/1.1 OK",
+    "status-large": b"HTTP/1.1 600 OK",
+    "status-switched": b"HTTP/1.1 101 OK",
+    "version-missing": b"200 OK",
+    "version-other": b"HTTP/2.0 200 OK",
+}
+
+
 class Shape(typing.NamedTuple):
-    """What is sent first, and then over and over."""
+    """What is sent first, and then over and over unless it is empty."""
 
     first: bytes
     unit: bytes
@@ -28,7 +42,12 @@
     head = b"HTTP/1.1 200 OK\r\n" + fields
     chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
     events = head + b"Content-Type: text/event-stream\r\n\r\n"
+    rest = b"\r\n" + fields + b"Content-Length: 2\r\n\r\nno"
     return {
+        **{
+            name: Shape(line + rest, b"")
+            for name, line in STATUS_LINES.items()
+        },
         "interim": Shape(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
         "interim-headers": Shape(b"HTTP/1.1 100 Continue\r\n", b"A: b\r\n"),
         "garbage": Shape(b"", b"\x00\xff"),
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -13,7 +13,8 @@
                        1 KiB, without pauses, of any server
     /unframed/         an answer without length or chunks, ended by the close
     /endless-ID-SHAPE/ bytes without end of the server ID, in a shape of
-                       `standins.endless`, until the connection is closed
+                       `standins.endless`, until the connection is closed;
+                       shapes of its `STATUS_LINES` end by themselves
     /torn/             as unframed, reset in the middle
     /killed-ID/        as unframed; the server ID is killed in the middle.
                        Engines answer it without a stream
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -43,7 +43,11 @@
 _REQUEST_SECONDS = 15.0
 
 _HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n"
-_SHAPES = endless.make_shapes(b"X-Attempt: 1\r\n")
+_SHAPES = {
+    name: shape
+    for name, shape in endless.make_shapes(b"X-Attempt: 1\r\n").items()
+    if shape.unit
+}
 
 
 class Source:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -19,6 +19,7 @@
 from currantwall.transport import exchanges
 from currantwall.transport import timers
 from currantwall.transport import upstreams
+from standins import endless
 
 _UPSTREAM = ids.InstanceId("u")
 _ATTEMPT = "X-Attempt"
@@ -43,6 +44,7 @@
     _SIZED,
     _CHUNKED,
     b"HTTP/1.1 100 Continue\r\n\r\n" + _SIZED,
+    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + _SIZED,
     b"HTTP/1.1 200\r\nX-Attempt: 1\r\nContent-Length:\t5 \r\n\r\nhello",
 )
 _AMBIGUOUS = (
@@ -57,6 +59,11 @@
     _SIZED.replace(b"OK\r\n", b"OK\n"),
     _SIZED.replace(b"OK", b"OK\r"),
     _SIZED.replace(b" 200", b" 0200"),
+    _SIZED.replace(b" 200", b" 101"),
+    *(
+        _SIZED.replace(b"HTTP/1.1 200 OK", line)
+        for line in endless.STATUS_LINES.values()
+    ),
     _CHUNKED.replace(b"chunked", b"chunked\r\nTransfer-Encoding: gzip"),
     _CHUNKED.replace(b"chunked", b"gzip"),
     _CHUNKED.replace(b"1.1", b"1.0"),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -563,6 +563,41 @@
         )
 
 
+class StatusLineTest(GatewayCase):
+    def send_until_run(self, method, target, server):
+        """Send requests until a server in trouble has got one."""
+        answers = []
+
+        def has_run():
+            answers.append(self.send(method, target, b"1"))
+            runs = self.fleet.list_runs(server)
+            return target in {run["target"] for run in runs}
+
+        fleet_module.wait_until(has_run, _TIMEOUT, target)
+        return answers
+
+    def test_an_answer_with_status_000_is_replaced_by_another_servers(self):
+        """Guards against bytes that a caller takes for an answer."""
+        target = "/safe/endless-a1-status-zero/x"
+        for one in self.send_until_run("GET", target, "a1"):
+            whole = f"GET {target} ".encode() + b"1"
+            self.assertEqual((one.status, one.body), (200, whole))
+
+    def test_a_write_that_is_answered_with_status_000_runs_once(self):
+        """Guards against a write that is repeated, or told not to have run."""
+        target = "/unsafe/endless-a2-status-zero/x"
+        answers = self.send_until_run("POST", target, "a2")
+        self.assertEqual(answers[-1].status, 502)
+        self.assertNotIn("x-not-executed", answers[-1].headers)
+        runs = [
+            run["attempt"]
+            for run in self.fleet.list_runs("a1", "a2")
+            if run["target"] == target
+        ]
+        self.assertEqual(len(runs), len(set(runs)))
+        self.assertEqual(len(runs), len(answers))
+
+
 class KilledEngineTest(GatewayCase):
     def test_half_of_an_answer_that_is_no_stream_is_not_whole(self):
         """Guards against an answer on a streaming route that a kill ends."""
