Pages: split around large unreadable entries in steps, and only once

test_a_large_entry_leaves_turns_and_is_split_once fails before (no turn, two splits); the property test draws values, and steps of 1 to 60 bytes.

--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -1,5 +1,6 @@
 """Objects of other writers that can't be read, beside others that can."""
 
+import json
 import pathlib
 import sys
 import unittest
@@ -17,6 +18,7 @@
 from currantwall_platform import store  # noqa: E402
 
 from currantwall.protocol import pages  # noqa: E402
+from currantwall.transport import sockets  # noqa: E402
 
 _ENTRY = {
     "service": "app",
@@ -58,6 +60,18 @@
     return b'{"metadata":{"name":"bad","revision":2},"spec":%s}' % value
 
 
+_json_values = strategies.recursive(
+    strategies.none()
+    | strategies.integers()
+    | strategies.text(max_size=8)
+    | strategies.sampled_from(['"', "\\", '\\"', "[", "}", ",", "é"]),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=4), inner)
+        | inner.map(lambda value: [[[[[[[[[value]]]]]]]]])
+    ),
+    max_leaves=20,
+)
 _bad_items = strategies.sampled_from(
     [*map(_make_bad_item, _UNREADABLE_VALUES), *_UNREADABLE_ITEMS]
 ) | strategies.binary(max_size=30).map(
@@ -149,6 +163,39 @@
         for end in range(1, len(page)):
             self.assertTrue(_Store(page[:end]).list("servers").is_err(), end)
 
+    def test_a_large_entry_leaves_turns_and_is_split_once(self):
+        """Guards against an entry that makes a node stand still."""
+        bad = _make_bad_item(b"[" + b"[]," * 300_000 + rb'"\ud800"]')
+        page = _make_page([_make_item("s1"), bad, _make_item("s2")])
+        reader = _Store(page, page.replace(b'"asOf":9', b'"asOf":10'))
+        reader.on_unreadable = mock.Mock()
+        with (
+            mock.patch.object(sockets.eventlet, "sleep") as sleep,
+            mock.patch.object(
+                pages, "split_array", side_effect=pages.split_array
+            ) as split,
+        ):
+            for _ in range(2):
+                listed = reader.list("servers")
+                self.assertEqual(_list_upstreams(listed), {"s1", "s2"})
+        split.assert_called_once()
+        self.assertGreater(sleep.call_count, 10)
+        reader.on_unreadable.assert_called_once_with("servers", ["bad"])
+
+    @hypothesis.settings(max_examples=300, derandomize=True, database=None)
+    @hypothesis.given(
+        strategies.lists(_json_values, max_size=4), strategies.integers(1, 60)
+    )
+    def test_a_page_is_split_at_its_items_in_steps_of_any_size(
+        self, values, step
+    ):
+        """Guards against a bracket or a quote that is read as another."""
+        items = [json.dumps(value).encode() for value in values]
+        with mock.patch.object(pages, "_STEP", step):
+            split = pages.split_array(_make_page(items), "items")
+        self.assertEqual(split.items, items)
+        self.assertEqual(split.rest, _make_page([]))
+
     def test_a_name_is_read_from_the_metadata_only(self):
         """Guards against pages that go on after another name."""
         item = b'{"spec":{"name":"no"},"metadata":{"a":{"name":"x"},"name":"y"'
