Crashes: count one of a process whose start the list has late

Cause: the attempt has the start of the process that the list had when it was sent. Until the list has the new one, a crash of the next process looks like a request that an upstream which stayed away has broken off.

Change: such a crash is kept for 3 s, and counts if the list shows within that time a process that had started before the crash. An upstream that stayed away has a start after it, and counts once as before.

The new unit test fails before (nothing is quarantined); the one of an upstream that stays away holds before and after.

--- a/currantwall/coordination/requests/quarantine.py
+++ b/currantwall/coordination/requests/quarantine.py
@@ -22,6 +22,7 @@
 """
 
 from collections import abc
+import typing
 
 import msgspec
 
@@ -49,6 +50,8 @@
 _FORGET_SECONDS = 3600.0
 # Seconds for which a crash or a survival is reported.
 _REPORT_SECONDS = 2.0
+# Seconds for which the list may lack the start of a process that has crashed.
+_UNLISTED_SECONDS = 3.0
 
 
 class Exposure(msgspec.Struct, kw_only=True, eq=False):
@@ -106,6 +109,14 @@
         return self.trials - self.unreached
 
 
+class _UnlistedCrash(typing.NamedTuple):
+    """A crash of a process whose start the list may not have yet."""
+
+    exposure: Exposure
+    at: float
+    suspects: tuple[quarantines.Prompt, ...]
+
+
 class Quarantine:
     """The parts that are kept from upstreams, and the evidence for it.
 
@@ -125,6 +136,7 @@
             ids.InstanceId, tuple[float, crashlog.Crash]
         ] = {}
         self._refuted: dict[PartId, float] = {}
+        self._unlisted_crashes: dict[ids.InstanceId, list[_UnlistedCrash]] = {}
         self.on_quarantined: abc.Callable[[PartId], None] = _ignore
         self.on_cleared: abc.Callable[[PartId], None] = _ignore
 
@@ -248,6 +260,39 @@
         born = self._crashes.find_start(upstream, exposure.born)
         if not self._crashes.has_ended(upstream, born, at):
             self._add_own_crash(exposure, born, at, suspects, now)
+            return
+        unlisted = self._unlisted_crashes.setdefault(upstream, [])
+        unlisted.append(_UnlistedCrash(exposure, at, suspects))
+
+    def note_start(
+        self, upstream: ids.InstanceId, born: int, started: float, now: float
+    ) -> bool:
+        """Record the start of a process that the list has now.
+
+        Failure: an upstream starts again and crashes again before the list
+        has its new start, and the second crash counts as the first.
+
+        Args:
+            upstream: The upstream.
+            born: Start of its process, in Unix milliseconds.
+            started: The same as a monotonic time.
+            now: The present time.
+
+        Returns:
+            Whether a crash was of that process.
+        """
+        found = [
+            crash
+            for crash in self._unlisted_crashes.pop(upstream, ())
+            if crash.exposure.born != born
+            and started < crash.at
+            and now - crash.at < _UNLISTED_SECONDS
+        ]
+        for crash in found:
+            self._add_own_crash(
+                crash.exposure, born, crash.at, crash.suspects, now
+            )
+        return bool(found)
 
     def note_own_loss(self, exposure: Exposure, now: float) -> None:
         """Record that the replica of an attempt lost a member meanwhile.
@@ -388,6 +433,9 @@
     def expire(self, now: float) -> None:
         """Remove what is too old to matter."""
         self._crashes.expire(now)
+        for upstream, crashes in list(self._unlisted_crashes.items()):
+            if now - crashes[-1].at > _UNLISTED_SECONDS:
+                del self._unlisted_crashes[upstream]
         for part, verdict in list(self._verdicts.items()):
             if now - verdict.next_trial > _FORGET_SECONDS:
                 del self._verdicts[part]
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -257,7 +257,7 @@
         self._duties.evacuations = self._evacuations
         self._balancer.coldness.services = self._list_services
         self._evacuations.on_withdrawn = self._balancer.coldness.note_withdrawn
-        self._fleet_feed.note_change = self._advisories.note_change
+        self._fleet_feed.note_change = self._note_change
         self._duties.on_report = self._advisories.note_report
         self._news = self._make_news()
         self._stopping = False
@@ -325,6 +325,10 @@
             self._evacuation_feed.on_change = made.announce_evacuations
         return made
 
+    def _note_change(self, change: upstreams.Change, had_list: bool) -> None:
+        self._advisories.note_change(change, had_list)
+        self._crashes.note_change(change, self._now(), self._clock.wall())
+
     def _on_part_quarantined(self, part: ids.PartId) -> None:
         self._queue.reject_part(part, crashes_module.REASON)
         self._news.announce_quarantine()
--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -310,6 +310,23 @@
                 return found
         return self._engines.report(upstream, True)
 
+    def note_change(
+        self, change: upstreams.Change, at: float, wall: float
+    ) -> None:
+        """Record the starts of processes that the list has now.
+
+        Args:
+            change: Difference that the list made.
+            at: The present monotonic time.
+            wall: The present time in Unix seconds.
+        """
+        for upstream in change.new:
+            started = at - (wall - upstream.born / 1000.0)
+            if self.quarantine.note_start(
+                upstream.id, upstream.born, started, at
+            ):
+                self.on_change()
+
     # -- Decisions
 
     def _note_quarantined(self, part: ids.PartId) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -39,6 +39,14 @@
             self.quarantine.end(exposure, False)
             self.quarantine.note_own_crash(exposure, at, at)
 
+    def crash_process(self, at, upstream, born, suspect):
+        """Crash a process that was listed with a start, under a request."""
+        exposure = self.quarantine.expose(
+            ids.InstanceId(upstream), suspect, at, born
+        )
+        self.quarantine.end(exposure, False)
+        self.quarantine.note_own_crash(exposure, at, at)
+
     def crash_thrice(self, *parts):
         for n in range(3):
             self.crash(10.0 + n, f"i{n}", make_prompt(f"r{n}", *parts))
@@ -68,6 +76,27 @@
         self.assertAlmostEqual(self.find_retry_after(12.0, CAUSE), 60.0)
         self.assertIsNone(self.find_retry_after(12.0, SYSTEM_PROMPT, _OTHER))
 
+    def test_a_crash_counts_once_the_list_has_the_start_of_its_process(self):
+        """Guards against a repeat that crashes what has just started."""
+        request = make_prompt("r", fingerprint="request-1")
+        self.crash_process(10.0, "i1", 1_000, request)
+        self.crash_process(10.2, "i2", 1_000, request)
+        # The list is from before i1 has started again.
+        self.crash_process(12.5, "i1", 1_000, request)
+        self.assertEqual(self.blamed, [])
+        noted = self.quarantine.note_start("i1", 11_000, 11.0, 12.9)
+        self.assertTrue(noted)
+        self.assertEqual(self.blamed, ["request-1"])
+
+    def test_an_upstream_that_stays_away_is_one_crash(self):
+        """Guards against blame for each request that is broken off there."""
+        for n in range(8):
+            self.crash_process(10.0 + 2 * n, "i1", 1_000, make_prompt(f"r{n}"))
+            # Another entry, of a process that has started afterwards.
+            self.quarantine.note_start("i1", 1_000, 1.0, 10.1 + 2 * n)
+        self.quarantine.note_start("i1", 25_000, 25.0, 25.1)
+        self.assertEqual(self.blamed, [])
+
     def test_a_part_that_a_request_survived_is_not_quarantined(self):
         """Guards against blaming a request that was broken off by chance."""
         for n in range(8):
