Tests: ranges of ports for the classes that run, not for each class

The run of all tests ended at once with 'too many test classes for the range of ports': 162 classes of 130 ports each are more than lie below the range for outgoing connections. Each of the four workers now has a range of 5,250 ports, which its classes use one after the other; a class has its range to itself as before.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -2,8 +2,8 @@
 
 Each test class runs in a process of its own, a few at the same time, and
 the results are printed in the order of the class names. Each class gets
-a range of ports of its own, so that it never connects to a process of
-another one.
+a range of ports that no other has at the same time, so that it never connects
+to a process of another one.
 
 A test listed in KNOWN-RED.txt may fail without failing the run; its line
 is printed. A listed test that passes must be removed from the list.
@@ -16,16 +16,19 @@
 import os
 import pathlib
 import sys
+import typing
 import unittest
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 # Classes that run at the same time; some start a dozen processes.
 _WORKERS = 4
-# Range of ports that is divided among the classes.
+# Range of ports that is divided among the classes which run.
 _FIRST_PORT = 11_000
 _LAST_PORT = 32_000
-_PORTS_PER_CLASS = 130
+_PORTS_PER_CLASS = (_LAST_PORT - _FIRST_PORT) // _WORKERS
+# First ports of the ranges that no class has now.
+_free_ports: typing.Any = None
 
 
 class Outcome:
@@ -78,16 +81,28 @@
     return bool(methods) or hasattr(value, "runTest")
 
 
-def run_named(name: str, first_port: int) -> Outcome:
+def _set_free_ports(free_ports: typing.Any) -> None:
+    global _free_ports
+    _free_ports = free_ports
+
+
+def run_named(name: str) -> Outcome:
     """Run the tests with a name; called in a process of its own.
 
     Args:
         name: Full name of a module, class or method.
-        first_port: First port of the tests' range.
     """
+    first_port = _free_ports.get()
     os.environ["CURRANTWALL_TEST_PORTS"] = (
         f"{first_port}-{first_port + _PORTS_PER_CLASS}"
     )
+    try:
+        return _run_tests(name)
+    finally:
+        _free_ports.put(first_port)
+
+
+def _run_tests(name: str) -> Outcome:
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     stream = io.StringIO()
     run = unittest.TextTestRunner(stream, verbosity=1).run(suite)
@@ -100,19 +115,18 @@
 
 def run_all(names: list[str]) -> list[Outcome]:
     """Run the tests with each name; return the outcomes in that order."""
-    last = _FIRST_PORT + len(names) * _PORTS_PER_CLASS
-    if last > _LAST_PORT:
-        raise SystemExit("too many test classes for the range of ports")
     context = multiprocessing.get_context("spawn")
+    free_ports = context.SimpleQueue()
+    for index in range(_WORKERS):
+        free_ports.put(_FIRST_PORT + index * _PORTS_PER_CLASS)
     with futures.ProcessPoolExecutor(
-        _WORKERS, context, max_tasks_per_child=1
+        _WORKERS,
+        context,
+        initializer=_set_free_ports,
+        initargs=(free_ports,),
+        max_tasks_per_child=1,
     ) as pool:
-        running = [
-            pool.submit(
-                run_named, name, _FIRST_PORT + index * _PORTS_PER_CLASS
-            )
-            for index, name in enumerate(names)
-        ]
+        running = [pool.submit(run_named, name) for name in names]
         return [future.result() for future in running]
 
 
