Crashes: no repeat of a request under which a third upstream has ended

Change: when the fingerprint of a request is a suspect of two crashes and its upstream has ended again, the request is not repeated, whether the crash counts already or not. It gets 502 and is quarantined once the list has the new start.

The new test fails before (note_break returned nothing).

--- a/currantwall/transport/crashes.py
+++ b/currantwall/transport/crashes.py
@@ -149,20 +149,32 @@
 
     def note_break(
         self, request: requests.Request, current: requests.Attempt
-    ) -> None:
+    ) -> bool:
         """Report a crash if that is why an attempt was broken off.
 
         Waits for the result if it decides whether the request is repeated.
+
+        Failure: a request that has crashed two upstreams crashes one that
+        had just started again. Whether that counts is known once the list
+        has the new start, and the repeat crashes the next one until then.
+
+        Returns:
+            Whether the request may have crashed this upstream after others,
+            so that it is not to be repeated.
         """
         exposure = current.exposure
         if exposure is None:
-            return
+            return False
         at = self._now()
         path = request.service.health_path
         if self.quarantine.is_suspected(request.prompt.causes):
-            self._report_crash(exposure, current, path, at)
-        else:
-            eventlet.spawn_n(self._report_crash, exposure, current, path, at)
+            is_suspect = self.quarantine.is_suspected(
+                (request.prompt.fingerprint,)
+            )
+            is_crash = self._report_crash(exposure, current, path, at)
+            return is_suspect and is_crash
+        eventlet.spawn_n(self._report_crash, exposure, current, path, at)
+        return False
 
     def note_loss(self, epoch_id: str) -> None:
         """Report the attempts at a leader whose replica lost a member.
@@ -187,9 +199,10 @@
         current: requests.Attempt,
         health_path: str,
         at: float,
-    ) -> None:
+    ) -> bool:
+        """Report a crash; return whether it is one."""
         if not self._is_crash(current, health_path):
-            return
+            return False
         self._meter.add(_CRASHES, 1)
         self._log.write(
             "upstream_crashed",
@@ -201,6 +214,7 @@
         )
         self.quarantine.note_own_crash(exposure, at, self._now())
         self.on_change()
+        return True
 
     def _is_crash(self, current: requests.Attempt, health_path: str) -> bool:
         """Return whether an attempt was broken off by a crash.
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -417,11 +417,14 @@
             request.progress.runs += 1
         if failure is Failure.NO_PATH:
             request.tried.discard(current.upstream.epoch_id)
-        elif has_path:
+        is_cause = False
+        if failure is not Failure.NO_PATH and has_path:
             self._note_failure(current.upstream, failure, now)
             if failure is Failure.LOST:
-                self._crashes.note_break(request, current)
-        verdict = self._decide(request, failure, now)
+                is_cause = self._crashes.note_break(request, current)
+        verdict = Verdict.GIVE_UP
+        if not is_cause:
+            verdict = self._decide(request, failure, now)
         self._log_failure(request, current, failure, why, verdict)
         if verdict is Verdict.GIVE_UP:
             raise self.make_refusal(request, why, 0.3)
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -152,6 +152,31 @@
         self.assertEqual({task.wait() for task in tasks}, {False})
         self.assertLessEqual(self.engines.count, 2)
 
+    def test_a_request_is_not_repeated_after_a_third_crash_under_it(self):
+        """Guards against a fourth crash while the list is old."""
+        self.engines.is_alive = False
+        prompt = quarantines.Prompt("", (), ids.PartId("request-1"))
+        guard = self.crashes.quarantine
+        found = []
+        for name, at in (("e1", 10.0), ("e2", 10.2), ("e1", 13.0)):
+            current = mock.Mock(
+                upstream=test_gateway_parts.make_upstream(
+                    name, domain="d0", born=1
+                ),
+                peer=None,
+                sent_at=at,
+                exposure=guard.expose(ids.InstanceId(name), prompt, at, 1),
+            )
+            guard.end(current.exposure, False)
+            with mock.patch.object(self.crashes, "_now", lambda at=at: at):
+                found.append(
+                    self.crashes.note_break(mock.Mock(prompt=prompt), current)
+                )
+                eventlet.sleep(0.1)
+        # The list has no new start of e1, so that nothing is quarantined.
+        self.assertEqual(guard.list_quarantined(), {})
+        self.assertEqual(found, [False, False, True])
+
     def make_trial(self):
         """Return a request with a quarantined part, and its attempt."""
         part = ids.PartId("t")
