Upstreams: a connection that did not open is no attempt

Cause: a refused connect counted toward maxAttempts and took from the repeat budget; each node found each dead server out by its callers, again after each ejection; and a check of the node's path tried four entries, all of them dead.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
     "bench.endless",
     "bench.framing",
     "bench.repeats",
+    "bench.deadentries",
 )
 
 
--- a/currantwall/coordination/peers/digests.py
+++ b/currantwall/coordination/peers/digests.py
@@ -12,6 +12,7 @@
 """
 
 from collections import abc
+import itertools
 
 import msgspec
 
@@ -32,6 +33,8 @@
 _CLIENT_TIMEOUT_SECONDS = 1.5
 # One in this many digests names the nodes even if they are unchanged.
 _FULL_DIGEST_ROUNDS = 4
+# Most findings of upstreams in one digest.
+_MAX_FINDINGS = 96
 
 
 class Digest(
@@ -58,7 +61,8 @@
             `slow`, `limits` and `leases`.
         evacuations: As in a heartbeat of the relay; so are `informed` and
             `store_revision`.
-        departures: As in a heartbeat, of all the nodes; so are `parts`.
+        departures: As in a heartbeat, of all the nodes; so are `parts` and
+            `findings`.
     """
 
     node: presence_module.NodeEntry
@@ -81,6 +85,7 @@
     store_revision: staleness.KnownRevision | None = None
     departures: dict[ids.InstanceId, upstreams.Departure] = {}
     parts: quarantines.PartReports | None = None
+    findings: dict[ids.InstanceId, upstreams.Finding] = {}
 
 
 class Alarm(msgspec.Struct, frozen=True, tag="alarm"):
@@ -119,6 +124,7 @@
         self.leases: dict[str, presence_module.HeldLease] = {}
         self.departures: dict[ids.InstanceId, upstreams.Departure] = {}
         self.parts: quarantines.PartReports | None = None
+        self.findings: dict[ids.InstanceId, upstreams.Finding] = {}
 
     def add_node(self, heartbeat: presence_module.Heartbeat) -> None:
         self.nodes[heartbeat.node.id] = heartbeat.ready
@@ -147,6 +153,11 @@
             remaining = departure.remaining - age
             aged = msgspec.structs.replace(departure, remaining=remaining)
             self.departures.setdefault(name, aged)
+        for name, finding in message.findings.items():
+            aged = msgspec.structs.replace(finding, age=finding.age + age)
+            known_finding = self.findings.get(name)
+            if known_finding is None or aged.age < known_finding.age:
+                self.findings[name] = aged
         self.parts = quarantines.merge_reports(self.parts, message.parts, age)
         self.stalled.update(dict.fromkeys(message.stalled))
         self.lost.update(dict.fromkeys(message.lost))
@@ -395,6 +406,9 @@
             store_revision=own.store_revision,
             departures=aggregate.departures,
             parts=aggregate.parts,
+            findings=dict(
+                itertools.islice(aggregate.findings.items(), _MAX_FINDINGS)
+            ),
         )
 
     def _omit_sent_nodes(self, digest: Digest) -> Digest:
--- a/currantwall/coordination/peers/presence.py
+++ b/currantwall/coordination/peers/presence.py
@@ -165,6 +165,8 @@
         departures: Instances that have left, as the node knows, though a
             restored store lists them otherwise.
         parts: What the node reports of parts of prompts.
+        findings: Upstreams that the node could not connect to, or could
+            again.
     """
 
     node: NodeEntry
@@ -186,6 +188,7 @@
     store_revision: staleness.KnownRevision | None = None
     departures: dict[ids.InstanceId, upstreams.Departure] = {}
     parts: quarantines.PartReports | None = None
+    findings: dict[ids.InstanceId, upstreams.Finding] = {}
 
 
 class _Peer:
--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -16,6 +16,7 @@
 from currantwall.state import routes
 
 __all__ = [
+    "CONNECT_PATIENCE",
     "LOSS_PATIENCE",
     "PROBE_INTERVAL",
     "STALL_TIMEOUT",
@@ -33,6 +34,8 @@
 
 # Most attempts of one request, including those that certainly did not run.
 _MAX_SENDS = 4
+# Most connections that one request finds out about.
+_MAX_UNOPENED = 200
 # Seconds of silence between two events of a stream after which its replica
 # is probed. A working replica sends an event every 45 to 60 ms, or after
 # 150 ms if it reads a long prompt in between.
@@ -58,6 +61,9 @@
 # hundred takes five times as long.
 _ANSWER_TIMEOUT_FACTOR = 1.5
 _MIN_ANSWER_TIMEOUT = 0.4
+# Seconds after which another upstream takes the place of one that has not
+# answered the opening of a connection. A round trip takes 3 ms.
+CONNECT_PATIENCE = 0.1
 # Seconds that a starting node needs to receive the configuration.
 _CONFIGURATION_SECONDS = 0.5
 # Seconds after its start in which a node holds requests back. Most callers
@@ -107,11 +113,13 @@
 
     Attributes:
         sends: Attempts made.
+        unopened: Those for which no connection was opened.
         runs: Attempts that may have run.
         started: Whether the caller has received a part of the answer.
     """
 
     sends: int = 0
+    unopened: int = 0
     runs: int = 0
     started: bool = False
 
@@ -119,8 +127,8 @@
 class Verdict(enum.Enum):
     """What to do after a failed attempt."""
 
-    # Send the request to another upstream, whatever the budget. `decide`
-    # does not return this: it charges every repeat.
+    # Send the request to another upstream, whatever the budget: nothing of
+    # it was sent.
     REPEAT = "repeat"
     # The same, provided that the shared budget still has a repeat to take.
     REPEAT_PAID = "repeat_paid"
@@ -191,16 +199,29 @@
 
 
 def decide(
-    route: routes.Route, failure: Failure, progress: Progress
+    route: routes.Route,
+    failure: Failure,
+    progress: Progress,
+    is_free: bool = False,
 ) -> Verdict:
     """Return whether to send a request to another upstream.
 
+    Failure: most listed upstreams are gone, and a request ends after a few
+    refused connections while others are idle. A connection that was not
+    opened is no attempt, unless it was to an upstream of which no better was
+    expected: these are tried where no other is left.
+
     Args:
         route: Its route.
         failure: How its last attempt failed.
         progress: Its attempts so far, including the failed one.
+        is_free: Whether no connection was opened, to an upstream that was
+            not known as unreachable; the progress has counted it.
     """
-    if progress.sends >= _MAX_SENDS:
+    if is_free and progress.unopened < _MAX_UNOPENED:
+        is_allowed = progress.runs == 0 or route.is_idempotent
+        return Verdict.REPEAT if is_allowed else Verdict.GIVE_UP
+    if progress.sends - progress.unopened >= _MAX_SENDS:
         return Verdict.GIVE_UP
     if not failure.may_have_run and progress.runs == 0:
         return Verdict.REPEAT_PAID
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -32,6 +32,7 @@
 from currantwall.coordination.requests import evacuations
 from currantwall.coordination.requests import loads as loads_module
 from currantwall.coordination.requests import ratelimits
+from currantwall.coordination.requests import reachability as reach
 from currantwall.coordination.requests import withdrawals
 from currantwall.state import hashing
 from currantwall.state import ids
@@ -204,6 +205,7 @@
         self.waiting: dict[str, int] = {}
         # Whether the counts of other nodes are passed on by relays.
         self.are_counts_relayed = False
+        self.reachability = reach.Reachability()
         # Whether any node has sent a request to an upstream yet.
         self.has_seen_traffic = False
 
@@ -455,8 +457,13 @@
             usable = [one for one in permitted if self._is_silent(one)]
             if not usable:
                 return Unavailable("all stall or fail", _RECOVERY_RETRY_AFTER)
+        reachable = [
+            upstream
+            for upstream in usable
+            if not self.reachability.is_suspect(upstream)
+        ]
         # A plain service: an ejected upstream is better than none.
-        return usable or permitted
+        return reachable or usable or permitted
 
     def _make_unserved(
         self, service: ids.ServiceName, model: str | None
@@ -843,6 +850,15 @@
                 health.ejected_until = 0.0
                 health.consecutive_failures = 0
                 health.failure_rate = 0.0
+        self.reachability.forgive(since)
+
+    def note_findings(
+        self,
+        findings: abc.Mapping[ids.InstanceId, upstreams.Finding],
+        now: float,
+    ) -> None:
+        """Note the upstreams that another node could connect to, or not."""
+        self.reachability.note_report(findings, self._fleet.get, now)
 
     def note_lost_answer(self, instance: ids.InstanceId, now: float) -> None:
         """Note a plain service's answer that was missing or incomplete.
@@ -966,6 +982,7 @@
         self._remote.expire(now)
         self.limits.expire(self._is_listed, now)
         self.coldness.expire(now)
+        self.reachability.expire(self._is_listed)
         self.withdrawals.expire(self._is_listed, now)
         for name, health in list(self._health.items()):
             if health.in_flight <= 0 and self._fleet.get(name) is None:
--- a/currantwall/coordination/requests/paths.py
+++ b/currantwall/coordination/requests/paths.py
@@ -103,6 +103,8 @@
         listed: abc.Iterable[upstreams.Upstream],
         salt: str,
         services: abc.Container[ids.ServiceName] = (),
+        rank: abc.Callable[[upstreams.Upstream], int] = lambda _: 0,
+        limit: int = _CHECKED_UPSTREAMS,
     ) -> list[upstreams.Upstream]:
         """Return the upstreams to connect to in a check.
 
@@ -117,6 +119,9 @@
             salt: Text that is hashed to choose others each time.
             services: The services that requests are sent to; empty if they
                 are not known.
+            rank: Returns a number that is lower for upstreams that are to
+                be chosen first.
+            limit: Most upstreams.
         """
         used = (
             one for one in listed if not services or one.service in services
@@ -129,9 +134,9 @@
         for position, upstream in enumerate(ranked):
             group = (upstream.service, upstream.datacentre, upstream.domain)
             count = groups[group] = groups.get(group, 0) + 1
-            keyed.append((count, position, upstream))
-        keyed.sort(key=lambda item: item[:2])
-        return [one for _, _, one in keyed[:_CHECKED_UPSTREAMS]]
+            keyed.append((rank(upstream), count, position, upstream))
+        keyed.sort(key=lambda item: item[:3])
+        return [item[3] for item in keyed[:limit]]
 
     @property
     def reached_at(self) -> float:
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -48,6 +48,7 @@
 from currantwall.transport import listeners
 from currantwall.transport import metrics as metrics_module
 from currantwall.transport import news
+from currantwall.transport import openings
 from currantwall.transport import paths as path_checks
 from currantwall.transport import peerexchanges
 from currantwall.transport import peers
@@ -145,7 +146,20 @@
         self._presence = presence_module.Presence(own_entry)
         self._paths = paths_module.Paths(self._presence)
         self._checks = path_checks.PathChecks(
-            self._paths, self._fleet, self._connections, self._meter, self._log
+            self._paths,
+            self._fleet,
+            self._connections,
+            self._meter,
+            self._log,
+            self._balancer.reachability,
+        )
+        self._openings = openings.Openings(
+            self._balancer.reachability,
+            self._fleet,
+            self._presence,
+            self._paths,
+            self._connections,
+            self._meter,
         )
         self._connections.on_opened = self._checks.note_opened
         self._checks.on_lost = lambda: self._balancer.forgive_failures(
@@ -377,6 +391,7 @@
         tasks = [
             self._log.run,
             self._checks.run,
+            self._openings.run,
             self._news.run_receiver,
             self._news.run_sender,
             self._news.run_shares,
--- a/currantwall/state/upstreams.py
+++ b/currantwall/state/upstreams.py
@@ -17,6 +17,7 @@
 __all__ = [
     "Change",
     "Departure",
+    "Finding",
     "Fleet",
     "Phase",
     "Replica",
@@ -231,6 +232,20 @@
     remaining: float
 
 
+class Finding(msgspec.Struct, frozen=True, array_like=True):
+    """What a node has found at an upstream's address.
+
+    Attributes:
+        born: Start of its process, in Unix milliseconds; 0 if unknown.
+        age: Seconds since then.
+        is_open: Whether a connection was opened.
+    """
+
+    born: int
+    age: float
+    is_open: bool = False
+
+
 class Fleet:
     """The registered instances as one node knows them.
 
--- a/currantwall/transport/exchanges.py
+++ b/currantwall/transport/exchanges.py
@@ -220,7 +220,7 @@
     Attributes:
         now: Returns the monotonic time.
         opened: Number of connections opened so far.
-        on_opened: Called when a new connection is open.
+        on_opened: Called with the upstream when a new connection is open.
         is_bounded: Whether the buffers of new connections are bounded.
         max_idle: Most idle connections that are kept.
     """
@@ -229,7 +229,7 @@
         self.now = now
         self._idle: dict[ids.InstanceId, list[_Idle]] = {}
         self.opened = 0
-        self.on_opened: typing.Callable[[], None] = _ignore
+        self.on_opened: typing.Callable[[ids.InstanceId], None] = _ignore
         self.is_bounded = False
         self.max_idle = sys.maxsize
         self._idle_count = 0
@@ -254,15 +254,16 @@
             if self.now() < idle.expires_at and is_quiet(idle.connection):
                 return idle.connection
             idle.connection.close()
-        return self.open(address, _CONNECT_TIMEOUT)
+        return self.open(instance, address, _CONNECT_TIMEOUT)
 
     def open(
-        self, address: str, timeout: float
+        self, instance: ids.InstanceId, address: str, timeout: float
     ) -> urllib3.connection.HTTPConnection:
         """Return a new connection.
 
         Args:
-            address: Host and port.
+            instance: The upstream.
+            address: Its host and port.
             timeout: Timeout of the connect in seconds.
 
         Raises:
@@ -281,7 +282,7 @@
             buffers.limit_receiving(connection.sock)
             buffers.limit_sending(connection.sock)
         self.opened += 1
-        self.on_opened()
+        self.on_opened(instance)
         return connection
 
     def clear(self) -> None:
@@ -581,7 +582,7 @@
         self._connections.give_back(self._instance, connection, keep_alive)
 
 
-def _ignore() -> None:
+def _ignore(instance: ids.InstanceId) -> None:
     return
 
 
--- a/currantwall/transport/news.py
+++ b/currantwall/transport/news.py
@@ -151,9 +151,17 @@
             store_revision=self._presence.staleness.report_newest(now),
             departures=self._fleet_feed.list_departures(),
             parts=self._quarantine.make_reports(now),
+            findings=self._list_findings(now),
         )
         return self._relay.list_datagrams(own, now)
 
+    def _list_findings(
+        self, now: float
+    ) -> dict[ids.InstanceId, upstreams.Finding]:
+        if not self._presence.has_path:
+            return {}
+        return self._balancer.reachability.make_report(now)
+
     def _receive(self, message: digests.Message) -> None:
         now = self._now()
         if isinstance(message, presence_module.Heartbeat):
@@ -222,6 +230,7 @@
         )
         self._suspect(report.stalled)
         self._quarantine.apply_reports(report.parts, now)
+        self._balancer.note_findings(report.findings, now)
         for epoch_id in report.lost:
             self._note_loss(epoch_id, now)
         for epoch_id in report.slow:
--- /dev/null
+++ b/currantwall/transport/openings.py
@@ -0,0 +1,85 @@
+"""Tries again to connect to upstreams that could not be connected to.
+
+`coordination.requests.reachability` decides which node tries which of them,
+and when.
+"""
+
+import eventlet
+import eventlet.greenpool
+
+from currantwall.coordination.peers import presence as presence_module
+from currantwall.coordination.requests import paths as paths_module
+from currantwall.coordination.requests import reachability as reach
+from currantwall.state import upstreams
+from currantwall.transport import exchanges
+from currantwall.transport import metrics as metrics_module
+
+__all__ = ["Openings"]
+
+# Seconds between two looks for suspects that are due.
+_INTERVAL = 0.25
+# Timeout of a connection, in seconds, and most that are opened at once.
+_TIMEOUT = 0.3
+_MAX_AT_ONCE = 32
+# Seconds for which a connection is kept for reuse.
+_KEEP_ALIVE = 2.0
+_SUSPECTS = "currantwall.instances.unreachable"
+_TRIED = "currantwall.instances.tried"
+
+
+class Openings:
+    """Tries the suspects that are this node's turn."""
+
+    def __init__(
+        self,
+        reachability: reach.Reachability,
+        fleet: upstreams.Fleet,
+        presence: presence_module.Presence,
+        paths: paths_module.Paths,
+        connections: exchanges.Connections,
+        meter: metrics_module.Metrics,
+    ) -> None:
+        self._reachability = reachability
+        self._fleet = fleet
+        # Generation of the fleet that was last looked at.
+        self._generation = 0
+        self._presence = presence
+        self._paths = paths
+        self._connections = connections
+        self._now = connections.now
+        self._meter = meter
+        self._pool = eventlet.greenpool.GreenPool(_MAX_AT_ONCE)
+
+    def run(self) -> None:
+        """Try suspects forever."""
+        while True:
+            eventlet.sleep(_INTERVAL)
+            self._meter.set(_SUSPECTS, len(self._reachability))
+            if self._paths.is_lost:
+                continue
+            now = self._now()
+            me = self._presence.me.id
+            nodes = sorted(
+                {me, *(node.id for node in self._presence.list_with_path(now))}
+            )
+            due = self._reachability.list_due(nodes, me, now)
+            if self._generation != self._fleet.generation:
+                self._generation = self._fleet.generation
+                plain = (one for one in self._fleet.all() if not one.domain)
+                due += self._reachability.list_new(plain, nodes, me)
+            if due:
+                self._meter.add(_TRIED, len(due))
+            for upstream in due:
+                self._pool.spawn_n(self._try, upstream)
+
+    def _try(self, upstream: upstreams.Upstream) -> None:
+        try:
+            connection = self._connections.open(
+                upstream.id, upstream.address, _TIMEOUT
+            )
+            self._connections.give_back(upstream.id, connection, _KEEP_ALIVE)
+        except exchanges.Exhausted:
+            return
+        except exchanges.FAILURES:
+            if not self._paths.is_lost:
+                self._reachability.note_unreached(upstream, self._now())
--- a/currantwall/transport/paths.py
+++ b/currantwall/transport/paths.py
@@ -10,6 +10,7 @@
 import eventlet.queue
 
 from currantwall.coordination.requests import paths as paths_module
+from currantwall.coordination.requests import reachability as reach
 from currantwall.state import ids
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -23,6 +24,11 @@
 _CHECK_TIMEOUT = 0.3
 # Connections that a check opens at once; most checks need no more.
 _CHECKED_AT_ONCE = 2
+_PROVEN_CHECKED = 4
+# The same on a node that has not connected to any listed upstream yet: most
+# of these may be gone.
+_UNPROVEN_AT_ONCE = 16
+_UNPROVEN_CHECKED = 256
 # Seconds without an answer after which more are opened.
 _NEXT_DELAY = 0.1
 # Seconds between two checks while the path is lost.
@@ -49,6 +55,7 @@
         connections: exchanges.Connections,
         meter: metrics_module.Metrics,
         log: journal.Journal,
+        reachability: reach.Reachability | None = None,
     ) -> None:
         self._paths = paths
         self._fleet = fleet
@@ -62,13 +69,16 @@
         self._lost_at = 0.0
         # Whether the last check has found a path that counts as lost.
         self._is_returning = False
+        self.reachability = reachability or reach.Reachability()
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
         self.on_lost: abc.Callable[[], None] = _ignore
         self.on_change: abc.Callable[[], None] = _ignore
 
-    def note_opened(self) -> None:
+    def note_opened(self, instance: ids.InstanceId) -> None:
         """Note that a connection to an upstream was opened."""
-        self._paths.note_reached(self._now())
+        now = self._now()
+        self._paths.note_reached(now)
+        self.reachability.note_opened(instance, now)
 
     def verify(self, since: float) -> bool:
         """Return whether this node has a path to upstreams.
@@ -120,17 +130,22 @@
             None if this process has no descriptors for connections.
         """
         self._count += 1
+        listed = self._fleet.all()
+        is_proven = any(self.reachability.has_opened(one.id) for one in listed)
+        at_once = _CHECKED_AT_ONCE if is_proven else _UNPROVEN_AT_ONCE
         chosen = self._paths.choose_checked(
-            self._fleet.all(),
+            listed,
             f"{self._paths.node}{self._count}",
             {service.name for service in self.services()},
+            self._rank,
+            _PROVEN_CHECKED if is_proven else _UNPROVEN_CHECKED,
         )
         if not chosen:
             return True
         results = eventlet.queue.LightQueue()
         pending = 0
-        for index in range(0, len(chosen), _CHECKED_AT_ONCE):
-            tried = chosen[index : index + _CHECKED_AT_ONCE]
+        for index in range(0, len(chosen), at_once):
+            tried = chosen[index : index + at_once]
             pending += len(tried)
             for upstream in tried:
                 eventlet.spawn_n(self._try_one, upstream, results)
@@ -147,6 +162,12 @@
         found = [results.get() for _ in range(pending)]
         return None if None in found else any(found)
 
+    def _rank(self, upstream: upstreams.Upstream) -> int:
+        """Return a lower number for what is likelier to be reachable."""
+        if self.reachability.is_suspect(upstream):
+            return 2
+        return 0 if self.reachability.has_opened(upstream.id) else 1
+
     def _try_one(
         self,
         upstream: upstreams.Upstream,
@@ -155,7 +176,7 @@
         has_reached: bool | None = False
         try:
             connection = self._connections.open(
-                upstream.address, _CHECK_TIMEOUT
+                upstream.id, upstream.address, _CHECK_TIMEOUT
             )
             has_reached = True
             self._connections.give_back(
--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -249,6 +249,8 @@
         is_doubted: Whether its replica is said to have lost a member.
         peer: The node that forwards it; None if it goes to the upstream
             directly.
+        was_suspect: Whether no better was expected of its upstream than that
+            it can't be connected to.
         rest: Bytes of a stream's body after its last complete event.
         failed_step: Step at which its exchange broke off; empty if it
             didn't.
@@ -266,6 +268,7 @@
     is_held: bool = False
     is_doubted: bool = False
     peer: ids.NodeId | None = None
+    was_suspect: bool = False
     rest: int = 0
     failed_step: str = ""
     exposure: quarantine.Exposure | None = None
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -257,6 +257,11 @@
             sent_at=now,
             last_message_at=now,
             peer=peer.id if peer is not None else None,
+            was_suspect=(
+                upstream.seat is not None
+                or peer is not None
+                or self._balancer.reachability.is_suspect(upstream)
+            ),
         )
         self._crashes.begin(request, attempt)
         return attempt
@@ -422,15 +427,21 @@
             self._note_failure(current.upstream, failure, now)
             if failure is Failure.LOST:
                 is_cause = self._crashes.note_break(request, current)
+        is_free = failure is Failure.UNREACHED and not current.was_suspect
+        request.progress.unopened += is_free
         verdict = Verdict.GIVE_UP
         if not is_cause:
-            verdict = self._decide(request, failure, now)
+            verdict = self._decide(request, failure, now, is_free)
         self._log_failure(request, current, failure, why, verdict)
         if verdict is Verdict.GIVE_UP:
             raise self.make_refusal(request, why, 0.3)
 
     def _decide(
-        self, request: requests.Request, failure: Failure, now: float
+        self,
+        request: requests.Request,
+        failure: Failure,
+        now: float,
+        is_free: bool = False,
     ) -> Verdict:
         """Return whether to send a request again; take that from the budget.
 
@@ -438,8 +449,12 @@
             request: The request.
             failure: How its last attempt failed.
             now: Monotonic time.
+            is_free: Whether no connection was opened, to an upstream that
+                was not known as unreachable.
         """
-        verdict = attempts.decide(request.route, failure, request.progress)
+        verdict = attempts.decide(
+            request.route, failure, request.progress, is_free
+        )
         if verdict is Verdict.REPEAT_PAID and not self._budget.take(
             request.service.name, now
         ):
@@ -495,6 +510,8 @@
             self._balancer.note_misdirected(upstream, now)
         elif failure is Failure.STALLED:
             self._balancer.note_silence(upstream, now)
+        elif failure is Failure.UNREACHED and upstream.seat is None:
+            self._balancer.reachability.note_unreached(upstream, now)
         else:
             avoid = failure is Failure.UNREACHED
             self._balancer.note_failure(upstream, now, avoid)
@@ -557,6 +574,15 @@
                 self._note_message(request, attempt, message)
                 return message
 
+    @staticmethod
+    def is_unopened(current: requests.Attempt) -> bool:
+        """Return whether an attempt still waits for its connection.
+
+        One that was opened while this process stood still is found here.
+        """
+        eventlet.sleep(0)
+        return not current.exchange.may_have_sent
+
     def _end_stopped(
         self,
         request: requests.Request,
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -4,6 +4,8 @@
 truncated, unsigned or meant for another request is never forwarded.
 """
 
+import typing
+
 from currantwall.coordination.requests import attempts
 from currantwall.transport import exchanges
 from currantwall.transport import ingress
@@ -13,6 +15,8 @@
 __all__ = ["WholeAnswers"]
 
 Failure = attempts.Failure
+# Why an attempt failed whose connection was not open in time.
+_UNOPENED = "not open in time"
 Reply = ingress.Reply
 
 
@@ -70,8 +74,8 @@
             request.route.attempts
         ):
             until = min(until, current.sent_at + timeout)
+        message = self._receive_first(request, current, until)
         while True:
-            message = self._sender.receive_message(request, (current,), until)
             if message is None:
                 if self._sender.now() >= request.deadline - 0.002:
                     raise self._sender.end_timed_out(request, current)
@@ -105,3 +109,28 @@
                     headers=sending.drop_hop_headers(current.head.headers),
                     body=b"".join(parts),
                 )
+            message = self._sender.receive_message(request, (current,), until)
+
+    def _receive_first(
+        self,
+        request: requests.Request,
+        current: requests.Attempt,
+        until: float,
+    ) -> typing.Any:
+        """Return the first message of an attempt, None if none came in time.
+
+        Failure: the opening of a connection is not answered, and a request
+        waits for that while other upstreams are idle.
+        """
+        if not current.was_suspect:
+            opened_by = current.sent_at + attempts.CONNECT_PATIENCE
+            message = self._sender.receive_message(
+                request, (current,), min(until, opened_by)
+            )
+            if message is not None:
+                return message
+            if opened_by < until and self._sender.is_unopened(current):
+                return exchanges.Failed(
+                    current.exchange.number, False, "connect", _UNOPENED
+                )
+        return self._sender.receive_message(request, (current,), until)
