Soak: another system's entries come, stay and go

Up to twenty at a time: twelve of servers that are gone, and eight that can't be read (a port of 4,400 digits, a replica of 99,999,999,999 instances, and others). Half and more are removed after a while, the others stay beside what restarts. The random numbers are its own, so that the other disturbances of a seed stay.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -256,6 +256,11 @@
             response = self.http.request("POST", base, body=data)
         assert response.status == 200, response.data
 
+    def delete_object(self, kind: str, name: str) -> None:
+        """Remove an object from the store, if it has it."""
+        base = f"http://{self.addresses[_STORE_NAME]}{_OBJECTS_PATH}"
+        self.http.request("DELETE", f"{base}/{kind}/{name}")
+
     def drain(self, name: str) -> None:
         """Have a server announce that it leaves."""
         url = f"http://{self.addresses[name]}/control/drain"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -40,6 +40,8 @@
     LEAVE_UPSTREAM = "leave_upstream"
     # New connections of a gateway to all servers fail.
     PARTITION_GATEWAY = "partition_gateway"
+    # Entries of servers that are gone, or that can't be read.
+    FOREIGN_ENTRIES = "foreign_entries"
 
 
 # Relative frequency of each kind.
@@ -89,6 +91,8 @@
 _MAX_PARTITION = 6.0
 # Most seconds between two restores of the store.
 _MAX_RESTORE_PAUSE = 8.0
+# Most seconds between two writers of foreign entries.
+_MAX_ENTRIES_PAUSE = 5.0
 # How a link may fail: the values of `proxy.Mode` but for passing.
 _LINK_MODES = ("delayed", "silent", "one_way", "resetting")
 # Seconds before the first disturbance, and at most between the starts of
@@ -158,6 +162,7 @@
     disturbances += _plan_advisories(seed, seconds, upstreams)
     disturbances += _plan_partitions(seed, seconds, gateways)
     disturbances += _plan_restores(seed, seconds)
+    disturbances += _plan_entries(seed, seconds)
     return sorted(disturbances, key=lambda disturbance: disturbance.at)
 
 
@@ -217,3 +222,18 @@
         disturbances.append(Disturbance(at, Kind.STORE_RESTORED, lasts))
         at += lasts + rng.uniform(0.0, _MAX_RESTORE_PAUSE)
     return disturbances
+
+
+def _plan_entries(seed: int, seconds: float) -> list[Disturbance]:
+    """Return when another system writes entries of its servers.
+
+    The random numbers are its own, as those of `_plan_advisories` are.
+    """
+    rng = random.Random(f"{seed}/entries")
+    disturbances = []
+    at = rng.uniform(0.0, _MAX_ENTRIES_PAUSE)
+    while at < seconds:
+        lasts = rng.uniform(_MIN_DURATION, _MAX_DURATION)
+        disturbances.append(Disturbance(at, Kind.FOREIGN_ENTRIES, lasts))
+        at += rng.uniform(0.0, _MAX_ENTRIES_PAUSE)
+    return disturbances
--- a/soak/site.py
+++ b/soak/site.py
@@ -41,6 +41,20 @@
 _AWAY_TIME = 0.4
 # Seconds until the operator repeats a write that failed.
 _RETRY_INTERVAL = 0.2
+# Entries of servers that are gone, and what differs in those that can't be
+# read.
+_DEAD_ENTRIES = 12
+_FOREIGN_ENTRY = {"service": "app", "zone": "a", "state": "ready", "slots": 4}
+_ODD_FIELDS: tuple[dict[str, typing.Any], ...] = (
+    {"address": "127.0.0.1:" + "9" * 4400},
+    {"address": "1..2:80"},
+    {"address": "[::1:80"},
+    {"slots": 10**300},
+    {"born": -1},
+    {"group": {"name": "m.99999999999.x", "epoch": 1, "rank": 0}},
+    {"staged": [[[[[[]]]]]]},
+    {"domain": "d" * 100_000},
+)
 _ROOT = pathlib.Path(__file__).parent.parent
 
 
@@ -80,6 +94,7 @@
         self._start_count = 0
         self._clock_skews: dict[str, float] = {}
         self._down: set[str] = set()
+        self._entries_count = 0
 
     # -- Starting
 
@@ -332,6 +347,27 @@
         self.end_partition(name)
         self.record_event("mended", name)
 
+    def _foreign_entries(self, disturbance: plan_module.Disturbance) -> None:
+        """Add entries of another system; remove most of them later."""
+        self._entries_count += 1
+        names = []
+        for number in range(_DEAD_ENTRIES + len(_ODD_FIELDS)):
+            name = f"foreign-{self._entries_count}-{number}"
+            entry = dict(_FOREIGN_ENTRY, address=f"{self.ip}:{1000 + number}")
+            if number >= _DEAD_ENTRIES:
+                entry |= _ODD_FIELDS[number - _DEAD_ENTRIES]
+            # The store may be down, or lose its answer.
+            with contextlib.suppress(
+                AssertionError, urllib3.exceptions.HTTPError
+            ):
+                self.put_object("servers", name, entry)
+                names.append(name)
+        self.record_event("entries", "")
+        eventlet.sleep(disturbance.lasts)
+        for name in names[::2] + names[1::4]:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                self.delete_object("servers", name)
+
     def _say(self, name: str, **headers: str) -> None:
         """Set the headers of a server's answers, unless it is down."""
         with contextlib.suppress(urllib3.exceptions.HTTPError):
