--- a/currantwall/transport/requests.py
+++ b/currantwall/transport/requests.py
@@ -12,6 +12,7 @@
 from currantwall.protocol import names as names_module
 from currantwall.state import hashing
 from currantwall.state import ids
+from currantwall.state import numbers
 from currantwall.state import quarantines
 from currantwall.state import routes
 from currantwall.state import upstreams
@@ -32,8 +33,8 @@
     "read_prompt",
 ]
 
-# Digits of a number of tokens that are read.
-_MAX_DIGITS = 9
+# Largest number of tokens that counts.
+_MAX_TOKENS = 10**9 - 1
 # Most shared parts of a prompt that are considered, and the longest id.
 _MAX_PARTS = 64
 _MAX_PART_LENGTH = 64
@@ -196,9 +197,10 @@
         The numbers; None if the value is of another form.
     """
     prompt, comma, answer = value.partition(",")
-    if not (comma and prompt.isdecimal() and answer.isdecimal()):
+    first, second = numbers.parse_count(prompt), numbers.parse_count(answer)
+    if not comma or first is None or second is None:
         return None
-    return int(prompt[:_MAX_DIGITS]), int(answer[:_MAX_DIGITS])
+    return min(first, _MAX_TOKENS), min(second, _MAX_TOKENS)
 
 
 def read_prompt(
