Mutants: eleven guards of the latest changes

Nine were noticed at once. An entry without an address was not, nor an upstream that stays away and crashes again each time that it is listed: the test of entries drew too few of the former, and that of the quarantine had too few returns. Both tests are stricter now, and all eleven are noticed.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -49,6 +49,7 @@
 _COLDNESS = "tests.test_cold.ColdnessTest"
 _DUTIES = "tests.test_duties"
 _RESTORED = f"{_DUTIES}.RestoredLeaseTest"
+_ADDRESSES = "tests.test_addresses"
 _ADAPTER = "tests.test_adapter.ObjectStoreTest"
 _DIGESTS = "tests.test_digests"
 _BUDGET = "tests.test_buffering.BudgetTest"
@@ -1223,6 +1224,91 @@
         f"{_EVACUATIONS}.EvacuationsTest"
         ".test_an_evacuation_that_the_store_has_forgotten_stays",
     ),
+    Mutant(
+        "a port out of range is an address",
+        "currantwall/state/addresses.py",
+        "    if not 0 < port < _PORT_LIMIT:\n        return None\n",
+        "",
+        f"{_ADDRESSES}.AddressTest.test_what_cannot_be_dialled_is_no_address",
+    ),
+    Mutant(
+        "an entry without an address is used",
+        "platform/currantwall_platform/documents.py",
+        "(_READY, _DRAINING) or address is None:",
+        "(_READY, _DRAINING):",
+        f"{_ADDRESSES}.EntryTest.test_an_entry_without_an_address_is_skipped",
+    ),
+    Mutant(
+        "a failed task is run again at once",
+        "currantwall/transport/supervision.py",
+        "        record.delay = min(2 * delay, _LONGEST_DELAY)\n",
+        "",
+        "tests.test_supervision.SupervisorTest"
+        ".test_an_error_at_each_run_costs_few_runs_and_lines",
+    ),
+    Mutant(
+        "a message ends the receiver",
+        "currantwall/transport/heartbeats.py",
+        "            except Exception as error:\n",
+        "            except OSError as error:\n",
+        "tests.test_supervision.ReceiverTest"
+        ".test_a_message_that_fails_keeps_no_other_from_being_received",
+    ),
+    Mutant(
+        "a node without a list has the age of another's",
+        "currantwall/transport/fleets.py",
+        "if newer is None and self._fleet.is_known:",
+        "if newer is None:",
+        f"{_FEEDS}.FollowerTest.test_a_node_without_a_list_tells_no_age",
+    ),
+    Mutant(
+        "an interim response is the final one",
+        "currantwall/transport/responses.py",
+        "if status[1] >= http.HTTPStatus.OK:",
+        "if status[1] != http.HTTPStatus.CONTINUE:",
+        "tests.test_exchanges.ExchangeTest"
+        ".test_a_clear_response_is_read_and_its_connection_reused",
+    ),
+    Mutant(
+        "an upstream that stays away crashes again",
+        f"{_COORDINATION}/requests/quarantine.py",
+        "            and started < crash.at\n",
+        "",
+        "tests.test_quarantine.EvidenceTest"
+        ".test_an_upstream_that_stays_away_is_one_crash",
+    ),
+    Mutant(
+        "a request is repeated after a third crash under it",
+        "currantwall/transport/crashes.py",
+        "return is_suspect and is_crash",
+        "return False",
+        "tests.test_crash_checks.CrashChecksTest"
+        ".test_a_request_is_not_repeated_after_a_third_crash_under_it",
+    ),
+    Mutant(
+        "what is in progress at the exit is cut",
+        "currantwall/gateway.py",
+        "                self._forwarder.end_requests()\n",
+        "                pass\n",
+        "tests.test_closing.StopTest"
+        ".test_requests_in_progress_at_the_end_get_an_answer",
+    ),
+    Mutant(
+        "a connection that did not open is an attempt",
+        f"{_COORDINATION}/requests/attempts.py",
+        "    if is_free and progress.unopened < _MAX_UNOPENED:\n",
+        "    if False:\n",
+        "tests.test_reachability.DeadEntriesTest"
+        ".test_requests_are_served_beside_dead_entries",
+    ),
+    Mutant(
+        "a large unreadable entry is split at each read",
+        "platform/currantwall_platform/store.py",
+        "        data = self._known_items.replace(data, turns.note)\n",
+        "",
+        "tests.test_unreadable.UnreadableTest"
+        ".test_a_large_entry_leaves_turns_and_is_split_once",
+    ),
 )
 
 
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -158,6 +158,20 @@
 
 
 class EntryTest(unittest.TestCase):
+    def test_an_entry_without_an_address_is_skipped(self):
+        """Guards against an instance that can't be connected to."""
+        entry = {"service": "app", "zone": "a", "state": "ready"}
+        objects = [
+            ports.StoredObject(
+                f"i-{number}",
+                number,
+                msgspec.json.encode(entry | {"address": address}),
+            )
+            for number, address in enumerate([*_ODD, *_SOUND])
+        ]
+        listed = documents.Documents().decode_upstreams(objects)
+        self.assertEqual([one.address for one in listed], list(_SOUND))
+
     @hypothesis.settings(
         max_examples=400, derandomize=True, deadline=None, database=None
     )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -91,10 +91,11 @@
     def test_an_upstream_that_stays_away_is_one_crash(self):
         """Guards against blame for each request that is broken off there."""
         for n in range(8):
-            self.crash_process(10.0 + 2 * n, "i1", 1_000, make_prompt(f"r{n}"))
-            # Another entry, of a process that has started afterwards.
-            self.quarantine.note_start("i1", 1_000, 1.0, 10.1 + 2 * n)
-        self.quarantine.note_start("i1", 25_000, 25.0, 25.1)
+            at = 10.0 + 2 * n
+            self.crash_process(at, "i1", 1_000, make_prompt(f"r{n}"))
+            # Of a process that has started since, and ended unseen.
+            born = int(at * 1000) + 500
+            self.quarantine.note_start("i1", born, at + 0.5, at + 0.6)
         self.assertEqual(self.blamed, [])
 
     def test_a_part_that_a_request_survived_is_not_quarantined(self):
