--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -47,6 +47,7 @@
         "requests.placing",
         "requests.quarantine",
         "requests.ratelimits",
+        "requests.reachability",
         "requests.withdrawals",
     )
 )
