Answers: an attempt goes on where no other may take its place

Change: before a silent attempt is ended, the sender looks whether a repeat is left in the budget and whether an upstream may take it; if not, the attempt goes on until the caller's own limit.

--- a/currantwall/coordination/requests/budgets.py
+++ b/currantwall/coordination/requests/budgets.py
@@ -51,13 +51,17 @@
 
     def take(self, service: ids.ServiceName, now: float) -> bool:
         """Return whether one repeat may be sent, and count it if so."""
+        if not self.has_repeat(service, now):
+            return False
+        self._trim(self._repeats, service, now).append(now)
+        return True
+
+    def has_repeat(self, service: ids.ServiceName, now: float) -> bool:
+        """Return whether one repeat may be sent."""
         repeats = self._trim(self._repeats, service, now)
         requests = self._trim(self._requests, service, now)
         limit = self._ratio * len(requests) + self._slack / self._nodes
-        if len(repeats) + 1 > limit * _USED_SHARE:
-            return False
-        repeats.append(now)
-        return True
+        return len(repeats) + 1 <= limit * _USED_SHARE
 
     def _trim(
         self,
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -643,6 +643,27 @@
             request.progress.runs + 1 < route.attempts
         )
 
+    def may_replace(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> bool:
+        """Return whether another attempt may take the place of a silent one.
+
+        Failure: the budget for repeats is used up, or no other upstream is
+        left, and a request whose upstream would have answered it ends with
+        an error.
+        """
+        now = self.now()
+        if not self._budget.has_repeat(request.service.name, now):
+            return False
+        chosen = self._balancer.choose(
+            request.service.name,
+            request.model,
+            request.tried,
+            request.attempt_id,
+            now,
+        )
+        return isinstance(chosen, upstreams.Upstream)
+
     def hold_attempt(
         self, request: requests.Request, current: requests.Attempt, why: str
     ) -> bool:
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -77,16 +77,13 @@
         message = self._receive_first(request, current, until)
         while True:
             if message is None:
-                if self._sender.now() >= request.deadline - 0.002:
-                    raise self._sender.end_timed_out(request, current)
-                self._sender.fail_attempt(
-                    request, current, Failure.STALLED, "no answer"
-                )
-                return None
-            if isinstance(message, exchanges.Failed):
+                if not self._note_silence(request, current):
+                    return None
+                until = request.deadline
+            elif isinstance(message, exchanges.Failed):
                 self._sender.fail_interrupted(request, current, message)
                 return None
-            if isinstance(message, exchanges.Head):
+            elif isinstance(message, exchanges.Head):
                 until = request.deadline
                 current.head = message
                 failure = self._sender.classify(message, request)
@@ -111,6 +108,27 @@
                 )
             message = self._sender.receive_message(request, (current,), until)
 
+    def _note_silence(
+        self, request: requests.Request, current: requests.Attempt
+    ) -> bool:
+        """End an attempt that was not answered in time, if that helps.
+
+        Returns:
+            Whether it goes on, as no other may take its place.
+
+        Raises:
+            requests.Refused: The time of the request is up, or the attempt
+                has failed and is not repeated.
+        """
+        if self._sender.now() >= request.deadline - 0.002:
+            raise self._sender.end_timed_out(request, current)
+        if not self._sender.may_replace(request, current):
+            return True
+        self._sender.fail_attempt(
+            request, current, Failure.STALLED, "no answer"
+        )
+        return False
+
     def _receive_first(
         self,
         request: requests.Request,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -7,6 +7,7 @@
     /hang/, /hang-ID/  no answer for 30 s; only from the server ID
     /reset3/           the stream is reset after three (or another number
                        of) events, unless it is a resumed one
+    /wait800/          an answer after 800 (or another number of) milliseconds
     /slow/             half a second between the events of a stream
     /long/             a fifth of a second, which no gateway takes for a stall
     /bulk400/          a stream of 400 (or another number of) events of
@@ -79,6 +80,7 @@
 _time = eventlet.patcher.original("time")
 _BULK_PATH = re.compile(r"/bulk(\d+)/")
 _RESET_PATH = re.compile(r"/reset(\d+)/")
+_WAIT_PATH = re.compile(r"/wait(\d+)/")
 _CUT_PATH = re.compile(r"/cut(\d+)/")
 _CRASH_PATH = re.compile(r"/crash(\d+)/")
 _ENDLESS_PATH = re.compile(r"/endless-([a-z0-9]+)-([a-z-]+)/")
@@ -286,6 +288,9 @@
         self._write_record("run", run=run, seat=self._group)
         if is_discarded:
             eventlet.sleep(_DISCARD_SECONDS)
+        wait = _WAIT_PATH.search(inbound.path)
+        if wait is not None:
+            eventlet.sleep(int(wait[1]) / 1000.0)
         if "/hang/" in inbound.path or f"/hang-{self._id}/" in inbound.path:
             eventlet.sleep(30.0)
         headers = [("X-Attempt-Id", attempt)]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -563,6 +563,29 @@
         )
 
 
+class _PoorGateways(gateways.Gateways):
+    """Gateways that may repeat no request."""
+
+    def __init__(self):
+        super().__init__()
+        self.bounds = {"retryBudgetRatio": 0.0, "budgetSlack": 0}
+
+
+class SlowAnswerTest(GatewayCase):
+    make_fleet = _PoorGateways
+
+    def test_an_answer_that_is_slow_is_awaited_where_none_may_replace_it(self):
+        """Guards against an error in place of an answer that would come."""
+        target = "/safe/wait900/x"
+        answers = [self.send("GET", target) for _ in range(3)]
+        whole = f"GET {target} ".encode()
+        self.assertEqual(
+            {(one.status, one.body) for one in answers}, {(200, whole)}
+        )
+        runs = self.fleet.list_runs("a1", "a2")
+        self.assertEqual(len([r for r in runs if r["target"] == target]), 3)
+
+
 class StatusLineTest(GatewayCase):
     def send_until_run(self, method, target, server):
         """Send requests until a server in trouble has got one."""
