Reachability: what is connected to is no suspect any more

- A connection that was opened was noted in a Reachability of its own: the balancer's was passed on as 'reachability or Reachability()', and one without suspects has the length 0.
So no suspect was ever cleared but by a new start.
It is a required argument, and has no length any more.
- A suspect was preferred to a server that limits its requests, which then was never asked for a share.
- A node that had missed the news of a server's return tried it after 20 s only, when it was not its turn: after 2 s now, doubling.

`upstreams_unreachable` logs the changes.

--- a/currantwall/coordination/requests/attempts.py
+++ b/currantwall/coordination/requests/attempts.py
@@ -35,7 +35,7 @@
 # Most attempts of one request, including those that certainly did not run.
 _MAX_SENDS = 4
 # Most connections that one request finds out about.
-_MAX_UNOPENED = 200
+_MAX_UNOPENED = 1000
 # Seconds of silence between two events of a stream after which its replica
 # is probed. A working replica sends an event every 45 to 60 ms, or after
 # 150 ms if it reads a long prompt in between.
--- a/currantwall/coordination/requests/balancing.py
+++ b/currantwall/coordination/requests/balancing.py
@@ -426,6 +426,9 @@
                 "all were tried",
                 _SATURATION_RETRY_AFTER if is_plain else _RECOVERY_RETRY_AFTER,
             )
+        # One that limits its requests for now is better than one that can't
+        # be connected to.
+        untried = self._list_reachable(untried) or untried
         willing = [
             upstream
             for upstream in untried
@@ -457,13 +460,20 @@
             usable = [one for one in permitted if self._is_silent(one)]
             if not usable:
                 return Unavailable("all stall or fail", _RECOVERY_RETRY_AFTER)
-        reachable = [
+        # A plain service: an ejected upstream is better than none.
+        return usable or permitted
+
+    def _list_reachable(
+        self, listed: list[upstreams.Upstream]
+    ) -> list[upstreams.Upstream]:
+        """Return the upstreams that are no suspects."""
+        if not self.reachability.has_suspects:
+            return listed
+        return [
             upstream
-            for upstream in usable
+            for upstream in listed
             if not self.reachability.is_suspect(upstream)
         ]
-        # A plain service: an ejected upstream is better than none.
-        return reachable or usable or permitted
 
     def _make_unserved(
         self, service: ids.ServiceName, model: str | None
--- a/currantwall/coordination/requests/reachability.py
+++ b/currantwall/coordination/requests/reachability.py
@@ -30,8 +30,10 @@
 _REPORT_SECONDS = 2.0
 # Most findings in one report, 20 bytes each.
 _MAX_REPORTED = 48
-# Seconds after which a node tries a suspect of which it has heard nothing
-# more.
+# Seconds after which any other node tries a suspect as well, as it may have
+# missed that it is none any more. They double with each try, up to a number,
+# or half of the number of nodes.
+_OTHERS_INTERVAL = 2.0
 _LONG_INTERVAL = 20.0
 # Seconds for which an own connection counts more than another node's report.
 _OWN_SECONDS = 2.0
@@ -45,6 +47,7 @@
         self.at = at
         self.next_try = at + _FIRST_INTERVAL
         self.is_new = True
+        self.tries = 0
         self.hash = hashing.hash_text(upstream.id)
 
 
@@ -63,8 +66,14 @@
         # Findings to report: start, time, whether open, until when.
         self._news: dict[ids.InstanceId, tuple[int, float, bool, float]] = {}
 
-    def __len__(self) -> int:
-        return len(self._suspects)
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether there are any suspects."""
+        return bool(self._suspects)
+
+    def list_suspects(self) -> set[ids.InstanceId]:
+        """Return the upstreams that may not be reachable."""
+        return set(self._suspects)
 
     def is_suspect(self, upstream: upstreams.Upstream) -> bool:
         """Return whether an upstream may not be reachable."""
@@ -92,7 +101,6 @@
             self._tell(upstream, now, False, now)
             return
         known.at = now
-        known.next_try = now + _TRY_INTERVAL
 
     def forgive(self, since: float) -> None:
         """Forget what was found after a time, as this node had no path."""
@@ -148,15 +156,23 @@
             turn = _find_turn(suspect.hash, nodes, me)
             if suspect.is_new and turn:
                 suspect.is_new = False
-                suspect.next_try = suspect.at + _TRY_INTERVAL
-            elif turn < _TRYING_NODES or now - suspect.at >= _LONG_INTERVAL:
-                due.append(suspect)
-        due.sort(key=lambda suspect: suspect.next_try)
+                is_trying = turn < _TRYING_NODES
+                interval = _TRY_INTERVAL if is_trying else _OTHERS_INTERVAL
+                suspect.next_try = suspect.at + interval
+            else:
+                due.append((suspect, turn))
+        due.sort(key=lambda item: item[0].next_try)
         del due[_MAX_DUE:]
-        for suspect in due:
+        for suspect, turn in due:
             suspect.is_new = False
+            suspect.tries += 1
             suspect.next_try = now + _TRY_INTERVAL
-        return [suspect.upstream for suspect in due]
+            if turn >= _TRYING_NODES:
+                suspect.next_try = now + min(
+                    _OTHERS_INTERVAL * 2**suspect.tries,
+                    max(_LONG_INTERVAL, len(nodes) / 2),
+                )
+        return [suspect.upstream for suspect, _ in due]
 
     def expire(self, is_listed: abc.Callable[[ids.InstanceId], bool]) -> None:
         """Forget upstreams that are no longer listed."""
--- a/currantwall/gateway.py
+++ b/currantwall/gateway.py
@@ -160,6 +160,7 @@
             self._paths,
             self._connections,
             self._meter,
+            self._log,
         )
         self._connections.on_opened = self._checks.note_opened
         self._checks.on_lost = lambda: self._balancer.forgive_failures(
--- a/currantwall/transport/openings.py
+++ b/currantwall/transport/openings.py
@@ -10,8 +10,10 @@
 from currantwall.coordination.peers import presence as presence_module
 from currantwall.coordination.requests import paths as paths_module
 from currantwall.coordination.requests import reachability as reach
+from currantwall.state import ids
 from currantwall.state import upstreams
 from currantwall.transport import exchanges
+from currantwall.transport import journal
 from currantwall.transport import metrics as metrics_module
 
 __all__ = ["Openings"]
@@ -23,6 +25,8 @@
 _MAX_AT_ONCE = 32
 # Seconds for which a connection is kept for reuse.
 _KEEP_ALIVE = 2.0
+# Most names of upstreams in one field of a log line.
+_NAMES_LIMIT = 8
 _SUSPECTS = "currantwall.instances.unreachable"
 _TRIED = "currantwall.instances.tried"
 
@@ -38,6 +42,7 @@
         paths: paths_module.Paths,
         connections: exchanges.Connections,
         meter: metrics_module.Metrics,
+        log: journal.Journal,
     ) -> None:
         self._reachability = reachability
         self._fleet = fleet
@@ -48,13 +53,16 @@
         self._connections = connections
         self._now = connections.now
         self._meter = meter
+        self._log = log
+        # The suspects as last logged.
+        self._reported: set[ids.InstanceId] = set()
         self._pool = eventlet.greenpool.GreenPool(_MAX_AT_ONCE)
 
     def run(self) -> None:
         """Try suspects forever."""
         while True:
             eventlet.sleep(_INTERVAL)
-            self._meter.set(_SUSPECTS, len(self._reachability))
+            self._report()
             if self._paths.is_lost:
                 continue
             now = self._now()
@@ -72,6 +80,21 @@
             for upstream in due:
                 self._pool.spawn_n(self._try, upstream)
 
+    def _report(self) -> None:
+        """Set the metric, and log which upstreams have become suspects."""
+        suspects = self._reachability.list_suspects()
+        if suspects == self._reported:
+            return
+        added, removed = suspects - self._reported, self._reported - suspects
+        self._reported = suspects
+        self._meter.set(_SUSPECTS, len(suspects))
+        self._log.write(
+            "upstreams_unreachable",
+            added=sorted(added)[:_NAMES_LIMIT],
+            reached=sorted(removed)[:_NAMES_LIMIT],
+            total=len(suspects),
+        )
+
     def _try(self, upstream: upstreams.Upstream) -> None:
         try:
             connection = self._connections.open(
--- a/currantwall/transport/paths.py
+++ b/currantwall/transport/paths.py
@@ -26,9 +26,10 @@
 _CHECKED_AT_ONCE = 2
 _PROVEN_CHECKED = 4
 # The same on a node that has not connected to any listed upstream yet: most
-# of these may be gone.
+# of these may be gone. Seconds after which no more are opened.
 _UNPROVEN_AT_ONCE = 16
-_UNPROVEN_CHECKED = 256
+_UNPROVEN_CHECKED = 4096
+_UNPROVEN_TIME = 0.5
 # Seconds without an answer after which more are opened.
 _NEXT_DELAY = 0.1
 # Seconds between two checks while the path is lost.
@@ -55,7 +56,7 @@
         connections: exchanges.Connections,
         meter: metrics_module.Metrics,
         log: journal.Journal,
-        reachability: reach.Reachability | None = None,
+        reachability: reach.Reachability,
     ) -> None:
         self._paths = paths
         self._fleet = fleet
@@ -69,7 +70,7 @@
         self._lost_at = 0.0
         # Whether the last check has found a path that counts as lost.
         self._is_returning = False
-        self.reachability = reachability or reach.Reachability()
+        self.reachability = reachability
         self.services: abc.Callable[[], abc.Iterable[routes.Service]] = tuple
         self.on_lost: abc.Callable[[], None] = _ignore
         self.on_change: abc.Callable[[], None] = _ignore
@@ -144,7 +145,10 @@
             return True
         results = eventlet.queue.LightQueue()
         pending = 0
+        until = self._now() + _UNPROVEN_TIME
         for index in range(0, len(chosen), at_once):
+            if self._now() > until:
+                break
             tried = chosen[index : index + at_once]
             pending += len(tried)
             for upstream in tried:
--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -51,6 +51,8 @@
 CUT_SHORT = "body: ended by the end of its upstream"
 # Reason of the answers that are given because this process ends.
 STOPPING = "stopping"
+# Failures for which no connection was opened.
+_UNOPENED = (Failure.UNREACHED, Failure.NO_PATH)
 _EXCESSIVE = "currantwall.answers.excessive"
 _EXHAUSTED = "currantwall.attempts.exhausted"
 _ATTEMPTS_FAILED = "currantwall.attempts.failed"
@@ -259,7 +261,6 @@
             peer=peer.id if peer is not None else None,
             was_suspect=(
                 upstream.seat is not None
-                or peer is not None
                 or self._balancer.reachability.is_suspect(upstream)
             ),
         )
@@ -427,10 +428,11 @@
             self._note_failure(current.upstream, failure, now)
             if failure is Failure.LOST:
                 is_cause = self._crashes.note_break(request, current)
-        is_free = failure is Failure.UNREACHED and not current.was_suspect
+        is_free = failure in _UNOPENED and not current.was_suspect
         request.progress.unopened += is_free
         verdict = Verdict.GIVE_UP
-        if not is_cause:
+        # The check of the path may have taken longer than there is time.
+        if not is_cause and now < request.deadline:
             verdict = self._decide(request, failure, now, is_free)
         self._log_failure(request, current, failure, why, verdict)
         if verdict is Verdict.GIVE_UP:
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -15,6 +15,7 @@
 from currantwall.coordination.requests import balancing
 from currantwall.coordination.requests import paths as paths_module
 from currantwall.coordination.requests import quarantine
+from currantwall.coordination.requests import reachability
 from currantwall.protocol import peerexchanges as protocol
 from currantwall.state import ids
 from currantwall.state import upstreams
@@ -200,6 +201,7 @@
             self.connections,
             mock.Mock(),
             mock.Mock(),
+            reachability.Reachability(),
         )
         self.connections.on_opened = self.checks.note_opened
 
