Entries: log once which are of no instance in use

An entry that another writer left odd was skipped without a word, so that an operator who looked for a server's requests had nothing to find. Each change of the skipped ones is one line now, with at most eight names of 80 characters. tests.test_odd_entries looks for it, and that it is not one a read.

--- a/currantwall/transport/fleets.py
+++ b/currantwall/transport/fleets.py
@@ -49,6 +49,8 @@
 _FEED_NAME = "instances"
 # Largest number of instance names in one field of a log line.
 _NAMES_LIMIT = 8
+# Largest number of characters of such a name.
+_NAME_LENGTH = 80
 
 
 class FleetFeed:
@@ -84,6 +86,8 @@
         self._newer_list = eventlet.event.Event()
         # Whether the last list was refused as older than the held one.
         self._is_refusing = False
+        # Entries of no instance in use, as last logged.
+        self._skipped: set[str] = set()
         # Instances kept although the list lacks them, as last logged.
         self._unlisted: set[ids.InstanceId] = set()
         self.on_change: abc.Callable[[], None] = _ignore
@@ -358,6 +362,7 @@
         listed, unreadable = self._decoder.decode_changes(
             listing.objects, listing.removed
         )
+        self._log_skipped()
         listed = self._correct(listed, listing.objects)
         gone = {ids.InstanceId(name) for name in listing.removed} | unreadable
         if not self._fleet.update(listed, gone, listing.revision, asked_at):
@@ -415,6 +420,7 @@
         found = self._correct(
             self._decoder.decode(listing.objects), listing.objects
         )
+        self._log_skipped()
         keep_missing = self._may_lack_entries(asked_at)
         had_list = self._fleet.is_known
         is_applied = self._fleet.replace(
@@ -456,6 +462,22 @@
             revision=revisions.describe(revision),
         )
 
+    def _log_skipped(self) -> None:
+        """Log the entries that are of no instance in use, on change.
+
+        Another writer may have left them, with any text as their names.
+        """
+        skipped = self._decoder.skipped
+        if skipped == self._skipped:
+            return
+        added = sorted(skipped - self._skipped)
+        self._skipped = set(skipped)
+        self._log.write(
+            "entries_skipped",
+            added=[repr(name[:_NAME_LENGTH]) for name in added[:_NAMES_LIMIT]],
+            total=len(skipped),
+        )
+
     def _log_refusal(self, revision: int, is_refused: bool) -> None:
         """Log that a list is refused as older than the held one, on change."""
         if is_refused and not self._is_refusing:
@@ -483,12 +505,17 @@
 
 
 class _Decoder:
-    """Decodes entries of instances, each revision of an entry once."""
+    """Decodes entries of instances, each revision of an entry once.
+
+    Attributes:
+        skipped: Names of the entries that are of no instance in use.
+    """
 
     def __init__(self, documents: ports.Documents) -> None:
         self._documents = documents
         # Revision and instance of each entry; no instance if unreadable.
         self._cache: dict[str, tuple[int, upstreams.Upstream | None]] = {}
+        self.skipped: set[str] = set()
 
     def decode(
         self, objects: abc.Collection[ports.StoredObject]
@@ -507,6 +534,7 @@
             present = {stored.name for stored in objects}
             for name in cache.keys() - present:
                 del cache[name]
+            self.skipped &= present
         listed = (cache[stored.name][1] for stored in objects)
         return [one for one in listed if one is not None]
 
@@ -527,6 +555,7 @@
         self._update_cache(objects)
         for name in removed:
             self._cache.pop(name, None)
+            self.skipped.discard(name)
         listed = [self._cache[stored.name][1] for stored in objects]
         found = [one for one in listed if one is not None]
         names = {ids.InstanceId(stored.name) for stored in objects}
@@ -539,8 +568,12 @@
             one.id: one for one in self._documents.decode_upstreams(objects)
         }
         for stored in objects:
-            name = ids.InstanceId(stored.name)
-            self._cache[stored.name] = stored.revision, decoded.get(name)
+            found = decoded.get(ids.InstanceId(stored.name))
+            self._cache[stored.name] = stored.revision, found
+            if found is None:
+                self.skipped.add(stored.name)
+            else:
+                self.skipped.discard(stored.name)
 
 
 def _ignore() -> None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -124,6 +124,9 @@
         for name in _GATEWAYS:
             log = self.site.read_log(name)
             self.assertNotIn("task_failed", log)
+            # Once for each change of the entries, in each process.
+            self.assertIn("entries_skipped", log)
+            self.assertLess(log.count("entries_skipped"), 40)
             self.assertLess(max(map(len, log.splitlines())), 4096)
 
 
