--- a/currantwall/coordination/requests/reachability.py
+++ b/currantwall/coordination/requests/reachability.py
@@ -35,8 +35,10 @@
 # or half of the number of nodes.
 _OTHERS_INTERVAL = 2.0
 _LONG_INTERVAL = 20.0
-# Seconds for which an own connection counts more than another node's report.
-_OWN_SECONDS = 2.0
+_MAX_DOUBLINGS = 10
+# Seconds for which what this node has got from an upstream counts more than
+# another node's report.
+_OWN_SECONDS = 1.0
 
 
 class _Suspect:
@@ -59,7 +61,7 @@
 
     def __init__(self) -> None:
         self._suspects: dict[ids.InstanceId, _Suspect] = {}
-        # When this node last opened a connection.
+        # When this node last opened a connection, or got an answer.
         self._opened: dict[ids.InstanceId, float] = {}
         # Start and address of the upstreams that `list_new` has looked at.
         self._seen: dict[ids.InstanceId, tuple[int, str]] = {}
@@ -87,18 +89,18 @@
     # -- Findings of this node
 
     def note_opened(self, instance: ids.InstanceId, now: float) -> None:
-        """Record that a connection was opened."""
+        """Record that a connection was opened, or an answer has come."""
         self._opened[instance] = now
         suspect = self._suspects.pop(instance, None)
         if suspect is not None:
-            self._tell(suspect.upstream, now, True, now)
+            self._tell(suspect.upstream, now, True)
 
     def note_unreached(self, upstream: upstreams.Upstream, now: float) -> None:
         """Record that no connection could be opened."""
         known = self._suspects.get(upstream.id)
         if known is None or not _is_same(known.upstream, upstream):
             self._suspects[upstream.id] = _Suspect(upstream, now)
-            self._tell(upstream, now, False, now)
+            self._tell(upstream, now, False)
             return
         known.at = now
 
@@ -126,6 +128,7 @@
             me: This node.
         """
         found = []
+        turns = _Turns(nodes, me)
         for upstream in listed:
             life = upstream.born, upstream.address
             if self._seen.get(upstream.id) == life:
@@ -134,7 +137,7 @@
             is_known = self.is_suspect(upstream) or self.has_opened(
                 upstream.id
             )
-            turn = _find_turn(hashing.hash_text(upstream.id), nodes, me)
+            turn = turns.find(hashing.hash_text(upstream.id))
             if not is_known and turn < _TRYING_NODES:
                 found.append(upstream)
         return found
@@ -150,10 +153,11 @@
             now: The present time.
         """
         due = []
+        turns = _Turns(nodes, me)
         for suspect in self._suspects.values():
             if now < suspect.next_try:
                 continue
-            turn = _find_turn(suspect.hash, nodes, me)
+            turn = turns.find(suspect.hash)
             if suspect.is_new and turn:
                 suspect.is_new = False
                 is_trying = turn < _TRYING_NODES
@@ -169,7 +173,7 @@
             suspect.next_try = now + _TRY_INTERVAL
             if turn >= _TRYING_NODES:
                 suspect.next_try = now + min(
-                    _OTHERS_INTERVAL * 2**suspect.tries,
+                    _OTHERS_INTERVAL * 2 ** min(suspect.tries, _MAX_DOUBLINGS),
                     max(_LONG_INTERVAL, len(nodes) / 2),
                 )
         return [suspect.upstream for suspect, _ in due]
@@ -230,9 +234,8 @@
                 if suspect is not None and suspect.at < at:
                     del self._suspects[instance]
             elif suspect is None:
-                if self._opened.get(instance, at - _OWN_SECONDS) < (
-                    at - _OWN_SECONDS / 2
-                ):
+                opened = self._opened.get(instance)
+                if opened is None or opened < at - _OWN_SECONDS:
                     self._suspects[instance] = _Suspect(upstream, at)
             else:
                 suspect.at = max(suspect.at, at)
@@ -242,18 +245,23 @@
         upstream: upstreams.Upstream,
         at: float,
         is_open: bool,
-        now: float,
     ) -> None:
         self._news.pop(upstream.id, None)
         self._news[upstream.id] = upstream.born, at, is_open, 0.0
 
 
-def _find_turn(
-    number: int, nodes: abc.Sequence[ids.NodeId], me: ids.NodeId
-) -> int:
-    """Return the place of a node among those that try an upstream."""
-    position = nodes.index(me) if me in nodes else 0
-    return (position - number) % max(len(nodes), 1)
+class _Turns:
+    """The place of a node among all that try an upstream."""
+
+    def __init__(
+        self, nodes: abc.Sequence[ids.NodeId], me: ids.NodeId
+    ) -> None:
+        self._position = nodes.index(me) if me in nodes else 0
+        self._count = max(len(nodes), 1)
+
+    def find(self, number: int) -> int:
+        """Return the place, from 0, for the hash of an upstream."""
+        return (self._position - number) % self._count
 
 
 def _is_same(known: upstreams.Upstream, listed: upstreams.Upstream) -> bool:
--- a/currantwall/transport/openings.py
+++ b/currantwall/transport/openings.py
@@ -65,13 +65,16 @@
             self._report()
             if self._paths.is_lost:
                 continue
+            is_changed = self._generation != self._fleet.generation
+            if not (is_changed or self._reachability.has_suspects):
+                continue
             now = self._now()
             me = self._presence.me.id
             nodes = sorted(
                 {me, *(node.id for node in self._presence.list_with_path(now))}
             )
             due = self._reachability.list_due(nodes, me, now)
-            if self._generation != self._fleet.generation:
+            if is_changed:
                 self._generation = self._fleet.generation
                 plain = (one for one in self._fleet.all() if not one.domain)
                 due += self._reachability.list_new(plain, nodes, me)
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -111,6 +111,14 @@
         self.assertEqual(len(set(tried)), 50)
         self.assertEqual(self.nodes["a"].list_new(listed, _NODES, "a"), [])
 
+    def test_a_suspect_may_stay_one_for_days(self):
+        """Guards against an interval that grows without bound."""
+        for name, node in self.nodes.items():
+            node.note_unreached(self.known["u1"], 10.0)
+            for hour in range(2000):
+                node.list_due(_NODES, name, 20.0 + 3600.0 * hour)
+            self.assertTrue(node.list_due(_NODES, name, 1e9))
+
     def test_a_node_without_a_path_forgets_what_it_found(self):
         """Guards against blaming upstreams for a lost path."""
         node = self.nodes["a"]
