--- a/currantwall/transport/sending.py
+++ b/currantwall/transport/sending.py
@@ -614,7 +614,8 @@
         if isinstance(message, exchanges.Data):
             self._crashes.note_data(current)
         elif isinstance(message, exchanges.Head):
-            self._balancer.reachability.note_opened(instance, now)
+            if current.peer is None:
+                self._balancer.reachability.note_opened(instance, now)
             self._advisories.note_head(
                 request.attempt_id, current.upstream, message
             )
--- a/currantwall/transport/wholes.py
+++ b/currantwall/transport/wholes.py
@@ -140,7 +140,8 @@
         Failure: the opening of a connection is not answered, and a request
         waits for that while other upstreams are idle.
         """
-        if not current.was_suspect:
+        # A peer tells by itself whether it could open the connection.
+        if not (current.was_suspect or current.peer):
             opened_by = current.sent_at + attempts.CONNECT_PATIENCE
             message = self._sender.receive_message(
                 request, (current,), min(until, opened_by)
