Openings: share out new upstreams among all nodes that are listed

By reading: the nodes that share the tries of new upstreams were those that this node had heard of and that take requests. When all nodes start at once there are none, so that each would have connected to every upstream: 32,000 connections at 142 nodes and 225 upstreams. Now the share is among the nodes of the store's list, and nothing is tried before that was read.

--- a/currantwall/transport/openings.py
+++ b/currantwall/transport/openings.py
@@ -59,30 +59,38 @@
         self._pool = eventlet.greenpool.GreenPool(_MAX_AT_ONCE)
 
     def run(self) -> None:
-        """Try suspects forever."""
+        """Try suspects and new upstreams forever."""
         while True:
             eventlet.sleep(_INTERVAL)
             self._report()
             if self._paths.is_lost:
                 continue
-            is_changed = self._generation != self._fleet.generation
-            if not (is_changed or self._reachability.has_suspects):
-                continue
-            now = self._now()
-            me = self._presence.me.id
-            nodes = sorted(
-                {me, *(node.id for node in self._presence.list_with_path(now))}
-            )
-            due = self._reachability.list_due(nodes, me, now)
-            if is_changed:
-                self._generation = self._fleet.generation
-                plain = (one for one in self._fleet.all() if not one.domain)
-                due += self._reachability.list_new(plain, nodes, me)
+            due = self.list_due()
             if due:
                 self._meter.add(_TRIED, len(due))
             for upstream in due:
                 self._pool.spawn_n(self._try, upstream)
 
+    def list_due(self) -> list[upstreams.Upstream]:
+        """Return the upstreams that this node should try to connect to now."""
+        me = self._presence.me.id
+        due = []
+        if self._reachability.has_suspects:
+            now = self._now()
+            reaching = self._presence.list_with_path(now)
+            nodes = sorted({me, *(node.id for node in reaching)})
+            due += self._reachability.list_due(nodes, me, now)
+        is_changed = self._generation != self._fleet.generation
+        # Failure: all nodes start at once, none has heard of another yet, and
+        # each connects to every upstream.
+        if is_changed and self._presence.knows_all_nodes:
+            self._generation = self._fleet.generation
+            peers = self._presence.list_peers()
+            nodes = sorted({me, *(node.id for node in peers)})
+            plain = (one for one in self._fleet.all() if not one.domain)
+            due += self._reachability.list_new(plain, nodes, me)
+        return due
+
     def _report(self) -> None:
         """Set the metric, and log which upstreams have become suspects."""
         suspects = self._reachability.list_suspects()
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 from bench import deadentries
 from bench import gateways
@@ -12,6 +13,7 @@
 from currantwall.state import revisions
 from currantwall.state import routes
 from currantwall.state import upstreams
+from currantwall.transport import openings
 
 _NODES = ("a", "b", "c", "d", "e")
 _SERVICE = ids.ServiceName("app")
@@ -159,6 +161,30 @@
         self.assertEqual(found.reason, "all limit their requests")
 
 
+class OpeningsTest(unittest.TestCase):
+    def test_new_upstreams_wait_for_the_list_of_nodes(self):
+        """Guards against connections from each of many nodes that start."""
+        fleet = upstreams.Fleet()
+        listed = [make_upstream(f"u{number}") for number in range(50)]
+        fleet.replace(listed, revisions.join(1, 1), 0.0)
+        presence = mock.Mock(knows_all_nodes=False)
+        presence.me.id = "a"
+        presence.list_peers.return_value = [
+            mock.Mock(id=name) for name in _NODES[1:]
+        ]
+        presence.list_with_path.return_value = []
+        tried = openings.Openings(
+            reachability.Reachability(),
+            fleet,
+            presence,
+            *[mock.Mock() for _ in range(4)],
+        )
+        self.assertEqual(tried.list_due(), [])
+        presence.knows_all_nodes = True
+        self.assertLess(len(tried.list_due()), 40)
+        self.assertEqual(tried.list_due(), [])
+
+
 class DecisionTest(unittest.TestCase):
     def decide(self, kind, progress, is_free=True):
         route = routes.Route(
